--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control role: one reducer over the replicated log and its driver.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry role: takes callers' requests and routes them.
--- /dev/null
+++ b/crates/mangorouter/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry point of the `mangorouter` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/proto/src/rpc/mod.rs
@@ -0,0 +1,62 @@
+//! Calls between our processes: typed requests, replies and errors over HTTP.
+
+mod client;
+mod identity;
+
+pub use {
+    client::{ConnectionUse, RpcClient, RpcError},
+    identity::ProcessIdentity,
+};
+
+use {
+    crate::envelope::ProcessRole,
+    serde::{de::DeserializeOwned, Deserialize, Serialize},
+    std::fmt,
+};
+
+/// A message that expects a reply.
+pub trait RpcCall: Serialize + DeserializeOwned {
+    /// The path on the internal port of the called process.
+    const PATH: &'static str;
+    /// The roles that may send it.
+    const FROM: &'static [ProcessRole];
+    /// What is answered.
+    type Reply: Serialize + DeserializeOwned;
+}
+
+/// Why a process refused a message before its reducer saw it: proof that nothing was done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RpcRefusal {
+    /// The frame or body is malformed.
+    Malformed,
+    /// The sender speaks another version of the protocol.
+    OtherVersion,
+    /// The sender belongs to another cluster.
+    OtherCluster,
+    /// The sender's role may not send this message.
+    WrongRole,
+    /// No message goes to this path.
+    NoSuchPath,
+    /// The message is too large.
+    TooLarge,
+    /// Too many messages wait.
+    Overloaded,
+    /// The process is shutting down.
+    ShuttingDown,
+}
+
+impl fmt::Display for RpcRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Malformed => "malformed",
+            Self::OtherVersion => "other-version",
+            Self::OtherCluster => "other-cluster",
+            Self::WrongRole => "wrong-role",
+            Self::NoSuchPath => "no-such-path",
+            Self::TooLarge => "too-large",
+            Self::Overloaded => "overloaded",
+            Self::ShuttingDown => "shutting-down",
+        })
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! How an entry decides: endpoint choice, admission, retries, hedges and outcomes. Pure.
--- /dev/null
+++ b/crates/settings/src/declaration/mod.rs
@@ -0,0 +1,275 @@
+//! The declarations of the fleet: defaults set once, then a short list of exceptions, each with a
+//! written reason.
+
+mod policy;
+
+pub use policy::{
+    BlamePolicy, DrainPolicy, FleetPolicy, LeasePolicy, OutcomeWeights, PlacementPolicy,
+    RequestPolicy, RetentionPolicy,
+};
+
+use {
+    base::{
+        ClassName, DataCentreName, RackName, ResourceVector, RevisionNumber, ServiceName, TeamName,
+        WorkerId,
+    },
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    std::{fmt, time::SystemTime},
+};
+
+/// A service that callers address.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceDeclaration {
+    /// The team that answers for it.
+    pub team: TeamName,
+    /// Methods that may be repeated although RFC 9110 does not call them idempotent.
+    #[serde(default)]
+    pub idempotent_methods: Vec<String>,
+}
+
+/// A team with its quota.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TeamDeclaration {
+    /// What its tasks may hold at once.
+    pub quota: ResourceVector,
+    /// True when it may hold more while others leave their quota unused.
+    #[serde(default)]
+    pub may_borrow: bool,
+}
+
+/// Whom a policy is resolved for. A field that is `None` matches no selector that names it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct PolicySubject {
+    /// The service.
+    pub service: Option<ServiceName>,
+    /// The team.
+    pub team: Option<TeamName>,
+    /// The class of task.
+    pub class: Option<ClassName>,
+    /// The data centre.
+    pub data_centre: Option<DataCentreName>,
+    /// The rack.
+    pub rack: Option<RackName>,
+    /// The worker.
+    pub worker: Option<WorkerId>,
+}
+
+/// Whom an exception is for: all fields that are given must match.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ExceptionSelector {
+    /// The service.
+    pub service: Option<ServiceName>,
+    /// The team.
+    pub team: Option<TeamName>,
+    /// The class of task.
+    pub class: Option<ClassName>,
+    /// The data centre.
+    pub data_centre: Option<DataCentreName>,
+    /// The rack.
+    pub rack: Option<RackName>,
+    /// The worker.
+    pub worker: Option<WorkerId>,
+}
+
+impl ExceptionSelector {
+    /// True when every given field equals the subject's.
+    pub fn matches(&self, subject: &PolicySubject) -> bool {
+        agrees(&self.service, &subject.service)
+            && agrees(&self.team, &subject.team)
+            && agrees(&self.class, &subject.class)
+            && agrees(&self.data_centre, &subject.data_centre)
+            && agrees(&self.rack, &subject.rack)
+            && agrees(&self.worker, &subject.worker)
+    }
+}
+
+fn agrees<T: PartialEq>(wanted: &Option<T>, found: &Option<T>) -> bool {
+    wanted.is_none() || wanted == found
+}
+
+/// A case that differs from the rule, and why.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExceptionDeclaration {
+    /// A name by which explanations refer to it.
+    pub name: String,
+    /// Why this case differs, for the person who reads it after the next merger.
+    pub reason: String,
+    /// Who answers for it.
+    pub owner: String,
+    /// The last day on which it holds, as `YYYY-MM-DD`.
+    #[serde(default)]
+    pub expires: Option<String>,
+    /// Whom it is for.
+    #[serde(rename = "for")]
+    pub selector: ExceptionSelector,
+    /// The changed values, in the sections of the defaults.
+    pub values: toml::Table,
+}
+
+/// What decided a value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RuleSource {
+    /// The value that is built in, because no file sets it.
+    BuiltIn,
+    /// The fleet's defaults.
+    Default,
+    /// An exception.
+    Exception {
+        /// Its name.
+        name: String,
+        /// Its written reason.
+        reason: String,
+        /// Who answers for it.
+        owner: String,
+    },
+}
+
+impl fmt::Display for RuleSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::BuiltIn => f.write_str("built-in value"),
+            Self::Default => f.write_str("fleet default"),
+            Self::Exception { name, reason, owner } => {
+                write!(f, "exception {name:?} of {owner}: {reason}")
+            }
+        }
+    }
+}
+
+/// The policy for one subject, and what decided each of its values.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ResolvedPolicy {
+    /// The policy.
+    pub policy: FleetPolicy,
+    /// The source of each value that is not built in, by dotted key such as `request.deadline`.
+    pub sources: IndexMap<String, RuleSource>,
+}
+
+impl ResolvedPolicy {
+    /// What decided the value at a dotted key.
+    pub fn source(&self, key: &str) -> RuleSource {
+        self.sources.get(key).cloned().unwrap_or(RuleSource::BuiltIn)
+    }
+}
+
+/// All declarations of one revision.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct FleetDeclaration {
+    /// The revision; zero is the empty folder.
+    pub revision: RevisionNumber,
+    /// The services.
+    pub services: IndexMap<ServiceName, ServiceDeclaration>,
+    /// The teams.
+    pub teams: IndexMap<TeamName, TeamDeclaration>,
+    /// The exceptions.
+    pub exceptions: Vec<ExceptionDeclaration>,
+    defaults: toml::Table,
+}
+
+/// An error in a declaration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DeclarationError {
+    /// Where and what.
+    pub text: String,
+}
+
+impl fmt::Display for DeclarationError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.text)
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DeclarationDocument {
+    #[serde(default)]
+    defaults: toml::Table,
+    #[serde(default)]
+    services: IndexMap<ServiceName, ServiceDeclaration>,
+    #[serde(default)]
+    teams: IndexMap<TeamName, TeamDeclaration>,
+    #[serde(default)]
+    exceptions: Vec<ExceptionDeclaration>,
+}
+
+impl FleetDeclaration {
+    /// Reads and checks all files of a folder, given as path and text. Reports every error.
+    pub fn parse<'a>(
+        revision: RevisionNumber,
+        files: impl IntoIterator<Item = (&'a str, &'a str)>,
+    ) -> Result<Self, Vec<DeclarationError>> {
+        let mut fleet = Self { revision, ..Self::default() };
+        let mut errors = Vec::new();
+        for (path, text) in files {
+            match toml::from_str::<DeclarationDocument>(text) {
+                Ok(document) => fleet.absorb(document),
+                Err(error) => errors.push(DeclarationError { text: format!("{path}: {error}") }),
+            }
+        }
+        if errors.is_empty() {
+            Ok(fleet)
+        } else {
+            Err(errors)
+        }
+    }
+
+    fn absorb(&mut self, document: DeclarationDocument) {
+        merge(&mut self.defaults, &document.defaults);
+        self.services.extend(document.services);
+        self.teams.extend(document.teams);
+        self.exceptions.extend(document.exceptions);
+    }
+
+    /// The policy for `subject` on the day of `wall`, from the defaults and the exceptions that
+    /// match.
+    pub fn policy_for(&self, subject: &PolicySubject, wall: SystemTime) -> ResolvedPolicy {
+        let _ = wall;
+        let mut table = self.defaults.clone();
+        let mut sources = IndexMap::new();
+        note_sources(&self.defaults, "", &RuleSource::Default, &mut sources);
+        for exception in self.exceptions.iter().filter(|e| e.selector.matches(subject)) {
+            let source = RuleSource::Exception {
+                name: exception.name.clone(),
+                reason: exception.reason.clone(),
+                owner: exception.owner.clone(),
+            };
+            merge(&mut table, &exception.values);
+            note_sources(&exception.values, "", &source, &mut sources);
+        }
+        let policy = table.try_into().unwrap_or_default();
+        ResolvedPolicy { policy, sources }
+    }
+}
+
+fn merge(base: &mut toml::Table, over: &toml::Table) {
+    for (key, value) in over {
+        match (base.get_mut(key), value) {
+            (Some(toml::Value::Table(inner)), toml::Value::Table(over)) => merge(inner, over),
+            _ => {
+                base.insert(key.clone(), value.clone());
+            }
+        }
+    }
+}
+
+fn note_sources(
+    table: &toml::Table,
+    prefix: &str,
+    source: &RuleSource,
+    sources: &mut IndexMap<String, RuleSource>,
+) {
+    for (key, value) in table {
+        let path = if prefix.is_empty() { key.clone() } else { format!("{prefix}.{key}") };
+        match value {
+            toml::Value::Table(inner) => note_sources(inner, &path, source, sources),
+            _ => {
+                sources.insert(path, source.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/catalogue/macros.rs
@@ -0,0 +1,61 @@
+//! The repetitive parts of a role's catalogue.
+
+/// Defines the events of a role: number, severity, name, typed fields and meaning.
+macro_rules! catalogue {
+    (
+        $(#[$doc:meta])* $role:ident {
+            $($number:literal $severity:ident $name:ident {
+                $($field:ident: $type:ty),* $(,)?
+            } $meaning:literal;)*
+        }
+    ) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq)]
+        pub enum $role {
+            $(#[doc = $meaning] $name {
+                $(#[doc = concat!("The event's `", stringify!($field), "`.")] $field: $type),*
+            },)*
+        }
+
+        impl $role {
+            /// The catalogue's lines for this role.
+            pub const LINES: &'static [$crate::catalogue::CatalogueLine] = &[
+                $($crate::catalogue::CatalogueLine {
+                    number: $number,
+                    name: stringify!($name),
+                    severity: $crate::catalogue::EventSeverity::$severity,
+                    fields: &[$(stringify!($field)),*],
+                    meaning: $meaning,
+                },)*
+            ];
+        }
+
+        impl $crate::catalogue::CatalogueEvent for $role {
+            fn number(&self) -> u16 {
+                match self {
+                    $(Self::$name { .. } => $number,)*
+                }
+            }
+
+            fn name(&self) -> &'static str {
+                match self {
+                    $(Self::$name { .. } => stringify!($name),)*
+                }
+            }
+
+            fn severity(&self) -> $crate::catalogue::EventSeverity {
+                match self {
+                    $(Self::$name { .. } => $crate::catalogue::EventSeverity::$severity,)*
+                }
+            }
+
+            fn fields(&self) -> Vec<(&'static str, String)> {
+                match self {
+                    $(Self::$name { $($field),* } => {
+                        vec![$((stringify!($field), $field.to_string())),*]
+                    })*
+                }
+            }
+        }
+    };
+}
