Add the state machine of the log and its storage

The control group needs a log that survives the loss of a minority of its replicas. `LogStorage` keeps one frame and one fsync per batch.

Conclusion: groups of one, three and five elect a leader, commit and confirm reads over a fake network and disk.

--- /dev/null
+++ b/crates/quorum/src/core/group.rs
@@ -0,0 +1,120 @@
+//! The group as the log tells it. A membership entry counts from the moment it is appended, and
+//! stops counting when it is truncated.
+
+use {
+    crate::interface::{EntryPayload, GroupMember, LogEntry, LogSnapshot},
+    base::{LogIndex, PeerAddress, ReplicaId},
+    std::collections::BTreeSet,
+};
+
+/// The group from one position of the log on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct GroupState {
+    /// The position of the entry or snapshot that set it; 0 for the founders.
+    pub(crate) index: LogIndex,
+    pub(crate) members: Vec<GroupMember>,
+    pub(crate) retired: Vec<ReplicaId>,
+}
+
+impl GroupState {
+    pub(crate) fn member(&self, replica: ReplicaId) -> Option<&GroupMember> {
+        self.members.iter().find(|member| member.replica == replica)
+    }
+
+    pub(crate) fn is_voter(&self, replica: ReplicaId) -> bool {
+        self.member(replica).is_some_and(|member| member.voter)
+    }
+
+    pub(crate) fn is_retired(&self, replica: ReplicaId) -> bool {
+        self.retired.contains(&replica)
+    }
+
+    pub(crate) fn voters(&self) -> impl Iterator<Item = ReplicaId> + '_ {
+        self.members.iter().filter(|member| member.voter).map(|member| member.replica)
+    }
+
+    pub(crate) fn address_of(&self, replica: ReplicaId) -> Option<PeerAddress> {
+        self.member(replica).map(|member| member.address)
+    }
+
+    /// The number of voters that decide.
+    pub(crate) fn quorum(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// Whether these replicas hold a quorum of the voters.
+    pub(crate) fn is_quorum(&self, replicas: &BTreeSet<ReplicaId>) -> bool {
+        self.voters().filter(|voter| replicas.contains(voter)).count() >= self.quorum()
+    }
+
+    /// The largest value that a quorum of the voters has reached.
+    pub(crate) fn reached<T: Ord + Copy>(&self, value_of: impl Fn(ReplicaId) -> T) -> Option<T> {
+        let mut values: Vec<T> = self.voters().map(value_of).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.quorum() - 1).copied()
+    }
+}
+
+/// The group at every position since the last snapshot.
+#[derive(Debug, Clone)]
+pub(crate) struct GroupHistory {
+    base: GroupState,
+    changes: Vec<GroupState>,
+}
+
+impl GroupHistory {
+    /// The group named by a snapshot, or else the founders.
+    pub(crate) fn new(snapshot: Option<&LogSnapshot>, founders: &[GroupMember]) -> Self {
+        let base = snapshot.map_or_else(
+            || GroupState { index: LogIndex(0), members: founders.to_vec(), retired: Vec::new() },
+            group_of,
+        );
+        Self { base, changes: Vec::new() }
+    }
+
+    /// The group that counts now.
+    pub(crate) fn latest(&self) -> &GroupState {
+        self.changes.last().unwrap_or(&self.base)
+    }
+
+    /// The group at a position.
+    pub(crate) fn at(&self, index: LogIndex) -> &GroupState {
+        self.changes.iter().rev().find(|change| change.index <= index).unwrap_or(&self.base)
+    }
+
+    /// Notes an appended entry.
+    pub(crate) fn note(&mut self, entry: &LogEntry) {
+        if let EntryPayload::Members { members, retired } = &entry.payload {
+            self.changes.push(GroupState {
+                index: entry.index,
+                members: members.clone(),
+                retired: retired.clone(),
+            });
+        }
+    }
+
+    /// Forgets changes from a position on.
+    pub(crate) fn truncate_from(&mut self, from: LogIndex) {
+        self.changes.retain(|change| change.index < from);
+    }
+
+    /// Forgets what came before a snapshot, which carries the group at its position.
+    pub(crate) fn compact(&mut self, snapshot: &LogSnapshot) {
+        self.changes.retain(|change| change.index > snapshot.index);
+        self.base = group_of(snapshot);
+    }
+
+    /// Forgets everything but a snapshot's group.
+    pub(crate) fn reset(&mut self, snapshot: &LogSnapshot) {
+        self.changes.clear();
+        self.base = group_of(snapshot);
+    }
+}
+
+fn group_of(snapshot: &LogSnapshot) -> GroupState {
+    GroupState {
+        index: snapshot.index,
+        members: snapshot.members.clone(),
+        retired: snapshot.retired.clone(),
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/core/mod.rs
@@ -0,0 +1,239 @@
+//! The state machine of a replica: one reducer over everything that can happen to it.
+//!
+//! The protocol is described in `docs/decisions/quorum.md`.
+
+mod apply;
+mod election;
+mod follow;
+mod group;
+mod lead;
+mod log;
+mod membership;
+mod outbox;
+mod progress;
+mod reads;
+mod role;
+mod snapshot;
+mod start;
+mod writes;
+
+pub use {
+    lead::MemberProgress,
+    start::{CoreError, SettingsProblem},
+};
+
+use {
+    self::{
+        group::GroupHistory, log::EntryLog, outbox::HeldMessage, role::RoleState,
+        snapshot::IncomingSnapshot, writes::WriteTracker,
+    },
+    crate::{
+        interface::{
+            HardState, LogSnapshot, ProposalError, QuorumEffect, QuorumEvent, QuorumSettings,
+            ReplicaRole,
+        },
+        message::{MessageBody, QuorumMessage},
+    },
+    base::{EventReducer, LogIndex, ReplicaId, ReplyTicket, SeededRandom, TermNumber},
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// What the driver was last told about the role.
+type ReportedRole = (ReplicaRole, TermNumber, Option<ReplicaId>);
+
+/// A replica of the log.
+#[derive(Debug)]
+pub struct QuorumCore {
+    settings: QuorumSettings,
+    random: SeededRandom,
+    now: Duration,
+    hard_state: HardState,
+    role: RoleState,
+    leader: Option<ReplicaId>,
+    /// When the leader was last heard.
+    leader_heard: Duration,
+    election_deadline: Duration,
+    log: EntryLog,
+    group: GroupHistory,
+    writes: WriteTracker,
+    /// When a failed write is tried again.
+    retry_at: Duration,
+    committed: LogIndex,
+    applied: LogIndex,
+    /// Messages that wait for a batch to be synced.
+    held: VecDeque<HeldMessage>,
+    incoming: Option<IncomingSnapshot>,
+    snapshot_asked: bool,
+    recovered_snapshot: Option<LogSnapshot>,
+    reported: ReportedRole,
+    effects: Vec<QuorumEffect<QuorumMessage>>,
+}
+
+impl EventReducer for QuorumCore {
+    type Event = QuorumEvent<QuorumMessage>;
+    type Effect = QuorumEffect<QuorumMessage>;
+
+    fn reduce(&mut self, now: Duration, event: Self::Event) -> Vec<Self::Effect> {
+        self.now = self.now.max(now);
+        if let Some(snapshot) = self.recovered_snapshot.take() {
+            self.effects.push(QuorumEffect::InstallSnapshot(snapshot));
+        }
+        self.handle(event);
+        self.settle();
+        std::mem::take(&mut self.effects)
+    }
+}
+
+impl QuorumCore {
+    /// The role. A new leader counts as a candidate until it has applied every entry of earlier
+    /// terms.
+    pub fn role(&self) -> ReplicaRole {
+        match &self.role {
+            RoleState::Follower => ReplicaRole::Follower,
+            RoleState::Leader(leader) if self.applied >= leader.first_index => ReplicaRole::Leader,
+            _ => ReplicaRole::Candidate,
+        }
+    }
+
+    /// This replica.
+    pub fn replica(&self) -> ReplicaId {
+        self.settings.replica
+    }
+
+    /// The newest term that was seen.
+    pub fn term(&self) -> TermNumber {
+        self.hard_state.term
+    }
+
+    /// Who leads, as far as is known. A leader names itself once its role says so.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        match self.role() {
+            ReplicaRole::Candidate => None,
+            ReplicaRole::Follower | ReplicaRole::Leader => self.leader,
+        }
+    }
+
+    /// The last committed position that is known.
+    pub fn committed(&self) -> LogIndex {
+        self.committed
+    }
+
+    /// The last position that was applied.
+    pub fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// The last position of the log.
+    pub fn last_index(&self) -> LogIndex {
+        self.log.last_index()
+    }
+
+    /// True from a failed write until a retried one is synced.
+    pub fn storage_failed(&self) -> bool {
+        self.writes.failed()
+    }
+
+    fn handle(&mut self, event: QuorumEvent<QuorumMessage>) {
+        match event {
+            QuorumEvent::Tick => self.tick(),
+            QuorumEvent::Received { from, message } => self.receive(from, message),
+            QuorumEvent::Persisted { number } => self.persisted(number),
+            QuorumEvent::PersistFailed { number } => self.persist_failed(number),
+            QuorumEvent::Propose { ticket, data } => self.propose(ticket, data),
+            QuorumEvent::ConfirmRead { ticket } => self.confirm_read(ticket),
+            QuorumEvent::ChangeMembers { ticket, change } => self.change_members(ticket, change),
+            QuorumEvent::SnapshotTaken { index, data } => self.snapshot_taken(index, data),
+        }
+    }
+
+    fn tick(&mut self) {
+        if matches!(self.role, RoleState::Leader(_)) {
+            self.lead_tick();
+        } else if self.now >= self.election_deadline {
+            self.start_pre_vote();
+        }
+    }
+
+    /// Handles a message. Replicas whose removal is committed are not heard any more, so that
+    /// they can't disturb the group.
+    fn receive(&mut self, from: ReplicaId, message: QuorumMessage) {
+        let removed = self.group.at(self.committed).is_retired(from);
+        if removed || from == self.settings.replica {
+            return;
+        }
+        self.dispatch(from, message);
+    }
+
+    fn dispatch(&mut self, from: ReplicaId, message: QuorumMessage) {
+        let QuorumMessage { term, reply_to, body } = message;
+        let sender = outbox::MessageSender { replica: from, term, reply_to };
+        match body {
+            MessageBody::PreVote(request) => self.handle_pre_vote(sender, request),
+            MessageBody::PreVoteReply { granted } => self.handle_pre_vote_reply(sender, granted),
+            MessageBody::Vote(request) => self.handle_vote(sender, request),
+            MessageBody::VoteReply { granted } => self.handle_vote_reply(sender, granted),
+            MessageBody::Append(request) => self.handle_append(sender, request),
+            MessageBody::AppendReply(reply) => self.handle_append_reply(sender, reply),
+            MessageBody::SnapshotChunk(chunk) => self.handle_chunk(sender, chunk),
+            MessageBody::SnapshotReply { index, received } => {
+                self.handle_chunk_reply(sender, index, received);
+            }
+        }
+    }
+
+    fn persisted(&mut self, number: u64) {
+        if self.writes.persisted(number) {
+            self.release_held(number);
+        }
+    }
+
+    /// Without a disk nothing can be promised: the lead goes, and nothing is acknowledged until a
+    /// retried batch is synced.
+    fn persist_failed(&mut self, number: u64) {
+        if !self.writes.persist_failed(number) {
+            return;
+        }
+        self.retry_at = self.now + self.settings.heartbeat;
+        if !matches!(self.role, RoleState::Follower) {
+            self.become_follower(None);
+        }
+    }
+
+    /// Draws the conclusions of an event.
+    fn settle(&mut self) {
+        self.advance_commit();
+        self.apply_committed();
+        self.answer_reads();
+        self.replicate();
+        self.flush_writes();
+        self.report_role();
+    }
+
+    fn flush_writes(&mut self) {
+        if self.writes.failed() && self.now < self.retry_at {
+            return;
+        }
+        if let Some(batch) = self.writes.next_batch(&self.log, self.hard_state) {
+            self.effects.push(QuorumEffect::Persist(batch));
+        }
+    }
+
+    fn report_role(&mut self) {
+        let role = (self.role(), self.hard_state.term, self.leader());
+        if role == self.reported {
+            return;
+        }
+        self.reported = role;
+        let (role, term, leader) = role;
+        self.effects.push(QuorumEffect::RoleChanged { role, term, leader });
+    }
+
+    fn reject(&mut self, ticket: ReplyTicket, error: ProposalError) {
+        self.effects.push(QuorumEffect::Rejected { ticket, error });
+    }
+
+    fn reject_not_leader(&mut self, ticket: ReplyTicket) {
+        let leader = self.leader();
+        self.reject(ticket, ProposalError::NotLeader { leader });
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/core/snapshot.rs
@@ -0,0 +1,196 @@
+//! Snapshots: taken from the caller's state, sent to followers that need entries which are gone,
+//! and put together from chunks.
+
+use {
+    super::{
+        outbox::MessageSender,
+        progress::{ProgressMode, SnapshotTransfer},
+        role::RoleState,
+        QuorumCore,
+    },
+    crate::{
+        interface::{LogSnapshot, QuorumEffect},
+        message::{AppendOutcome, AppendReply, MessageBody, SnapshotChunk},
+    },
+    base::{LogIndex, ReplicaId},
+    bytes::Bytes,
+};
+
+/// Of the entries that a snapshot covers, one part in this many stays in memory, so that a
+/// follower that is a little behind needs no snapshot.
+const RETAINED_PART: u64 = 2;
+
+/// A snapshot of which a part has arrived.
+#[derive(Debug, Clone)]
+pub(crate) struct IncomingSnapshot {
+    leader: ReplicaId,
+    first: SnapshotChunk,
+    data: Vec<u8>,
+}
+
+impl IncomingSnapshot {
+    fn is_part(&self, leader: ReplicaId, chunk: &SnapshotChunk) -> bool {
+        let first = &self.first;
+        self.leader == leader
+            && (first.index, first.term, first.total) == (chunk.index, chunk.term, chunk.total)
+    }
+
+    fn received(&self) -> u64 {
+        self.data.len() as u64
+    }
+
+    fn take(&mut self, chunk: &SnapshotChunk) {
+        if chunk.offset == self.received() {
+            self.data.extend_from_slice(&chunk.data);
+        }
+    }
+
+    fn into_snapshot(self) -> LogSnapshot {
+        LogSnapshot {
+            index: self.first.index,
+            term: self.first.term,
+            members: self.first.members,
+            retired: self.first.retired,
+            data: self.data.into(),
+        }
+    }
+}
+
+impl SnapshotTransfer {
+    /// The chunk that the follower needs next.
+    pub(crate) fn next_chunk(&mut self, limit: usize) -> MessageBody {
+        self.sent = true;
+        let data = &self.snapshot.data;
+        let start = usize::try_from(self.received).unwrap_or(usize::MAX).min(data.len());
+        let end = start.saturating_add(limit).min(data.len());
+        MessageBody::SnapshotChunk(SnapshotChunk {
+            index: self.snapshot.index,
+            term: self.snapshot.term,
+            members: self.snapshot.members.clone(),
+            retired: self.snapshot.retired.clone(),
+            total: data.len() as u64,
+            offset: start as u64,
+            data: data.slice(start..end),
+        })
+    }
+}
+
+impl QuorumCore {
+    /// Compacts the log up to a position of which the caller gives the state.
+    pub(crate) fn snapshot_taken(&mut self, index: LogIndex, data: Vec<u8>) {
+        self.snapshot_asked = false;
+        if index <= self.log.snapshot_index() || index > self.applied {
+            return;
+        }
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        let group = self.group.at(index);
+        let snapshot = LogSnapshot {
+            index,
+            term,
+            members: group.members.clone(),
+            retired: group.retired.clone(),
+            data: Bytes::from(data),
+        };
+        self.compact(snapshot);
+    }
+
+    fn compact(&mut self, snapshot: LogSnapshot) {
+        self.group.compact(&snapshot);
+        self.writes.note_snapshot(snapshot.clone());
+        self.log.compact(snapshot, self.settings.snapshot_every / RETAINED_PART);
+    }
+
+    pub(crate) fn handle_chunk(&mut self, sender: MessageSender, chunk: SnapshotChunk) {
+        if sender.term < self.hard_state.term {
+            self.refuse_chunk(sender, &chunk);
+            return;
+        }
+        self.follow(sender.replica, sender.term);
+        if self.writes.failed() {
+            return;
+        }
+        let index = chunk.index;
+        if index <= self.committed {
+            self.acknowledge(sender, index, 0);
+            return;
+        }
+        let Some(received) = self.take_chunk(sender.replica, chunk) else {
+            self.acknowledge(sender, index, 0);
+            return;
+        };
+        let reply = self.message(MessageBody::SnapshotReply { index, received });
+        self.reply_durably(sender, LogIndex(0), reply);
+    }
+
+    /// Adds a chunk to what has arrived. Returns how much has, or nothing when that was the last.
+    fn take_chunk(&mut self, leader: ReplicaId, chunk: SnapshotChunk) -> Option<u64> {
+        let mut incoming = match self.incoming.take() {
+            Some(incoming) if incoming.is_part(leader, &chunk) => incoming,
+            _ if chunk.offset > 0 => return Some(0),
+            _ => IncomingSnapshot { leader, first: chunk.clone(), data: Vec::new() },
+        };
+        incoming.take(&chunk);
+        let received = incoming.received();
+        if received > incoming.first.total {
+            return Some(0);
+        }
+        if received < incoming.first.total {
+            self.incoming = Some(incoming);
+            return Some(received);
+        }
+        self.install(incoming.into_snapshot());
+        None
+    }
+
+    fn install(&mut self, snapshot: LogSnapshot) {
+        self.snapshot_asked = false;
+        self.effects.push(QuorumEffect::InstallSnapshot(snapshot.clone()));
+        let agrees = self.log.term_at(snapshot.index) == Some(snapshot.term);
+        let index = snapshot.index;
+        if agrees {
+            self.compact(snapshot);
+        } else {
+            self.group.reset(&snapshot);
+            self.writes.note_reset(snapshot.clone(), self.committed);
+            self.log.reset(snapshot);
+        }
+        self.committed = index;
+        self.applied = index;
+    }
+
+    fn refuse_chunk(&mut self, sender: MessageSender, chunk: &SnapshotChunk) {
+        let outcome = AppendOutcome::Rejected {
+            prev_index: chunk.index,
+            hint_index: LogIndex(0),
+            hint_term: Default::default(),
+        };
+        let reply = self.message(MessageBody::AppendReply(AppendReply { round: 0, outcome }));
+        self.reply_durably(sender, LogIndex(0), reply);
+    }
+
+    pub(crate) fn handle_chunk_reply(
+        &mut self,
+        sender: MessageSender,
+        index: LogIndex,
+        received: u64,
+    ) {
+        if !self.note_answer(sender) {
+            return;
+        }
+        let RoleState::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&sender.replica) else {
+            return;
+        };
+        let ProgressMode::Snapshot(transfer) = &mut progress.mode else {
+            return;
+        };
+        if transfer.snapshot.index == index && transfer.received != received {
+            transfer.received = received;
+            transfer.sent = false;
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/core/writes.rs
@@ -0,0 +1,171 @@
+//! What has to reach the disk, what is on its way, and what is there. One batch is in flight at a
+//! time: changes that come while it is written gather in the next one, which makes one fsync
+//! serve many entries.
+
+use {
+    super::log::EntryLog,
+    crate::interface::{HardState, LogSnapshot, PersistBatch},
+    base::LogIndex,
+};
+
+/// A batch that was handed to the driver.
+#[derive(Debug, Clone)]
+struct WriteInFlight {
+    number: u64,
+    /// The last position that is stable once the batch is synced.
+    last: LogIndex,
+    hard_state: bool,
+    snapshot: Option<LogSnapshot>,
+}
+
+/// The difference between the log in memory and the log on disk.
+#[derive(Debug, Clone)]
+pub(crate) struct WriteTracker {
+    next_number: u64,
+    /// The last position of the log in memory that is synced.
+    stable: LogIndex,
+    /// The last position that is synced or in flight.
+    written: LogIndex,
+    truncate_from: Option<LogIndex>,
+    snapshot: Option<LogSnapshot>,
+    hard_state: bool,
+    in_flight: Option<WriteInFlight>,
+    failed: bool,
+}
+
+impl WriteTracker {
+    /// Everything up to `recovered` is on disk.
+    pub(crate) fn new(recovered: LogIndex) -> Self {
+        Self {
+            next_number: 1,
+            stable: recovered,
+            written: recovered,
+            truncate_from: None,
+            snapshot: None,
+            hard_state: false,
+            in_flight: None,
+            failed: false,
+        }
+    }
+
+    /// The last position of the log in memory that is synced.
+    pub(crate) fn stable(&self) -> LogIndex {
+        self.stable
+    }
+
+    /// True from a failed write until a retried one is synced.
+    pub(crate) fn failed(&self) -> bool {
+        self.failed
+    }
+
+    /// The batch that must be synced before the term, the vote and every entry up to `index` are
+    /// durable; `None` when they are already.
+    pub(crate) fn needed_for(&self, index: LogIndex) -> Option<u64> {
+        let next = self.next_number;
+        if self.failed || self.hard_state {
+            return Some(next);
+        }
+        if index > self.stable && (index > self.written || self.snapshot.is_some()) {
+            return Some(next);
+        }
+        match &self.in_flight {
+            Some(write) if write.hard_state || index > self.stable => Some(write.number),
+            Some(_) => None,
+            None if index > self.stable => Some(next),
+            None => None,
+        }
+    }
+
+    pub(crate) fn note_hard_state(&mut self) {
+        self.hard_state = true;
+    }
+
+    /// Entries from a position on were dropped from the log in memory.
+    pub(crate) fn note_truncated(&mut self, from: LogIndex) {
+        if from <= self.written {
+            self.truncate_from = Some(self.truncate_from.map_or(from, |old| old.min(from)));
+        }
+        self.cap(LogIndex(from.0.saturating_sub(1)));
+    }
+
+    /// A snapshot of a position in the log was taken or received.
+    pub(crate) fn note_snapshot(&mut self, snapshot: LogSnapshot) {
+        self.written = self.written.max(snapshot.index);
+        self.snapshot = Some(snapshot);
+    }
+
+    /// A received snapshot replaces the whole log, of which only `agreed` is known to be right.
+    pub(crate) fn note_reset(&mut self, snapshot: LogSnapshot, agreed: LogIndex) {
+        if self.written > snapshot.index {
+            self.truncate_from = Some(snapshot.index.next());
+        }
+        self.cap(agreed);
+        self.written = snapshot.index;
+        self.snapshot = Some(snapshot);
+    }
+
+    fn cap(&mut self, last: LogIndex) {
+        self.stable = self.stable.min(last);
+        self.written = self.written.min(last);
+        if let Some(write) = &mut self.in_flight {
+            write.last = write.last.min(last);
+        }
+    }
+
+    /// The next batch, if there is something to write and nothing in flight.
+    pub(crate) fn next_batch(
+        &mut self,
+        log: &EntryLog,
+        hard_state: HardState,
+    ) -> Option<PersistBatch> {
+        let clean = !self.hard_state
+            && self.snapshot.is_none()
+            && self.truncate_from.is_none()
+            && self.written >= log.last_index();
+        if clean || self.in_flight.is_some() {
+            return None;
+        }
+        let first = self.written.max(log.snapshot_index());
+        let batch = PersistBatch {
+            number: self.next_number,
+            snapshot: self.snapshot.take(),
+            truncate_from: self.truncate_from.take(),
+            entries: log.after(first),
+            hard_state: std::mem::take(&mut self.hard_state).then_some(hard_state),
+        };
+        self.next_number += 1;
+        self.written = log.last_index();
+        self.in_flight = Some(WriteInFlight {
+            number: batch.number,
+            last: self.written,
+            hard_state: batch.hard_state.is_some(),
+            snapshot: batch.snapshot.clone(),
+        });
+        Some(batch)
+    }
+
+    /// A batch is synced. False when it is not the one in flight.
+    pub(crate) fn persisted(&mut self, number: u64) -> bool {
+        let Some(write) = self.in_flight.take_if(|write| write.number == number) else {
+            return false;
+        };
+        self.stable = self.stable.max(write.last);
+        self.failed = false;
+        true
+    }
+
+    /// A batch could not be written, and may be there in part: it is merged into the next one,
+    /// which first cuts whatever reached the disk. False when it is not the one in flight.
+    pub(crate) fn persist_failed(&mut self, number: u64) -> bool {
+        let Some(write) = self.in_flight.take_if(|write| write.number == number) else {
+            return false;
+        };
+        self.failed = true;
+        self.hard_state = true;
+        self.snapshot = self.snapshot.take().or(write.snapshot);
+        let cut = self.stable.next();
+        self.truncate_from = Some(self.truncate_from.map_or(cut, |old| old.min(cut)));
+        self.written = self.stable;
+        true
+    }
+}
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -5,6 +5,14 @@
 //! mean and sends nothing itself. `control` calls it. The protocol is described in
 //! `docs/decisions/quorum.md`, and the promises that it carries in `docs/PROMISES.md`.
 
+mod core;
 pub mod interface;
+mod message;
+mod storage;
 
-pub use interface::*;
+pub use {
+    crate::core::{CoreError, MemberProgress, QuorumCore, SettingsProblem},
+    interface::*,
+    message::QuorumMessage,
+    storage::{DiskFiles, FileAction, FileLayer, LogStorage, StorageError},
+};
--- /dev/null
+++ b/crates/quorum/src/storage/mod.rs
@@ -0,0 +1,268 @@
+//! The log on disk: numbered segments of checksummed frames, one frame and one fsync for each
+//! batch, and snapshots. The layout is described in `docs/decisions/quorum.md`.
+
+mod error;
+mod frame;
+mod header;
+mod layer;
+mod names;
+mod record;
+mod recover;
+mod writer;
+
+pub use {
+    error::{FileAction, StorageError},
+    layer::{DiskFiles, FileLayer},
+};
+
+use {
+    self::{
+        error::{BatchGapSnafu, IoSnafu, LockedSnafu},
+        header::FileOwner,
+        names::{list_folder, segment_path, snapshot_path, FolderListing, LOCK_NAME},
+        record::{BorrowedRecord, SegmentDetails},
+        recover::{read_folder, FolderContent, SegmentEnd, FIRST_SEGMENT},
+        writer::{write_snapshot, SegmentWriter},
+    },
+    crate::interface::{HardState, LogSnapshot, PersistBatch, RecoveredLog},
+    base::{ClusterName, LogIndex, ReplicaId},
+    snafu::{ensure, ResultExt},
+    std::{
+        fs::{self, File, TryLockError},
+        path::{Path, PathBuf},
+    },
+};
+
+/// The size at which a segment is followed by the next one, in bytes.
+const SEGMENT_BYTES: u64 = 8 * 1024 * 1024;
+
+/// The files of one replica. The folder holds nothing else.
+#[derive(Debug)]
+pub struct LogStorage<F = DiskFiles> {
+    folder: PathBuf,
+    owner: FileOwner,
+    files: F,
+    /// Keeps other processes out as long as it is open.
+    _lock: File,
+    writer: SegmentWriter,
+    /// Every segment before the one that is written.
+    closed: Vec<SegmentEnd>,
+    /// The largest position of an entry in the segment that is written.
+    highest: LogIndex,
+    next_index: LogIndex,
+    hard_state: HardState,
+    /// A write failed: the end of the segment is unknown.
+    suspect: bool,
+    sync_count: u64,
+}
+
+impl LogStorage<DiskFiles> {
+    /// Opens the log in `folder`, which is created if it does not exist. What a crash left
+    /// unfinished is cut off; everything else that is not as it was written is refused and left
+    /// untouched.
+    pub fn open(
+        folder: &Path,
+        cluster: &ClusterName,
+        replica: ReplicaId,
+    ) -> Result<(Self, RecoveredLog), StorageError> {
+        Self::open_with(DiskFiles, folder, cluster, replica)
+    }
+}
+
+impl<F: FileLayer> LogStorage<F> {
+    /// Like [`LogStorage::open`], with the given access to files.
+    pub fn open_with(
+        mut files: F,
+        folder: &Path,
+        cluster: &ClusterName,
+        replica: ReplicaId,
+    ) -> Result<(Self, RecoveredLog), StorageError> {
+        let owner = FileOwner { cluster: cluster.clone(), replica };
+        create_folder(&mut files, folder)?;
+        list_folder(folder)?;
+        let lock = lock_folder(folder)?;
+        let listing = list_folder(folder)?;
+        let content = read_folder(folder, &owner, &listing)?;
+        remove_leftovers(folder, &listing)?;
+        let FolderContent { log, mut segments, intact_length, replayed_to } = content;
+        let next_index = log.next_index();
+        let details = SegmentDetails { next_index, hard_state: log.hard_state };
+        let (writer, highest) = match segments.pop() {
+            Some(end) => {
+                let path = segment_path(folder, end.number);
+                let mut writer =
+                    SegmentWriter::resume(&mut files, path, end.number, intact_length)?;
+                if replayed_to != next_index {
+                    writer.append(&mut files, &BorrowedRecord::restart(next_index))?;
+                }
+                (writer, end.highest)
+            }
+            None => {
+                let writer =
+                    SegmentWriter::create(&mut files, folder, &owner, FIRST_SEGMENT, details)?;
+                (writer, LogIndex(0))
+            }
+        };
+        let storage = Self {
+            folder: folder.to_owned(),
+            owner,
+            files,
+            _lock: lock,
+            writer,
+            closed: segments,
+            highest,
+            next_index,
+            hard_state: log.hard_state,
+            suspect: false,
+            sync_count: 0,
+        };
+        Ok((storage, log))
+    }
+
+    /// Writes and syncs a batch. After an error everything that was synced before is still there,
+    /// and the batch may be there in part; the next batch must bring all of it again.
+    pub fn persist(&mut self, batch: &PersistBatch) -> Result<(), StorageError> {
+        if self.suspect {
+            self.writer.cut_unsynced(&mut self.files)?;
+            self.start_segment()?;
+            self.suspect = false;
+        }
+        let result = self.try_persist(batch);
+        self.suspect = result.is_err();
+        result
+    }
+
+    /// How often a segment or snapshot was synced since the log was opened.
+    pub fn sync_count(&self) -> u64 {
+        self.sync_count
+    }
+
+    fn try_persist(&mut self, batch: &PersistBatch) -> Result<(), StorageError> {
+        if let Some(snapshot) = &batch.snapshot {
+            write_snapshot(&mut self.files, &self.folder, &self.owner, snapshot)?;
+            self.sync_count += 1;
+        }
+        let record = self.record_of(batch)?;
+        if !record.is_empty() {
+            self.writer.append(&mut self.files, &record)?;
+            self.sync_count += 1;
+        }
+        self.note_written(&record);
+        if let Some(snapshot) = &batch.snapshot {
+            self.start_segment()?;
+            self.remove_covered(snapshot);
+        } else if self.writer.length() >= SEGMENT_BYTES {
+            self.start_segment()?;
+        }
+        Ok(())
+    }
+
+    fn record_of<'a>(&self, batch: &'a PersistBatch) -> Result<BorrowedRecord<'a>, StorageError> {
+        let covered = batch.snapshot.as_ref().map(|snapshot| snapshot.index);
+        let restart_after = covered.filter(|index| *index >= self.next_index);
+        let next = restart_after.map_or(self.next_index, LogIndex::next);
+        let floor = covered.map_or(LogIndex(1), LogIndex::next);
+        let truncate_from =
+            batch.truncate_from.map(|from| from.max(floor)).filter(|from| *from < next);
+        let record = BorrowedRecord {
+            restart_after,
+            truncate_from,
+            entries: &batch.entries,
+            hard_state: batch.hard_state,
+        };
+        let expected = truncate_from.unwrap_or(next);
+        if let Some(first) = batch.entries.first() {
+            ensure!(first.index == expected, BatchGapSnafu { expected, found: first.index });
+        }
+        Ok(record)
+    }
+
+    fn note_written(&mut self, record: &BorrowedRecord<'_>) {
+        self.next_index = record.restart_after.map_or(self.next_index, LogIndex::next);
+        self.next_index = record.truncate_from.unwrap_or(self.next_index);
+        if let Some(last) = record.entries.last() {
+            self.next_index = last.index.next();
+            self.highest = self.highest.max(last.index);
+        }
+        self.hard_state = record.hard_state.unwrap_or(self.hard_state);
+    }
+
+    fn start_segment(&mut self) -> Result<(), StorageError> {
+        let number = self.writer.number() + 1;
+        let details = SegmentDetails { next_index: self.next_index, hard_state: self.hard_state };
+        let writer =
+            SegmentWriter::create(&mut self.files, &self.folder, &self.owner, number, details)?;
+        self.sync_count += 1;
+        let ended = std::mem::replace(&mut self.writer, writer);
+        self.closed.push(SegmentEnd { number: ended.number(), highest: self.highest });
+        self.highest = LogIndex(0);
+        Ok(())
+    }
+
+    /// Removes segments and snapshots that a snapshot makes superfluous, the oldest first. What
+    /// can't be removed now is removed with the next snapshot.
+    fn remove_covered(&mut self, snapshot: &LogSnapshot) {
+        while let Some(first) = self.closed.first() {
+            let path = segment_path(&self.folder, first.number);
+            if first.highest > snapshot.index || fs::remove_file(path).is_err() {
+                break;
+            }
+            self.closed.remove(0);
+        }
+        let Ok(listing) = list_folder(&self.folder) else {
+            return;
+        };
+        for index in listing.snapshots.into_iter().filter(|index| *index < snapshot.index.0) {
+            // A snapshot that stays is removed when the log is opened.
+            let _ = fs::remove_file(snapshot_path(&self.folder, LogIndex(index)));
+        }
+    }
+}
+
+impl RecoveredLog {
+    /// The position after the last one.
+    fn next_index(&self) -> LogIndex {
+        let covered = self.snapshot.as_ref().map_or(LogIndex(0), |snapshot| snapshot.index);
+        self.entries.last().map_or(covered, |entry| entry.index).next()
+    }
+}
+
+fn create_folder<F: FileLayer>(files: &mut F, folder: &Path) -> Result<(), StorageError> {
+    if folder.is_dir() {
+        return Ok(());
+    }
+    let parent = folder.parent().filter(|parent| !parent.as_os_str().is_empty());
+    if let Some(parent) = parent {
+        create_folder(files, parent)?;
+    }
+    fs::create_dir(folder).context(IoSnafu { path: folder, action: FileAction::Create })?;
+    let parent = parent.unwrap_or(Path::new("."));
+    files.sync_folder(parent).context(IoSnafu { path: parent, action: FileAction::Sync })
+}
+
+fn lock_folder(folder: &Path) -> Result<File, StorageError> {
+    let path = folder.join(LOCK_NAME);
+    let lock = File::options()
+        .write(true)
+        .create(true)
+        .truncate(false)
+        .open(&path)
+        .context(IoSnafu { path: &path, action: FileAction::Create })?;
+    match lock.try_lock() {
+        Ok(()) => Ok(lock),
+        Err(TryLockError::WouldBlock) => LockedSnafu { path }.fail(),
+        Err(TryLockError::Error(source)) => {
+            Err(source).context(IoSnafu { path, action: FileAction::Lock })
+        }
+    }
+}
+
+/// Removes files that never got their final name and snapshots that a newer one replaces.
+fn remove_leftovers(folder: &Path, listing: &FolderListing) -> Result<(), StorageError> {
+    let old = listing.snapshots.iter().rev().skip(1);
+    let old = old.map(|index| snapshot_path(folder, LogIndex(*index)));
+    for path in old.chain(listing.unfinished.iter().cloned()) {
+        fs::remove_file(&path).context(IoSnafu { path, action: FileAction::Remove })?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/quorum/src/storage/recover.rs
@@ -0,0 +1,214 @@
+//! Reads what a folder holds, without changing anything.
+
+use {
+    super::{
+        error::{
+            DamagedSnafu, FileAction, IoSnafu, MissingEntriesSnafu, MissingSegmentSnafu,
+            StorageError,
+        },
+        frame::{decode_frame, frame_follows, FramePlace},
+        header::{decode_header, FileOwner},
+        names::{segment_path, snapshot_path, FolderListing},
+        record::{BatchRecord, SegmentDetails},
+    },
+    crate::interface::{HardState, LogEntry, LogSnapshot, RecoveredLog},
+    base::LogIndex,
+    snafu::{ensure, OptionExt, ResultExt},
+    std::{
+        fs,
+        path::{Path, PathBuf},
+    },
+};
+
+/// The number of the first segment.
+pub(crate) const FIRST_SEGMENT: u64 = 1;
+
+/// A segment and the last position that was written when it ended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SegmentEnd {
+    pub(crate) number: u64,
+    /// The largest position of an entry in the segment.
+    pub(crate) highest: LogIndex,
+}
+
+/// What a folder holds.
+#[derive(Debug)]
+pub(crate) struct FolderContent {
+    pub(crate) log: RecoveredLog,
+    pub(crate) segments: Vec<SegmentEnd>,
+    /// The length of the last segment up to its last intact frame.
+    pub(crate) intact_length: u64,
+    /// The position after the last one in the segments. It differs from the end of the log when a
+    /// crash came between a snapshot and the record that restarts the log after it.
+    pub(crate) replayed_to: LogIndex,
+}
+
+/// Reads a folder.
+pub(crate) fn read_folder(
+    folder: &Path,
+    owner: &FileOwner,
+    listing: &FolderListing,
+) -> Result<FolderContent, StorageError> {
+    let mut replay = LogReplay::default();
+    let mut segments = Vec::new();
+    let mut intact_length = 0;
+    check_numbers(folder, listing)?;
+    for number in &listing.segments {
+        let path = segment_path(folder, *number);
+        let last = Some(number) == listing.segments.last();
+        let segment = SegmentFile { path, number: *number, last };
+        let (end, length) = segment.replay_into(owner, &mut replay)?;
+        segments.push(end);
+        intact_length = length;
+    }
+    let snapshot = match listing.snapshots.last() {
+        Some(index) => Some(read_snapshot(folder, owner, LogIndex(*index))?),
+        None => None,
+    };
+    let replayed_to = replay.next_index;
+    let log = replay.finish(folder, snapshot)?;
+    Ok(FolderContent { log, segments, intact_length, replayed_to })
+}
+
+/// Segments follow each other without gaps, from the first one unless a snapshot covers it.
+fn check_numbers(folder: &Path, listing: &FolderListing) -> Result<(), StorageError> {
+    let first = listing.segments.first().copied();
+    let start = match (first, listing.snapshots.is_empty()) {
+        (None, true) => return Ok(()),
+        (Some(first), false) => first,
+        (_, _) => FIRST_SEGMENT,
+    };
+    let missing = (start..)
+        .zip(listing.segments.iter().map(|number| Some(*number)).chain([None]))
+        .find(|(expected, found)| *found != Some(*expected));
+    match missing {
+        Some((expected, found)) if found.is_some() || first.is_none() => {
+            MissingSegmentSnafu { path: segment_path(folder, expected) }.fail()
+        }
+        _ => Ok(()),
+    }
+}
+
+fn read_snapshot(
+    folder: &Path,
+    owner: &FileOwner,
+    index: LogIndex,
+) -> Result<LogSnapshot, StorageError> {
+    let path = snapshot_path(folder, index);
+    let content = read_file(&path)?;
+    let header = decode_header::<()>(&path, &content, owner, index.0)?;
+    let place = FramePlace { file: index.0, offset: header.offset };
+    let damaged = DamagedSnafu { path: &path, offset: place.offset };
+    let (payload, end) = decode_frame(&content, place).context(damaged)?;
+    ensure!(end == content.len() as u64, DamagedSnafu { path: &path, offset: end });
+    let snapshot: LogSnapshot = rmp_serde::from_slice(payload).ok().context(damaged)?;
+    ensure!(snapshot.index == index, damaged);
+    Ok(snapshot)
+}
+
+/// A segment to be read.
+struct SegmentFile {
+    path: PathBuf,
+    number: u64,
+    /// Only the last segment may end in the middle of a frame.
+    last: bool,
+}
+
+impl SegmentFile {
+    fn replay_into(
+        &self,
+        owner: &FileOwner,
+        replay: &mut LogReplay,
+    ) -> Result<(SegmentEnd, u64), StorageError> {
+        let path = &self.path;
+        let content = read_file(path)?;
+        let header = decode_header::<SegmentDetails>(path, &content, owner, self.number)?;
+        replay.start_segment(path, &header.details)?;
+        let mut highest = LogIndex(header.details.next_index.0 - 1);
+        let mut offset = header.offset;
+        while offset < content.len() as u64 {
+            let place = FramePlace { file: self.number, offset };
+            let Some((payload, end)) = decode_frame(&content, place) else {
+                let torn = self.last && !frame_follows(&content, place);
+                ensure!(torn, DamagedSnafu { path, offset });
+                break;
+            };
+            let record: BatchRecord =
+                rmp_serde::from_slice(payload).ok().context(DamagedSnafu { path, offset })?;
+            highest = highest.max(record.last_index().unwrap_or(highest));
+            replay.apply(path, record)?;
+            offset = end;
+        }
+        Ok((SegmentEnd { number: self.number, highest }, offset))
+    }
+}
+
+/// The log as far as it has been read.
+#[derive(Debug, Default)]
+struct LogReplay {
+    started: bool,
+    hard_state: HardState,
+    next_index: LogIndex,
+    entries: Vec<LogEntry>,
+}
+
+impl LogReplay {
+    fn start_segment(&mut self, path: &Path, details: &SegmentDetails) -> Result<(), StorageError> {
+        if !self.started {
+            self.started = true;
+            self.next_index = details.next_index;
+        }
+        self.hard_state = details.hard_state;
+        let (expected, found) = (self.next_index, details.next_index);
+        ensure!(expected == found, MissingEntriesSnafu { path, expected, found });
+        Ok(())
+    }
+
+    fn apply(&mut self, path: &Path, record: BatchRecord) -> Result<(), StorageError> {
+        if let Some(index) = record.restart_after {
+            self.entries.clear();
+            self.next_index = index.next();
+        }
+        if let Some(from) = record.truncate_from.filter(|from| *from < self.next_index) {
+            self.entries.retain(|entry| entry.index < from);
+            self.next_index = from;
+        }
+        for entry in record.entries {
+            let (expected, found) = (self.next_index, entry.index);
+            ensure!(expected == found, MissingEntriesSnafu { path, expected, found });
+            self.next_index = found.next();
+            self.entries.push(entry);
+        }
+        self.hard_state = record.hard_state.unwrap_or(self.hard_state);
+        Ok(())
+    }
+
+    /// Joins the log to the snapshot.
+    fn finish(
+        mut self,
+        folder: &Path,
+        snapshot: Option<LogSnapshot>,
+    ) -> Result<RecoveredLog, StorageError> {
+        let start = snapshot.as_ref().map_or(LogIndex(0), |snapshot| snapshot.index);
+        let term = snapshot.as_ref().map(|snapshot| snapshot.term);
+        let diverges =
+            self.entries.iter().any(|entry| entry.index == start && Some(entry.term) != term);
+        if diverges {
+            self.entries.clear();
+        }
+        self.entries.retain(|entry| entry.index > start);
+        let expected = start.next();
+        if let Some(first) = self.entries.first() {
+            let found = first.index;
+            ensure!(found == expected, MissingEntriesSnafu { path: folder, expected, found });
+        } else if self.next_index > expected && !diverges {
+            let found = self.next_index;
+            return MissingEntriesSnafu { path: folder, expected, found }.fail();
+        }
+        Ok(RecoveredLog { hard_state: self.hard_state, snapshot, entries: self.entries })
+    }
+}
+
+fn read_file(path: &Path) -> Result<Vec<u8>, StorageError> {
+    fs::read(path).context(IoSnafu { path, action: FileAction::Read })
+}
--- /dev/null
+++ b/crates/quorum/tests/election.rs
@@ -0,0 +1,30 @@
+//! Elections and replication in a group without faults.
+
+mod cluster;
+
+use {
+    base::ReplicaId,
+    cluster::{Cluster, ELECTION_TIMEOUT},
+    rstest::rstest,
+};
+
+#[rstest]
+#[case::one(1)]
+#[case::three(3)]
+#[case::five(5)]
+fn a_group_elects_a_leader_and_commits(#[case] voters: u64) {
+    let mut cluster = Cluster::new(voters, 1);
+    (1..=voters).for_each(|id| cluster.start(ReplicaId(id)));
+    cluster.advance(ELECTION_TIMEOUT * 4);
+    let leader = cluster.leader().expect("a group without faults has a leader");
+    for number in 0..50 {
+        cluster.propose(leader, &format!("entry {number}"));
+    }
+    cluster.read(leader);
+    cluster.settle();
+    assert_eq!(cluster.witness.complaints, Vec::<String>::new());
+    assert_eq!(cluster.witness.acknowledged, 50);
+    assert_eq!(cluster.witness.reads_answered, 1);
+    cluster.advance(ELECTION_TIMEOUT);
+    assert!(cluster.nodes.values().all(|node| node.applied == cluster.witness.told()));
+}
