Check declarations and settings whole, with place and remedy

Cause: a reader that stops at the first error and names no line leaves the operator guessing, and an exception without a reason can't be understood after a merger.

Change: documents are walked against a table of keys before serde reads them. Every error is reported at once with file, line, key, what was expected and the most similar key; exceptions need a reason, an owner and a subject, and two that clash are refused with both places. Policies resolve from defaults and exceptions, the more specific first, with the source of each value. Revisions compare rule by rule.

--- a/crates/base/src/sizes/resources.rs
+++ b/crates/base/src/sizes/resources.rs
@@ -37,6 +37,7 @@
     /// Memory.
     pub memory: ByteSize,
     /// Accelerators.
+    #[serde(default)]
     pub accelerators: AcceleratorCount,
 }
 
--- a/crates/settings/src/declaration/mod.rs
+++ b/crates/settings/src/declaration/mod.rs
@@ -1,11 +1,17 @@
 //! The declarations of the fleet: defaults set once, then a short list of exceptions, each with a
 //! written reason.
 
+mod differ;
+mod load;
 mod policy;
+mod resolve;
 
-pub use policy::{
-    BlamePolicy, DrainPolicy, FleetPolicy, LeasePolicy, OutcomeWeights, PlacementPolicy,
-    RequestPolicy, RetentionPolicy,
+pub use {
+    differ::{RuleChange, RuleText},
+    policy::{
+        BlamePolicy, DrainPolicy, FleetPolicy, LeasePolicy, OutcomeWeights, PlacementPolicy,
+        RequestPolicy, RetentionPolicy,
+    },
 };
 
 use {
@@ -15,7 +21,7 @@
     },
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
-    std::{fmt, time::SystemTime},
+    std::fmt,
 };
 
 /// A service that callers address.
@@ -87,6 +93,20 @@
     }
 }
 
+impl fmt::Display for ExceptionSelector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let fields = [
+            self.service.as_ref().map(|name| format!("service {name}")),
+            self.team.as_ref().map(|name| format!("team {name}")),
+            self.class.as_ref().map(|name| format!("class {name}")),
+            self.data_centre.as_ref().map(|name| format!("data centre {name}")),
+            self.rack.as_ref().map(|name| format!("rack {name}")),
+            self.worker.as_ref().map(|name| format!("worker {name}")),
+        ];
+        f.write_str(&fields.into_iter().flatten().collect::<Vec<_>>().join(", "))
+    }
+}
+
 fn agrees<T: PartialEq>(wanted: &Option<T>, found: &Option<T>) -> bool {
     wanted.is_none() || wanted == found
 }
@@ -170,106 +190,3 @@
     pub exceptions: Vec<ExceptionDeclaration>,
     defaults: toml::Table,
 }
-
-/// An error in a declaration.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DeclarationError {
-    /// Where and what.
-    pub text: String,
-}
-
-impl fmt::Display for DeclarationError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.text)
-    }
-}
-
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct DeclarationDocument {
-    #[serde(default)]
-    defaults: toml::Table,
-    #[serde(default)]
-    services: IndexMap<ServiceName, ServiceDeclaration>,
-    #[serde(default)]
-    teams: IndexMap<TeamName, TeamDeclaration>,
-    #[serde(default)]
-    exceptions: Vec<ExceptionDeclaration>,
-}
-
-impl FleetDeclaration {
-    /// Reads and checks all files of a folder, given as path and text. Reports every error.
-    pub fn parse<'a>(
-        revision: RevisionNumber,
-        files: impl IntoIterator<Item = (&'a str, &'a str)>,
-    ) -> Result<Self, Vec<DeclarationError>> {
-        let mut fleet = Self { revision, ..Self::default() };
-        let mut errors = Vec::new();
-        for (path, text) in files {
-            match toml::from_str::<DeclarationDocument>(text) {
-                Ok(document) => fleet.absorb(document),
-                Err(error) => errors.push(DeclarationError { text: format!("{path}: {error}") }),
-            }
-        }
-        if errors.is_empty() {
-            Ok(fleet)
-        } else {
-            Err(errors)
-        }
-    }
-
-    fn absorb(&mut self, document: DeclarationDocument) {
-        merge(&mut self.defaults, &document.defaults);
-        self.services.extend(document.services);
-        self.teams.extend(document.teams);
-        self.exceptions.extend(document.exceptions);
-    }
-
-    /// The policy for `subject` on the day of `wall`, from the defaults and the exceptions that
-    /// match.
-    pub fn policy_for(&self, subject: &PolicySubject, wall: SystemTime) -> ResolvedPolicy {
-        let _ = wall;
-        let mut table = self.defaults.clone();
-        let mut sources = IndexMap::new();
-        note_sources(&self.defaults, "", &RuleSource::Default, &mut sources);
-        for exception in self.exceptions.iter().filter(|e| e.selector.matches(subject)) {
-            let source = RuleSource::Exception {
-                name: exception.name.clone(),
-                reason: exception.reason.clone(),
-                owner: exception.owner.clone(),
-            };
-            merge(&mut table, &exception.values);
-            note_sources(&exception.values, "", &source, &mut sources);
-        }
-        let policy = table.try_into().unwrap_or_default();
-        ResolvedPolicy { policy, sources }
-    }
-}
-
-fn merge(base: &mut toml::Table, over: &toml::Table) {
-    for (key, value) in over {
-        match (base.get_mut(key), value) {
-            (Some(toml::Value::Table(inner)), toml::Value::Table(over)) => merge(inner, over),
-            _ => {
-                base.insert(key.clone(), value.clone());
-            }
-        }
-    }
-}
-
-fn note_sources(
-    table: &toml::Table,
-    prefix: &str,
-    source: &RuleSource,
-    sources: &mut IndexMap<String, RuleSource>,
-) {
-    for (key, value) in table {
-        let path = if prefix.is_empty() { key.clone() } else { format!("{prefix}.{key}") };
-        match value {
-            toml::Value::Table(inner) => note_sources(inner, &path, source, sources),
-            _ => {
-                sources.insert(path, source.clone());
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/settings/src/declaration/resolve.rs
@@ -0,0 +1,158 @@
+//! From declarations to the values that hold for one subject, and what decided each.
+
+use {
+    super::{
+        ExceptionDeclaration, ExceptionSelector, FleetDeclaration, PolicySubject, ResolvedPolicy,
+        RuleSource,
+    },
+    indexmap::IndexMap,
+    std::time::{Duration, SystemTime},
+};
+
+const SECONDS_PER_DAY: u64 = 24 * 3600;
+
+impl FleetDeclaration {
+    /// The policy for `subject` at `wall`, from the defaults and from the exceptions that match
+    /// and have not expired. The more specific of two exceptions goes first.
+    pub fn policy_for(&self, subject: &PolicySubject, wall: SystemTime) -> ResolvedPolicy {
+        let mut table = self.defaults.clone();
+        let mut sources = IndexMap::new();
+        for key in leaf_keys(&self.defaults) {
+            sources.insert(key, RuleSource::Default);
+        }
+        for exception in self.matching(subject, wall) {
+            merge(&mut table, &exception.values);
+            for key in leaf_keys(&exception.values) {
+                sources.insert(key, exception.source());
+            }
+        }
+        let policy = table.try_into().expect("the schema admits only what the types can hold");
+        ResolvedPolicy { policy, sources }
+    }
+
+    /// The exceptions that hold for `subject` at `wall`, the least specific first.
+    pub fn matching(
+        &self,
+        subject: &PolicySubject,
+        wall: SystemTime,
+    ) -> Vec<&ExceptionDeclaration> {
+        let mut matching: Vec<_> = self
+            .exceptions
+            .iter()
+            .filter(|exception| exception.selector.matches(subject) && !exception.expired(wall))
+            .collect();
+        matching.sort_by_key(|exception| exception.selector.fields());
+        matching
+    }
+}
+
+impl ExceptionDeclaration {
+    /// True when the last day on which the exception holds has passed, in UTC.
+    pub fn expired(&self, wall: SystemTime) -> bool {
+        let end = self.expires.as_deref().and_then(day_end);
+        end.is_some_and(|end| wall >= end)
+    }
+
+    fn source(&self) -> RuleSource {
+        RuleSource::Exception {
+            name: self.name.clone(),
+            reason: self.reason.clone(),
+            owner: self.owner.clone(),
+        }
+    }
+}
+
+impl ExceptionSelector {
+    fn values(&self) -> [Option<&str>; 6] {
+        [
+            self.service.as_ref().map(|name| name.as_str()),
+            self.team.as_ref().map(|name| name.as_str()),
+            self.class.as_ref().map(|name| name.as_str()),
+            self.data_centre.as_ref().map(|name| name.as_str()),
+            self.rack.as_ref().map(|name| name.as_str()),
+            self.worker.as_ref().map(|name| name.as_str()),
+        ]
+    }
+
+    /// The number of fields that are given.
+    pub(super) fn fields(&self) -> usize {
+        self.values().iter().flatten().count()
+    }
+
+    /// True when some subject can match both.
+    pub(super) fn overlaps(&self, other: &Self) -> bool {
+        self.values()
+            .iter()
+            .zip(other.values())
+            .all(|(left, right)| left.is_none() || right.is_none() || *left == right)
+    }
+
+    /// True when every subject that matches `self` also matches `other`.
+    pub(super) fn refines(&self, other: &Self) -> bool {
+        self.values()
+            .iter()
+            .zip(other.values())
+            .all(|(left, right)| right.is_none() || *left == right)
+    }
+}
+
+/// Puts the values of `over` in place of those of `base`.
+pub(super) fn merge(base: &mut toml::Table, over: &toml::Table) {
+    for (key, value) in over {
+        match (base.get_mut(key), value) {
+            (Some(toml::Value::Table(inner)), toml::Value::Table(over)) => merge(inner, over),
+            _ => {
+                base.insert(key.clone(), value.clone());
+            }
+        }
+    }
+}
+
+/// The dotted keys of all values in a table.
+pub(super) fn leaf_keys(table: &toml::Table) -> Vec<String> {
+    let mut keys = Vec::new();
+    for (key, value) in table {
+        match value {
+            toml::Value::Table(inner) => {
+                keys.extend(leaf_keys(inner).into_iter().map(|rest| format!("{key}.{rest}")));
+            }
+            _ => keys.push(key.clone()),
+        }
+    }
+    keys
+}
+
+/// The value at a dotted key.
+pub(super) fn leaf<'a>(table: &'a toml::Table, key: &str) -> Option<&'a toml::Value> {
+    let (first, rest) = match key.split_once('.') {
+        Some((first, rest)) => (first, Some(rest)),
+        None => (key, None),
+    };
+    match (table.get(first)?, rest) {
+        (toml::Value::Table(inner), Some(rest)) => leaf(inner, rest),
+        (value, None) => Some(value),
+        _ => None,
+    }
+}
+
+/// The moment after the last of a day that is written as `YYYY-MM-DD`, in UTC.
+fn day_end(text: &str) -> Option<SystemTime> {
+    let mut parts = text.splitn(3, '-').map(str::parse::<i64>);
+    let (year, month, day) = (parts.next()?.ok()?, parts.next()?.ok()?, parts.next()?.ok()?);
+    let days = u64::try_from(days_since_epoch(year, month, day)).ok()?;
+    Some(SystemTime::UNIX_EPOCH + Duration::from_secs((days + 1) * SECONDS_PER_DAY))
+}
+
+/// Days from 1970-01-01 in the proleptic Gregorian calendar. Years are counted from March, so
+/// that the leap day comes last, and in eras of 400 years.
+fn days_since_epoch(year: i64, month: i64, day: i64) -> i64 {
+    const DAYS_PER_ERA: i64 = 146_097;
+    const DAYS_TO_EPOCH: i64 = 719_468;
+    let year = if month <= 2 { year - 1 } else { year };
+    let era = year.div_euclid(400);
+    let year_of_era = year.rem_euclid(400);
+    let month_from_march = (month + 9) % 12;
+    let day_of_year = (153 * month_from_march + 2) / 5 + day - 1;
+    let day_of_era = year_of_era * 365 + year_of_era / 4 - year_of_era / 100 + day_of_year;
+    era * DAYS_PER_ERA + day_of_era - DAYS_TO_EPOCH
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,16 +5,19 @@
 //! binaries read settings; `control`, `entry` and `agent` resolve declarations. See
 //! `docs/CONFIGURATION.md`.
 
+pub mod check;
 pub mod declaration;
 pub mod process;
+mod schema;
 
 pub use {
+    check::{CheckError, CheckProblem, TextPlace},
     declaration::{
         ExceptionDeclaration, FleetDeclaration, FleetPolicy, PolicySubject, ResolvedPolicy,
         RuleSource, ServiceDeclaration, TeamDeclaration,
     },
     process::{
-        AgentSettings, ControlSettings, EntrySettings, MemberSettings, ProcessSettings,
-        RoleSettings,
+        AgentSettings, ControlSettings, DaemonSettings, EntrySettings, LogSettings, MemberSettings,
+        ProcessSettings, RoleSettings, StandInSettings,
     },
 };
--- a/crates/settings/src/process/mod.rs
+++ b/crates/settings/src/process/mod.rs
@@ -1,12 +1,15 @@
 //! The settings of one process: where it is, where it listens and whom it asks first.
 
+mod load;
+
 use {
     base::{
-        ClusterName, DataCentreName, PeerAddress, ProcessName, RackName, RegionName, ReplicaId,
-        ResourceVector, WorkerId,
+        duration_text, ClusterName, ConnectionCount, DataCentreName, EndpointId, PeerAddress,
+        ProcessName, RackName, RegionName, ReplicaId, ResourceVector, ServiceName, SlotCount,
+        WorkerId,
     },
     serde::{Deserialize, Serialize},
-    std::path::PathBuf,
+    std::{path::PathBuf, time::Duration},
 };
 
 /// What every process is told, and what its role needs besides.
@@ -41,6 +44,68 @@
     Entry(EntrySettings),
     /// An agent.
     Agent(AgentSettings),
+    /// A stand-in for a worker's platform and one executor, for trials on one machine.
+    StandIn(StandInSettings),
+}
+
+impl RoleSettings {
+    /// The role's name, as it is written in settings and on the command line.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Control(_) => "control",
+            Self::Entry(_) => "entry",
+            Self::Agent(_) => "agent",
+            Self::StandIn(_) => "stand-in",
+        }
+    }
+}
+
+/// The settings file of a daemon.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DaemonSettings {
+    /// What the role is started with.
+    pub process: ProcessSettings,
+    /// Where the log goes.
+    pub log: LogSettings,
+}
+
+/// Where the log goes and how much of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// The least severe level that is written: error, warn, info, debug or trace.
+    pub level: String,
+    /// The file that is appended to; standard error when there is none.
+    pub file: Option<PathBuf>,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self { level: "info".to_owned(), file: None }
+    }
+}
+
+/// What the stand-in for a worker needs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StandInSettings {
+    /// Where the stand-in platform listens.
+    pub platform: PeerAddress,
+    /// Where the stand-in executor listens.
+    pub executor: PeerAddress,
+    /// The announce port of the agent.
+    pub announce_to: PeerAddress,
+    /// The service that the executor serves.
+    pub service: ServiceName,
+    /// The name of the endpoint.
+    pub endpoint: EndpointId,
+    /// The requests that it serves at once.
+    pub slots: SlotCount,
+    /// The connections that it keeps open.
+    pub connections: ConnectionCount,
+    /// How long a request takes.
+    #[serde(with = "duration_text")]
+    pub service_time: Duration,
 }
 
 /// A member of the control group as it is first set up.
@@ -62,6 +127,7 @@
     /// The folder that holds its durable state.
     pub data_folder: PathBuf,
     /// The voters with which the group is founded. Empty for a replica that joins later.
+    #[serde(default)]
     pub founders: Vec<MemberSettings>,
 }
 
--- a/crates/spread/src/store/mod.rs
+++ b/crates/spread/src/store/mod.rs
@@ -4,7 +4,7 @@
     base::{PeerAddress, RevisionNumber},
     indexmap::IndexMap,
     proto::messages::DeclarationBundle,
-    settings::{declaration::DeclarationError, FleetDeclaration},
+    settings::{CheckError, FleetDeclaration},
     std::{sync::Arc, time::Duration},
 };
 
@@ -21,7 +21,7 @@
     /// It is not newer than what is in force.
     NotNewer,
     /// It can't be used. What was in force stays so.
-    Refused(Vec<DeclarationError>),
+    Refused(Vec<CheckError>),
 }
 
 /// The declarations in force, and the pulls that are under way.
