Let the reasons of placement be kept in the log

The control log keeps why each task was placed, relieved or parked in typed form. The reasons of the placement model therefore become serializable.

--- a/crates/sched/src/interface/mod.rs
+++ b/crates/sched/src/interface/mod.rs
@@ -172,6 +172,7 @@
 
 /// Why a worker was chosen.
 #[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PlacementReason {
     /// The workers that had room.
     pub candidates: u32,
@@ -240,6 +241,7 @@
 
 /// Why a running task is throttled, moved or evicted.
 #[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum ReliefReason {
     /// A service on the worker is slower than declared to be tolerable.
     ServiceSlow {
@@ -341,6 +343,7 @@
 
 /// Why a job is kept back.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ParkReason {
     /// It failed on several workers.
     FailedEverywhere {
