Add metrics, the operators' port and the merged time line

Cause: an operator has to see what a process does without touching it.

Change: instruments by opentelemetry in one list, exported at /metrics; a port with /healthz, /readyz, /metrics and /events on every process, on which control mounts its own calls; events of all processes merged by hybrid stamps, filtered, read from files and written as a page with a lane for each process.

--- a/crates/base/src/time/mod.rs
+++ b/crates/base/src/time/mod.rs
@@ -2,7 +2,7 @@
 
 mod stamp;
 
-pub use stamp::{HybridClock, HybridStamp};
+pub use stamp::{HybridClock, HybridStamp, StampError};
 
 use std::{
     sync::Mutex,
--- a/crates/base/src/time/stamp.rs
+++ b/crates/base/src/time/stamp.rs
@@ -4,7 +4,8 @@
 
 use {
     serde::{Deserialize, Serialize},
-    std::{fmt, time::SystemTime},
+    snafu::Snafu,
+    std::{fmt, str::FromStr, time::SystemTime},
 };
 
 /// A point in the causal order of events. Ordered by wall time first, then by the counter.
@@ -24,6 +25,26 @@
     }
 }
 
+/// The text is no stamp.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("expected a stamp such as \"1700000000000000.0\", not {found:?}"))]
+pub struct StampError {
+    /// The text that was given.
+    pub found: String,
+}
+
+impl FromStr for HybridStamp {
+    type Err = StampError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || StampError { found: text.to_owned() };
+        let (wall, counter) = text.split_once('.').ok_or_else(error)?;
+        let wall_micros = wall.parse().map_err(|_| error())?;
+        let counter = counter.parse().map_err(|_| error())?;
+        Ok(Self { wall_micros, counter })
+    }
+}
+
 /// Hands out stamps that are larger than every stamp issued or received before.
 #[derive(Debug, Default)]
 pub struct HybridClock {
--- a/crates/sched/src/interface/mod.rs
+++ b/crates/sched/src/interface/mod.rs
@@ -171,8 +171,7 @@
 }
 
 /// Why a worker was chosen.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PlacementReason {
     /// The workers that had room.
     pub candidates: u32,
@@ -240,8 +239,7 @@
 }
 
 /// Why a running task is throttled, moved or evicted.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ReliefReason {
     /// A service on the worker is slower than declared to be tolerable.
     ServiceSlow {
@@ -342,8 +340,7 @@
 }
 
 /// Why a job is kept back.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ParkReason {
     /// It failed on several workers.
     FailedEverywhere {
--- a/crates/telemetry/src/context/mod.rs
+++ b/crates/telemetry/src/context/mod.rs
@@ -1,7 +1,7 @@
 //! What a role is given by the program that starts it.
 
 use {
-    crate::recorder::EventRecorder,
+    crate::{metrics::ProcessMetrics, recorder::EventRecorder},
     base::ClockSource,
     proto::rpc::ProcessIdentity,
     std::sync::{
@@ -17,13 +17,15 @@
     pub identity: Arc<ProcessIdentity>,
     /// Where events are recorded.
     pub recorder: Arc<EventRecorder>,
+    /// What the process counts and times.
+    pub metrics: Arc<ProcessMetrics>,
     ready: Arc<AtomicBool>,
 }
 
 impl ProcessContext {
     /// The context of a process that is not ready yet.
     pub fn new(identity: Arc<ProcessIdentity>, recorder: Arc<EventRecorder>) -> Self {
-        Self { identity, recorder, ready: Arc::default() }
+        Self { identity, recorder, metrics: Arc::default(), ready: Arc::default() }
     }
 
     /// The clock of the process.
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -6,12 +6,17 @@
 
 pub mod catalogue;
 mod context;
+pub mod metrics;
+pub mod operator;
 pub mod recorder;
+pub mod timeline;
 
 pub use {
     catalogue::{
         AgentEvent, CatalogueEvent, ControlEvent, EntryEvent, EventSeverity, ProcessEvent,
     },
     context::ProcessContext,
+    metrics::{CounterKind, DurationKind, GaugeKind, ProcessMetrics},
+    operator::OperatorPort,
     recorder::{EventRecord, EventRecorder},
 };
--- /dev/null
+++ b/crates/telemetry/src/timeline/page.rs
@@ -0,0 +1,62 @@
+//! The time line as a page that needs nothing else: a lane for each process, time downwards.
+
+use {
+    super::format_wall,
+    crate::recorder::EventRecord,
+    maud::{html, PreEscaped, DOCTYPE},
+};
+
+const STYLE: &str = "body{font:13px system-ui,sans-serif;margin:1em}\
+table{border-collapse:collapse}th,td{padding:2px 8px;vertical-align:top;\
+border-left:1px solid #ddd}th{position:sticky;top:0;background:#fff;text-align:left}\
+td.time{font-family:monospace;white-space:nowrap;border:0}\
+.event{border-radius:4px;padding:1px 5px;background:#eef3fb;display:inline-block}\
+.warning{background:#fdf0d5}.error{background:#fbdada}.debug{background:#f3f3f3}\
+dl{margin:0;color:#444}dt,dd{display:inline;margin:0 4px 0 0}dt:after{content:\":\"}";
+
+/// Writes merged events as an HTML page.
+pub fn write_page(title: &str, records: &[EventRecord]) -> String {
+    let mut lanes: Vec<_> = records.iter().map(|record| &record.process).collect();
+    lanes.sort();
+    lanes.dedup();
+    let page = html! {
+        (DOCTYPE)
+        html lang="en" {
+            head {
+                meta charset="utf-8";
+                title { (title) }
+                style { (PreEscaped(STYLE)) }
+            }
+            body {
+                h1 { (title) }
+                p { (records.len()) " events of " (lanes.len()) " processes, causes first." }
+                table {
+                    tr {
+                        th { "time (UTC)" }
+                        @for lane in &lanes { th { (lane) } }
+                    }
+                    @for record in records {
+                        tr {
+                            td.time { (format_wall(record.stamp.wall_micros)) }
+                            @for lane in &lanes {
+                                td { @if *lane == &record.process { (event(record)) } }
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    };
+    page.into_string()
+}
+
+fn event(record: &EventRecord) -> maud::Markup {
+    html! {
+        span class=(format!("event {}", record.severity)) {
+            "E" (record.number) " " (record.name)
+        }
+        dl {
+            @for (name, text) in &record.fields { dt { (name) } dd { (text) } }
+        }
+    }
+}
