Place tasks by first fit over all held reservations

Cause: the fleet model decided nothing, so control and agent could not be wired. Change: tasks are placed by priority and age on the first accepting worker with room. Room is taken by every held reservation, stopping ones included, and by proposals whose commit is awaited; a proposal that is not committed within two seconds is made again. Conclusion: the whole path can be built against it while the policy grows behind the interface.

--- /dev/null
+++ b/crates/sched/tests/first_fit.rs
@@ -0,0 +1,87 @@
+//! The smallest path: a task is proposed once, keeps its room, and is proposed again when its
+//! commit never comes.
+
+use {
+    base::{ByteSize, CpuMillis, ResourceVector, TaskId},
+    sched::{
+        FleetModel, HeldTask, SchedDecision, SchedPolicy, SpreadRule, TaskPriority, WaitingTask,
+        WorkerView,
+    },
+    std::time::Duration,
+};
+
+fn policy() -> SchedPolicy {
+    SchedPolicy {
+        tail_latency_weight: 1.0,
+        eviction_weight: 100.0,
+        throughput_weight: 1.0,
+        relief_above_percent: 25,
+        throttle_floor_percent: 20,
+        patience: Duration::from_secs(15),
+        retry_pairing_after: Duration::from_secs(600),
+        job_workers: 3,
+        worker_jobs: 3,
+        probe_after: Duration::from_secs(300),
+    }
+}
+
+fn cores(count: u64) -> ResourceVector {
+    ResourceVector { cpu: CpuMillis(count * 1000), memory: ByteSize(count), ..ResourceVector::ZERO }
+}
+
+fn waiting(task: &str) -> WaitingTask {
+    WaitingTask {
+        task: task.parse().unwrap(),
+        team: "tanga".parse().unwrap(),
+        class: "report".parse().unwrap(),
+        priority: TaskPriority::Batch,
+        declared: cores(10),
+        run_time: None,
+        service: None,
+        spread: SpreadRule::default(),
+        checkpoint: None,
+    }
+}
+
+fn placed(decisions: &[SchedDecision]) -> Vec<TaskId> {
+    decisions
+        .iter()
+        .filter_map(|decision| match decision {
+            SchedDecision::Place { task, .. } => Some(task.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn room_is_held_from_proposal_to_release() {
+    let mut model = FleetModel::new(policy(), 1);
+    model.set_worker(WorkerView {
+        worker: "w1".parse().unwrap(),
+        data_centre: "arusha".parse().unwrap(),
+        rack: "r1".parse().unwrap(),
+        capacity: cores(16),
+        accepting: true,
+    });
+    let (first, second) = (waiting("a/0"), waiting("b/0"));
+    model.enqueue(Duration::ZERO, first.clone());
+    model.enqueue(Duration::ZERO, second.clone());
+    assert_eq!(placed(&model.decide(Duration::ZERO)), vec![first.task.clone()]);
+    assert_eq!(placed(&model.decide(Duration::from_secs(1))), []);
+    assert_eq!(placed(&model.decide(Duration::from_secs(60))), vec![first.task.clone()]);
+    let attempt = base::AttemptNumber(1);
+    let mut held = HeldTask {
+        waiting: first.clone(),
+        attempt,
+        worker: "w1".parse().unwrap(),
+        reserved: cores(10),
+        stopping: false,
+    };
+    let now = Duration::from_secs(61);
+    model.hold(now, held.clone());
+    held.stopping = true;
+    model.hold(now, held);
+    assert_eq!(placed(&model.decide(Duration::from_secs(120))), []);
+    model.release(Duration::from_secs(121), &first.task, attempt);
+    assert_eq!(placed(&model.decide(Duration::from_secs(121))), [second.task]);
+}
