--- a/crates/base/src/time/stamp.rs
+++ b/crates/base/src/time/stamp.rs
@@ -8,9 +8,8 @@
 };
 
 /// A point in the causal order of events. Ordered by wall time first, then by the counter.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct HybridStamp {
     /// Microseconds since the Unix epoch, the largest seen so far.
     pub wall_micros: u64,
--- a/crates/proto/src/messages/task.rs
+++ b/crates/proto/src/messages/task.rs
@@ -10,9 +10,8 @@
 };
 
 /// How urgent work is. Ordered from the least to the most urgent.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PriorityClass {
     /// Work that may wait, be throttled and be evicted.
