Add the operators' command line

Cause: declarations, jobs, drains and membership changes need one program that a tired person can use and that other programs can read.

Job files are checked like declarations.

--- /dev/null
+++ b/crates/mangoctl/src/commands/timeline.rs
@@ -0,0 +1,122 @@
+//! `timeline`: the events of all processes in causal order.
+
+use {
+    super::client,
+    crate::{
+        arguments::CommandCall,
+        failure::{CommandFailure, FileSnafu},
+        output::show,
+    },
+    base::{HybridStamp, PeerAddress, ProcessName},
+    proto::{messages::operator::FleetStatus, operator_client::OperatorClient},
+    snafu::ResultExt,
+    std::{collections::BTreeMap, fs, thread, time::Duration},
+    telemetry::{
+        timeline::{format_line, merge, read_json_lines, write_page, EventFilter},
+        EventRecord,
+    },
+};
+
+const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
+
+/// Shows what happened in all processes.
+pub(super) fn show_events(call: &CommandCall) -> Result<(), CommandFailure> {
+    let filter = EventFilter { fields: call.events.fields.clone(), ..EventFilter::default() };
+    let mut records = read_files(call)?;
+    let mut reader = match call.events.files.is_empty() || !call.peers.is_empty() {
+        true => Some(FleetReader::find(client(call)?)?),
+        false => None,
+    };
+    if let Some(reader) = &mut reader {
+        records.extend(reader.read_new());
+    }
+    let records = merge(records, &filter);
+    write_outputs(call, &records)?;
+    show(call, &records, |records| lines(records))?;
+    match (reader, call.events.follow) {
+        (Some(mut reader), true) => follow(call, &mut reader, &filter),
+        _ => Ok(()),
+    }
+}
+
+fn follow(
+    call: &CommandCall,
+    reader: &mut FleetReader,
+    filter: &EventFilter,
+) -> Result<(), CommandFailure> {
+    loop {
+        thread::sleep(FOLLOW_PAUSE);
+        let records = merge(reader.read_new(), filter);
+        if !records.is_empty() {
+            show(call, &records, |records| lines(records))?;
+        }
+    }
+}
+
+fn lines(records: &[EventRecord]) -> String {
+    records.iter().map(|record| format_line(record) + "\n").collect()
+}
+
+fn read_files(call: &CommandCall) -> Result<Vec<EventRecord>, CommandFailure> {
+    let mut records = Vec::new();
+    for path in &call.events.files {
+        let text = fs::read_to_string(path).context(FileSnafu { path })?;
+        let read = read_json_lines(&text).map_err(|error| CommandFailure::Usage {
+            detail: format!("{}: {error}", path.display()),
+        })?;
+        records.extend(read);
+    }
+    Ok(records)
+}
+
+fn write_outputs(call: &CommandCall, records: &[EventRecord]) -> Result<(), CommandFailure> {
+    if let Some(path) = &call.events.save {
+        let text = telemetry::operator::to_json_lines(records);
+        fs::write(path, text).context(FileSnafu { path })?;
+    }
+    if let Some(path) = &call.events.html {
+        let page = write_page("mangorouter time line", records);
+        fs::write(path, page).context(FileSnafu { path })?;
+    }
+    Ok(())
+}
+
+/// Reads the events of every process that control has heard from, each from where it left off.
+struct FleetReader {
+    client: OperatorClient,
+    processes: BTreeMap<ProcessName, (PeerAddress, HybridStamp)>,
+}
+
+impl FleetReader {
+    fn find(client: OperatorClient) -> Result<Self, CommandFailure> {
+        let status: FleetStatus = client.get("/v1/status")?;
+        let processes = status
+            .processes
+            .into_iter()
+            .map(|found| (found.name, (found.operator_address, HybridStamp::default())))
+            .collect();
+        Ok(Self { client, processes })
+    }
+
+    /// What is new. A process that does not answer is said so and left out.
+    fn read_new(&mut self) -> Vec<EventRecord> {
+        let mut records = Vec::new();
+        for (name, (address, last)) in &mut self.processes {
+            let read = self.client.text(*address, &format!("/events?after={last}"));
+            let parsed = match read.map(|text| read_json_lines(&text)) {
+                Ok(Ok(parsed)) => parsed,
+                Ok(Err(error)) => {
+                    eprintln!("mangoctl: {name}: {error}");
+                    continue;
+                }
+                Err(error) => {
+                    eprintln!("mangoctl: events of {name} are missing: {error}");
+                    continue;
+                }
+            };
+            *last = parsed.iter().map(|record| record.stamp).max().unwrap_or(*last).max(*last);
+            records.extend(parsed);
+        }
+        records
+    }
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -8,5 +8,6 @@
 
 pub mod envelope;
 pub mod messages;
+pub mod operator_client;
 pub mod rpc;
 pub mod server;
--- a/crates/settings/src/declaration/resolve.rs
+++ b/crates/settings/src/declaration/resolve.rs
@@ -46,6 +46,20 @@
     }
 }
 
+impl ResolvedPolicy {
+    /// Every value by dotted key, as text.
+    pub fn values(&self) -> Vec<(String, String)> {
+        let Ok(table) = toml::Table::try_from(&self.policy) else { return Vec::new() };
+        leaf_keys(&table)
+            .into_iter()
+            .map(|key| {
+                let value = leaf(&table, &key).map(ToString::to_string).unwrap_or_default();
+                (key, value)
+            })
+            .collect()
+    }
+}
+
 impl ExceptionDeclaration {
     /// True when the last day on which the exception holds has passed, in UTC.
     pub fn expired(&self, wall: SystemTime) -> bool {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod check;
 pub mod declaration;
+mod job;
 pub mod process;
 mod schema;
 
@@ -16,6 +17,7 @@
         ExceptionDeclaration, FleetDeclaration, FleetPolicy, PolicySubject, ResolvedPolicy,
         RuleSource, ServiceDeclaration, TeamDeclaration,
     },
+    job::check_job_file,
     process::{
         AgentSettings, ControlSettings, DaemonSettings, EntrySettings, LogSettings, MemberSettings,
         ProcessSettings, RoleSettings, StandInSettings,
--- a/crates/settings/src/schema/mod.rs
+++ b/crates/settings/src/schema/mod.rs
@@ -8,7 +8,7 @@
 mod walk;
 
 pub(crate) use {
-    rules::{DECLARATION_FILE, SETTINGS_FILE},
+    rules::{DECLARATION_FILE, JOB_FILE, SETTINGS_FILE},
     walk::{check_document, CheckedDocument},
 };
 
--- a/crates/settings/src/schema/rules.rs
+++ b/crates/settings/src/schema/rules.rs
@@ -167,3 +167,23 @@
     optional("agent", Table(AGENT)),
     optional("stand-in", Table(STAND_IN)),
 ];
+
+const PLACEMENT: &[KeyRule] = &[
+    optional("data_centres", List(&Name)),
+    optional("most_per_rack", AT_LEAST_ONE),
+    optional("most_per_data_centre", AT_LEAST_ONE),
+];
+
+/// A file that describes a job.
+pub(crate) const JOB_FILE: &[KeyRule] = &[
+    required("id", Name, "the job's name"),
+    required("team", Name, "the team whose quota the job uses"),
+    required("class", Name, "the kind of task"),
+    optional("priority", OneOf(&["batch", "latency-critical", "urgent"])),
+    optional("tasks", AT_LEAST_ONE),
+    required("resources", Table(RESOURCES), "what each task takes"),
+    optional("run_time", Duration),
+    optional("service", Name),
+    optional("payload", Text),
+    optional("placement", Table(PLACEMENT)),
+];
