--- a/crates/quorum/src/core/election.rs
+++ b/crates/quorum/src/core/election.rs
@@ -27,12 +27,11 @@
     /// contact does not raise the term of a group that works.
     pub(crate) fn start_pre_vote(&mut self) {
         self.reset_election();
-        let own = self.settings.replica;
-        if self.writes.failed() || !self.group.latest().is_voter(own) {
-            self.leader = None;
+        self.leader = None;
+        if self.writes.failed() || !self.may_stand() {
             return;
         }
-        self.leader = None;
+        let own = self.settings.replica;
         let granted = BTreeSet::from([own]);
         if self.group.latest().is_quorum(&granted) {
             self.start_election();
@@ -44,6 +43,13 @@
         self.send_to_voters(&message);
     }
 
+    /// A replica stands as long as its removal is not committed: it may be the only one that has
+    /// the entry, without which no one else can be elected.
+    fn may_stand(&self) -> bool {
+        let own = self.settings.replica;
+        self.group.latest().is_voter(own) || self.group.at(self.committed).is_voter(own)
+    }
+
     fn start_election(&mut self) {
         let own = self.settings.replica;
         let term = self.hard_state.term.next();
--- a/crates/quorum/src/core/lead.rs
+++ b/crates/quorum/src/core/lead.rs
@@ -16,6 +16,7 @@
         message::{AppendOutcome, AppendReply, AppendRequest, MessageBody},
     },
     base::{LogIndex, ReplicaId, ReplyTicket},
+    std::time::Duration,
 };
 
 /// A member of the group and what this replica knows about it.
@@ -51,8 +52,11 @@
     }
 
     /// Whether a replica answers, as far as a leader knows.
-    pub(crate) fn is_active(&self, replica: ReplicaId) -> bool {
-        let span = self.settings.election_timeout;
+    fn is_active(&self, replica: ReplicaId) -> bool {
+        self.is_active_within(replica, self.settings.election_timeout)
+    }
+
+    pub(crate) fn is_active_within(&self, replica: ReplicaId, span: Duration) -> bool {
         match &self.role {
             RoleState::Leader(leader) => {
                 replica == self.settings.replica || leader.is_active(replica, self.now, span)
--- a/crates/quorum/src/core/membership.rs
+++ b/crates/quorum/src/core/membership.rs
@@ -10,6 +10,9 @@
 /// How many entries a learner may lack and still count as caught up. Under load it always lacks
 /// those that are on their way.
 const CAUGHT_UP_LAG: u64 = 64;
+/// A replica that did not answer for this many heartbeats does not count towards the quorum that a
+/// change must leave.
+const ANSWER_HEARTBEATS: u32 = 3;
 
 impl QuorumCore {
     pub(crate) fn change_members(&mut self, ticket: ReplyTicket, change: MemberChange) {
@@ -77,7 +80,8 @@
             return Err(ChangeRefusal::NotCaughtUp);
         };
         let matched = leader.progress.get(&replica).map_or(0, |progress| progress.matched.0);
-        if !self.is_active(replica) || matched + CAUGHT_UP_LAG < self.committed.0 || matched == 0 {
+        if !self.answers_now(replica) || matched + CAUGHT_UP_LAG < self.committed.0 || matched == 0
+        {
             return Err(ChangeRefusal::NotCaughtUp);
         }
         Ok(())
@@ -87,13 +91,18 @@
         if group.voters().next().is_none() {
             return Err(ChangeRefusal::LastVoter);
         }
-        let answering = group.voters().filter(|voter| self.is_active(*voter)).count();
+        let answering = group.voters().filter(|voter| self.answers_now(*voter)).count();
         if answering < group.quorum() {
             return Err(ChangeRefusal::QuorumAtRisk);
         }
         Ok(())
     }
 
+    /// Whether a replica answered within the last few heartbeats.
+    fn answers_now(&self, replica: ReplicaId) -> bool {
+        self.is_active_within(replica, self.settings.heartbeat * ANSWER_HEARTBEATS)
+    }
+
     /// Starts to send to new members and stops sending to removed ones.
     fn track_members(&mut self) {
         let own = self.settings.replica;
--- a/crates/quorum/src/core/outbox.rs
+++ b/crates/quorum/src/core/outbox.rs
@@ -49,7 +49,9 @@
     fn own_address(&self) -> Option<PeerAddress> {
         let own = self.settings.replica;
         let founder = self.settings.founders.iter().find(|member| member.replica == own);
-        self.group.latest().address_of(own).or(founder.map(|member| member.address))
+        let latest = self.group.latest().address_of(own);
+        let committed = self.group.at(self.committed).address_of(own);
+        latest.or(committed).or(founder.map(|member| member.address))
     }
 
     pub(crate) fn message(&self, body: MessageBody) -> QuorumMessage {
--- a/crates/quorum/src/core/start.rs
+++ b/crates/quorum/src/core/start.rs
@@ -73,7 +73,7 @@
         ensure!(!group.at(start).is_retired(replica), RetiredSnafu { replica });
         let log = EntryLog::new(snapshot.clone(), entries);
         let mut core = Self {
-            random: SeededRandom::new(seed ^ replica.0),
+            random: delays_of(replica, seed),
             now,
             hard_state,
             role: RoleState::Follower,
@@ -105,6 +105,12 @@
     }
 }
 
+/// Mixes seed and replica so that replicas whose seeds are related still draw different delays.
+fn delays_of(replica: ReplicaId, seed: u64) -> SeededRandom {
+    let mixed = SeededRandom::new(seed).next_u64();
+    SeededRandom::new(mixed.wrapping_add(replica.0))
+}
+
 fn check_settings(settings: &QuorumSettings) -> Result<(), CoreError> {
     let founders = &settings.founders;
     let twice = founders.iter().enumerate().any(|(position, founder)| {
--- a/crates/quorum/tests/election.rs
+++ b/crates/quorum/tests/election.rs
@@ -28,3 +28,15 @@
     cluster.advance(ELECTION_TIMEOUT);
     assert!(cluster.nodes.values().all(|node| node.applied == cluster.witness.told()));
 }
+
+/// Replicas whose seeds differ as little as their ids once drew the same delays and split every
+/// vote.
+#[test]
+fn related_seeds_do_not_split_every_vote() {
+    for seed in 0..64 {
+        let mut cluster = Cluster::new(3, seed);
+        (1..=3).for_each(|id| cluster.start(ReplicaId(id)));
+        cluster.advance(ELECTION_TIMEOUT * 8);
+        assert!(cluster.leader().is_some(), "seed {seed} elects no one");
+    }
+}
