Wire the daemon and its demonstration

Cause: the whole path has to run from one command.

Change: mangorouter with settings checks, logging, signals, the roles and dev, which shows a request, a job and a configuration change on loopback.

--- /dev/null
+++ b/crates/mangorouter/src/arguments/mod.rs
@@ -0,0 +1,93 @@
+//! The command line.
+
+use {
+    crate::failure::DaemonFailure,
+    lexopt::{
+        Arg::{Long, Short, Value},
+        Parser, ValueExt,
+    },
+    std::path::PathBuf,
+};
+
+/// What `--help` prints. `docs/CLI.md` holds the same text, which a test compares.
+pub(crate) const HELP: &str = "\
+mangorouter - run one process of a mangorouter fleet
+
+USAGE
+    mangorouter ROLE --config FILE     run a process until SIGTERM or SIGINT, then drain it
+    mangorouter ROLE --config FILE --check
+                                       report every error in the settings and stop
+    mangorouter dev [--once] [--data FOLDER]
+                                       run every role on loopback with stand-ins, and show a
+                                       request, a job and a configuration change
+
+ROLES
+    control     a member of the control group; needs a disk
+    entry       takes callers' requests
+    agent       runs beside a worker and its endpoints
+    stand-in    plays a worker's platform and one executor, for trials on one machine
+
+OPTIONS
+    --config FILE     the settings of the process, in TOML (docs/CONFIGURATION.md)
+    --check           only check the settings
+    --once            dev: stop after the demonstration
+    --data FOLDER     dev: keep the state there instead of in a temporary folder
+    -h, --help        print this
+    -V, --version     print the version
+
+EXIT CODES
+    0  stopped as asked       2  wrong command line
+    1  could not run          3  errors in the settings
+";
+
+/// What a command line asks for.
+pub(crate) enum ParsedLine {
+    /// The usage.
+    Help,
+    /// The program's version.
+    Version,
+    /// Check settings.
+    Check { role: String, config: PathBuf },
+    /// Run a role.
+    Run { role: String, config: PathBuf },
+    /// Run everything on loopback.
+    Dev(DevOptions),
+}
+
+/// The options of `dev`.
+#[derive(Default)]
+pub(crate) struct DevOptions {
+    /// True to stop after the demonstration.
+    pub(crate) once: bool,
+    /// Where the state is kept.
+    pub(crate) data: Option<PathBuf>,
+}
+
+/// Reads a command line.
+pub(crate) fn parse(mut parser: Parser) -> Result<ParsedLine, DaemonFailure> {
+    let mut role = None;
+    let mut config = None;
+    let mut check = false;
+    let mut dev = DevOptions::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Short('h') | Long("help") => return Ok(ParsedLine::Help),
+            Short('V') | Long("version") => return Ok(ParsedLine::Version),
+            Long("config") => config = Some(PathBuf::from(parser.value()?)),
+            Long("check") => check = true,
+            Long("once") => dev.once = true,
+            Long("data") => dev.data = Some(parser.value()?.into()),
+            Value(word) if role.is_none() => role = Some(word.string()?),
+            _ => return Err(argument.unexpected().into()),
+        }
+    }
+    let role = match role {
+        None => return Ok(ParsedLine::Help),
+        Some(role) if role == "dev" => return Ok(ParsedLine::Dev(dev)),
+        Some(role) => role,
+    };
+    let Some(config) = config else {
+        return Err(DaemonFailure::Usage { detail: "--config FILE is missing".to_owned() });
+    };
+    Ok(if check { ParsedLine::Check { role, config } } else { ParsedLine::Run { role, config } })
+}
--- /dev/null
+++ b/crates/mangorouter/src/dev/fleet.rs
@@ -0,0 +1,162 @@
+//! The processes of `dev` and their settings.
+
+use {
+    crate::{daemon::RunningRole, failure::DaemonFailure},
+    base::{
+        AcceleratorCount, ByteSize, ConnectionCount, CpuMillis, IdError, PeerAddress, ReplicaId,
+        ResourceVector, SlotCount,
+    },
+    settings::{
+        AgentSettings, ControlSettings, EntrySettings, MemberSettings, ProcessSettings,
+        RoleSettings, StandInSettings,
+    },
+    std::{net::TcpListener, path::Path, str::FromStr, time::Duration},
+};
+
+const REPLICAS: u64 = 3;
+/// Workers, each with one executor.
+pub(super) const WORKERS: usize = 3;
+const WORKER_CAPACITY: ResourceVector = ResourceVector {
+    cpu: CpuMillis(16_000),
+    memory: ByteSize(60_000_000_000),
+    accelerators: AcceleratorCount::ZERO,
+};
+const SERVICE_TIME: Duration = Duration::from_millis(5);
+/// The service that the executors serve.
+pub(super) const SERVICE: &str = "demo";
+
+/// Everything that `dev` runs.
+pub(super) struct DevFleet {
+    /// In the order in which they are shut down: those that take work first.
+    roles: Vec<RunningRole>,
+    callers: PeerAddress,
+    operators: Vec<PeerAddress>,
+}
+
+impl DevFleet {
+    /// Starts three control processes, an entry, and three workers with an executor each.
+    pub(super) fn start(data: &Path) -> Result<Self, DaemonFailure> {
+        let plan = FleetPlan::reserve()?;
+        let mut roles = Vec::new();
+        let callers = free_address()?;
+        let entry = plan.process("entry-1", RoleSettings::Entry(EntrySettings { callers }))?;
+        roles.push(RunningRole::start(&entry)?);
+        for number in 1..=WORKERS {
+            for settings in plan.worker(number)? {
+                roles.push(RunningRole::start(&settings)?);
+            }
+        }
+        let mut operators = Vec::new();
+        for founder in &plan.founders {
+            let running = RunningRole::start(&plan.control(founder, data)?)?;
+            operators.push(running.operator_address());
+            roles.push(running);
+        }
+        Ok(Self { roles, callers, operators })
+    }
+
+    /// Where callers are answered.
+    pub(super) fn callers(&self) -> PeerAddress {
+        self.callers
+    }
+
+    /// Where operators reach the control processes.
+    pub(super) fn operators(&self) -> &[PeerAddress] {
+        &self.operators
+    }
+
+    /// Tells how to go on by hand.
+    pub(super) fn print_addresses(&self) {
+        let operators: Vec<_> = self.operators.iter().map(ToString::to_string).collect();
+        println!("\nThe fleet goes on until Ctrl-C. In another terminal:");
+        println!("  export MANGOROUTER_OPERATOR={}", operators.join(","));
+        println!("  cargo run --release --bin mangoctl -- status");
+        println!("Callers are answered at http://{}/{SERVICE}/...", self.callers);
+    }
+
+    /// Drains everything.
+    pub(super) fn shut_down(self) {
+        self.roles.into_iter().for_each(RunningRole::shut_down);
+    }
+}
+
+/// The addresses that processes must know of each other before they start.
+struct FleetPlan {
+    founders: Vec<MemberSettings>,
+}
+
+impl FleetPlan {
+    fn reserve() -> Result<Self, DaemonFailure> {
+        let founder = |number| {
+            Ok(MemberSettings { replica: ReplicaId(number), address: free_address()? })
+        };
+        let founders: Result<_, DaemonFailure> = (1..=REPLICAS).map(founder).collect();
+        Ok(Self { founders: founders? })
+    }
+
+    fn process(&self, name: &str, role: RoleSettings) -> Result<ProcessSettings, DaemonFailure> {
+        Ok(ProcessSettings {
+            cluster: constant("dev"),
+            name: constant(name),
+            region: constant("here"),
+            data_centre: constant("here-1"),
+            internal: free_address()?,
+            operator: free_address()?,
+            control_peers: self.founders.iter().map(|founder| founder.address).collect(),
+            role,
+        })
+    }
+
+    fn control(
+        &self,
+        founder: &MemberSettings,
+        data: &Path,
+    ) -> Result<ProcessSettings, DaemonFailure> {
+        let name = format!("control-{}", founder.replica);
+        let control = ControlSettings {
+            replica: founder.replica,
+            data_folder: data.join(&name),
+            founders: self.founders.clone(),
+        };
+        let settings = self.process(&name, RoleSettings::Control(control))?;
+        Ok(ProcessSettings { internal: founder.address, ..settings })
+    }
+
+    fn worker(&self, number: usize) -> Result<[ProcessSettings; 2], DaemonFailure> {
+        let platform = free_address()?;
+        let announce = free_address()?;
+        let stand_in = StandInSettings {
+            platform,
+            executor: free_address()?,
+            announce_to: announce,
+            service: constant(SERVICE),
+            endpoint: constant(&format!("{SERVICE}-{number}")),
+            slots: SlotCount(8),
+            connections: ConnectionCount(64),
+            service_time: SERVICE_TIME,
+        };
+        let agent = AgentSettings {
+            worker: constant(&format!("worker-{number}")),
+            rack: constant("rack-1"),
+            capacity: WORKER_CAPACITY,
+            platform,
+            announce,
+            state_file: None,
+        };
+        Ok([
+            self.process(&format!("agent-{number}"), RoleSettings::Agent(agent))?,
+            self.process(&format!("stand-in-{number}"), RoleSettings::StandIn(stand_in))?,
+        ])
+    }
+}
+
+/// A name that is written in this file.
+fn constant<T: FromStr<Err = IdError>>(text: &str) -> T {
+    text.parse().expect("names in this file are well formed")
+}
+
+/// A port that was free a moment ago: processes must know each other's ports before they start.
+fn free_address() -> Result<PeerAddress, DaemonFailure> {
+    let bound = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    bound.map(PeerAddress).map_err(|error| DaemonFailure::start("a port on loopback", error))
+}
--- /dev/null
+++ b/crates/mangorouter/src/dev/mod.rs
@@ -0,0 +1,37 @@
+//! Every role as threads of one process on loopback, with stand-ins for what lies outside, so that
+//! one command shows the whole path.
+
+mod demonstration;
+mod fleet;
+
+use {
+    crate::{
+        arguments::DevOptions,
+        daemon::wait_for,
+        failure::{DaemonFailure, FileSnafu, SignalsSnafu},
+        logging,
+    },
+    fleet::DevFleet,
+    settings::LogSettings,
+    signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        iterator::Signals,
+    },
+    snafu::ResultExt,
+};
+
+/// Starts the fleet, shows the whole path, and goes on until a signal comes.
+pub(crate) fn run(options: &DevOptions) -> Result<(), DaemonFailure> {
+    logging::start(&LogSettings { level: "error".to_owned(), file: None })?;
+    let signals = Signals::new([SIGTERM, SIGINT]).context(SignalsSnafu)?;
+    let temporary = tempfile::tempdir().context(FileSnafu { path: std::env::temp_dir() })?;
+    let data = options.data.as_deref().unwrap_or(temporary.path());
+    let fleet = DevFleet::start(data)?;
+    let shown = demonstration::show(&fleet);
+    if shown.is_ok() && !options.once {
+        fleet.print_addresses();
+        wait_for(signals);
+    }
+    fleet.shut_down();
+    shown
+}
