--- /dev/null
+++ b/crates/sched/src/classes/mod.rs
@@ -0,0 +1,34 @@
+//! Class names as small numbers, so that tables of pairs are dense.
+
+use {base::ClassName, indexmap::IndexSet};
+
+/// The number of classes that are told apart. Further classes share the last number, which bounds
+/// what a stream of new names can make the model keep.
+pub(crate) const CLASS_LIMIT: usize = 128;
+
+/// The number of a class within one model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct ClassIndex(pub(crate) u16);
+
+impl ClassIndex {
+    /// The number that all classes beyond the limit share.
+    pub(crate) const LAST: Self = Self(CLASS_LIMIT as u16 - 1);
+}
+
+/// Hands out the numbers of classes.
+#[derive(Debug, Default)]
+pub(crate) struct ClassIndexer {
+    names: IndexSet<ClassName>,
+}
+
+impl ClassIndexer {
+    /// The number of `name`, which is new when the name is.
+    pub(crate) fn index(&mut self, name: &ClassName) -> ClassIndex {
+        let index = match self.names.get_index_of(name) {
+            Some(index) => index,
+            None if self.names.len() < CLASS_LIMIT - 1 => self.names.insert_full(name.clone()).0,
+            None => return ClassIndex::LAST,
+        };
+        ClassIndex(index as u16)
+    }
+}
--- /dev/null
+++ b/crates/sched/src/fleet/learn.rs
@@ -0,0 +1,171 @@
+//! Learning from measurements that arrive late.
+
+use {
+    super::FleetModel,
+    crate::{
+        classes::ClassIndex,
+        interface::{ServiceSample, TaskSample, WorkerSample},
+        interference::{ClassShare, LoadLevel, PairVictim, ServiceReading, SlowdownReading},
+    },
+    base::WorkerId,
+    std::{collections::BTreeSet, time::Duration},
+};
+
+/// The time that a worker's first sample is presumed to cover.
+const FIRST_SAMPLE_SPAN: Duration = Duration::from_secs(1);
+/// The variance of a service's slowdown that no number of requests removes, in squared percent.
+const SERVICE_NOISE: f64 = 25.0;
+/// The variance that one request would have, in squared percent.
+const REQUEST_NOISE: f64 = 10_000.0;
+/// The part of a measured slowdown by which the linear model may be wrong.
+const MODEL_ERROR: f64 = 0.1;
+/// The variance of a task's slowdown, in squared percent.
+const TASK_NOISE: f64 = 100.0;
+/// Slowdowns beyond this many percent are taken for it.
+const SLOWDOWN_LIMIT: f64 = 1000.0;
+/// The requests at which half of a new unexplained slowdown is believed.
+const BELIEF_REQUESTS: f64 = 200.0;
+/// Below this share of the processors, neighbours do not count.
+const ALONE_SHARE: f64 = 0.005;
+
+/// Who was there while a sample was taken.
+struct SampleWindow {
+    from: Duration,
+    shares: Vec<ClassShare>,
+}
+
+impl FleetModel {
+    pub(super) fn learn(&mut self, now: Duration, sample: &WorkerSample) {
+        let Some(state) = self.workers.get_mut(&sample.worker) else {
+            return;
+        };
+        let last = state.last_sample;
+        if last.is_some_and(|last| sample.taken_at <= last) {
+            return;
+        }
+        state.last_sample = Some(sample.taken_at);
+        let to = sample.taken_at;
+        let from = last.unwrap_or_else(|| to.saturating_sub(FIRST_SAMPLE_SPAN));
+        let window = state
+            .history
+            .during(from, to)
+            .map(|shares| SampleWindow { from, shares: shares.to_vec() });
+        self.learn_uses(sample);
+        let elapsed = to.saturating_sub(from);
+        for service in sample.services.iter().filter(|service| service.requests > 0) {
+            self.learn_service(now, sample, service, elapsed, window.as_ref());
+        }
+        if let Some(window) = &window {
+            self.learn_tasks(now, sample, window);
+        }
+        if let Some(state) = self.workers.get_mut(&sample.worker) {
+            state.forget_services(now);
+        }
+        self.refresh(now, &sample.worker);
+    }
+
+    fn learn_uses(&mut self, sample: &WorkerSample) {
+        for task in &sample.tasks {
+            let Some(entry) = self.held.get_mut(&task.task) else {
+                continue;
+            };
+            if entry.task.attempt != task.attempt || entry.since > sample.taken_at {
+                continue;
+            }
+            entry.used = task.used;
+            entry.peak = entry.peak.max_each(&task.used);
+            let throttled = entry.throttle < 100 || entry.throttled_at > sample.taken_at;
+            self.corrections.learn_use(&entry.task.waiting, &task.used, throttled);
+        }
+    }
+
+    fn learn_service(
+        &mut self,
+        now: Duration,
+        sample: &WorkerSample,
+        service: &ServiceSample,
+        elapsed: Duration,
+        window: Option<&SampleWindow>,
+    ) {
+        let class = self.service_class(&sample.worker, service);
+        let level = self.loads.level(sample.taken_at, &service.service, service.requests, elapsed);
+        let Some(state) = self.workers.get_mut(&sample.worker) else {
+            return;
+        };
+        let known = state.service_mut(now, &service.service, class, level);
+        (known.level, known.seen) = (level, now);
+        let Some(window) = window else {
+            return;
+        };
+        let neighbours: Vec<ClassShare> =
+            window.shares.iter().copied().filter(|share| share.class != class).collect();
+        let alone = neighbours.iter().map(|share| share.share).sum::<f64>() < ALONE_SHARE;
+        let reading = ServiceReading::new(service.requests, service.mean, service.p99);
+        let percent = self
+            .baselines
+            .slowdown_percent(&service.service, level, reading, alone)
+            .clamp(-SLOWDOWN_LIMIT, SLOWDOWN_LIMIT);
+        let victim = PairVictim { class, level };
+        let pairs = neighbours.iter().map(|share| (share.class, share.share));
+        let expected = self.pairs.forecast(now, victim, pairs).mean;
+        let belief = service.requests as f64 / (service.requests as f64 + BELIEF_REQUESTS);
+        known.unexplained += belief * (percent - expected - known.unexplained);
+        let noise = SERVICE_NOISE
+            + REQUEST_NOISE / service.requests as f64
+            + (MODEL_ERROR * percent).powi(2);
+        self.pairs.learn(now, SlowdownReading { victim, neighbours: &neighbours, percent, noise });
+    }
+
+    /// The class of the service's tasks on the worker, or one named after the service when the
+    /// worker runs it outside any reservation.
+    fn service_class(&mut self, worker: &WorkerId, service: &ServiceSample) -> ClassIndex {
+        let known = self
+            .workers
+            .get(worker)
+            .and_then(|state| state.services.iter().find(|known| known.service == service.service));
+        match (known, service.service.as_str().parse()) {
+            (Some(known), _) => known.class,
+            (None, Ok(name)) => self.classes.index(&name),
+            (None, Err(_)) => ClassIndex::LAST,
+        }
+    }
+
+    /// One task of each class is enough: its neighbours are almost those of the others.
+    fn learn_tasks(&mut self, now: Duration, sample: &WorkerSample, window: &SampleWindow) {
+        let Some(capacity) = self.workers.get(&sample.worker).map(|state| state.view.capacity)
+        else {
+            return;
+        };
+        let mut done = BTreeSet::new();
+        for task in &sample.tasks {
+            let Some(entry) = self.held.get(&task.task) else {
+                continue;
+            };
+            let settled = entry.task.attempt == task.attempt
+                && entry.throttle == 100
+                && entry.throttled_at <= window.from;
+            if !settled || entry.task.waiting.service.is_some() || !done.insert(entry.class) {
+                continue;
+            }
+            let neighbours = without(&window.shares, entry.class, entry.share(&capacity));
+            let victim = PairVictim { class: entry.class, level: LoadLevel::default() };
+            let percent = slowdown_of(task);
+            let noise = TASK_NOISE + (MODEL_ERROR * percent).powi(2);
+            self.pairs
+                .learn(now, SlowdownReading { victim, neighbours: &neighbours, percent, noise });
+        }
+    }
+}
+
+fn without(shares: &[ClassShare], class: ClassIndex, own: f64) -> Vec<ClassShare> {
+    let mut shares = shares.to_vec();
+    for share in shares.iter_mut().filter(|share| share.class == class) {
+        share.share = (share.share - own).max(0.0);
+    }
+    shares
+}
+
+fn slowdown_of(task: &TaskSample) -> f64 {
+    let speed = f64::from(task.speed_permille.max(1));
+    ((1000.0 / speed - 1.0) * 100.0).clamp(0.0, SLOWDOWN_LIMIT)
+}
--- a/crates/sched/src/fleet/mod.rs
+++ b/crates/sched/src/fleet/mod.rs
@@ -1,114 +1,159 @@
 //! The model of the fleet.
 
+mod learn;
+pub(crate) mod reservations;
+mod spread;
+
 use {
-    crate::interface::{
-        AttemptEnd, HeldTask, PlacementReason, SchedDecision, SchedPolicy, TaskPriority, TeamQuota,
-        WaitReason, WaitingTask, WorkerSample, WorkerView,
-    },
-    base::{AttemptNumber, JobId, ResourceKind, ResourceVector, TaskId, TeamName, WorkerId},
-    indexmap::IndexMap,
-    std::{
-        cmp::Reverse,
-        collections::{BTreeMap, BTreeSet},
-        time::Duration,
+    crate::{
+        blame::{AttemptRecord, BlameBook},
+        classes::ClassIndexer,
+        correction::CorrectionBook,
+        held::HeldTable,
+        interface::{
+            AttemptEnd, HeldTask, SchedDecision, SchedPolicy, TeamQuota, WaitReason, WaitingTask,
+            WorkerSample, WorkerView,
+        },
+        interference::{BaselineTable, LoadMeter, PairTable},
+        proposals::{ClaimTable, ProposalTable},
+        queue::WaitQueue,
+        quota::QuotaBook,
+        workers::WorkerBook,
     },
+    base::{AttemptNumber, JobId, SeededRandom, TaskId, TeamName, WorkerId},
+    indexmap::{IndexMap, IndexSet},
+    spread::SpreadBook,
+    std::time::Duration,
 };
 
-/// How long a proposed placement keeps its room while its commit is awaited.
-const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(2);
-/// The largest number of placements that one call proposes.
-const PLACEMENTS_PER_CALL: usize = 128;
-
-#[derive(Debug)]
-struct PlacementProposal {
-    worker: WorkerId,
-    reserve: ResourceVector,
-    expires: Duration,
-}
-
 /// Everything that placement decides from. The caller reports what is committed and what was
 /// measured; [`FleetModel::decide`] says what should be done.
 #[derive(Debug)]
 pub struct FleetModel {
-    policy: SchedPolicy,
-    workers: IndexMap<WorkerId, WorkerView>,
-    held: IndexMap<TaskId, HeldTask>,
-    waiting: IndexMap<TaskId, (u64, WaitingTask)>,
-    order: BTreeSet<(Reverse<TaskPriority>, u64, TaskId)>,
-    proposals: BTreeMap<TaskId, PlacementProposal>,
-    reasons: BTreeMap<TaskId, WaitReason>,
-    sequence: u64,
+    pub(crate) policy: SchedPolicy,
+    pub(crate) random: SeededRandom,
+    pub(crate) classes: ClassIndexer,
+    pub(crate) workers: WorkerBook,
+    pub(crate) held: HeldTable,
+    pub(crate) queue: WaitQueue,
+    pub(crate) proposals: ProposalTable,
+    pub(crate) claims: ClaimTable,
+    pub(crate) quotas: QuotaBook,
+    pub(crate) spread: SpreadBook,
+    pub(crate) corrections: CorrectionBook,
+    pub(crate) blame: BlameBook,
+    pub(crate) pairs: PairTable,
+    pub(crate) baselines: BaselineTable,
+    pub(crate) loads: LoadMeter,
+    /// Workers on which something has changed, or on which tasks are throttled.
+    pub(crate) watched: IndexSet<WorkerId>,
+    /// The number of times that room has been freed.
+    pub(crate) releases: u64,
+    /// Tasks whose eviction has been proposed and not yet committed.
+    pub(crate) evicting: IndexSet<TaskId>,
+    /// Tasks that wait again before their last reservation is released.
+    returning: IndexMap<TaskId, WaitingTask>,
+    clock: Duration,
 }
 
 impl FleetModel {
     /// A model of an empty fleet. `seed` breaks ties.
     pub fn new(policy: SchedPolicy, seed: u64) -> Self {
-        let _ = seed;
         Self {
+            pairs: PairTable::new(policy.retry_pairing_after),
             policy,
-            workers: IndexMap::new(),
-            held: IndexMap::new(),
-            waiting: IndexMap::new(),
-            order: BTreeSet::new(),
-            proposals: BTreeMap::new(),
-            reasons: BTreeMap::new(),
-            sequence: 0,
+            random: SeededRandom::new(seed),
+            classes: ClassIndexer::default(),
+            workers: WorkerBook::default(),
+            held: HeldTable::new(),
+            queue: WaitQueue::default(),
+            proposals: ProposalTable::new(),
+            claims: ClaimTable::default(),
+            quotas: QuotaBook::default(),
+            spread: SpreadBook::default(),
+            corrections: CorrectionBook::default(),
+            blame: BlameBook::default(),
+            baselines: BaselineTable::default(),
+            loads: LoadMeter::default(),
+            watched: IndexSet::new(),
+            releases: 0,
+            evicting: IndexSet::new(),
+            returning: IndexMap::new(),
+            clock: Duration::ZERO,
         }
     }
 
     /// Replaces the declared values.
     pub fn set_policy(&mut self, policy: SchedPolicy) {
+        self.pairs.set_remember(policy.retry_pairing_after);
         self.policy = policy;
+        self.queue.retry_all();
     }
 
     /// Replaces the quotas of all teams. A team without quota may use what others leave.
     pub fn set_quotas(&mut self, quotas: Vec<(TeamName, TeamQuota)>) {
-        let _ = quotas;
+        self.quotas.set_quotas(quotas);
+        self.queue.retry_all();
     }
 
     /// Adds or changes a worker.
     pub fn set_worker(&mut self, worker: WorkerView) {
-        self.workers.insert(worker.worker.clone(), worker);
+        self.watched.insert(worker.worker.clone());
+        self.workers.set(worker);
+        self.queue.retry_all();
     }
 
     /// Forgets a worker that holds no task.
     pub fn remove_worker(&mut self, worker: &WorkerId) {
-        self.workers.shift_remove(worker);
+        self.drop_proposals_on(worker);
+        self.watched.swap_remove(worker);
+        self.workers.remove(self.clock, worker);
+        self.blame.remove_worker(worker);
     }
 
     /// Adds or replaces a task that waits for a place.
     pub fn enqueue(&mut self, now: Duration, task: WaitingTask) {
-        let _ = now;
+        self.clock = now;
         self.withdraw(&task.task);
-        self.sequence += 1;
-        self.order.insert((Reverse(task.priority), self.sequence, task.task.clone()));
-        self.waiting.insert(task.task.clone(), (self.sequence, task));
+        if self.held.contains_key(&task.task) {
+            self.returning.insert(task.task.clone(), task);
+            return;
+        }
+        self.queue.push(now, task);
     }
 
     /// Forgets a waiting task.
     pub fn withdraw(&mut self, task: &TaskId) {
-        self.proposals.remove(task);
-        self.reasons.remove(task);
-        if let Some((sequence, waiting)) = self.waiting.swap_remove(task) {
-            self.order.remove(&(Reverse(waiting.priority), sequence, task.clone()));
-        }
+        self.drop_proposal(task);
+        self.claims.remove(task);
+        self.returning.swap_remove(task);
+        self.queue.take(task);
     }
 
     /// Notes a committed reservation, or that it is stopping. The task waits no longer.
     pub fn hold(&mut self, now: Duration, held: HeldTask) {
-        let _ = now;
+        self.clock = now;
         self.withdraw(&held.waiting.task);
-        self.held.insert(held.waiting.task.clone(), held);
+        self.reserve(now, held);
     }
 
     /// Frees a reservation, because the stop is confirmed or the lease has expired.
     pub fn release(&mut self, now: Duration, task: &TaskId, attempt: AttemptNumber) {
-        let _ = now;
-        if self.held.get(task).is_some_and(|held| held.attempt == attempt) {
-            self.held.swap_remove(task);
+        self.clock = now;
+        if self.held.get(task).is_none_or(|entry| entry.task.attempt != attempt) {
+            return;
+        }
+        self.unreserve(now, task);
+        if let Some(waiting) = self.returning.swap_remove(task) {
+            self.queue.push(now, waiting);
         }
     }
 
+    /// Notes a throttle that is in force, for a model that did not decide it itself.
+    pub fn throttled(&mut self, now: Duration, task: &TaskId, attempt: AttemptNumber, percent: u8) {
+        self.set_throttle(now, task, attempt, percent);
+    }
+
     /// Learns how an attempt ended. Comes before [`FleetModel::release`].
     pub fn outcome(
         &mut self,
@@ -117,86 +162,60 @@
         attempt: AttemptNumber,
         end: AttemptEnd,
     ) {
-        let _ = (now, task, attempt, end);
+        self.clock = now;
+        let Some(entry) = self.held.get(task).filter(|entry| entry.task.attempt == attempt) else {
+            return;
+        };
+        let worker = &entry.task.worker;
+        let record = AttemptRecord { task, worker };
+        match end {
+            AttemptEnd::Finished => {
+                let whole = entry.task.waiting.checkpoint.is_none() && entry.throttle == 100;
+                let ran = whole.then(|| now.saturating_sub(entry.since));
+                self.corrections.learn_finish(&entry.task.waiting, &entry.peak, ran);
+                self.blame.finished(record);
+            }
+            AttemptEnd::Failed => {
+                let workers = self.workers.accepting().count();
+                self.blame.failed(now, record, &self.policy, workers);
+            }
+            AttemptEnd::Refused => self.blame.refused(now, worker),
+            AttemptEnd::Stopped => {}
+        }
     }
 
     /// Learns from a measurement, which may be late.
     pub fn sample(&mut self, now: Duration, sample: &WorkerSample) {
-        let _ = (now, sample);
+        self.clock = now;
+        self.learn(now, sample);
     }
 
     /// Lets a parked job be tried again.
     pub fn unpark(&mut self, job: &JobId) {
-        let _ = job;
+        self.blame.unpark(job);
+        self.queue.retry_all();
     }
 
     /// Decides what should be done now. Decisions that are not committed are made again later.
     pub fn decide(&mut self, now: Duration) -> Vec<SchedDecision> {
-        self.proposals.retain(|_, proposal| proposal.expires > now);
-        let mut free = self.free_room();
-        let mut decisions = Vec::new();
-        for (_, _, task) in &self.order {
-            if decisions.len() == PLACEMENTS_PER_CALL {
-                break;
-            }
-            if self.proposals.contains_key(task) {
-                continue;
-            }
-            let declared = self.waiting[task].1.declared;
-            let candidates = free.values().filter(|room| declared.fits_in(room)).count() as u32;
-            let Some((worker, room)) = free.iter_mut().find(|(_, room)| declared.fits_in(room))
-            else {
-                let short_of = free
-                    .values()
-                    .next()
-                    .and_then(|room| declared.shortage(room))
-                    .unwrap_or(ResourceKind::Cpu);
-                self.reasons.insert(task.clone(), WaitReason::NoRoom { short_of });
-                continue;
-            };
-            *room = room.saturating_sub(&declared);
-            let proposal = PlacementProposal {
-                worker: worker.clone(),
-                reserve: declared,
-                expires: now + PROPOSAL_TIMEOUT,
-            };
-            decisions.push(SchedDecision::Place {
-                task: task.clone(),
-                worker: worker.clone(),
-                reserve: declared,
-                reason: PlacementReason {
-                    candidates,
-                    cost: 0.0,
-                    service_slowdown_percent: 0.0,
-                    corrected: false,
-                },
-            });
-            self.reasons.remove(task);
-            self.proposals.insert(task.clone(), proposal);
-        }
+        self.clock = now;
+        self.expire_proposals(now);
+        self.expire_evictions(now);
+        self.claims.expire(now);
+        let mut decisions = self.relieve_workers(now);
+        self.place_waiting(now, &mut decisions);
+        decisions.extend(self.blame.take_decisions());
         decisions
     }
 
-    fn free_room(&self) -> IndexMap<WorkerId, ResourceVector> {
-        let mut free: IndexMap<_, _> = self
-            .workers
-            .values()
-            .filter(|view| view.accepting)
-            .map(|view| (view.worker.clone(), view.capacity))
-            .collect();
-        let held = self.held.values().map(|held| (&held.worker, &held.reserved));
-        let proposed =
-            self.proposals.values().map(|proposal| (&proposal.worker, &proposal.reserve));
-        for (worker, reserved) in held.chain(proposed) {
-            if let Some(room) = free.get_mut(worker) {
-                *room = room.saturating_sub(reserved);
-            }
-        }
-        free
+    /// The task as it waits, also while its placement is proposed.
+    pub fn waiting(&self, task: &TaskId) -> Option<&WaitingTask> {
+        let proposed = self.proposals.get(task).map(|proposal| &proposal.queued.waiting);
+        proposed.or_else(|| self.queue.get(task))
     }
 
     /// Why a task waits, as of the last decision.
     pub fn wait_reason(&self, task: &TaskId) -> Option<WaitReason> {
-        self.reasons.get(task).cloned()
+        self.queue.group_of(task).and_then(|group| group.reason.clone())
     }
 }
--- a/crates/sched/src/interface/mod.rs
+++ b/crates/sched/src/interface/mod.rs
@@ -70,7 +70,7 @@
 }
 
 /// Where the tasks of a job may run.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct SpreadRule {
     /// The data centres that may be used; all when empty.
     pub data_centres: Vec<DataCentreName>,
--- /dev/null
+++ b/crates/sched/src/interference/load.rs
@@ -0,0 +1,53 @@
+//! How loaded a service is on a worker, in a few levels.
+
+use {base::ServiceName, indexmap::IndexMap, std::time::Duration};
+
+/// The number of load levels.
+pub(crate) const LOAD_LEVELS: usize = 3;
+/// How long it takes the remembered peak to fall by half.
+const PEAK_HALF_LIFE: Duration = Duration::from_secs(3600);
+/// The parts of the peak at which the middle and the high level begin.
+const LEVEL_BOUNDS: [f64; LOAD_LEVELS - 1] = [0.33, 0.67];
+
+/// A load level, from 0 for a quiet service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct LoadLevel(pub(crate) u8);
+
+impl LoadLevel {
+    /// The level of a service near its peak.
+    pub(crate) const BUSIEST: Self = Self(LOAD_LEVELS as u8 - 1);
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RatePeak {
+    per_second: f64,
+    at: Duration,
+}
+
+/// Compares the request rate of a service with the highest rate that any worker has reported.
+#[derive(Debug, Default)]
+pub(crate) struct LoadMeter {
+    peaks: IndexMap<ServiceName, RatePeak>,
+}
+
+impl LoadMeter {
+    /// The level of `requests` that were answered during `elapsed`.
+    pub(crate) fn level(
+        &mut self,
+        at: Duration,
+        service: &ServiceName,
+        requests: u64,
+        elapsed: Duration,
+    ) -> LoadLevel {
+        let per_second = requests as f64 / elapsed.as_secs_f64().max(0.001);
+        let fresh = RatePeak { per_second, at };
+        let peak = self.peaks.entry(service.clone()).or_insert(fresh);
+        let age = at.saturating_sub(peak.at).as_secs_f64();
+        let remembered = peak.per_second * 0.5_f64.powf(age / PEAK_HALF_LIFE.as_secs_f64());
+        if per_second >= remembered {
+            *peak = fresh;
+        }
+        let part = per_second / remembered.max(per_second).max(f64::MIN_POSITIVE);
+        LoadLevel(LEVEL_BOUNDS.iter().filter(|bound| part >= **bound).count() as u8)
+    }
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -5,7 +5,18 @@
 //! and commits its decisions before they take effect (`control`). What it has learned is soft
 //! state that a new leader learns again. See `docs/decisions/placement.md`.
 
+mod blame;
+mod classes;
+mod correction;
 mod fleet;
+mod held;
 pub mod interface;
+mod interference;
+mod placement;
+mod proposals;
+mod queue;
+mod quota;
+mod relief;
+mod workers;
 
 pub use {fleet::FleetModel, interface::*};
--- /dev/null
+++ b/crates/sched/src/placement/mod.rs
@@ -0,0 +1,278 @@
+//! Choosing a worker for each waiting task: hard constraints first, then the cheapest in points.
+
+mod fit;
+mod preempt;
+mod score;
+
+use {
+    crate::{
+        fleet::{reservations::ProposedPlace, FleetModel},
+        interface::{
+            ParkReason, PlacementReason, SchedDecision, TaskPriority, WaitReason, WaitingTask,
+        },
+        queue::GroupNumber,
+        quota::QuotaVerdict,
+    },
+    base::{ResourceVector, TeamName},
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// The largest number of placements that one call proposes.
+const PLACEMENTS_PER_CALL: usize = 128;
+/// The largest number of batch groups for which one call finds no place.
+const BATCH_FAILURES_PER_CALL: usize = 64;
+/// How long a batch group without place is not looked at.
+const BATCH_RETRY: Duration = Duration::from_millis(500);
+/// How long a job must have fitted no worker before it is parked.
+const NEVER_FITS_GRACE: Duration = Duration::from_secs(30);
+
+/// A task with what would be reserved for it.
+#[derive(Debug, Clone)]
+pub(crate) struct PlacementRequest {
+    pub(crate) waiting: WaitingTask,
+    pub(crate) since: Duration,
+    pub(crate) reserve: ResourceVector,
+}
+
+/// What one call may still do.
+#[derive(Debug)]
+struct CallBudget {
+    placements: usize,
+    failures: usize,
+    evictions: usize,
+    eviction_plans: usize,
+    /// Sizes for which no worker has room, whatever else is asked.
+    hopeless: Vec<(ResourceVector, WaitReason)>,
+}
+
+impl CallBudget {
+    fn hopeless_reason(&self, size: &ResourceVector) -> Option<WaitReason> {
+        let smaller = self.hopeless.iter().find(|(smaller, _)| smaller.fits_in(size));
+        smaller.map(|(_, reason)| reason.clone())
+    }
+}
+
+/// The groups of one team, in their order.
+struct TeamTurn {
+    team: TeamName,
+    share: f64,
+    groups: VecDeque<GroupNumber>,
+}
+
+impl FleetModel {
+    /// Proposes places, the most urgent work first and the team that holds least first.
+    pub(crate) fn place_waiting(&mut self, now: Duration, decisions: &mut Vec<SchedDecision>) {
+        let mut budget = CallBudget {
+            placements: PLACEMENTS_PER_CALL,
+            failures: BATCH_FAILURES_PER_CALL,
+            evictions: preempt::EVICTIONS_PER_CALL,
+            eviction_plans: preempt::PLANS_PER_CALL,
+            hopeless: Vec::new(),
+        };
+        for priority in [TaskPriority::Urgent, TaskPriority::LatencyCritical, TaskPriority::Batch] {
+            self.place_priority(now, priority, &mut budget, decisions);
+        }
+    }
+
+    fn place_priority(
+        &mut self,
+        now: Duration,
+        priority: TaskPriority,
+        budget: &mut CallBudget,
+        decisions: &mut Vec<SchedDecision>,
+    ) {
+        let mut turns = self.turns(now, priority);
+        while budget.placements > 0 && budget.failures > 0 {
+            let next = turns
+                .iter_mut()
+                .filter(|turn| !turn.groups.is_empty())
+                .min_by(|a, b| a.share.total_cmp(&b.share));
+            let Some(turn) = next else {
+                return;
+            };
+            let Some(number) = turn.groups.front().copied() else {
+                return;
+            };
+            if self.place_first(now, number, budget, decisions) {
+                budget.placements -= 1;
+                turn.share = self.quotas.dominant_share(&turn.team, self.workers.capacity());
+                if self.queue.group(number).is_none() {
+                    turn.groups.pop_front();
+                }
+                continue;
+            }
+            turn.groups.pop_front();
+            if priority == TaskPriority::Batch {
+                budget.failures -= 1;
+            }
+        }
+    }
+
+    fn turns(&self, now: Duration, priority: TaskPriority) -> Vec<TeamTurn> {
+        let capacity = self.workers.capacity();
+        let is_due = |number: &GroupNumber| {
+            self.queue.group(*number).is_some_and(|group| group.is_due(now, self.releases))
+        };
+        self.queue
+            .teams(priority)
+            .map(|(team, numbers)| TeamTurn {
+                team: team.clone(),
+                share: self.quotas.dominant_share(team, capacity),
+                groups: numbers.iter().copied().filter(is_due).collect(),
+            })
+            .collect()
+    }
+
+    /// Tries to place the first task of a group and notes why it could not.
+    fn place_first(
+        &mut self,
+        now: Duration,
+        number: GroupNumber,
+        budget: &mut CallBudget,
+        decisions: &mut Vec<SchedDecision>,
+    ) -> bool {
+        let Some((since, waiting)) = self.queue.group(number).and_then(|group| group.first())
+        else {
+            return false;
+        };
+        let waiting = waiting.clone();
+        let priority = waiting.priority;
+        if self.blame.is_resting(now, &waiting.task.job) {
+            self.note_failure(number, None, now + BATCH_RETRY);
+            return false;
+        }
+        if self.blame.is_parked(now, &waiting.task.job) {
+            self.note_failure(number, Some(WaitReason::JobParked), now + BATCH_RETRY);
+            return false;
+        }
+        let Some(ceiling) = fit::ceiling(&self.workers, &waiting) else {
+            self.never_fits(now, number, &waiting);
+            return false;
+        };
+        let reserve = self.corrections.reservation(&waiting, &ceiling);
+        let request = PlacementRequest { waiting, since, reserve };
+        match self.place_one(now, &request, budget, decisions) {
+            Ok(()) => true,
+            Err(reason) => {
+                let pause = match priority {
+                    TaskPriority::Batch => BATCH_RETRY,
+                    TaskPriority::LatencyCritical | TaskPriority::Urgent => Duration::ZERO,
+                };
+                self.note_failure(number, Some(reason), now + pause);
+                false
+            }
+        }
+    }
+
+    fn note_failure(
+        &mut self,
+        number: GroupNumber,
+        reason: Option<WaitReason>,
+        retry_at: Duration,
+    ) {
+        if let Some(group) = self.queue.group_mut(number) {
+            group.retry_at = retry_at;
+            group.tried_at_release = self.releases;
+            group.reason = reason;
+            group.never_fits_since = None;
+        }
+    }
+
+    /// A worker of the right size may still come back, so the job is parked only after a while.
+    fn never_fits(&mut self, now: Duration, number: GroupNumber, waiting: &WaitingTask) {
+        let short_of = fit::shortage_of_empty(&self.workers, waiting);
+        let Some(group) = self.queue.group_mut(number) else {
+            return;
+        };
+        group.retry_at = now + BATCH_RETRY;
+        group.tried_at_release = self.releases;
+        if self.workers.len() == 0 {
+            group.reason = Some(WaitReason::NoRoom { short_of });
+            return;
+        }
+        group.reason = Some(WaitReason::NeverFits { short_of });
+        let since = *group.never_fits_since.get_or_insert(now);
+        if now.saturating_sub(since) >= NEVER_FITS_GRACE {
+            self.blame.park(now, &waiting.task.job, ParkReason::NeverFits { short_of });
+        }
+    }
+
+    fn place_one(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        budget: &mut CallBudget,
+        decisions: &mut Vec<SchedDecision>,
+    ) -> Result<(), WaitReason> {
+        let team = &request.waiting.team;
+        let verdict = self.quotas.check(team, &request.reserve, self.workers.capacity());
+        if let QuotaVerdict::Exceeds(short_of) = verdict {
+            self.make_room(now, request, preempt::VictimRule::SameTeam, budget, decisions);
+            return Err(WaitReason::QuotaUsed { short_of });
+        }
+        match self.find_worker(now, request, budget) {
+            Ok(choice) => {
+                decisions.push(self.propose_choice(now, request, choice));
+                Ok(())
+            }
+            Err(reason) => {
+                let rule = match (request.waiting.priority, verdict) {
+                    (TaskPriority::Batch, QuotaVerdict::Within) => preempt::VictimRule::Borrowed,
+                    (TaskPriority::Batch, _) => return Err(reason),
+                    _ => preempt::VictimRule::AnyBatch,
+                };
+                if matches!(reason, WaitReason::NoRoom { .. }) {
+                    self.make_room(now, request, rule, budget, decisions);
+                }
+                Err(reason)
+            }
+        }
+    }
+
+    /// Chooses a worker, unless a smaller batch task has just found no room.
+    fn find_worker(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        budget: &mut CallBudget,
+    ) -> Result<fit::WorkerChoice, WaitReason> {
+        let waiting = &request.waiting;
+        let is_plain =
+            waiting.priority == TaskPriority::Batch && self.claims.get(&waiting.task).is_none();
+        if let Some(reason) = budget.hopeless_reason(&request.reserve).filter(|_| is_plain) {
+            return Err(reason);
+        }
+        let choice = self.choose_worker(now, request);
+        if let (true, Err(reason @ WaitReason::NoRoom { .. })) = (is_plain, &choice) {
+            budget.hopeless.push((request.reserve, reason.clone()));
+        }
+        choice
+    }
+
+    fn propose_choice(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        choice: fit::WorkerChoice,
+    ) -> SchedDecision {
+        let task = request.waiting.task.clone();
+        if choice.probe {
+            self.blame.start_probe(now, &choice.worker, &task);
+        }
+        if let Some(queued) = self.queue.take(&task) {
+            let (worker, reserve) = (choice.worker.clone(), request.reserve);
+            self.propose(now, ProposedPlace { queued, worker, reserve });
+        }
+        SchedDecision::Place {
+            task,
+            worker: choice.worker,
+            reserve: request.reserve,
+            reason: PlacementReason {
+                candidates: choice.candidates,
+                cost: choice.score.cost,
+                service_slowdown_percent: choice.score.service_slowdown_percent,
+                corrected: request.reserve != request.waiting.declared,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/placement/score.rs
@@ -0,0 +1,166 @@
+//! What a placement is predicted to cost, in points for as long as the task runs.
+
+use {
+    super::PlacementRequest,
+    crate::{
+        classes::ClassIndex,
+        fleet::FleetModel,
+        interface::TaskPriority,
+        interference::{ClassShare, LoadLevel, PairVictim},
+        workers::WorkerState,
+    },
+    std::time::Duration,
+};
+
+/// The speed that a waiting batch task loses, in percent.
+const WAITING_LOSS_PERCENT: f64 = 100.0;
+/// The time after which a waiting batch task is worth twice as much.
+const AGEING: Duration = Duration::from_secs(600);
+/// Points for taking a worker with free accelerators that the task does not need.
+const ACCELERATOR_WASTE: f64 = 5.0;
+/// Points for leaving a worker entirely free, which keeps room for large tasks together.
+const FRAGMENT_COST: f64 = 0.5;
+/// The part of all workers on which a class may be tried beside a service before its effect has
+/// been measured.
+const TRIAL_PART: usize = 8;
+
+/// The predicted cost of a worker.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct PlacementScore {
+    pub(super) cost: f64,
+    pub(super) service_slowdown_percent: f64,
+}
+
+/// What is worked out once for all workers.
+#[derive(Debug)]
+pub(super) struct ClassPlan {
+    class: ClassIndex,
+    is_batch: bool,
+    highest_cost: f64,
+    /// True when the class runs on so few workers that it may be tried on another.
+    may_try: bool,
+}
+
+impl FleetModel {
+    pub(super) fn class_plan(&mut self, now: Duration, request: &PlacementRequest) -> ClassPlan {
+        let class = self.classes.index(&request.waiting.class);
+        let waited = now.saturating_sub(request.since).as_secs_f64() / AGEING.as_secs_f64();
+        let worth = self.policy.throughput_weight * WAITING_LOSS_PERCENT;
+        ClassPlan {
+            class,
+            is_batch: request.waiting.priority == TaskPriority::Batch,
+            highest_cost: worth * (1.0 + waited),
+            may_try: self.may_try(class),
+        }
+    }
+
+    fn may_try(&self, class: ClassIndex) -> bool {
+        let hosts = self
+            .workers
+            .iter()
+            .filter(|state| !state.services.is_empty() && holds(&state.planned, class))
+            .count();
+        hosts < (self.workers.len() / TRIAL_PART).max(1)
+    }
+
+    /// The cost of a worker with room; `None` when a batch task would slow a service too much.
+    pub(super) fn score(
+        &self,
+        now: Duration,
+        state: &WorkerState,
+        request: &PlacementRequest,
+        plan: &ClassPlan,
+    ) -> Option<PlacementScore> {
+        let capacity = &state.view.capacity;
+        let share = request.reserve.cpu.0 as f64 / capacity.cpu.0.max(1) as f64;
+        let (growth, worst) = self.service_growth(now, state, plan, share)?;
+        let loss = self.speed_loss(now, state, plan, share);
+        let mut cost =
+            self.policy.tail_latency_weight * growth + self.policy.throughput_weight * loss;
+        if plan.is_batch && cost > plan.highest_cost {
+            return None;
+        }
+        let room = state.room();
+        if request.reserve.accelerators.0 == 0 && room.accelerators.0 > 0 {
+            cost += ACCELERATOR_WASTE;
+        }
+        cost += FRAGMENT_COST * room.cpu.0 as f64 / capacity.cpu.0.max(1) as f64;
+        Some(PlacementScore { cost, service_slowdown_percent: worst })
+    }
+
+    /// By how many percent the worker's services are predicted to slow down, in sum and at worst.
+    fn service_growth(
+        &self,
+        now: Duration,
+        state: &WorkerState,
+        plan: &ClassPlan,
+        share: f64,
+    ) -> Option<(f64, f64)> {
+        let relief = f64::from(self.policy.relief_above_percent);
+        let floor = f64::from(self.policy.throttle_floor_percent) / 100.0;
+        let (mut growth, mut worst) = (0.0, 0.0_f64);
+        for service in state.services.iter().filter(|service| service.class != plan.class) {
+            let victim = PairVictim { class: service.class, level: service.level };
+            let others = neighbours(&state.planned, service.class);
+            let before = self.pairs.forecast(now, victim, others.clone());
+            let after = self.pairs.forecast(now, victim, others.chain([(plan.class, share)]));
+            let added = after.pessimistic() - before.pessimistic();
+            let unexplained = service.unexplained(now);
+            let slowdown = before.pessimistic() + unexplained + added;
+            let throttled = before.pessimistic() + unexplained + added * floor;
+            if plan.is_batch && throttled > relief {
+                return None;
+            }
+            if plan.is_batch && !self.is_tried(now, state, service.class, plan) {
+                return None;
+            }
+            growth += added;
+            worst = worst.max(slowdown);
+        }
+        Some((growth, worst))
+    }
+
+    /// A class whose effect on a service is unknown runs beside it in few places at first.
+    fn is_tried(
+        &self,
+        now: Duration,
+        state: &WorkerState,
+        victim: ClassIndex,
+        plan: &ClassPlan,
+    ) -> bool {
+        let can_try = plan.may_try && !holds(&state.planned, plan.class);
+        can_try || self.pairs.is_known(now, victim, plan.class)
+    }
+
+    /// The speed, in percent of one task, that the task and its neighbours are predicted to lose.
+    fn speed_loss(&self, now: Duration, state: &WorkerState, plan: &ClassPlan, share: f64) -> f64 {
+        let own = PairVictim { class: plan.class, level: LoadLevel::default() };
+        let all = state.planned.iter().map(|entry| (entry.class, entry.share));
+        let mut loss = lost_speed(self.pairs.forecast(now, own, all).mean);
+        for entry in &state.planned {
+            if state.services.iter().any(|service| service.class == entry.class) {
+                continue;
+            }
+            let victim = PairVictim { class: entry.class, level: LoadLevel::default() };
+            let slowdown = share * self.pairs.unit_effect(now, victim, plan.class);
+            loss += f64::from(entry.tasks) * lost_speed(slowdown);
+        }
+        loss
+    }
+}
+
+fn neighbours(
+    shares: &[ClassShare],
+    own: ClassIndex,
+) -> impl Iterator<Item = (ClassIndex, f64)> + Clone + '_ {
+    shares.iter().filter(move |entry| entry.class != own).map(|entry| (entry.class, entry.share))
+}
+
+fn holds(shares: &[ClassShare], class: ClassIndex) -> bool {
+    shares.iter().any(|entry| entry.class == class)
+}
+
+/// The speed that is lost, in percent, by a task that takes so many percent longer.
+fn lost_speed(slowdown_percent: f64) -> f64 {
+    100.0 - 100.0 / (1.0 + slowdown_percent.max(0.0) / 100.0)
+}
--- /dev/null
+++ b/crates/sched/src/relief/estimate.rs
@@ -0,0 +1,91 @@
+//! What the tasks of one worker are estimated to do to its services now.
+
+use {
+    crate::{fleet::FleetModel, interface::TaskPriority, interference::PairVictim},
+    base::{AttemptNumber, ServiceName, TaskId, WorkerId},
+    std::time::Duration,
+};
+
+/// A batch task that may be throttled.
+#[derive(Debug)]
+pub(super) struct BatchEstimate {
+    pub(super) task: TaskId,
+    pub(super) attempt: AttemptNumber,
+    /// The part of its reservation that it may use now, from 0 to 1.
+    pub(super) level: f64,
+}
+
+/// A service and what each batch task does to it.
+#[derive(Debug)]
+pub(super) struct ServiceEstimate {
+    pub(super) service: ServiceName,
+    /// The slowdown that does not come from throttlable tasks, in percent.
+    pub(super) fixed: f64,
+    /// The slowdown that each task would cause without throttle, in percent.
+    pub(super) effects: Vec<f64>,
+    /// The slowdown that the tasks cause at their present levels, in percent.
+    pub(super) caused: f64,
+}
+
+impl ServiceEstimate {
+    pub(super) fn slowdown(&self) -> f64 {
+        self.fixed + self.caused
+    }
+}
+
+/// The services and batch tasks of one worker.
+#[derive(Debug)]
+pub(super) struct WorkerEstimate {
+    pub(super) tasks: Vec<BatchEstimate>,
+    pub(super) services: Vec<ServiceEstimate>,
+}
+
+impl WorkerEstimate {
+    pub(super) fn worst(&self) -> Option<&ServiceEstimate> {
+        self.services.iter().max_by(|a, b| a.slowdown().total_cmp(&b.slowdown()))
+    }
+
+    pub(super) fn has_throttles(&self) -> bool {
+        self.tasks.iter().any(|task| task.level < 1.0)
+    }
+}
+
+impl FleetModel {
+    pub(super) fn estimate(&self, now: Duration, worker: &WorkerId) -> WorkerEstimate {
+        let mut estimate = WorkerEstimate { tasks: Vec::new(), services: Vec::new() };
+        let Some(state) = self.workers.get(worker) else {
+            return estimate;
+        };
+        let capacity = &state.view.capacity;
+        let mut classes = Vec::new();
+        let mut fixed = Vec::new();
+        for entry in state.tasks.iter().filter_map(|task| self.held.get(task)) {
+            let waiting = &entry.task.waiting;
+            let level = f64::from(entry.throttle) / 100.0;
+            if waiting.priority != TaskPriority::Batch || entry.is_leaving() {
+                fixed.push((entry.class, entry.share(capacity)));
+                continue;
+            }
+            classes.push((entry.class, entry.share(capacity) / level));
+            let (task, attempt) = (waiting.task.clone(), entry.task.attempt);
+            estimate.tasks.push(BatchEstimate { task, attempt, level });
+        }
+        for service in &state.services {
+            let victim = PairVictim { class: service.class, level: service.level };
+            let others = fixed.iter().copied().filter(|(class, _)| *class != service.class);
+            let effects: Vec<f64> = classes
+                .iter()
+                .map(|(class, share)| share * self.pairs.unit_effect(now, victim, *class))
+                .collect();
+            let caused =
+                effects.iter().zip(&estimate.tasks).map(|(effect, task)| effect * task.level);
+            estimate.services.push(ServiceEstimate {
+                service: service.service.clone(),
+                fixed: self.pairs.forecast(now, victim, others).mean + service.unexplained(now),
+                caused: caused.sum(),
+                effects,
+            });
+        }
+        estimate
+    }
+}
--- /dev/null
+++ b/crates/sched/src/relief/throttle.rs
@@ -0,0 +1,118 @@
+//! Throttling batch tasks, and easing them again.
+
+use {
+    super::estimate::{ServiceEstimate, WorkerEstimate},
+    crate::{
+        fleet::FleetModel,
+        interface::{ReliefReason, SchedDecision},
+    },
+    base::WorkerId,
+    std::time::Duration,
+};
+
+/// The part of the tolerated slowdown to which throttles bring a service.
+const TARGET_PART: f64 = 0.8;
+/// The part of the tolerated slowdown below which throttles are eased.
+const EASE_PART: f64 = 0.6;
+/// How long a worker's throttles are left alone before they are eased.
+const EASE_PAUSE: Duration = Duration::from_secs(3);
+/// How long easing waits for a measurement that was taken after the throttle.
+const MEASUREMENT_WAIT: Duration = Duration::from_secs(60);
+/// The largest factor by which one step eases a throttle.
+const EASE_FACTOR: f64 = 2.0;
+/// The smallest change of a throttle, as part of the reservation.
+const LEAST_CHANGE: f64 = 0.05;
+/// Effects below this many percent are not worth a throttle.
+const LEAST_EFFECT: f64 = 0.5;
+
+impl FleetModel {
+    /// Throttles the tasks that slow the service most for the work that they get done, and gives
+    /// the slowdown, in percent, that no throttle removes.
+    pub(super) fn throttle(
+        &mut self,
+        now: Duration,
+        estimate: &WorkerEstimate,
+        worst: &ServiceEstimate,
+        decisions: &mut Vec<SchedDecision>,
+    ) -> f64 {
+        let relief = f64::from(self.policy.relief_above_percent);
+        let floor = f64::from(self.policy.throttle_floor_percent) / 100.0;
+        let mut excess = worst.slowdown() - relief * TARGET_PART;
+        for index in by_effect(worst).into_iter().rev() {
+            let (task, effect) = (&estimate.tasks[index], worst.effects[index]);
+            if excess <= 0.0 || effect < LEAST_EFFECT {
+                break;
+            }
+            let lowered = (task.level - excess / effect).max(floor);
+            if task.level - lowered < LEAST_CHANGE {
+                continue;
+            }
+            excess -= (task.level - lowered) * effect;
+            let reason = ReliefReason::ServiceSlow {
+                service: worst.service.clone(),
+                slowdown_percent: worst.slowdown(),
+            };
+            decisions.push(self.change(now, estimate, index, lowered, reason));
+        }
+        excess - relief * (1.0 - TARGET_PART)
+    }
+
+    /// Eases throttles as far as no service is predicted to suffer. True while throttles remain.
+    pub(super) fn ease(
+        &mut self,
+        now: Duration,
+        worker: &WorkerId,
+        estimate: &WorkerEstimate,
+        decisions: &mut Vec<SchedDecision>,
+    ) -> bool {
+        let relief = f64::from(self.policy.relief_above_percent);
+        let Some(state) = self.workers.get(worker) else {
+            return false;
+        };
+        let age = now.saturating_sub(state.throttled_at);
+        let worst = estimate.worst();
+        let measured = worst.is_none()
+            || age >= MEASUREMENT_WAIT
+            || state.last_sample.is_none_or(|taken_at| taken_at > state.throttled_at);
+        let rested = age >= EASE_PAUSE;
+        let recovered = worst.is_none_or(|worst| worst.slowdown() < relief * EASE_PART);
+        if !(measured && rested && recovered) {
+            return true;
+        }
+        let mut spare = worst.map_or(f64::MAX, |worst| relief * TARGET_PART - worst.slowdown());
+        let order = worst.map_or_else(|| (0..estimate.tasks.len()).collect(), by_effect);
+        for index in order {
+            let task = &estimate.tasks[index];
+            let effect = worst.map_or(0.0, |worst| worst.effects[index]).max(LEAST_EFFECT);
+            let raised = (task.level * EASE_FACTOR).min(task.level + spare / effect).min(1.0);
+            if raised - task.level < LEAST_CHANGE.min(1.0 - task.level) || task.level >= 1.0 {
+                continue;
+            }
+            spare -= (raised - task.level) * effect;
+            decisions.push(self.change(now, estimate, index, raised, ReliefReason::Recovered));
+        }
+        true
+    }
+
+    fn change(
+        &mut self,
+        now: Duration,
+        estimate: &WorkerEstimate,
+        index: usize,
+        level: f64,
+        reason: ReliefReason,
+    ) -> SchedDecision {
+        let batch = &estimate.tasks[index];
+        let percent = (level * 100.0).round().clamp(1.0, 100.0) as u8;
+        self.set_throttle(now, &batch.task, batch.attempt, percent);
+        let (task, attempt) = (batch.task.clone(), batch.attempt);
+        SchedDecision::Throttle { task, attempt, percent, reason }
+    }
+}
+
+/// The tasks from the least to the most harmful.
+fn by_effect(service: &ServiceEstimate) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..service.effects.len()).collect();
+    order.sort_by(|a, b| service.effects[*a].total_cmp(&service.effects[*b]));
+    order
+}
--- /dev/null
+++ b/crates/sched/tests/support/mod.rs
@@ -0,0 +1,339 @@
+//! Drives a model by short text commands and commits what it decides, as control would.
+
+use {
+    base::{
+        duration_text, AttemptNumber, ByteSize, CpuMillis, ResourceVector, TaskId, TaskIndex,
+        WorkerId,
+    },
+    sched::{
+        AttemptEnd, FleetModel, HeldTask, SchedDecision, SchedPolicy, ServiceSample, SpreadRule,
+        TaskPriority, TaskSample, TeamQuota, WaitingTask, WorkerSample, WorkerView,
+    },
+    std::{collections::BTreeMap, fmt::Write, time::Duration},
+};
+
+pub fn policy() -> SchedPolicy {
+    SchedPolicy {
+        tail_latency_weight: 1.0,
+        eviction_weight: 100.0,
+        throughput_weight: 1.0,
+        relief_above_percent: 25,
+        throttle_floor_percent: 20,
+        patience: Duration::from_secs(15),
+        retry_pairing_after: Duration::from_secs(600),
+        job_workers: 3,
+        worker_jobs: 3,
+        probe_after: Duration::from_secs(300),
+    }
+}
+
+/// One command: words, some of them `key=value`.
+struct Words<'a>(Vec<&'a str>);
+
+impl<'a> Words<'a> {
+    fn find(&self, key: &str) -> Option<&'a str> {
+        self.0.iter().find_map(|word| word.strip_prefix(key)?.strip_prefix('='))
+    }
+
+    fn count(&self, key: &str, default: u64) -> u64 {
+        self.find(key).map_or(default, |text| text.parse().unwrap())
+    }
+
+    fn time(&self, key: &str) -> Option<Duration> {
+        self.find(key).map(|text| duration_text::parse(text).unwrap())
+    }
+
+    fn has(&self, flag: &str) -> bool {
+        self.0.contains(&flag)
+    }
+
+    fn size(&self) -> ResourceVector {
+        ResourceVector {
+            cpu: self.find("cpu").map_or(CpuMillis(1000), |text| text.parse().unwrap()),
+            memory: self.find("mem").map_or(ByteSize(1 << 30), |text| text.parse().unwrap()),
+            accelerators: self.find("acc").unwrap_or("0").parse().unwrap(),
+        }
+    }
+
+    fn task(&self) -> WaitingTask {
+        let limit = |key: &str| self.find(key).map(|text| text.parse().unwrap());
+        WaitingTask {
+            task: TaskId::new(self.0[1].parse().unwrap(), TaskIndex(0)),
+            team: self.find("team").unwrap_or("tanga").parse().unwrap(),
+            class: self.find("class").unwrap_or("report").parse().unwrap(),
+            priority: match self.find("prio") {
+                Some("urgent") => TaskPriority::Urgent,
+                Some("critical") => TaskPriority::LatencyCritical,
+                _ => TaskPriority::Batch,
+            },
+            declared: self.size(),
+            run_time: self.time("run"),
+            service: self.find("service").map(|text| text.parse().unwrap()),
+            spread: SpreadRule {
+                data_centres: self.find("dc").iter().map(|text| text.parse().unwrap()).collect(),
+                most_per_rack: limit("per-rack"),
+                most_per_data_centre: limit("per-dc"),
+            },
+            checkpoint: None,
+        }
+    }
+}
+
+/// A model with the committed state that a control group would hold.
+pub struct ModelDriver {
+    pub model: FleetModel,
+    pub policy: SchedPolicy,
+    pub now: Duration,
+    pub workers: BTreeMap<WorkerId, WorkerView>,
+    pub held: BTreeMap<TaskId, HeldTask>,
+    attempts: BTreeMap<TaskId, u32>,
+}
+
+impl ModelDriver {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            model: FleetModel::new(policy(), seed),
+            policy: policy(),
+            now: Duration::ZERO,
+            workers: BTreeMap::new(),
+            held: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+        }
+    }
+
+    pub fn run(&mut self, script: &str) -> String {
+        let mut output = String::new();
+        for line in script.lines().filter(|line| !line.trim().is_empty()) {
+            let words = Words(line.split_whitespace().collect());
+            if let Some(text) = self.command(&words) {
+                output.push_str(&text);
+            }
+        }
+        if output.is_empty() {
+            "ok\n".to_owned()
+        } else {
+            output
+        }
+    }
+
+    fn command(&mut self, words: &Words<'_>) -> Option<String> {
+        match words.0[0] {
+            "policy" => self.change_policy(words),
+            "quota" => self.set_quotas(words),
+            "worker" => self.set_worker(words),
+            "remove" => self.model.remove_worker(&words.0[1].parse().unwrap()),
+            "submit" => self.submit(words),
+            "withdraw" => self.model.withdraw(&words.0[1].parse().unwrap()),
+            "unpark" => self.model.unpark(&words.0[1].parse().unwrap()),
+            "advance" => self.now += duration_text::parse(words.0[1]).unwrap(),
+            "end" => self.end(words),
+            "sample" => self.sample(words),
+            "decide" => return Some(self.decide(words.has("commit"))),
+            "step" => return Some(self.step(words)),
+            "explain" => return Some(self.explain(words)),
+            other => panic!("unknown command {other}"),
+        }
+        None
+    }
+
+    fn change_policy(&mut self, words: &Words<'_>) {
+        let weight = |key: &str, old: f64| words.find(key).map_or(old, |t| t.parse().unwrap());
+        self.policy.tail_latency_weight = weight("tail", self.policy.tail_latency_weight);
+        self.policy.eviction_weight = weight("evictions", self.policy.eviction_weight);
+        self.policy.throughput_weight = weight("throughput", self.policy.throughput_weight);
+        self.model.set_policy(self.policy.clone());
+    }
+
+    /// `quota tanga:cpu=4:borrow moshi:cpu=8` replaces all quotas.
+    fn set_quotas(&mut self, words: &Words<'_>) {
+        let quotas = words.0[1..].iter().map(|word| {
+            let parts = Words(word.split(':').collect());
+            let team = parts.0[0].parse().unwrap();
+            let size = ResourceVector { memory: ByteSize(u64::MAX / 64), ..parts.size() };
+            (team, TeamQuota { quota: size, may_borrow: parts.has("borrow") })
+        });
+        self.model.set_quotas(quotas.collect());
+    }
+
+    fn set_worker(&mut self, words: &Words<'_>) {
+        let view = WorkerView {
+            worker: words.0[1].parse().unwrap(),
+            data_centre: words.find("dc").unwrap_or("arusha").parse().unwrap(),
+            rack: words.find("rack").unwrap_or("r1").parse().unwrap(),
+            capacity: words.size(),
+            accepting: !words.has("draining"),
+        };
+        self.workers.insert(view.worker.clone(), view.clone());
+        self.model.set_worker(view);
+    }
+
+    fn submit(&mut self, words: &Words<'_>) {
+        let task = words.task();
+        for index in 0..words.count("tasks", 1) {
+            let id = TaskId::new(task.task.job.clone(), TaskIndex(index as u32));
+            self.model.enqueue(self.now, WaitingTask { task: id, ..task.clone() });
+        }
+    }
+
+    /// `end a/0 failed again` reports the end, frees the room and lets the task wait again.
+    fn end(&mut self, words: &Words<'_>) {
+        let end = match words.0[2] {
+            "finished" => AttemptEnd::Finished,
+            "failed" => AttemptEnd::Failed,
+            "refused" => AttemptEnd::Refused,
+            _ => AttemptEnd::Stopped,
+        };
+        self.finish(&words.0[1].parse().unwrap(), end, words.has("again"));
+    }
+
+    pub fn finish(&mut self, task: &TaskId, end: AttemptEnd, again: bool) {
+        let Some(held) = self.held.remove(task) else {
+            return;
+        };
+        self.model.outcome(self.now, task, held.attempt, end);
+        self.model.release(self.now, task, held.attempt);
+        if again {
+            self.model.enqueue(self.now, held.waiting);
+        }
+    }
+
+    /// `sample w1 late=5s booking=1000,10ms,30ms a/0=2,1GB,900` gives requests, mean and p99 of
+    /// services; processors, memory and speed of tasks.
+    fn sample(&mut self, words: &Words<'_>) {
+        let late = words.time("late").unwrap_or_default();
+        let mut sample = WorkerSample {
+            worker: words.0[1].parse().unwrap(),
+            taken_at: self.now.saturating_sub(late),
+            tasks: Vec::new(),
+            services: Vec::new(),
+        };
+        for (key, value) in words.0[2..].iter().filter_map(|word| word.split_once('=')) {
+            let parts: Vec<&str> = value.split(',').collect();
+            match key.parse::<TaskId>() {
+                Ok(task) if parts.len() == 3 => {
+                    let attempt = self.held.get(&task).map_or(AttemptNumber(0), |h| h.attempt);
+                    let (cpu, memory) = (parts[0].parse().unwrap(), parts[1].parse().unwrap());
+                    let used = ResourceVector { cpu, memory, ..ResourceVector::ZERO };
+                    let speed_permille = parts[2].parse().unwrap();
+                    sample.tasks.push(TaskSample { task, attempt, used, speed_permille });
+                }
+                _ if parts.len() == 3 => sample.services.push(ServiceSample {
+                    service: key.parse().unwrap(),
+                    requests: parts[0].parse().unwrap(),
+                    mean: duration_text::parse(parts[1]).unwrap(),
+                    p99: duration_text::parse(parts[2]).unwrap(),
+                }),
+                _ => {}
+            }
+        }
+        self.model.sample(self.now, &sample);
+    }
+
+    fn decide(&mut self, commit: bool) -> String {
+        let decisions = self.model.decide(self.now);
+        let mut output = String::new();
+        for decision in &decisions {
+            writeln!(output, "{}", describe(decision)).unwrap();
+            if commit {
+                self.commit(decision);
+            }
+        }
+        if output.is_empty() {
+            "nothing\n".to_owned()
+        } else {
+            output
+        }
+    }
+
+    /// `step 10s every=1s` advances and commits, printing the time of each decision.
+    fn step(&mut self, words: &Words<'_>) -> String {
+        let until = self.now + duration_text::parse(words.0[1]).unwrap();
+        let every = words.time("every").unwrap_or(Duration::from_secs(1));
+        let mut output = String::new();
+        while self.now < until {
+            self.now += every;
+            for decision in self.model.decide(self.now) {
+                let at = duration_text::format(self.now);
+                writeln!(output, "{at}: {}", describe(&decision)).unwrap();
+                self.commit(&decision);
+            }
+        }
+        if output.is_empty() {
+            "nothing\n".to_owned()
+        } else {
+            output
+        }
+    }
+
+    pub fn commit(&mut self, decision: &SchedDecision) {
+        match decision {
+            SchedDecision::Place { task, worker, reserve, .. } => {
+                self.place(task, worker, *reserve);
+            }
+            SchedDecision::Evict { task, attempt, .. } => {
+                if let Some(held) = self.held.get_mut(task).filter(|h| h.attempt == *attempt) {
+                    held.stopping = true;
+                    self.model.hold(self.now, held.clone());
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn place(&mut self, task: &TaskId, worker: &WorkerId, reserved: ResourceVector) {
+        let Some(waiting) = self.model.waiting(task).cloned() else {
+            return;
+        };
+        let count = self.attempts.entry(task.clone()).or_default();
+        *count += 1;
+        let held = HeldTask {
+            waiting,
+            attempt: AttemptNumber(*count),
+            worker: worker.clone(),
+            reserved,
+            stopping: false,
+        };
+        self.held.insert(task.clone(), held.clone());
+        self.model.hold(self.now, held);
+    }
+
+    fn explain(&self, words: &Words<'_>) -> String {
+        let task: TaskId = words.0[1].parse().unwrap();
+        match (self.held.get(&task), self.model.wait_reason(&task)) {
+            (Some(held), _) => format!("{task} holds {} on {}\n", held.reserved, held.worker),
+            (None, Some(reason)) => format!("{task} waits: {reason}\n"),
+            (None, None) => format!("{task} waits\n"),
+        }
+    }
+
+    /// Names the first worker that has been given more than it can hold.
+    pub fn overcommitted(&self) -> Option<String> {
+        self.workers.values().find_map(|view| {
+            let total: ResourceVector = self
+                .held
+                .values()
+                .filter(|held| held.worker == view.worker)
+                .map(|held| held.reserved)
+                .sum();
+            let kind = total.shortage(&view.capacity)?;
+            Some(format!("{} holds {total}, too much {kind}", view.worker))
+        })
+    }
+}
+
+pub fn describe(decision: &SchedDecision) -> String {
+    match decision {
+        SchedDecision::Place { task, worker, reserve, reason } => {
+            format!("place {task} on {worker} ({reserve}): {reason}")
+        }
+        SchedDecision::Throttle { task, percent, reason, .. } => {
+            format!("throttle {task} to {percent}%: {reason}")
+        }
+        SchedDecision::Evict { task, reason, .. } => format!("evict {task}: {reason}"),
+        SchedDecision::Park { job, reason } => format!("park {job}: {reason}"),
+        SchedDecision::Quarantine { worker, jobs } => {
+            format!("quarantine {worker}: {jobs} jobs failed there")
+        }
+        SchedDecision::Restore { worker } => format!("restore {worker}"),
+    }
+}
