--- a/crates/proto/src/messages/dispatch.rs
+++ b/crates/proto/src/messages/dispatch.rs
@@ -100,6 +100,12 @@
     UnknownService,
     /// The entry's queue is full.
     QueueFull,
+    /// The request would have waited past its deadline.
+    DeadlineUnreachable,
+    /// A more urgent request took its place in the entry's queue.
+    Displaced,
+    /// The caller went away before the request reached an endpoint.
+    CallerGone,
     /// The entry is shutting down.
     ShuttingDown,
     /// The ledger of idempotency keys can't be reached.
@@ -108,8 +114,10 @@
     KeyReused,
     /// A request with the same key is in progress.
     KeyInProgress,
-    /// The request is malformed or larger than allowed.
+    /// The request is malformed.
     BadRequest,
+    /// The body is larger than the service's policy allows.
+    BodyTooLarge,
 }
 
 /// Why nobody knows whether a request ran.
--- a/crates/proto/src/rpc/mod.rs
+++ b/crates/proto/src/rpc/mod.rs
@@ -4,7 +4,7 @@
 mod identity;
 
 pub use {
-    client::{ConnectionUse, RpcClient, RpcError},
+    client::{ConnectionUse, RpcClient, RpcError, FRAME_CONTENT_TYPE},
     identity::ProcessIdentity,
 };
 
