Take callers' requests and pass them to agents

A thin whole path was missing. The entry reducer follows the table of endpoints and the declarations, routes requests, claims idempotency keys before dispatch, asks agents about dispatches that went unheard, and drains. Its driver opens the callers' and the internal port.

--- /dev/null
+++ b/crates/entry/src/driver/mod.rs
@@ -0,0 +1,128 @@
+//! The driver of the reducer: sockets, threads and the clock.
+
+mod callers;
+mod internal;
+mod reactor;
+mod worker_pool;
+
+use {
+    self::{
+        callers::CallerHandler,
+        internal::internal_handler,
+        reactor::{ReactorMessage, ReactorThread},
+    },
+    crate::reducer::{EntryReducer, EntrySetup},
+    base::PeerAddress,
+    crossbeam::channel::{bounded, Sender},
+    proto::server::{HttpServer, ServerError, ServerLimits},
+    settings::{ProcessSettings, RoleSettings},
+    snafu::{ResultExt, Snafu},
+    std::{io, sync::Arc, thread::JoinHandle},
+    telemetry::{ProcessContext, ProcessEvent},
+};
+
+/// Messages that may wait for the reducer. Beyond it callers are refused at once.
+const INBOX: usize = 4096;
+
+/// Why an entry can't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The settings are those of another role.
+    #[snafu(display("the settings are not those of an entry"))]
+    OtherRole,
+    /// A port can't be opened.
+    #[snafu(display("{source}"))]
+    Server {
+        /// What the server reported.
+        source: ServerError,
+    },
+    /// A thread can't be started.
+    #[snafu(display("can't start a thread: {source}"))]
+    Thread {
+        /// What the system reported.
+        source: io::Error,
+    },
+}
+
+/// A running entry.
+pub struct EntryProcess {
+    context: ProcessContext,
+    callers: HttpServer,
+    internal: HttpServer,
+    inbox: Sender<ReactorMessage>,
+    reactor: JoinHandle<()>,
+}
+
+impl EntryProcess {
+    /// Opens both ports and begins to follow the table of endpoints.
+    pub fn start(settings: &ProcessSettings, context: ProcessContext) -> Result<Self, StartError> {
+        let RoleSettings::Entry(role) = &settings.role else { return OtherRoleSnafu.fail() };
+        let (inbox, outbox) = bounded(INBOX);
+        let limits = ServerLimits::default();
+        let handler = internal_handler(context.clone(), inbox.clone());
+        let internal =
+            HttpServer::start(settings.internal, limits, handler).context(ServerSnafu)?;
+        let handler = Arc::new(CallerHandler::new(context.clone(), inbox.clone()));
+        let callers = HttpServer::start(role.callers, limits, handler).context(ServerSnafu)?;
+        let setup = entry_setup(settings, &context, internal.address());
+        let reducer = EntryReducer::new(setup);
+        let reactor = ReactorThread::new(context.clone(), reducer, inbox.clone());
+        let reactor = std::thread::Builder::new()
+            .name("entry-reducer".into())
+            .spawn(move || reactor.run(&outbox))
+            .context(ThreadSnafu)?;
+        for (port, address) in [("callers", callers.address()), ("internal", internal.address())] {
+            context.recorder.record(&ProcessEvent::Listening { port: port.into(), address });
+        }
+        Ok(Self { context, callers, internal, inbox, reactor })
+    }
+
+    /// Where callers reach the entry.
+    pub fn caller_address(&self) -> PeerAddress {
+        self.callers.address()
+    }
+
+    /// Where other processes reach the entry.
+    pub fn internal_address(&self) -> PeerAddress {
+        self.internal.address()
+    }
+
+    /// Takes no new requests, answers those in progress, and returns when that is done or the
+    /// declared time for it is over.
+    pub fn shut_down(self) {
+        self.context.set_ready(false);
+        let _ = self.inbox.send(ReactorMessage::Shutdown);
+        self.callers.shut_down();
+        let _ = self.reactor.join();
+        self.internal.shut_down();
+    }
+}
+
+fn entry_setup(
+    settings: &ProcessSettings,
+    context: &ProcessContext,
+    internal: PeerAddress,
+) -> EntrySetup {
+    let sender = context.identity.sender();
+    let wall = context.clock().wall();
+    EntrySetup {
+        name: sender.name.clone(),
+        incarnation: sender.incarnation,
+        data_centre: settings.data_centre.clone(),
+        address: internal,
+        operator_address: settings.operator,
+        control_peers: settings.control_peers.clone(),
+        seed: seed(sender.name.as_str(), sender.incarnation.0),
+        wall,
+    }
+}
+
+/// Entries that start together choose differently.
+fn seed(name: &str, incarnation: u64) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(name.as_bytes());
+    hasher.update(&incarnation.to_le_bytes());
+    let mut seed = [0; 8];
+    hasher.finalize_xof().fill(&mut seed);
+    u64::from_le_bytes(seed)
+}
--- /dev/null
+++ b/crates/entry/src/driver/reactor.rs
@@ -0,0 +1,281 @@
+//! The thread that runs the reducer: it feeds events to it and performs its effects.
+
+use {
+    super::worker_pool::WorkerPool,
+    crate::{
+        http::{answer_response, problem_response},
+        reducer::{DispatchPlan, EntryEffect, EntryInput, EntryReducer, RequestHead},
+    },
+    base::{EventReducer, PeerAddress, ReplyTicket, RequestId, RevisionNumber},
+    crossbeam::channel::{Receiver, RecvTimeoutError, Sender},
+    indexmap::IndexMap,
+    proto::{
+        envelope::MessageHeader,
+        messages::{DeclarationPull, DispatchRequest, ForwardedRequest},
+        rpc::{ConnectionUse, RpcCall, RpcClient, RpcError},
+        server::{reply, HttpResponder},
+    },
+    routing::RequestNumber,
+    std::{ops::ControlFlow, time::Duration},
+    telemetry::{ProcessContext, ProcessEvent},
+};
+
+/// Threads that wait for agents. Beyond it dispatches wait for one.
+const DISPATCH_THREADS: usize = 512;
+/// Threads that wait for control, and for agents that are asked about a dispatch.
+const CALL_THREADS: usize = 64;
+/// The longest time between two ticks.
+const TICK: Duration = Duration::from_millis(100);
+/// The shortest time between two ticks.
+const TICK_PAUSE: Duration = Duration::from_millis(1);
+/// How much longer than the caller the entry waits for an agent, so that the agent's own word on
+/// a deadline that passed still arrives.
+const REPLY_GRACE: Duration = Duration::from_millis(250);
+/// How long a peer that is asked for declarations may take.
+const DECLARATION_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What the reducer does not need to know of a caller's request.
+pub(super) struct Exchange {
+    pub id: RequestId,
+    pub request: ForwardedRequest,
+    pub caller_id: Option<String>,
+    pub responder: HttpResponder,
+}
+
+/// What other threads tell the reactor.
+pub(super) enum ReactorMessage {
+    Caller { number: RequestNumber, head: RequestHead, exchange: Exchange },
+    Declarations { known: RevisionNumber, responder: HttpResponder },
+    Input(EntryInput),
+    Heard { peer: PeerAddress, revision: RevisionNumber, input: EntryInput },
+    Shutdown,
+}
+
+/// The reactor and everything that its effects touch.
+pub(super) struct ReactorThread {
+    context: ProcessContext,
+    client: RpcClient,
+    reducer: EntryReducer,
+    inbox: Sender<ReactorMessage>,
+    exchanges: IndexMap<RequestNumber, Exchange>,
+    askers: IndexMap<ReplyTicket, HttpResponder>,
+    next_ticket: ReplyTicket,
+    dispatches: WorkerPool,
+    calls: WorkerPool,
+    ticked_at: Duration,
+}
+
+impl ReactorThread {
+    pub fn new(
+        context: ProcessContext,
+        reducer: EntryReducer,
+        inbox: Sender<ReactorMessage>,
+    ) -> Self {
+        Self {
+            client: RpcClient::new(context.identity.clone()),
+            context,
+            reducer,
+            inbox,
+            exchanges: IndexMap::new(),
+            askers: IndexMap::new(),
+            next_ticket: ReplyTicket::default(),
+            dispatches: WorkerPool::new("entry-dispatch", DISPATCH_THREADS),
+            calls: WorkerPool::new("entry-call", CALL_THREADS),
+            ticked_at: Duration::ZERO,
+        }
+    }
+
+    /// Runs until everything in progress has ended after a shutdown began.
+    pub fn run(mut self, outbox: &Receiver<ReactorMessage>) {
+        let mut flow = self.tick();
+        while flow.is_continue() {
+            let now = self.now();
+            let wake = self.reducer.next_wake(now).min(self.ticked_at + TICK);
+            let wake = wake.max(self.ticked_at + TICK_PAUSE);
+            flow = match outbox.recv_timeout(wake.saturating_sub(now)) {
+                Ok(message) => self.receive(message),
+                Err(RecvTimeoutError::Timeout) => ControlFlow::Continue(()),
+                Err(RecvTimeoutError::Disconnected) => ControlFlow::Break(()),
+            };
+            if flow.is_continue() && self.now() >= wake {
+                flow = self.tick();
+            }
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.context.clock().monotonic()
+    }
+
+    fn tick(&mut self) -> ControlFlow<()> {
+        self.ticked_at = self.now();
+        let gone: Vec<_> = self
+            .exchanges
+            .iter()
+            .filter(|(_, exchange)| exchange.responder.is_closed())
+            .map(|(number, _)| *number)
+            .collect();
+        for number in gone {
+            self.feed(EntryInput::CallerGone { number })?;
+        }
+        let wall = self.context.clock().wall();
+        self.feed(EntryInput::Tick { wall })
+    }
+
+    fn receive(&mut self, message: ReactorMessage) -> ControlFlow<()> {
+        match message {
+            ReactorMessage::Caller { number, head, exchange } => {
+                self.exchanges.insert(number, exchange);
+                self.feed(EntryInput::CallerRequest { number, head })
+            }
+            ReactorMessage::Declarations { known, responder } => {
+                self.next_ticket = self.next_ticket.next();
+                let ticket = self.next_ticket;
+                self.askers.insert(ticket, responder);
+                self.feed(EntryInput::DeclarationsAsked { ticket, known })
+            }
+            ReactorMessage::Input(input) => self.feed(input),
+            ReactorMessage::Heard { peer, revision, input } => {
+                self.feed(EntryInput::RevisionHeard { peer, revision })?;
+                self.feed(input)
+            }
+            ReactorMessage::Shutdown => self.feed(EntryInput::Shutdown),
+        }
+    }
+
+    fn feed(&mut self, input: EntryInput) -> ControlFlow<()> {
+        let effects = self.reducer.reduce(self.now(), input);
+        effects.into_iter().try_for_each(|effect| self.perform(effect))
+    }
+
+    fn perform(&mut self, effect: EntryEffect) -> ControlFlow<()> {
+        match effect {
+            EntryEffect::Dispatch(plan) => self.dispatch(plan),
+            EntryEffect::Answer { number, answer } => {
+                if let Some(exchange) = self.exchanges.swap_remove(&number) {
+                    let caller_id = exchange.caller_id.as_deref();
+                    let method = &exchange.request.method;
+                    let response = answer_response(answer, method, &exchange.id, caller_id);
+                    exchange.responder.send(response);
+                }
+            }
+            EntryEffect::Refuse { number, problem } => {
+                if let Some(exchange) = self.exchanges.swap_remove(&number) {
+                    let caller_id = exchange.caller_id.as_deref();
+                    let response = problem_response(&problem, &exchange.id, caller_id);
+                    exchange.responder.send(response);
+                }
+            }
+            EntryEffect::Claim { flight, peer, claim, timeout } => {
+                self.call(peer, ConnectionUse::Fresh, timeout, claim, move |claim, result| {
+                    EntryInput::ClaimReceived { flight, peer, claim, result }
+                });
+            }
+            EntryEffect::Close { peer, close, timeout } => {
+                self.call(peer, ConnectionUse::Fresh, timeout, close, move |close, result| {
+                    EntryInput::CloseReceived { dispatch: close.dispatch, peer, result }
+                });
+            }
+            EntryEffect::Fence { flight, agent, fence, timeout } => {
+                self.call(agent, ConnectionUse::Fresh, timeout, fence, move |_, result| {
+                    EntryInput::FenceReceived { flight, result }
+                });
+            }
+            EntryEffect::PullTable { peer, pull, timeout } => {
+                self.call(peer, ConnectionUse::Pooled, timeout, pull, move |_, result| {
+                    EntryInput::TableReceived { peer, result }
+                });
+            }
+            EntryEffect::PullDeclarations { peer, known } => self.pull_declarations(peer, known),
+            EntryEffect::ServeDeclarations { ticket, reply: body } => {
+                if let Some(responder) = self.askers.swap_remove(&ticket) {
+                    reply(responder, &self.context.identity, &body);
+                }
+            }
+            EntryEffect::InForce(revision) => {
+                self.context.identity.put_in_force(revision);
+                let source = self.context.identity.sender().name.clone();
+                self.context.recorder.record(&ProcessEvent::RevisionInForce { revision, source });
+            }
+            EntryEffect::DeclarationsRefused { revision, reason } => {
+                self.context.recorder.record(&ProcessEvent::RevisionRefused { revision, reason });
+            }
+            EntryEffect::Ready => self.context.set_ready(true),
+            EntryEffect::Record(event) => self.context.recorder.record(&event),
+            EntryEffect::Drained => return ControlFlow::Break(()),
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn dispatch(&mut self, plan: DispatchPlan) {
+        let Some(exchange) = self.exchanges.get(&plan.flight.request) else { return };
+        let request = exchange.request.clone();
+        let (client, inbox) = (self.client.clone(), self.inbox.clone());
+        let clock = self.context.clock().clone();
+        self.dispatches.submit(move || {
+            let remaining = plan.deadline.saturating_sub(clock.monotonic());
+            let connection = match plan.repeatable {
+                true => ConnectionUse::Pooled,
+                false => ConnectionUse::Fresh,
+            };
+            let call = DispatchRequest {
+                dispatch: plan.target.dispatch,
+                endpoint: plan.target.endpoint,
+                incarnation: plan.target.incarnation,
+                priority: plan.priority,
+                remaining,
+                key: plan.key,
+                request,
+            };
+            let peer = plan.target.agent;
+            let result = client.call(peer, connection, remaining + REPLY_GRACE, &call);
+            let flight = plan.flight;
+            report(&inbox, peer, result, |result| EntryInput::DispatchDone { flight, result });
+        });
+    }
+
+    fn call<C: RpcCall + Send + 'static>(
+        &mut self,
+        peer: PeerAddress,
+        connection: ConnectionUse,
+        timeout: Duration,
+        call: C,
+        input: impl FnOnce(C, Result<C::Reply, RpcError>) -> EntryInput + Send + 'static,
+    ) {
+        let (client, inbox) = (self.client.clone(), self.inbox.clone());
+        self.calls.submit(move || {
+            let result = client.call(peer, connection, timeout, &call);
+            report(&inbox, peer, result, |result| input(call, result));
+        });
+    }
+
+    fn pull_declarations(&mut self, peer: PeerAddress, known: RevisionNumber) {
+        let (client, inbox) = (self.client.clone(), self.inbox.clone());
+        self.calls.submit(move || {
+            let pull = DeclarationPull { known };
+            let result = client.call(peer, ConnectionUse::Fresh, DECLARATION_TIMEOUT, &pull);
+            if let Ok((_, reply)) = result {
+                if let Some(bundle) = reply.newer {
+                    let input = EntryInput::DeclarationsReceived { bundle };
+                    let _ = inbox.send(ReactorMessage::Input(input));
+                }
+            }
+        });
+    }
+}
+
+/// Tells the reactor what a call gave, and which revision the peer has in force.
+fn report<R>(
+    inbox: &Sender<ReactorMessage>,
+    peer: PeerAddress,
+    result: Result<(MessageHeader, R), RpcError>,
+    input: impl FnOnce(Result<R, RpcError>) -> EntryInput,
+) {
+    let message = match result {
+        Ok((header, reply)) => {
+            ReactorMessage::Heard { peer, revision: header.revision, input: input(Ok(reply)) }
+        }
+        Err(error) => ReactorMessage::Input(input(Err(error))),
+    };
+    let _ = inbox.send(message);
+}
--- /dev/null
+++ b/crates/entry/src/reducer/shutdown.rs
@@ -0,0 +1,45 @@
+//! Leaving: nothing new is taken, and what is in progress is finished.
+
+use {
+    super::{EntryEffect, EntryReducer},
+    proto::messages::NotRunReason,
+    std::time::Duration,
+};
+
+impl EntryReducer {
+    pub(super) fn begin_drain(&mut self, now: Duration) -> Vec<EntryEffect> {
+        if self.drain_until.is_none() {
+            self.drain_until = Some(now + self.policies.drain_policy().requests);
+        }
+        Vec::new()
+    }
+
+    /// Ends the drain when nothing is in progress any more, or when its time is up.
+    pub(super) fn finish_drain(&mut self, now: Duration, effects: &mut Vec<EntryEffect>) {
+        let Some(until) = self.drain_until else { return };
+        if self.drained {
+            return;
+        }
+        if now >= until {
+            self.end_all(now, effects);
+            self.abandon_closes(effects);
+        }
+        if self.open.is_empty() && self.closes.is_empty() {
+            self.drained = true;
+            effects.push(EntryEffect::Drained);
+        }
+    }
+
+    fn end_all(&mut self, now: Duration, effects: &mut Vec<EntryEffect>) {
+        let numbers: Vec<_> = self.open.keys().copied().collect();
+        for number in numbers {
+            self.end_unsent(now, number, super::unsent::UnsentEnd::OutOfTime, effects);
+            let Some(request) = self.open.get(&number) else { continue };
+            let service = request.service.clone();
+            let ended = self.router_mut(&service).end(number, NotRunReason::ShuttingDown);
+            if let Some(ended) = ended {
+                self.ended(now, ended, effects);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/reducer/unsent.rs
@@ -0,0 +1,156 @@
+//! Requests whose dispatch is decided and not sent, because their key is not granted yet. While
+//! the reducer holds the assignment, nothing can have run.
+
+use {
+    super::{
+        open_request::{OpenRequest, RequestStage},
+        EntryEffect, EntryReducer,
+    },
+    crate::problem::ProblemReport,
+    proto::messages::{ClaimEnd, ForwardedAnswer, NotRunReason, UnknownReason},
+    routing::{Assignment, RequestNumber},
+    std::time::Duration,
+    telemetry::EntryEvent,
+};
+
+/// Why a request ends although its dispatch was decided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum UnsentEnd {
+    /// The ledger, or the holder of the key, was not heard in time.
+    OutOfTime,
+    /// It can't run.
+    NotRun(NotRunReason),
+    /// An earlier sending under the same key may have run.
+    Unknown(UnknownReason),
+    /// An earlier sending under the same key is running.
+    InProgress,
+}
+
+impl UnsentEnd {
+    fn not_run_reason(self) -> NotRunReason {
+        match self {
+            Self::OutOfTime => NotRunReason::LedgerUnavailable,
+            Self::NotRun(reason) => reason,
+            Self::Unknown(_) | Self::InProgress => NotRunReason::KeyInProgress,
+        }
+    }
+
+    /// What the caller is told when what counts is what became of the key, and not that this
+    /// sending did not run.
+    fn problem(self, asked_holder: bool) -> Option<ProblemReport> {
+        match self {
+            Self::OutOfTime if asked_holder => {
+                Some(ProblemReport::unknown(UnknownReason::AgentLost))
+            }
+            Self::OutOfTime | Self::NotRun(_) => None,
+            Self::Unknown(reason) => Some(ProblemReport::unknown(reason)),
+            Self::InProgress => Some(ProblemReport::in_progress()),
+        }
+    }
+}
+
+impl EntryReducer {
+    /// Gives up requests that have waited for the ledger, or for the holder of a key, for too
+    /// long. Their assignments come back, which proves that nothing was sent.
+    pub(super) fn expire_unsent(&mut self, now: Duration, effects: &mut Vec<EntryEffect>) {
+        while let Some((until, number)) = self.unsent.first().copied() {
+            if until > now {
+                return;
+            }
+            self.end_unsent(now, number, UnsentEnd::OutOfTime, effects);
+            self.unsent.remove(&(until, number));
+        }
+    }
+
+    /// Ends a request whose dispatch was decided and not sent.
+    pub(super) fn end_unsent(
+        &mut self,
+        now: Duration,
+        number: RequestNumber,
+        end: UnsentEnd,
+        effects: &mut Vec<EntryEffect>,
+    ) {
+        let Some(request) = self.open.get(&number) else { return };
+        let service = request.service.clone();
+        let asked_holder = matches!(request.stage, RequestStage::AskingHolder(_));
+        self.free_unheard(now, number, effects);
+        let Some(assignment) = self.take_assignment(number) else { return };
+        let router = self.router_mut(&service);
+        router.withdraw(assignment);
+        let Some(ended) = router.end(number, end.not_run_reason()) else { return };
+        if end == UnsentEnd::OutOfTime {
+            effects.push(EntryEffect::Record(EntryEvent::LedgerUnreachable {
+                request: self.names.id(number),
+            }));
+        }
+        let Some(problem) = end.problem(asked_holder) else {
+            return self.ended(now, ended, effects);
+        };
+        if let Some(request) = self.open.remove(&number) {
+            self.free_key(now, &request, effects);
+        }
+        self.tell_problem(number, problem, effects);
+    }
+
+    /// Answers a request whose dispatch was decided and not sent with what its key has stored.
+    pub(super) fn answer_unsent(
+        &mut self,
+        number: RequestNumber,
+        answer: ForwardedAnswer,
+        effects: &mut Vec<EntryEffect>,
+    ) {
+        let Some(assignment) = self.take_assignment(number) else { return };
+        let Some(request) = self.open.get(&number) else { return };
+        let service = request.service.clone();
+        let router = self.router_mut(&service);
+        router.withdraw(assignment);
+        let _ = router.end(number, NotRunReason::KeyInProgress);
+        self.answer(number, answer, effects);
+    }
+
+    /// Takes the unsent assignment of a request, which leaves the request with its router.
+    pub(super) fn take_assignment(&mut self, number: RequestNumber) -> Option<Assignment> {
+        let request = self.open.get_mut(&number)?;
+        let (until, assignment) = match std::mem::replace(&mut request.stage, RequestStage::Routed)
+        {
+            RequestStage::Claiming(step) => (step.until, step.assignment),
+            RequestStage::AskingHolder(step) => (step.until, step.assignment),
+            stage => {
+                request.stage = stage;
+                return None;
+            }
+        };
+        self.unsent.remove(&(until, number));
+        Some(assignment)
+    }
+
+    /// Frees the key of a request that provably did not run.
+    pub(super) fn free_key(
+        &mut self,
+        now: Duration,
+        request: &OpenRequest,
+        effects: &mut Vec<EntryEffect>,
+    ) {
+        if let (Some(key), Some(dispatch)) = (&request.key, &request.claimed) {
+            self.close(now, key.clone(), dispatch.clone(), ClaimEnd::NotRun, effects);
+        }
+    }
+
+    /// Frees the key that the ledger may have granted without our hearing of it.
+    fn free_unheard(
+        &mut self,
+        now: Duration,
+        number: RequestNumber,
+        effects: &mut Vec<EntryEffect>,
+    ) {
+        let Some(request) = self.open.get(&number) else { return };
+        let (RequestStage::Claiming(step), Some(key)) = (&request.stage, &request.key) else {
+            return;
+        };
+        if !step.unheard {
+            return;
+        }
+        let (key, dispatch) = (key.clone(), self.dispatch_id(step.assignment.flight));
+        self.close(now, key, dispatch, ClaimEnd::NotRun, effects);
+    }
+}
