--- a/crates/entry/src/reducer/declarations.rs
+++ b/crates/entry/src/reducer/declarations.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{EntryEffect, EntryReducer},
-    base::{PeerAddress, ReplyTicket, RevisionNumber, ServiceName},
+    base::{DataCentreName, PeerAddress, ReplyTicket, RevisionNumber, ServiceName},
     indexmap::IndexMap,
     proto::messages::{DeclarationBundle, DeclarationReply},
     routing::RouterPolicy,
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 pub(super) struct PolicyBook {
     store: DeclarationStore,
+    data_centre: DataCentreName,
     wall: SystemTime,
     refreshed_at: Duration,
     policies: IndexMap<ServiceName, RequestPolicy>,
@@ -28,9 +29,10 @@
 }
 
 impl PolicyBook {
-    pub fn new(wall: SystemTime) -> Self {
+    pub fn new(data_centre: DataCentreName, wall: SystemTime) -> Self {
         Self {
             store: DeclarationStore::new(),
+            data_centre,
             wall,
             refreshed_at: Duration::ZERO,
             policies: IndexMap::new(),
@@ -61,7 +63,10 @@
     }
 
     pub fn drain_policy(&self) -> DrainPolicy {
-        let subject = PolicySubject::default();
+        let subject = PolicySubject {
+            data_centre: Some(self.data_centre.clone()),
+            ..PolicySubject::default()
+        };
         self.store.fleet().policy_for(&subject, self.wall).policy.drain
     }
 
@@ -81,6 +86,7 @@
             let subject = PolicySubject {
                 service: Some(service.clone()),
                 team: Some(declaration.team.clone()),
+                data_centre: Some(self.data_centre.clone()),
                 ..PolicySubject::default()
             };
             (service.clone(), fleet.policy_for(&subject, self.wall).policy.request)
--- a/crates/entry/src/reducer/mod.rs
+++ b/crates/entry/src/reducer/mod.rs
@@ -109,7 +109,7 @@
             random: SeededRandom::new(setup.seed),
             routers: IndexMap::new(),
             table: EndpointTable::default(),
-            policies: PolicyBook::new(setup.wall),
+            policies: PolicyBook::new(setup.data_centre.clone(), setup.wall),
             control: ControlDirectory::new(setup.control_peers.clone()),
             open: BTreeMap::new(),
             sent: BTreeMap::new(),
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -28,9 +28,21 @@
     telemetry::{EventRecorder, ProcessContext},
 };
 
-pub const DECLARATIONS: &str = "[services.booking]\nteam = \"desk\"\n[services.stamps]\nteam = \
-    \"desk\"\n[[exceptions]]\nname = \"small\"\nreason = \"stamps are short\"\nowner = \
-    \"desk\"\nfor = { service = \"stamps\" }\nvalues = { request = { body_limit = 4 } }\n";
+pub const DECLARATIONS: &str = r#"
+[services.booking]
+team = "desk"
+[services.stamps]
+team = "desk"
+[teams.desk.quota]
+cpu = "8"
+memory = "8GB"
+[[exceptions]]
+name = "small-stamps"
+reason = "stamps are ordered by short forms"
+owner = "desk"
+for = { service = "stamps" }
+values.request = { body_limit = "4" }
+"#;
 
 pub type Script = dyn Fn(&DispatchRequest) -> DispatchOutcome + Send + Sync;
 
