Name the sender's address in message headers, and keep proxies out of RPC

Cause: a process that hears of a newer revision has to ask whoever named it, but a header did not say where its sender answers. The client for fresh connections also took proxies from the environment, unlike the pooled one.

Change: headers carry the sender's internal address once its driver calls `ProcessIdentity::listen_at`; an older frame without it still decodes. Fresh calls use no proxy.

--- a/crates/proto/src/envelope/mod.rs
+++ b/crates/proto/src/envelope/mod.rs
@@ -6,7 +6,7 @@
 //! can't reach learns that it is behind (`docs/decisions/configuration-spread.md`).
 
 use {
-    base::{ClusterName, HybridStamp, IncarnationNumber, ProcessName, RevisionNumber},
+    base::{ClusterName, HybridStamp, IncarnationNumber, PeerAddress, ProcessName, RevisionNumber},
     serde::{de::DeserializeOwned, Deserialize, Serialize},
     snafu::{ResultExt, Snafu},
     std::fmt,
@@ -64,6 +64,10 @@
     pub stamp: HybridStamp,
     /// The highest revision that the sender has in force.
     pub revision: RevisionNumber,
+    /// Where the sender answers internal calls, so that whoever hears of a newer revision can ask
+    /// for it. `None` until the sender listens.
+    #[serde(default)]
+    pub address: Option<PeerAddress>,
 }
 
 #[derive(Serialize, Deserialize)]
--- a/crates/proto/src/rpc/client.rs
+++ b/crates/proto/src/rpc/client.rs
@@ -154,6 +154,7 @@
     let sent = attohttpc::post(url)
         .header("content-type", FRAME_CONTENT_TYPE)
         .follow_redirects(false)
+        .proxy_settings(attohttpc::ProxySettings::builder().build())
         .connect_timeout(deadline)
         .timeout(deadline)
         .bytes(frame)
--- a/crates/proto/src/rpc/identity.rs
+++ b/crates/proto/src/rpc/identity.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::envelope::{MessageHeader, SenderIdentity, PROTOCOL_VERSION},
-    base::{ClockSource, HybridClock, HybridStamp, RevisionNumber},
+    base::{ClockSource, HybridClock, HybridStamp, PeerAddress, RevisionNumber},
     std::sync::{
         atomic::{AtomicU64, Ordering},
-        Arc, Mutex,
+        Arc, Mutex, OnceLock,
     },
 };
 
@@ -16,6 +16,7 @@
     stamps: Mutex<HybridClock>,
     in_force: AtomicU64,
     heard: AtomicU64,
+    address: OnceLock<PeerAddress>,
 }
 
 impl ProcessIdentity {
@@ -27,6 +28,7 @@
             stamps: Mutex::new(HybridClock::default()),
             in_force: AtomicU64::new(0),
             heard: AtomicU64::new(0),
+            address: OnceLock::new(),
         }
     }
 
@@ -40,6 +42,12 @@
         &self.clock
     }
 
+    /// Names the address on which this process answers internal calls. Drivers call it once their
+    /// internal port is open; later calls change nothing.
+    pub fn listen_at(&self, address: PeerAddress) {
+        let _ = self.address.set(address);
+    }
+
     /// A header for a message that is about to be sent.
     pub fn header(&self) -> MessageHeader {
         MessageHeader {
@@ -47,6 +55,7 @@
             sender: self.sender.clone(),
             stamp: self.stamp(),
             revision: self.in_force(),
+            address: self.address.get().copied(),
         }
     }
 
