--- /dev/null
+++ b/crates/agent/src/process/core.rs
@@ -0,0 +1,309 @@
+//! The reducer with everything that performs its effects.
+
+use {
+    super::{executor::ExecutorClient, pool::JobPool, state_file},
+    crate::{
+        platform::{PlatformCall, PlatformClient},
+        reducer::{AgentEffect, AgentInput, AgentReducer, ExecutorCall, HeartbeatSend},
+    },
+    base::{EventReducer, PeerAddress, ReplyTicket, RevisionNumber},
+    crossbeam::channel::{Receiver, Sender},
+    indexmap::IndexMap,
+    proto::{
+        envelope::MessageHeader,
+        messages::{DeclarationBundle, DeclarationPull, DispatchRequest, FenceRequest},
+        rpc::{ConnectionUse, ProcessIdentity, RpcClient},
+        server::{reply, HttpResponder},
+    },
+    std::{
+        path::PathBuf,
+        sync::{Arc, Condvar, Mutex, MutexGuard},
+        time::Duration,
+    },
+    telemetry::ProcessContext,
+};
+
+const PULL_DEADLINE: Duration = Duration::from_secs(2);
+
+/// Something that a pool's thread does.
+pub(super) enum CoreJob {
+    /// Sends a request to an executor.
+    Executor(Box<ExecutorCall>),
+    /// Sends a heartbeat.
+    Heartbeat(HeartbeatSend),
+    /// Calls the platform.
+    Platform(PlatformCall),
+    /// Saves declarations and names their revision.
+    PutInForce(Arc<DeclarationBundle>),
+    /// Asks a peer for declarations.
+    Pull(PeerAddress, RevisionNumber),
+}
+
+/// The threads, one pool a kind of work, so that none waits for another.
+pub(super) struct CorePools {
+    /// Executor calls.
+    pub(super) executors: JobPool<CoreJob>,
+    /// Heartbeats.
+    pub(super) heartbeats: JobPool<CoreJob>,
+    /// Platform calls that renew the lease and list.
+    pub(super) lease: JobPool<CoreJob>,
+    /// Platform calls for single attempts.
+    pub(super) tasks: JobPool<CoreJob>,
+    /// Declarations.
+    pub(super) declarations: JobPool<CoreJob>,
+}
+
+struct CoreState {
+    reducer: AgentReducer,
+    responders: IndexMap<ReplyTicket, HttpResponder>,
+    next_ticket: ReplyTicket,
+    pools: Option<CorePools>,
+}
+
+/// Shared by all threads of the agent.
+pub(super) struct AgentCore {
+    context: ProcessContext,
+    state: Mutex<CoreState>,
+    changed: Condvar,
+    wake: Sender<()>,
+}
+
+impl AgentCore {
+    /// A core without threads; they come with [`AgentCore::open`].
+    pub(super) fn new(context: ProcessContext, reducer: AgentReducer, wake: Sender<()>) -> Self {
+        let state = CoreState {
+            reducer,
+            responders: IndexMap::new(),
+            next_ticket: ReplyTicket::default(),
+            pools: None,
+        };
+        Self { context, state: Mutex::new(state), changed: Condvar::new(), wake }
+    }
+
+    /// Lets effects be performed from now on.
+    pub(super) fn open(&self, pools: CorePools) {
+        self.lock().pools = Some(pools);
+    }
+
+    /// Takes the pools away, so that no further effect is performed.
+    pub(super) fn close(&self) -> Option<CorePools> {
+        self.lock().pools.take()
+    }
+
+    /// Who this process is.
+    pub(super) fn identity(&self) -> &Arc<ProcessIdentity> {
+        &self.context.identity
+    }
+
+    /// Takes a dispatch.
+    pub(super) fn dispatch(&self, request: DispatchRequest, responder: HttpResponder) {
+        let request = Box::new(request);
+        self.ask(responder, |ticket| AgentInput::Dispatch { ticket, request });
+    }
+
+    /// Takes a fence request.
+    pub(super) fn fence(&self, request: FenceRequest, responder: HttpResponder) {
+        self.ask(responder, |ticket| AgentInput::Fence { ticket, request });
+    }
+
+    /// Takes note of the revision that a message named.
+    pub(super) fn hear(&self, header: &MessageHeader) {
+        let Some(peer) = header.address else { return };
+        if header.revision > self.identity().in_force() {
+            self.feed(AgentInput::RevisionHeard { peer, revision: header.revision });
+        }
+    }
+
+    /// Declarations newer than `known`.
+    pub(super) fn declarations_after(&self, known: RevisionNumber) -> Option<DeclarationBundle> {
+        self.lock().reducer.declarations_after(known)
+    }
+
+    /// Gives the reducer an input and performs what it asks for.
+    pub(super) fn feed(&self, input: AgentInput) {
+        self.reduce(self.lock(), input);
+    }
+
+    /// Lets time pass, and says when to do so again.
+    pub(super) fn tick(&self) -> Duration {
+        self.feed(AgentInput::Tick { wall: self.context.clock().wall() });
+        self.lock().reducer.next_wakeup()
+    }
+
+    /// Waits until nothing is in progress and control knows that the agent leaves, `limit` at the
+    /// most.
+    pub(super) fn wait_for_drain(&self, limit: Duration) {
+        let busy = |state: &mut CoreState| {
+            state.reducer.in_progress() > 0 || !state.reducer.drain_is_told()
+        };
+        let waited = self.changed.wait_timeout_while(self.lock(), limit, busy);
+        drop(waited.expect("a core holder never panics"));
+    }
+
+    fn ask(&self, responder: HttpResponder, input: impl FnOnce(ReplyTicket) -> AgentInput) {
+        let mut state = self.lock();
+        let ticket = state.next_ticket;
+        state.next_ticket = ticket.next();
+        state.responders.insert(ticket, responder);
+        self.reduce(state, input(ticket));
+    }
+
+    fn reduce(&self, mut state: MutexGuard<'_, CoreState>, input: AgentInput) {
+        let before = state.reducer.next_wakeup();
+        let now = self.context.clock().monotonic();
+        let effects = state.reducer.reduce(now, input);
+        let earlier = state.reducer.next_wakeup() < before;
+        let holds = state.reducer.lease_holds(now);
+        let replies = effects.into_iter().filter_map(|effect| self.start(&mut state, effect));
+        let replies: Vec<ReadyReply> = replies.collect();
+        drop(state);
+        self.context.set_ready(holds);
+        self.changed.notify_all();
+        if earlier {
+            let _ = self.wake.try_send(());
+        }
+        for reply in replies {
+            reply.send(self.identity());
+        }
+    }
+
+    /// Starts an effect. Replies are returned, to be encoded when the lock is free.
+    fn start(&self, state: &mut CoreState, effect: AgentEffect) -> Option<ReadyReply> {
+        if let AgentEffect::Record(event) = &effect {
+            self.context.recorder.record(event);
+        }
+        match effect {
+            AgentEffect::ReplyDispatch { ticket, reply } => {
+                let responder = state.responders.swap_remove(&ticket)?;
+                return Some(ReadyReply::Dispatch(responder, reply));
+            }
+            AgentEffect::ReplyFence { ticket, reply } => {
+                let responder = state.responders.swap_remove(&ticket)?;
+                return Some(ReadyReply::Fence(responder, Box::new(reply)));
+            }
+            effect => submit(state.pools.as_ref()?, effect),
+        }
+        None
+    }
+
+    fn lock(&self) -> MutexGuard<'_, CoreState> {
+        self.state.lock().expect("a core holder never panics")
+    }
+}
+
+fn submit(pools: &CorePools, effect: AgentEffect) {
+    match effect {
+        AgentEffect::CallExecutor(call) => pools.executors.submit(CoreJob::Executor(call)),
+        AgentEffect::SendHeartbeat(send) => pools.heartbeats.submit(CoreJob::Heartbeat(send)),
+        AgentEffect::CallPlatform(call) => match call {
+            PlatformCall::List | PlatformCall::Renew { .. } => {
+                pools.lease.submit(CoreJob::Platform(call));
+            }
+            _ => pools.tasks.submit(CoreJob::Platform(call)),
+        },
+        AgentEffect::PutInForce(bundle) => pools.declarations.submit(CoreJob::PutInForce(bundle)),
+        AgentEffect::PullDeclarations { peer, known } => {
+            pools.declarations.submit(CoreJob::Pull(peer, known));
+        }
+        AgentEffect::Record(_)
+        | AgentEffect::ReplyDispatch { .. }
+        | AgentEffect::ReplyFence { .. } => {}
+    }
+}
+
+enum ReadyReply {
+    Dispatch(HttpResponder, Box<proto::messages::DispatchReply>),
+    Fence(HttpResponder, Box<proto::messages::FenceReply>),
+}
+
+impl ReadyReply {
+    fn send(self, identity: &ProcessIdentity) {
+        match self {
+            Self::Dispatch(responder, body) => reply(responder, identity, &*body),
+            Self::Fence(responder, body) => reply(responder, identity, &*body),
+        }
+    }
+}
+
+/// Performs jobs on the threads of the pools.
+pub(super) struct JobRunner {
+    core: Arc<AgentCore>,
+    rpc: RpcClient,
+    platform: PlatformClient,
+    executors: ExecutorClient,
+    state_file: Option<PathBuf>,
+}
+
+impl JobRunner {
+    /// A runner that feeds results back to `core`.
+    pub(super) fn new(
+        core: Arc<AgentCore>,
+        platform: PlatformClient,
+        state_file: Option<PathBuf>,
+    ) -> Self {
+        let rpc = RpcClient::new(core.identity().clone());
+        Self { core, rpc, platform, executors: ExecutorClient::new(), state_file }
+    }
+
+    /// Performs one job.
+    pub(super) fn run(&self, job: CoreJob) {
+        match job {
+            CoreJob::Executor(call) => {
+                let outcome = self.executors.call(&call);
+                self.core.feed(AgentInput::ExecutorDone { dispatch: call.dispatch, outcome });
+            }
+            CoreJob::Platform(call) => {
+                let result = self.platform.call(&call);
+                self.core.feed(AgentInput::PlatformDone { call, result });
+            }
+            CoreJob::Heartbeat(send) => self.send_heartbeat(&send),
+            CoreJob::PutInForce(bundle) => self.put_in_force(&bundle),
+            CoreJob::Pull(peer, known) => self.pull(peer, known),
+        }
+    }
+
+    fn send_heartbeat(&self, send: &HeartbeatSend) {
+        let connection =
+            if send.fresh_connection { ConnectionUse::Fresh } else { ConnectionUse::Pooled };
+        let answer = self.rpc.call(send.peer, connection, send.deadline, &*send.heartbeat);
+        let sequence = send.heartbeat.sequence;
+        let reply = answer.ok().map(|(header, reply)| {
+            self.core.hear(&header);
+            reply
+        });
+        self.core.feed(AgentInput::HeartbeatDone { sequence, reply });
+    }
+
+    fn put_in_force(&self, bundle: &DeclarationBundle) {
+        let saved = self.state_file.as_ref().map(|path| state_file::save(path, bundle));
+        if let Some(Err(error)) = saved {
+            log::error!("the declarations in force can't be saved: {error}");
+        }
+        self.core.identity().put_in_force(bundle.revision);
+    }
+
+    fn pull(&self, peer: PeerAddress, known: RevisionNumber) {
+        let call = DeclarationPull { known };
+        let answer = self.rpc.call(peer, ConnectionUse::Fresh, PULL_DEADLINE, &call);
+        let Ok((_, answer)) = answer else { return };
+        if let Some(bundle) = answer.newer {
+            self.core.feed(AgentInput::Declarations(bundle));
+        }
+    }
+}
+
+/// Ticks until the channel that wakes it is closed.
+pub(super) fn run_timer(core: &AgentCore, woken: &Receiver<()>, stop: &Receiver<()>) {
+    loop {
+        let next = core.tick();
+        let now = core.context.clock().monotonic();
+        let pause = next.saturating_sub(now).min(LONGEST_PAUSE);
+        crossbeam::select! {
+            recv(stop) -> _ => return,
+            recv(woken) -> _ => {}
+            default(pause) => {}
+        }
+    }
+}
+
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/crates/agent/src/process/mod.rs
@@ -0,0 +1,187 @@
+//! The agent as threads and ports around its reducer.
+
+mod core;
+mod executor;
+mod pool;
+mod ports;
+mod state_file;
+
+use {
+    self::core::{run_timer, AgentCore, CoreJob, CorePools, JobRunner},
+    crate::{
+        platform::PlatformClient,
+        reducer::{AgentConfig, AgentInput, AgentReducer},
+    },
+    base::PeerAddress,
+    crossbeam::channel::{self, Sender},
+    pool::JobPool,
+    ports::{announce_limits, internal_handler, AnnounceHandler},
+    proto::{
+        messages::DeclarationBundle,
+        server::{HttpServer, ServerError, ServerLimits},
+    },
+    settings::{AgentSettings, ProcessSettings, RoleSettings},
+    snafu::{ResultExt, Snafu},
+    std::{
+        io,
+        path::PathBuf,
+        sync::Arc,
+        thread::{self, JoinHandle},
+        time::Duration,
+    },
+    telemetry::ProcessContext,
+};
+
+/// Executor calls at once, over all endpoints.
+const EXECUTOR_THREADS: usize = 512;
+/// Platform calls for attempts at once.
+const TASK_THREADS: usize = 4;
+/// How long a shutdown waits for requests in progress and for control to learn of it.
+const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+
+/// Why an agent can't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The settings are those of another role.
+    #[snafu(display("these settings are not an agent's"))]
+    OtherRole,
+    /// No member of the control group is named.
+    #[snafu(display(
+        "control_peers is empty: an agent has to know a member of the control group"
+    ))]
+    NoControlPeers,
+    /// A port can't be opened.
+    #[snafu(display("the {port} port can't be opened: {source}"))]
+    Port {
+        /// Which port.
+        port: &'static str,
+        /// What the server reported.
+        source: ServerError,
+    },
+    /// The saved declarations can't be read.
+    #[snafu(display("the state file {} can't be read: {source}", path.display()))]
+    StateFile {
+        /// The file.
+        path: PathBuf,
+        /// What the system or the codec reported.
+        source: io::Error,
+    },
+    /// A thread can't be started.
+    #[snafu(display("a thread can't be started: {source}"))]
+    Thread {
+        /// What the system reported.
+        source: io::Error,
+    },
+}
+
+/// A running agent.
+pub struct AgentProcess {
+    core: Arc<AgentCore>,
+    internal: HttpServer,
+    announce: HttpServer,
+    timer: JoinHandle<()>,
+    stop_timer: Sender<()>,
+}
+
+impl AgentProcess {
+    /// Opens the ports and starts to send heartbeats.
+    pub fn start(settings: &ProcessSettings, context: ProcessContext) -> Result<Self, StartError> {
+        let RoleSettings::Agent(agent) = &settings.role else { return OtherRoleSnafu.fail() };
+        if settings.control_peers.is_empty() {
+            return NoControlPeersSnafu.fail();
+        }
+        let saved = load_saved(agent)?;
+        if let Some(bundle) = &saved {
+            context.identity.put_in_force(bundle.revision);
+        }
+        let (wake, woken) = channel::bounded(1);
+        let (stop_timer, stop) = channel::bounded(0);
+        let identity = context.identity.clone();
+        let gate = Arc::new(ports::HandlerGate::default());
+        let internal = HttpServer::start(settings.internal, ServerLimits::default(), gate.clone())
+            .context(PortSnafu { port: "internal" })?;
+        identity.listen_at(internal.address());
+        let config = config(settings, agent, &context, internal.address());
+        let reducer = AgentReducer::new(config, saved);
+        let core = Arc::new(AgentCore::new(context, reducer, wake));
+        gate.open(internal_handler(core.clone()));
+        let handler = Arc::new(AnnounceHandler::new(core.clone(), settings.internal));
+        let announce = HttpServer::start(agent.announce, announce_limits(), handler)
+            .context(PortSnafu { port: "announce" })?;
+        let platform = PlatformClient::new(agent.platform, identity.sender().incarnation);
+        let runner = JobRunner::new(core.clone(), platform, agent.state_file.clone());
+        core.open(pools(Arc::new(runner)));
+        let ticked = core.clone();
+        let timer = thread::Builder::new()
+            .name("agent-timer".into())
+            .spawn(move || run_timer(&ticked, &woken, &stop))
+            .context(ThreadSnafu)?;
+        Ok(Self { core, internal, announce, timer, stop_timer })
+    }
+
+    /// Where entries and control reach the agent.
+    pub fn internal_address(&self) -> PeerAddress {
+        self.internal.address()
+    }
+
+    /// Where executors announce themselves.
+    pub fn announce_address(&self) -> PeerAddress {
+        self.announce.address()
+    }
+
+    /// Refuses new requests, finishes those in progress, lets control know, and ends. Tasks run
+    /// on under the platform's lease, for the next life of the agent to adopt.
+    pub fn shut_down(self) {
+        self.core.feed(AgentInput::DrainRequested);
+        self.core.wait_for_drain(DRAIN_LIMIT);
+        self.internal.shut_down();
+        self.announce.shut_down();
+        drop(self.stop_timer);
+        let _ = self.timer.join();
+        let Some(pools) = self.core.close() else { return };
+        pools.executors.shut_down();
+        pools.heartbeats.shut_down();
+        pools.lease.shut_down();
+        pools.tasks.shut_down();
+        pools.declarations.shut_down();
+    }
+}
+
+fn load_saved(agent: &AgentSettings) -> Result<Option<DeclarationBundle>, StartError> {
+    let Some(path) = &agent.state_file else { return Ok(None) };
+    state_file::load(path).context(StateFileSnafu { path })
+}
+
+fn config(
+    settings: &ProcessSettings,
+    agent: &AgentSettings,
+    context: &ProcessContext,
+    address: PeerAddress,
+) -> AgentConfig {
+    AgentConfig {
+        worker: agent.worker.clone(),
+        incarnation: context.identity.sender().incarnation,
+        region: settings.region.clone(),
+        data_centre: settings.data_centre.clone(),
+        rack: agent.rack.clone(),
+        capacity: agent.capacity,
+        address,
+        operator_address: settings.operator,
+        control_peers: settings.control_peers.clone(),
+        call_limit: EXECUTOR_THREADS as u32,
+    }
+}
+
+fn pools(runner: Arc<JobRunner>) -> CorePools {
+    let pool = |name, limit| {
+        let runner = runner.clone();
+        JobPool::new(name, limit, move |job: CoreJob| runner.run(job))
+    };
+    CorePools {
+        executors: pool("agent-executor", EXECUTOR_THREADS),
+        heartbeats: pool("agent-heartbeat", 1),
+        lease: pool("agent-lease", 1),
+        tasks: pool("agent-task", TASK_THREADS),
+        declarations: pool("agent-declare", 1),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/process/pool.rs
@@ -0,0 +1,76 @@
+//! Threads that are started as they are needed, up to a bound.
+
+use {
+    crossbeam::channel::{self, Receiver, Sender},
+    std::{
+        sync::{
+            atomic::{AtomicUsize, Ordering},
+            Arc, Mutex,
+        },
+        thread::{self, JoinHandle},
+    },
+};
+
+/// Runs jobs of one kind on at most `limit` threads. Jobs beyond that wait in order.
+pub(super) struct JobPool<J> {
+    name: &'static str,
+    limit: usize,
+    sender: Sender<J>,
+    receiver: Receiver<J>,
+    unfinished: Arc<AtomicUsize>,
+    work: Arc<dyn Fn(J) + Send + Sync>,
+    threads: Mutex<Vec<JoinHandle<()>>>,
+}
+
+impl<J: Send + 'static> JobPool<J> {
+    /// A pool without threads.
+    pub(super) fn new(
+        name: &'static str,
+        limit: usize,
+        work: impl Fn(J) + Send + Sync + 'static,
+    ) -> Self {
+        let (sender, receiver) = channel::unbounded();
+        Self {
+            name,
+            limit,
+            sender,
+            receiver,
+            unfinished: Arc::default(),
+            work: Arc::new(work),
+            threads: Mutex::default(),
+        }
+    }
+
+    /// Takes a job, and starts a thread for it when all are busy.
+    pub(super) fn submit(&self, job: J) {
+        let unfinished = self.unfinished.fetch_add(1, Ordering::SeqCst) + 1;
+        let mut threads = self.threads.lock().expect("a pool holder never panics");
+        if threads.len() < unfinished.min(self.limit) {
+            if let Ok(thread) = self.spawn() {
+                threads.push(thread);
+            }
+        }
+        let _ = self.sender.send(job);
+    }
+
+    /// Ends the threads once the jobs that wait are done.
+    pub(super) fn shut_down(self) {
+        drop(self.sender);
+        drop(self.receiver);
+        for thread in self.threads.into_inner().expect("a pool holder never panics") {
+            let _ = thread.join();
+        }
+    }
+
+    fn spawn(&self) -> std::io::Result<JoinHandle<()>> {
+        let receiver = self.receiver.clone();
+        let unfinished = self.unfinished.clone();
+        let work = self.work.clone();
+        thread::Builder::new().name(self.name.into()).spawn(move || {
+            for job in receiver {
+                work(job);
+                unfinished.fetch_sub(1, Ordering::SeqCst);
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/agent/src/reducer/guard.rs
@@ -0,0 +1,230 @@
+//! The endpoints beside this agent and the authority over their slots and connections.
+
+use {
+    crate::announce::{ExecutorAnnouncement, ANNOUNCE_LEASE},
+    base::{EndpointId, ServiceName, SlotCount},
+    hdrhistogram::Histogram,
+    indexmap::IndexMap,
+    proto::messages::{EndpointAnnouncement, EndpointLoad, NotRunReason, ServiceUsage},
+    std::time::Duration,
+    telemetry::AgentEvent,
+};
+
+/// The weight of a new service time in the smoothed one, as a divisor.
+const SMOOTHING: u32 = 8;
+const LARGEST_SERVICE_TIME_MICROS: u64 = 600_000_000;
+
+/// One announced executor.
+#[derive(Debug)]
+pub(super) struct GuardedEndpoint {
+    announcement: ExecutorAnnouncement,
+    announced: Duration,
+    left: bool,
+    expired: bool,
+    in_use: u32,
+    service_time: Duration,
+}
+
+impl GuardedEndpoint {
+    /// What the executor announced.
+    pub(super) fn announcement(&self) -> &ExecutorAnnouncement {
+        &self.announcement
+    }
+
+    /// True when the endpoint takes no new requests.
+    fn is_leaving(&self) -> bool {
+        self.left || self.expired
+    }
+
+    fn room(&self) -> u32 {
+        let most = self.announcement.slots.0.min(self.announcement.connections.0);
+        most.saturating_sub(self.in_use)
+    }
+}
+
+/// All endpoints of the worker.
+#[derive(Debug, Default)]
+pub(super) struct EndpointTable {
+    endpoints: IndexMap<EndpointId, GuardedEndpoint>,
+    meters: IndexMap<ServiceName, Histogram<u64>>,
+    version: u64,
+    in_use: u32,
+}
+
+impl EndpointTable {
+    /// Rises whenever what control is told of the endpoints changes.
+    pub(super) fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Calls in progress over all endpoints.
+    pub(super) fn in_use(&self) -> u32 {
+        self.in_use
+    }
+
+    /// The endpoint, if it is announced.
+    pub(super) fn get(&self, endpoint: &EndpointId) -> Option<&GuardedEndpoint> {
+        self.endpoints.get(endpoint)
+    }
+
+    /// Takes an announcement. Returns an event when it says something new.
+    pub(super) fn announce(
+        &mut self,
+        now: Duration,
+        announcement: ExecutorAnnouncement,
+    ) -> Option<AgentEvent> {
+        let event = AgentEvent::EndpointAnnounced {
+            endpoint: announcement.endpoint.clone(),
+            address: announcement.address,
+        };
+        if let Some(known) = self.endpoints.get_mut(&announcement.endpoint) {
+            let (former, latter) = (known.announcement.incarnation, announcement.incarnation);
+            if latter < former {
+                return None;
+            }
+            known.announced = now;
+            let resumed = std::mem::take(&mut known.expired) && !known.left;
+            if known.announcement == announcement && !resumed {
+                return None;
+            }
+            known.left &= latter == former;
+            known.announcement = announcement;
+            self.version += 1;
+            return Some(event);
+        }
+        let guarded = GuardedEndpoint {
+            announced: now,
+            left: false,
+            expired: false,
+            in_use: 0,
+            service_time: Duration::ZERO,
+            announcement,
+        };
+        self.endpoints.insert(guarded.announcement.endpoint.clone(), guarded);
+        self.version += 1;
+        Some(event)
+    }
+
+    /// Lets an endpoint take no new requests.
+    pub(super) fn leave(&mut self, endpoint: &EndpointId) -> Option<AgentEvent> {
+        let known = self.endpoints.get_mut(endpoint)?;
+        if std::mem::replace(&mut known.left, true) {
+            return None;
+        }
+        self.version += 1;
+        Some(AgentEvent::EndpointDraining { endpoint: endpoint.clone() })
+    }
+
+    /// Removes endpoints that are announced no longer and have nothing in progress.
+    pub(super) fn expire(&mut self, now: Duration) -> Vec<AgentEvent> {
+        let mut events = Vec::new();
+        for (endpoint, known) in &mut self.endpoints {
+            if now < known.announced + ANNOUNCE_LEASE || known.expired {
+                continue;
+            }
+            known.expired = true;
+            self.version += 1;
+            events.push(AgentEvent::EndpointDraining { endpoint: endpoint.clone() });
+        }
+        let gone = |known: &GuardedEndpoint| known.expired && known.in_use == 0;
+        let (version, events_out) = (&mut self.version, &mut events);
+        self.endpoints.retain(|endpoint, known| {
+            if !gone(known) {
+                return true;
+            }
+            *version += 1;
+            events_out.push(AgentEvent::EndpointGone { endpoint: endpoint.clone() });
+            false
+        });
+        events
+    }
+
+    /// When the next announcement runs out.
+    pub(super) fn next_expiry(&self) -> Option<Duration> {
+        let waiting = self.endpoints.values().filter(|known| !known.expired);
+        waiting.map(|known| known.announced + ANNOUNCE_LEASE).min()
+    }
+
+    /// Takes a slot and a connection, or says why there is none.
+    pub(super) fn admit(&mut self, endpoint: &EndpointId) -> Result<(), NotRunReason> {
+        let known = self.endpoints.get_mut(endpoint).ok_or(NotRunReason::NoEndpoint)?;
+        if known.is_leaving() {
+            return Err(NotRunReason::Draining);
+        }
+        if known.room() == 0 {
+            return Err(NotRunReason::NoSlot);
+        }
+        known.in_use += 1;
+        self.in_use += 1;
+        Ok(())
+    }
+
+    /// Gives back a slot and a connection.
+    pub(super) fn release(&mut self, endpoint: &EndpointId) {
+        self.in_use = self.in_use.saturating_sub(1);
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.in_use = known.in_use.saturating_sub(1);
+        }
+    }
+
+    /// Takes note of how long an answer took.
+    pub(super) fn measure(&mut self, endpoint: &EndpointId, service: &ServiceName, took: Duration) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.service_time = match known.service_time {
+                Duration::ZERO => took,
+                before => before - before / SMOOTHING + took / SMOOTHING,
+            };
+        }
+        let meter = self.meters.entry(service.clone()).or_insert_with(new_meter);
+        meter.saturating_record(took.as_micros() as u64);
+    }
+
+    /// What was measured since the last call.
+    pub(super) fn take_usage(&mut self) -> Vec<ServiceUsage> {
+        let meters = std::mem::take(&mut self.meters);
+        let usage = meters.into_iter().map(|(service, meter)| ServiceUsage {
+            service,
+            requests: meter.len(),
+            p99: Duration::from_micros(meter.value_at_quantile(0.99)),
+            mean: Duration::from_micros(meter.mean() as u64),
+        });
+        usage.collect()
+    }
+
+    /// How busy an endpoint is.
+    pub(super) fn load(&self, endpoint: &EndpointId, draining: bool) -> EndpointLoad {
+        let Some(known) = self.endpoints.get(endpoint) else {
+            return EndpointLoad { draining: true, ..EndpointLoad::default() };
+        };
+        EndpointLoad {
+            in_use: SlotCount(known.in_use),
+            slots: known.announcement.slots,
+            service_time: known.service_time,
+            draining: draining || known.is_leaving(),
+        }
+    }
+
+    /// What control is told of the endpoints.
+    pub(super) fn announcements(&self, draining: bool) -> Vec<EndpointAnnouncement> {
+        let known = self.endpoints.values();
+        let told = known.map(|known| EndpointAnnouncement {
+            endpoint: known.announcement.endpoint.clone(),
+            service: known.announcement.service.clone(),
+            slots: known.announcement.slots,
+            connections: known.announcement.connections,
+            draining: draining || known.is_leaving(),
+        });
+        told.collect()
+    }
+
+    /// The endpoints whose executor is a task.
+    pub(super) fn endpoints_of_task(&self, task: &base::TaskId) -> Vec<EndpointId> {
+        let known = self.endpoints.iter();
+        let of_task = known.filter(|(_, known)| known.announcement.task.as_ref() == Some(task));
+        of_task.map(|(endpoint, _)| endpoint.clone()).collect()
+    }
+}
+
+fn new_meter() -> Histogram<u64> {
+    Histogram::new_with_max(LARGEST_SERVICE_TIME_MICROS, 2).expect("the bounds are constant")
+}
--- /dev/null
+++ b/crates/agent/src/reducer/mod.rs
@@ -0,0 +1,236 @@
+//! Every decision of the agent, as one reducer over all events.
+//!
+//! The modules each hold one concern: [`guard`] the slots of endpoints, [`memory`] what was
+//! dispatched, [`lease`] the worker's lease, [`attempts`] the tasks, [`heartbeat`] the
+//! conversation with control. The `on_*` modules say what an event does to them.
+
+mod attempts;
+mod guard;
+mod heartbeat;
+mod lease;
+mod memory;
+mod on_command;
+mod on_dispatch;
+mod on_heartbeat;
+mod on_platform;
+mod policy;
+mod records;
+mod types;
+
+pub(crate) use on_dispatch::EXECUTOR_TIME_LIMIT;
+pub use types::{AgentConfig, AgentEffect, AgentInput, ExecutorCall, HeartbeatSend};
+
+use {
+    attempts::AttemptTable,
+    base::{EventReducer, PeerAddress, RevisionNumber},
+    guard::EndpointTable,
+    heartbeat::HeartbeatSchedule,
+    indexmap::IndexMap,
+    lease::WorkerLease,
+    memory::DispatchMemory,
+    on_dispatch::RunningCall,
+    on_platform::PlatformView,
+    policy::PolicyCache,
+    proto::messages::{CommandCursor, DeclarationBundle, DispatchId},
+    spread::{DeclarationStore, OfferOutcome},
+    std::{sync::Arc, time::Duration},
+    telemetry::AgentEvent,
+};
+
+/// The agent's state. See the module's documentation.
+#[derive(Debug)]
+pub struct AgentReducer {
+    config: AgentConfig,
+    declarations: DeclarationStore,
+    policy: PolicyCache,
+    endpoints: EndpointTable,
+    memory: DispatchMemory,
+    calls: IndexMap<DispatchId, RunningCall>,
+    lease: WorkerLease,
+    schedule: Option<HeartbeatSchedule>,
+    attempts: AttemptTable,
+    platform: PlatformView,
+    cursor: CommandCursor,
+    announcement_version: u64,
+    told_announcement: u64,
+    told_endpoints: u64,
+    report_all: bool,
+    draining: bool,
+    superseded: bool,
+    effects: Vec<AgentEffect>,
+}
+
+impl AgentReducer {
+    /// An agent that has just started. `saved` is the declarations that its earlier life had in
+    /// force, if they were kept.
+    pub fn new(config: AgentConfig, saved: Option<DeclarationBundle>) -> Self {
+        let mut declarations = DeclarationStore::new();
+        if let Some(bundle) = saved {
+            declarations.offer(bundle);
+        }
+        let policy = PolicyCache::new(&config, declarations.fleet().clone());
+        Self {
+            schedule: HeartbeatSchedule::new(config.control_peers.clone()),
+            config,
+            declarations,
+            policy,
+            endpoints: EndpointTable::default(),
+            memory: DispatchMemory::default(),
+            calls: IndexMap::new(),
+            lease: WorkerLease::default(),
+            attempts: AttemptTable::default(),
+            platform: PlatformView::default(),
+            cursor: CommandCursor::default(),
+            announcement_version: 1,
+            told_announcement: 0,
+            told_endpoints: 0,
+            report_all: true,
+            draining: false,
+            superseded: false,
+            effects: Vec::new(),
+        }
+    }
+
+    /// When the reducer next needs a tick, at the latest.
+    pub fn next_wakeup(&self) -> Duration {
+        let heartbeat = self.schedule.as_ref().and_then(HeartbeatSchedule::next_at);
+        let wakeups = [
+            heartbeat.filter(|_| !self.superseded),
+            self.platform.next_list_at(),
+            self.next_call_deadline(),
+            self.lease.stop_at(self.policy.lease().stop_margin),
+            self.endpoints.next_expiry(),
+            self.next_attempt_retry(),
+        ];
+        wakeups.into_iter().flatten().min().unwrap_or(Duration::MAX)
+    }
+
+    /// Executor calls that have not ended.
+    pub fn in_progress(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// True when the leader has been told that the agent is leaving.
+    pub fn drain_is_told(&self) -> bool {
+        self.superseded
+            || (self.draining
+                && self.told_announcement == self.announcement_version
+                && self.told_endpoints == self.endpoints_version())
+    }
+
+    /// True when the worker's lease holds.
+    pub fn lease_holds(&self, now: Duration) -> bool {
+        self.lease.holds(now, self.policy.lease().stop_margin)
+    }
+
+    /// The revision in force.
+    pub fn revision(&self) -> RevisionNumber {
+        self.declarations.revision()
+    }
+
+    /// Declarations newer than `known`, for a peer that asks.
+    pub fn declarations_after(&self, known: RevisionNumber) -> Option<DeclarationBundle> {
+        self.declarations.newer_than(known)
+    }
+
+    fn endpoints_version(&self) -> u64 {
+        self.endpoints.version() + u64::from(self.draining) + 1
+    }
+
+    fn tick(&mut self, now: Duration) {
+        self.expire_calls(now);
+        self.stop_when_lease_ends(now);
+        for event in self.endpoints.expire(now) {
+            self.record(event);
+            self.hurry();
+        }
+        self.list_when_due(now);
+        self.advance_attempts(now);
+        self.send_heartbeat_when_due(now);
+    }
+
+    fn begin_drain(&mut self) {
+        if self.draining {
+            return;
+        }
+        self.draining = true;
+        self.announcement_version += 1;
+        self.record(AgentEvent::DrainBegan { worker: self.config.worker.clone() });
+        self.hurry();
+    }
+
+    fn offer_declarations(&mut self, bundle: DeclarationBundle) {
+        let revision = bundle.revision;
+        match self.declarations.offer(bundle) {
+            OfferOutcome::NotNewer => {}
+            OfferOutcome::InForce(revision) => {
+                self.policy.replace(&self.config, self.declarations.fleet().clone());
+                self.record(AgentEvent::DeclarationsInForce { revision });
+                let bundle: Arc<DeclarationBundle> = self.declarations.bundle().clone();
+                self.effects.push(AgentEffect::PutInForce(bundle));
+            }
+            OfferOutcome::Refused(errors) => {
+                let reason = errors.first().map(ToString::to_string).unwrap_or_default();
+                self.record(AgentEvent::DeclarationsRefused { revision, reason });
+            }
+        }
+    }
+
+    fn hear_revision(&mut self, now: Duration, peer: PeerAddress, revision: RevisionNumber) {
+        if self.declarations.should_pull(now, peer, revision) {
+            let known = self.declarations.revision();
+            self.effects.push(AgentEffect::PullDeclarations { peer, known });
+        }
+    }
+
+    fn record(&mut self, event: AgentEvent) {
+        self.effects.push(AgentEffect::Record(event));
+    }
+
+    /// Lets the leader hear of a change before the next regular heartbeat.
+    fn hurry(&mut self) {
+        let interval = self.policy.lease().heartbeat;
+        if let Some(schedule) = &mut self.schedule {
+            schedule.hurry(interval);
+        }
+    }
+}
+
+impl EventReducer for AgentReducer {
+    type Event = AgentInput;
+    type Effect = AgentEffect;
+
+    fn reduce(&mut self, now: Duration, event: Self::Event) -> Vec<Self::Effect> {
+        match event {
+            AgentInput::Tick { wall } => self.policy.refresh(&self.config, wall),
+            AgentInput::Dispatch { ticket, request } => self.on_dispatch(now, ticket, *request),
+            AgentInput::Fence { ticket, request } => self.on_fence(now, ticket, &request),
+            AgentInput::ExecutorDone { dispatch, outcome } => {
+                self.on_executor_done(now, &dispatch, outcome);
+            }
+            AgentInput::HeartbeatDone { sequence, reply } => {
+                self.on_heartbeat_done(now, sequence, reply);
+            }
+            AgentInput::PlatformDone { call, result } => self.on_platform_done(now, call, result),
+            AgentInput::Announced(announcement) => {
+                if let Some(event) = self.endpoints.announce(now, announcement) {
+                    self.record(event);
+                    self.hurry();
+                }
+            }
+            AgentInput::ExecutorLeft(endpoint) => {
+                if let Some(event) = self.endpoints.leave(&endpoint) {
+                    self.record(event);
+                    self.hurry();
+                }
+            }
+            AgentInput::Declarations(bundle) => self.offer_declarations(bundle),
+            AgentInput::RevisionHeard { peer, revision } => {
+                self.hear_revision(now, peer, revision);
+            }
+            AgentInput::DrainRequested => self.begin_drain(),
+        }
+        self.tick(now);
+        std::mem::take(&mut self.effects)
+    }
+}
--- /dev/null
+++ b/crates/agent/src/reducer/on_heartbeat.rs
@@ -0,0 +1,176 @@
+//! What the leader is told, and what its answers mean.
+
+use {
+    super::{
+        heartbeat::HeartbeatInFlight,
+        types::{AgentEffect, HeartbeatSend},
+        AgentReducer,
+    },
+    proto::messages::{
+        AgentHeartbeat, AttemptReport, HeartbeatReply, LeaseRenewal, UsageReport,
+        WorkerAnnouncement,
+    },
+    std::time::Duration,
+    telemetry::AgentEvent,
+};
+
+/// How long an answer may take, as a multiple of the interval between heartbeats.
+const ANSWER_INTERVALS: u32 = 2;
+
+impl AgentReducer {
+    /// Sends a heartbeat when it is time.
+    pub(super) fn send_heartbeat_when_due(&mut self, now: Duration) {
+        let due = self.schedule.as_ref().is_some_and(|schedule| schedule.is_due(now));
+        if !due || self.superseded {
+            return;
+        }
+        let announcement_due =
+            self.report_all || self.told_announcement != self.announcement_version;
+        let endpoints_due = self.report_all || self.told_endpoints != self.endpoints_version();
+        let (reports_complete, reports) = self.reports();
+        let usage = self.usage_report(now);
+        let announcement_version = self.announcement_version;
+        let endpoints_version = self.endpoints_version();
+        let announcement = announcement_due.then(|| self.announcement());
+        let endpoints = endpoints_due.then(|| self.endpoints.announcements(self.draining));
+        let Some(schedule) = &mut self.schedule else { return };
+        let heartbeat = Box::new(AgentHeartbeat {
+            worker: self.config.worker.clone(),
+            incarnation: self.config.incarnation,
+            sequence: schedule.sequence,
+            announcement,
+            endpoints,
+            cursor: self.cursor,
+            reports_complete,
+            reports,
+            usage,
+        });
+        let in_flight = HeartbeatInFlight {
+            sequence: schedule.sequence,
+            sent: now,
+            peer: schedule.target(),
+            cursor: self.cursor,
+            announcement_version,
+            endpoints_version,
+        };
+        let send = HeartbeatSend {
+            peer: schedule.target(),
+            fresh_connection: schedule.failed,
+            deadline: self.policy.lease().heartbeat * ANSWER_INTERVALS,
+            heartbeat,
+        };
+        schedule.sent(now, in_flight);
+        self.effects.push(AgentEffect::SendHeartbeat(send));
+    }
+
+    fn announcement(&self) -> WorkerAnnouncement {
+        WorkerAnnouncement {
+            region: self.config.region.clone(),
+            data_centre: self.config.data_centre.clone(),
+            rack: self.config.rack.clone(),
+            capacity: self.platform.known_capacity().unwrap_or(self.config.capacity),
+            address: self.config.address,
+            operator_address: self.config.operator_address,
+            draining: self.draining,
+        }
+    }
+
+    /// What is known of attempts, and whether that is all. Before the platform has been listed,
+    /// attempts of an earlier life may run of which this life does not know yet.
+    fn reports(&self) -> (bool, Vec<AttemptReport>) {
+        let complete = self.report_all && self.platform.is_listed();
+        let attempts = self.attempts.attempts.values();
+        let due = attempts.filter(|attempt| complete || !attempt.told_running);
+        (complete, due.filter_map(|attempt| attempt.report()).collect())
+    }
+
+    /// The newest measurement, unless it was sent before.
+    fn usage_report(&mut self, now: Duration) -> Option<UsageReport> {
+        let (age, tasks) = self.platform.take_usage(now)?;
+        Some(UsageReport { age, tasks, services: self.endpoints.take_usage() })
+    }
+
+    /// Takes the answer to a heartbeat.
+    pub(super) fn on_heartbeat_done(
+        &mut self,
+        now: Duration,
+        sequence: u64,
+        reply: Option<HeartbeatReply>,
+    ) {
+        let Some(schedule) = &mut self.schedule else { return };
+        let Some(in_flight) = schedule.in_flight.take_if(|sent| sent.sequence == sequence) else {
+            return;
+        };
+        match reply {
+            None => schedule.unanswered(now),
+            Some(HeartbeatReply::NotLeader { leader }) => {
+                schedule.not_leader(now, leader.map(|(_, address)| address));
+            }
+            Some(HeartbeatReply::Superseded { .. }) => self.on_superseded(),
+            Some(HeartbeatReply::Renewed(renewal)) => self.on_renewed(now, &in_flight, *renewal),
+        }
+        let Some(schedule) = &self.schedule else { return };
+        let peer = schedule.target();
+        if peer != in_flight.peer {
+            self.record(AgentEvent::LeaderChanged { peer });
+        }
+    }
+
+    /// A newer life of this agent holds the worker. Its tasks are the newer one's business.
+    fn on_superseded(&mut self) {
+        self.superseded = true;
+        self.lease.surrender();
+        self.attempts.attempts.clear();
+        self.record(AgentEvent::Superseded { worker: self.config.worker.clone() });
+    }
+
+    fn on_renewed(&mut self, now: Duration, sent: &HeartbeatInFlight, renewal: LeaseRenewal) {
+        let interval = self.policy.lease().heartbeat;
+        let held = self.lease.deadline().is_some();
+        if renewal.cursor.term < self.cursor.term
+            || !self.lease.renew(renewal.cursor.term, sent.sent, renewal.lease)
+        {
+            if let Some(schedule) = &mut self.schedule {
+                schedule.not_leader(now, None);
+            }
+            return;
+        }
+        if let Some(schedule) = &mut self.schedule {
+            schedule.answered(interval);
+        }
+        if !held {
+            let worker = self.config.worker.clone();
+            self.record(AgentEvent::LeaseGranted { worker, leader: sent.peer });
+        }
+        self.told_announcement = sent.announcement_version;
+        self.told_endpoints = sent.endpoints_version;
+        self.mark_told(sent.sent);
+        self.report_all = renewal.report_all || (self.report_all && !self.platform.is_listed());
+        self.forget_acknowledged(&renewal);
+        self.renew_platform();
+        if let Some(bundle) = renewal.declarations.clone() {
+            self.offer_declarations(bundle);
+        }
+        let follows = renewal.commands_complete || sent.cursor == self.cursor;
+        if follows && renewal.cursor >= self.cursor {
+            self.take_commands(now, renewal);
+        }
+    }
+
+    fn mark_told(&mut self, sent: Duration) {
+        for attempt in self.attempts.attempts.values_mut() {
+            attempt.told_running = attempt.since <= sent && attempt.may_run();
+        }
+    }
+
+    fn forget_acknowledged(&mut self, renewal: &LeaseRenewal) {
+        for (task, attempt) in &renewal.acknowledged {
+            let id = crate::platform::AttemptId { task: task.clone(), attempt: *attempt };
+            let ended = self.attempts.attempts.get(&id).is_some_and(|known| known.has_ended());
+            if ended {
+                self.attempts.attempts.shift_remove(&id);
+                self.forget_on_platform(id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/reducer/on_platform.rs
@@ -0,0 +1,322 @@
+//! What the platform's answers mean for attempts.
+
+use {
+    super::{
+        attempts::{attempt_id, ended_state, AttemptGoal, AttemptPhase, LocalAttempt},
+        types::AgentEffect,
+        AgentReducer,
+    },
+    crate::platform::{
+        AttemptId, PlatformCall, PlatformFault, PlatformInstant, PlatformLease, PlatformLife,
+        PlatformListing, PlatformReply, PlatformState, PlatformTask, PlatformUsage,
+    },
+    base::{CheckpointId, ResourceVector},
+    proto::messages::{AttemptState, StartRefusal, TaskUsage, ThrottleLevel},
+    std::time::Duration,
+    telemetry::AgentEvent,
+};
+
+/// The time after which a call that got no answer is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// What is known of the platform.
+#[derive(Debug, Default)]
+pub(super) struct PlatformView {
+    life: Option<PlatformLife>,
+    clock: PlatformInstant,
+    clock_read: Duration,
+    capacity: ResourceVector,
+    listing_since: Option<Duration>,
+    next_list_at: Duration,
+    silent: bool,
+    usage: Option<PlatformUsage>,
+    usage_sent: Option<PlatformInstant>,
+}
+
+impl PlatformView {
+    /// True when this life of the agent has seen what runs on the platform.
+    pub(super) fn is_listed(&self) -> bool {
+        self.life.is_some()
+    }
+
+    /// What the worker really has, once the platform has said so.
+    pub(super) fn known_capacity(&self) -> Option<ResourceVector> {
+        self.is_listed().then_some(self.capacity)
+    }
+
+    /// What the worker really has.
+    pub(super) fn capacity(&self) -> ResourceVector {
+        self.capacity
+    }
+
+    /// When the platform is to be listed, unless that is under way.
+    pub(super) fn next_list_at(&self) -> Option<Duration> {
+        self.listing_since.is_none().then_some(self.next_list_at)
+    }
+
+    /// The newest measurement and its age, unless it was taken before.
+    pub(super) fn take_usage(&mut self, now: Duration) -> Option<(Duration, Vec<TaskUsage>)> {
+        let usage = self.usage.as_ref()?;
+        if self.usage_sent == Some(usage.taken) {
+            return None;
+        }
+        self.usage_sent = Some(usage.taken);
+        let age = self.clock.since(usage.taken) + now.saturating_sub(self.clock_read);
+        let tasks = usage.tasks.iter().map(|measured| TaskUsage {
+            task: measured.id.task.clone(),
+            attempt: measured.id.attempt,
+            used: measured.used,
+            speed_permille: measured.speed_permille,
+        });
+        Some((age, tasks.collect()))
+    }
+
+    /// The point on the platform's clock that is no later than `deadline`. The clock was read
+    /// before its reading arrived, so that counting from the arrival errs towards an earlier end.
+    fn lease_until(&self, deadline: Duration) -> Option<PlatformLease> {
+        let life = self.life?;
+        let left = deadline.checked_sub(self.clock_read)?;
+        Some(PlatformLease { life, until: self.clock.after(left) })
+    }
+}
+
+impl AgentReducer {
+    /// Asks what runs, when it is time.
+    pub(super) fn list_when_due(&mut self, now: Duration) {
+        let due = self.platform.next_list_at().is_some_and(|at| now >= at);
+        if due && !self.superseded {
+            self.platform.listing_since = Some(now);
+            self.effects.push(AgentEffect::CallPlatform(PlatformCall::List));
+        }
+    }
+
+    /// The lease for the platform, when both are known.
+    pub(super) fn platform_lease(&self) -> Option<PlatformLease> {
+        self.platform.lease_until(self.lease.deadline()?)
+    }
+
+    /// Passes a renewed lease on.
+    pub(super) fn renew_platform(&mut self) {
+        if let Some(lease) = self.platform_lease() {
+            self.effects.push(AgentEffect::CallPlatform(PlatformCall::Renew { lease }));
+        }
+    }
+
+    /// Lets the platform forget an attempt whose end control has committed.
+    pub(super) fn forget_on_platform(&mut self, id: AttemptId) {
+        self.effects.push(AgentEffect::CallPlatform(PlatformCall::Forget { id }));
+    }
+
+    /// Takes the result of a call.
+    pub(super) fn on_platform_done(
+        &mut self,
+        now: Duration,
+        call: PlatformCall,
+        result: Result<PlatformReply, PlatformFault>,
+    ) {
+        self.note_silence(&result);
+        if self.superseded {
+            return;
+        }
+        match call {
+            PlatformCall::List => self.on_listed(now, result),
+            PlatformCall::Run { assignment, .. } => {
+                self.on_run_done(now, &attempt_id(&assignment), result);
+            }
+            PlatformCall::Checkpoint { id } => self.on_checkpoint_done(now, &id, result),
+            PlatformCall::Throttle { id, throttle } => {
+                self.on_throttle_done(now, &id, throttle, &result);
+            }
+            PlatformCall::Stop { id } => self.on_stop_done(now, &id, result),
+            PlatformCall::Renew { .. } | PlatformCall::Forget { .. } => {}
+        }
+    }
+
+    fn note_silence(&mut self, result: &Result<PlatformReply, PlatformFault>) {
+        let silent = result.is_err();
+        if silent == self.platform.silent {
+            return;
+        }
+        self.platform.silent = silent;
+        self.record(match result {
+            Err(fault) => AgentEvent::PlatformSilent { reason: fault.detail.clone() },
+            Ok(_) => AgentEvent::PlatformAnswers {},
+        });
+    }
+
+    fn on_run_done(
+        &mut self,
+        now: Duration,
+        id: &AttemptId,
+        result: Result<PlatformReply, PlatformFault>,
+    ) {
+        let Some(attempt) = self.attempts.attempts.get_mut(id) else { return };
+        attempt.calling = false;
+        match result {
+            Ok(PlatformReply::Done) => {
+                attempt.enter(now, AttemptPhase::Running);
+                let AttemptId { task, attempt } = id.clone();
+                self.record(AgentEvent::TaskStarted { task, attempt });
+                self.hurry();
+            }
+            Ok(PlatformReply::Refused { detail }) => {
+                let refusal = StartRefusal::Platform { detail };
+                self.end(now, id, AttemptState::Refused(refusal));
+            }
+            // Nobody knows whether it runs. The next step stops it, which settles the question.
+            Ok(_) | Err(_) => {}
+        }
+    }
+
+    fn on_checkpoint_done(
+        &mut self,
+        now: Duration,
+        id: &AttemptId,
+        result: Result<PlatformReply, PlatformFault>,
+    ) {
+        let Some(attempt) = self.attempts.attempts.get_mut(id) else { return };
+        attempt.calling = false;
+        attempt.retry_at = Duration::ZERO;
+        let checkpoint: Option<CheckpointId> = match result {
+            Ok(PlatformReply::Checkpointed { checkpoint }) => Some(checkpoint),
+            Ok(_) => None,
+            Err(_) => {
+                attempt.retry_at = now + RETRY_PAUSE;
+                return;
+            }
+        };
+        if !attempt.has_ended() {
+            attempt.enter(now, AttemptPhase::Stopping { checkpoint });
+        }
+    }
+
+    fn on_throttle_done(
+        &mut self,
+        now: Duration,
+        id: &AttemptId,
+        throttle: ThrottleLevel,
+        result: &Result<PlatformReply, PlatformFault>,
+    ) {
+        let Some(attempt) = self.attempts.attempts.get_mut(id) else { return };
+        attempt.calling = false;
+        match result {
+            Ok(_) => {
+                attempt.applied = throttle;
+                attempt.retry_at = Duration::ZERO;
+            }
+            Err(_) => attempt.retry_at = now + RETRY_PAUSE,
+        }
+    }
+
+    fn on_stop_done(
+        &mut self,
+        now: Duration,
+        id: &AttemptId,
+        result: Result<PlatformReply, PlatformFault>,
+    ) {
+        let Some(attempt) = self.attempts.attempts.get_mut(id) else { return };
+        attempt.calling = false;
+        attempt.retry_at = Duration::ZERO;
+        let AttemptPhase::Stopping { checkpoint } = attempt.phase.clone() else { return };
+        match result {
+            Ok(PlatformReply::Ended { state }) if state != PlatformState::Running => {
+                let ended = ended_state(state, checkpoint);
+                self.end(now, id, ended.unwrap_or(AttemptState::Stopped { checkpoint: None }));
+            }
+            Ok(_) | Err(_) => attempt.retry_at = now + RETRY_PAUSE,
+        }
+    }
+
+    fn on_listed(&mut self, now: Duration, result: Result<PlatformReply, PlatformFault>) {
+        let Some(since) = self.platform.listing_since.take() else { return };
+        self.platform.next_list_at = now + self.policy.lease().heartbeat;
+        let Ok(PlatformReply::Listing(listing)) = result else { return };
+        let PlatformListing { life, clock, capacity, tasks, usage } = *listing;
+        let first = !self.platform.is_listed();
+        if self.platform.known_capacity() != Some(capacity) {
+            self.announcement_version += 1;
+        }
+        self.platform.life = Some(life);
+        self.platform.clock = clock;
+        self.platform.clock_read = now;
+        self.platform.capacity = capacity;
+        self.end_missing(now, since, &tasks);
+        for task in tasks {
+            self.meet_listed(now, since, first, task);
+        }
+        if let Some(usage) = usage {
+            self.take_measurement(usage);
+        }
+        if first {
+            self.report_all = true;
+            self.renew_platform();
+            self.hurry();
+        }
+    }
+
+    /// Attempts that ran before the list was asked for and are not on it are gone: the platform
+    /// has lost them.
+    fn end_missing(&mut self, now: Duration, since: Duration, tasks: &[PlatformTask]) {
+        let listed: Vec<AttemptId> =
+            tasks.iter().map(|task| attempt_id(&task.assignment)).collect();
+        let attempts = self.attempts.attempts.iter();
+        let missing = attempts.filter(|(id, attempt)| {
+            matches!(attempt.phase, AttemptPhase::Running | AttemptPhase::Checkpointing)
+                && !attempt.calling
+                && attempt.since < since
+                && !listed.contains(id)
+        });
+        for id in missing.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            let detail = "the platform no longer knows the task".to_owned();
+            self.end(now, &id, AttemptState::Failed { detail });
+        }
+    }
+
+    fn meet_listed(&mut self, now: Duration, since: Duration, first: bool, task: PlatformTask) {
+        let id = attempt_id(&task.assignment);
+        let Some(attempt) = self.attempts.attempts.get(&id) else {
+            return self.meet_unknown(now, first, id, task);
+        };
+        let stale = attempt.calling || attempt.since >= since || !attempt.may_run();
+        let checkpoint = match &attempt.phase {
+            AttemptPhase::Stopping { checkpoint } => checkpoint.clone(),
+            _ => None,
+        };
+        if stale {
+            return;
+        }
+        if let Some(ended) = ended_state(task.state, checkpoint) {
+            self.end(now, &id, ended);
+        }
+    }
+
+    /// An attempt that this life did not start. The first list brings those of the life before.
+    /// Later ones are leftovers: a stopped attempt, or one whose end is committed.
+    fn meet_unknown(&mut self, now: Duration, first: bool, id: AttemptId, task: PlatformTask) {
+        let runs = task.state == PlatformState::Running;
+        if !first && !runs {
+            return self.forget_on_platform(id);
+        }
+        let mut adopted = LocalAttempt::adopted(now, task.assignment, task.throttle);
+        if !first {
+            adopted.goal = AttemptGoal::Stop;
+        }
+        self.attempts.attempts.insert(id.clone(), adopted);
+        match ended_state(task.state, None) {
+            Some(ended) => self.end(now, &id, ended),
+            None => {
+                let AttemptId { task, attempt } = id;
+                self.record(AgentEvent::TaskAdopted { task, attempt });
+            }
+        }
+    }
+
+    fn take_measurement(&mut self, usage: PlatformUsage) {
+        for measured in &usage.tasks {
+            if let Some(attempt) = self.attempts.attempts.get_mut(&measured.id) {
+                attempt.used = measured.used;
+            }
+        }
+        self.platform.usage = Some(usage);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/reducer/records.rs
@@ -0,0 +1,95 @@
+//! Dispatches that are remembered in full, within bounds of number, age and bytes.
+
+use {
+    indexmap::IndexMap,
+    proto::messages::{DispatchId, DispatchOutcome},
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// How long a dispatch that has ended is remembered in full.
+const RECORD_KEEP: Duration = Duration::from_secs(600);
+/// The number of dispatches that one store remembers.
+const RECORD_LIMIT: usize = 16_384;
+/// The bytes of stored answers that one store keeps.
+const ANSWER_BYTES_LIMIT: usize = 16 * 1024 * 1024;
+
+/// Where a remembered dispatch stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum RecordState {
+    /// Its executor has it.
+    Running,
+    /// It has ended.
+    Ended(DispatchOutcome),
+    /// It was answered, and the answer isn't kept.
+    AnswerForgotten,
+    /// It never arrived, and is refused when it does.
+    Fenced,
+}
+
+#[derive(Debug)]
+struct DispatchRecord {
+    state: RecordState,
+    changed: Duration,
+}
+
+/// A bounded store of records. Running ones are never forgotten: slots bound their number.
+#[derive(Debug, Default)]
+pub(super) struct RecordStore {
+    records: IndexMap<DispatchId, DispatchRecord>,
+    order: VecDeque<DispatchId>,
+    answer_bytes: usize,
+}
+
+impl RecordStore {
+    /// Where a dispatch stands, if it is remembered.
+    pub(super) fn get(&self, dispatch: &DispatchId) -> Option<&RecordState> {
+        self.records.get(dispatch).map(|record| &record.state)
+    }
+
+    /// Remembers a dispatch, in place of what was remembered of it.
+    pub(super) fn insert(&mut self, now: Duration, dispatch: &DispatchId, state: RecordState) {
+        let record = DispatchRecord { state, changed: now };
+        self.answer_bytes += answer_size(&record.state);
+        match self.records.insert(dispatch.clone(), record) {
+            Some(former) => self.answer_bytes -= answer_size(&former.state),
+            None => self.order.push_back(dispatch.clone()),
+        }
+        self.shrink(now);
+    }
+
+    /// Changes what is remembered of a dispatch, if anything is.
+    pub(super) fn change(&mut self, now: Duration, dispatch: &DispatchId, state: RecordState) {
+        if self.records.contains_key(dispatch) {
+            self.insert(now, dispatch, state);
+        }
+    }
+
+    fn shrink(&mut self, now: Duration) {
+        for _ in 0..self.order.len() {
+            let Some(oldest) = self.order.front().and_then(|id| self.records.get(id)) else {
+                return;
+            };
+            let over = self.records.len() > RECORD_LIMIT
+                || self.answer_bytes > ANSWER_BYTES_LIMIT
+                || now >= oldest.changed + RECORD_KEEP;
+            if !over {
+                return;
+            }
+            let running = oldest.state == RecordState::Running;
+            let Some(dispatch) = self.order.pop_front() else { return };
+            if running {
+                self.order.push_back(dispatch);
+                continue;
+            }
+            if let Some(record) = self.records.swap_remove(&dispatch) {
+                self.answer_bytes -= answer_size(&record.state);
+            }
+        }
+    }
+}
+
+fn answer_size(state: &RecordState) -> usize {
+    let RecordState::Ended(DispatchOutcome::Answered(answer)) = state else { return 0 };
+    let headers = answer.headers.iter().map(|(name, value)| name.len() + value.len());
+    answer.body.len() + headers.sum::<usize>()
+}
