--- /dev/null
+++ b/crates/testkit/tests/agent_process/main.rs
@@ -0,0 +1,164 @@
+//! The agent over real sockets.
+
+mod support;
+
+use {
+    base::{AttemptNumber, CpuMillis, ResourceVector, TaskId, TaskIndex},
+    proto::messages::{
+        AttemptState, DispatchOutcome, FenceReply, NotRunReason, PriorityClass, TaskAssignment,
+        TaskCommand, ThrottleLevel, UnknownReason,
+    },
+    rstest::rstest,
+    std::{thread, time::Duration},
+    support::{id, key, request, AgentRig},
+    testkit::ExecutorFault,
+};
+
+fn answered(outcome: DispatchOutcome) -> (u16, Vec<u8>) {
+    match outcome {
+        DispatchOutcome::Answered(answer) => (answer.status, answer.body.to_vec()),
+        other => panic!("no answer: {other:?}"),
+    }
+}
+
+/// Methods, targets, headers and bodies reach the executor as the caller wrote them: a client
+/// library that resolves dots or escapes in paths would change what the service sees.
+#[rstest]
+#[case("GET /quote?yard=moshi&yard=tanga", b"")]
+#[case("GET /with-body", b"unusual but legal")]
+#[case("PROPFIND /a/../b//c%2Fd", b"<x/>")]
+#[case("DELETE /bookings/7", b"")]
+#[case("POST /empty", b"")]
+fn requests_pass_through(#[case] line: &str, #[case] body: &[u8]) {
+    let rig = AgentRig::start(2);
+    let headers = [("x-yard", "moshi"), ("x-twice", "1"), ("x-twice", "2"), ("host", "desk")];
+    let reply = rig.dispatch(&request("r1", line, &headers, body));
+    let (status, text) = answered(reply.outcome);
+    let seen: serde_json::Value = serde_json::from_slice(&text).unwrap();
+    let (method, target) = line.split_once(' ').unwrap();
+    assert_eq!(
+        (status, seen["method"].as_str(), seen["target"].as_str()),
+        (200, Some(method), Some(target))
+    );
+    assert_eq!(seen["body"].as_str().map(str::as_bytes), Some(body));
+    let seen_headers = seen["headers"].to_string().to_lowercase();
+    for (name, value) in headers {
+        assert!(seen_headers.contains(&format!("[\"{name}\",\"{value}\"]")), "{seen_headers}");
+    }
+}
+
+#[test]
+fn slots_bound_what_an_executor_has() {
+    let rig = AgentRig::start(2);
+    rig.executor.set_fault(ExecutorFault::Hang);
+    thread::scope(|scope| {
+        let held = ["r1", "r2"].map(|name| {
+            let rig = &rig;
+            scope.spawn(move || rig.dispatch(&request(name, "POST /charge", &[], b"x")))
+        });
+        rig.executor.wait_in_use(2);
+        let refused = rig.dispatch(&request("r3", "POST /charge", &[], b"x"));
+        assert_eq!(refused.outcome, DispatchOutcome::NotRun(NotRunReason::NoSlot));
+        assert_eq!((refused.load.in_use.0, refused.load.slots.0), (2, 2));
+        rig.executor.set_fault(ExecutorFault::None);
+        for held in held {
+            assert_eq!(answered(held.join().unwrap().outcome).0, 200);
+        }
+    });
+    assert_eq!((rig.executor.peak(), rig.executor.executed().len()), (2, 2));
+}
+
+#[test]
+fn keyed_dispatch_runs_once_and_is_answered_again() {
+    let rig = AgentRig::start(2);
+    let mut keyed = request("r1", "POST /deposit", &[("x-echo", "body")], b"return 40");
+    keyed.key = Some(key("r1"));
+    let first = rig.dispatch(&keyed);
+    assert_eq!(answered(first.outcome.clone()), (200, b"return 40".to_vec()));
+    assert_eq!(rig.dispatch(&keyed).outcome, first.outcome);
+    let FenceReply::Answered(stored) = rig.fence("r1") else { panic!("the answer is stored") };
+    assert_eq!(stored.body.as_ref(), b"return 40");
+    assert_eq!(rig.executor.executed().len(), 1);
+}
+
+#[test]
+fn fenced_dispatch_never_runs() {
+    let rig = AgentRig::start(2);
+    assert_eq!(rig.fence("r1"), FenceReply::Fenced);
+    let mut keyed = request("r1", "POST /deposit", &[], b"return 40");
+    keyed.key = Some(key("r1"));
+    let refused = DispatchOutcome::NotRun(NotRunReason::Fenced);
+    assert_eq!(rig.dispatch(&keyed).outcome, refused);
+    assert_eq!(rig.executor.executed().len(), 0);
+}
+
+#[rstest]
+#[case(ExecutorFault::Truncate, UnknownReason::BadAnswer)]
+fn cut_answers_are_no_answers(#[case] fault: ExecutorFault, #[case] reason: UnknownReason) {
+    let rig = AgentRig::start(2);
+    rig.executor.set_fault(fault);
+    let reply = rig.dispatch(&request("r1", "GET /quote", &[], b""));
+    assert_eq!(reply.outcome, DispatchOutcome::Unknown(reason));
+}
+
+/// The executor is still at work on the request, so that its slot stays taken after the caller
+/// was told that nobody knows.
+#[test]
+fn slot_stays_taken_past_the_deadline() {
+    let rig = AgentRig::start(1);
+    rig.executor.set_fault(ExecutorFault::Hang);
+    let mut hasty = request("r1", "POST /charge", &[], b"x");
+    hasty.remaining = Duration::from_millis(50);
+    let late = rig.dispatch(&hasty);
+    assert_eq!(late.outcome, DispatchOutcome::Unknown(UnknownReason::DeadlinePassed));
+    let refused = rig.dispatch(&request("r2", "POST /charge", &[], b"x"));
+    assert_eq!(refused.outcome, DispatchOutcome::NotRun(NotRunReason::NoSlot));
+    assert_eq!(rig.executor.peak(), 1);
+}
+
+#[test]
+fn task_runs_to_its_end() {
+    let rig = AgentRig::start(1);
+    let assignment = TaskAssignment {
+        task: TaskId::new(id("report"), TaskIndex(0)),
+        attempt: AttemptNumber(1),
+        class: id("report"),
+        priority: PriorityClass::Batch,
+        reserved: ResourceVector { cpu: CpuMillis(1000), ..ResourceVector::ZERO },
+        checkpoint: None,
+        service: None,
+        payload: "run=10ms".to_owned(),
+    };
+    rig.leader.command(vec![TaskCommand::Run { assignment, throttle: ThrottleLevel::FULL }]);
+    rig.leader.wait_report(|report| report.state == AttemptState::Finished);
+    assert_eq!(rig.worker.history().len(), 1);
+}
+
+/// A shutdown under load: every request that was admitted is answered, every later one is refused
+/// with proof, and control hears of it.
+#[test]
+fn shutdown_finishes_what_is_in_progress() {
+    let rig = AgentRig::start(8);
+    rig.executor.set_fault(ExecutorFault::Hang);
+    thread::scope(|scope| {
+        let held: Vec<_> = (0..8)
+            .map(|n| {
+                let (rig, name) = (&rig, format!("r{n}"));
+                scope.spawn(move || rig.dispatch(&request(&name, "POST /charge", &[], b"x")))
+            })
+            .collect();
+        rig.executor.wait_in_use(8);
+        let leaving = scope.spawn(|| rig.shut_down());
+        rig.leader.wait_drain();
+        let refused = rig.dispatch(&request("late", "POST /charge", &[], b"x"));
+        assert_eq!(refused.outcome, DispatchOutcome::NotRun(NotRunReason::Draining));
+        rig.executor.set_fault(ExecutorFault::None);
+        for held in held {
+            assert_eq!(answered(held.join().unwrap().outcome).0, 200);
+        }
+        leaving.join().unwrap();
+    });
+    assert_eq!(rig.executor.executed().len(), 8);
+    let error = rig.call(&request("gone", "POST /charge", &[], b"x")).unwrap_err();
+    assert!(error.proves_not_done(), "{error}");
+}
--- /dev/null
+++ b/crates/testkit/tests/agent_process/support.rs
@@ -0,0 +1,250 @@
+//! An agent on loopback between a stand-in worker, a stand-in executor and a scripted leader.
+
+use {
+    agent::AgentProcess,
+    base::{
+        ByteSize, ConnectionCount, CpuMillis, EndpointId, IncarnationNumber, PeerAddress,
+        RequestId, ResourceVector, SlotCount, SystemClock,
+    },
+    bytes::Bytes,
+    proto::{
+        envelope::{ProcessRole, SenderIdentity},
+        messages::{
+            AgentHeartbeat, AttemptReport, CommandCursor, DispatchId, DispatchReply,
+            DispatchRequest, EndpointAnnouncement, FenceReply, FenceRequest, ForwardedRequest,
+            HeartbeatReply, IdempotencyKey, LeaseRenewal, PriorityClass, TaskCommand,
+        },
+        rpc::{ConnectionUse, ProcessIdentity, RpcCall, RpcClient, RpcError, RpcRefusal},
+        server::{reply, HttpServer, RpcInbox, ServerLimits},
+    },
+    settings::{AgentSettings, ProcessSettings, RoleSettings},
+    std::{
+        sync::{Arc, Condvar, Mutex},
+        time::Duration,
+    },
+    telemetry::{EventRecorder, ProcessContext},
+    testkit::{StandInExecutor, StandInExecutorSettings, StandInWorker, StandInWorkerSettings},
+};
+
+pub const INCARNATION: IncarnationNumber = IncarnationNumber(7);
+const LEASE: Duration = Duration::from_secs(10);
+const CALL_DEADLINE: Duration = Duration::from_secs(20);
+
+pub fn id<T: std::str::FromStr>(text: &str) -> T {
+    text.parse().ok().expect("a test writes valid ids")
+}
+
+pub fn free_port() -> PeerAddress {
+    id("127.0.0.1:0")
+}
+
+pub fn identity(role: ProcessRole, name: &str) -> Arc<ProcessIdentity> {
+    let sender =
+        SenderIdentity { cluster: id("test"), role, name: id(name), incarnation: INCARNATION };
+    Arc::new(ProcessIdentity::new(sender, Arc::new(SystemClock::new())))
+}
+
+#[derive(Default)]
+struct LeaderState {
+    commands: Vec<TaskCommand>,
+    endpoints: Vec<EndpointAnnouncement>,
+    reports: Vec<AttemptReport>,
+    draining: bool,
+    sequence: u64,
+}
+
+/// Renews every lease and commands what the test says.
+pub struct ScriptedLeader {
+    server: HttpServer,
+    state: Arc<(Mutex<LeaderState>, Condvar)>,
+}
+
+impl ScriptedLeader {
+    fn start() -> Self {
+        let state: Arc<(Mutex<LeaderState>, Condvar)> = Arc::default();
+        let told = state.clone();
+        let identity = identity(ProcessRole::Control, "control-1");
+        let replier = identity.clone();
+        let inbox = RpcInbox::new(identity, move |path, frame, responder| {
+            if path != AgentHeartbeat::PATH {
+                return Err((RpcRefusal::NoSuchPath, responder));
+            }
+            let Ok(heartbeat) = frame.body::<AgentHeartbeat>() else {
+                return Err((RpcRefusal::Malformed, responder));
+            };
+            reply(responder, &replier, &renew(&told, heartbeat));
+            Ok(())
+        });
+        let server = HttpServer::start(free_port(), ServerLimits::default(), Arc::new(inbox));
+        Self { server: server.expect("a free port"), state }
+    }
+
+    /// Wants these attempts on the worker and no other.
+    pub fn command(&self, commands: Vec<TaskCommand>) {
+        let mut state = self.state.0.lock().unwrap();
+        state.sequence += 1;
+        state.commands = commands;
+    }
+
+    /// Waits until an endpoint is known and takes requests, or is draining.
+    pub fn wait_endpoint(&self, draining: bool) {
+        self.wait(|state| state.endpoints.iter().any(|known| known.draining == draining));
+    }
+
+    /// Waits until a report satisfies the condition.
+    pub fn wait_report(&self, wanted: impl Fn(&AttemptReport) -> bool) {
+        self.wait(|state| state.reports.iter().any(&wanted));
+    }
+
+    /// Waits until the agent has said that it leaves.
+    pub fn wait_drain(&self) {
+        self.wait(|state| state.draining);
+    }
+
+    fn wait(&self, done: impl Fn(&LeaderState) -> bool) {
+        let state = self.state.0.lock().unwrap();
+        drop(self.state.1.wait_while(state, |state| !done(state)).unwrap());
+    }
+}
+
+fn renew(state: &(Mutex<LeaderState>, Condvar), heartbeat: AgentHeartbeat) -> HeartbeatReply {
+    let mut told = state.0.lock().unwrap();
+    if let Some(endpoints) = heartbeat.endpoints {
+        told.endpoints = endpoints;
+    }
+    if let Some(announcement) = heartbeat.announcement {
+        told.draining = announcement.draining;
+    }
+    let acknowledged = heartbeat.reports.iter().map(|report| (report.task.clone(), report.attempt));
+    let acknowledged = acknowledged.collect();
+    told.reports.extend(heartbeat.reports);
+    state.1.notify_all();
+    HeartbeatReply::Renewed(Box::new(LeaseRenewal {
+        lease: LEASE,
+        report_all: false,
+        cursor: CommandCursor { term: base::TermNumber(1), sequence: told.sequence },
+        commands_complete: true,
+        commands: told.commands.clone(),
+        acknowledged,
+        declarations: None,
+    }))
+}
+
+/// Everything around one agent.
+pub struct AgentRig {
+    pub leader: ScriptedLeader,
+    pub worker: StandInWorker,
+    pub executor: StandInExecutor,
+    address: PeerAddress,
+    agent: Mutex<Option<AgentProcess>>,
+    client: RpcClient,
+}
+
+impl AgentRig {
+    pub fn start(slots: u32) -> Self {
+        let leader = ScriptedLeader::start();
+        let worker = StandInWorker::start(free_port(), StandInWorkerSettings::default()).unwrap();
+        let agent = start_agent(&leader, &worker);
+        let executor = StandInExecutor::start(StandInExecutorSettings {
+            listen: free_port(),
+            service: id("booking"),
+            endpoint: id("e1"),
+            incarnation: IncarnationNumber(1),
+            slots: SlotCount(slots),
+            connections: ConnectionCount(64),
+            announce_to: Some(agent.announce_address()),
+            service_time: Duration::ZERO,
+        });
+        let client = RpcClient::new(identity(ProcessRole::Entry, "entry-1"));
+        let address = agent.internal_address();
+        let agent = Mutex::new(Some(agent));
+        let rig = Self { leader, worker, executor: executor.unwrap(), address, agent, client };
+        rig.leader.wait_endpoint(false);
+        rig
+    }
+
+    pub fn call<C: RpcCall>(&self, call: &C) -> Result<C::Reply, RpcError> {
+        let answered = self.client.call(self.address, ConnectionUse::Fresh, CALL_DEADLINE, call);
+        answered.map(|(_, reply)| reply)
+    }
+
+    pub fn shut_down(&self) {
+        let agent = self.agent.lock().unwrap().take();
+        agent.expect("it runs").shut_down();
+    }
+
+    pub fn dispatch(&self, request: &DispatchRequest) -> DispatchReply {
+        self.call(request).expect("the agent answers")
+    }
+
+    pub fn fence(&self, name: &str) -> FenceReply {
+        let request = FenceRequest {
+            endpoint: id("e1"),
+            incarnation: INCARNATION,
+            key: key(name),
+            dispatch: dispatch_id(name),
+        };
+        self.call(&request).expect("the agent answers")
+    }
+}
+
+fn start_agent(leader: &ScriptedLeader, worker: &StandInWorker) -> AgentProcess {
+    let settings = ProcessSettings {
+        cluster: id("test"),
+        name: id("agent-1"),
+        region: id("north"),
+        data_centre: id("arusha"),
+        internal: free_port(),
+        operator: free_port(),
+        control_peers: vec![leader.server.address()],
+        role: RoleSettings::Agent(AgentSettings {
+            worker: id("w1"),
+            rack: id("r1"),
+            capacity: ResourceVector {
+                cpu: CpuMillis(16_000),
+                memory: ByteSize(60_000_000_000),
+                ..ResourceVector::ZERO
+            },
+            platform: worker.address(),
+            announce: free_port(),
+            state_file: None,
+        }),
+    };
+    let identity = identity(ProcessRole::Agent, "agent-1");
+    let recorder = Arc::new(EventRecorder::new(identity.clone(), 1000));
+    AgentProcess::start(&settings, ProcessContext::new(identity, recorder)).expect("it starts")
+}
+
+pub fn endpoint() -> EndpointId {
+    id("e1")
+}
+
+pub fn dispatch_id(name: &str) -> DispatchId {
+    DispatchId { request: RequestId::new(name).unwrap(), number: 0 }
+}
+
+pub fn key(name: &str) -> IdempotencyKey {
+    IdempotencyKey { service: id("booking"), text: name.to_owned() }
+}
+
+/// A dispatch of `method target` with headers and a body.
+pub fn request(name: &str, line: &str, headers: &[(&str, &str)], body: &[u8]) -> DispatchRequest {
+    let (method, target) = line.split_once(' ').expect("a method and a target");
+    let headers = headers
+        .iter()
+        .map(|(name, value)| ((*name).to_owned(), Bytes::copy_from_slice(value.as_bytes())));
+    DispatchRequest {
+        dispatch: dispatch_id(name),
+        endpoint: endpoint(),
+        incarnation: INCARNATION,
+        priority: PriorityClass::LatencyCritical,
+        remaining: Duration::from_secs(10),
+        key: None,
+        request: ForwardedRequest {
+            method: method.to_owned(),
+            target: target.to_owned(),
+            headers: headers.collect(),
+            body: Bytes::copy_from_slice(body),
+        },
+    }
+}
