--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -169,10 +169,9 @@
 
     /// Starts an effect. Replies are returned, to be encoded when the lock is free.
     fn start(&self, state: &mut CoreState, effect: AgentEffect) -> Option<ReadyReply> {
-        if let AgentEffect::Record(event) = &effect {
-            self.context.recorder.record(event);
-        }
         match effect {
+            AgentEffect::Record(event) => self.context.recorder.record(&event),
+            AgentEffect::RecordProcess(event) => self.context.recorder.record(&event),
             AgentEffect::ReplyDispatch { ticket, reply } => {
                 let responder = state.responders.swap_remove(&ticket)?;
                 return Some(ReadyReply::Dispatch(responder, reply));
@@ -206,6 +205,7 @@
             pools.declarations.submit(CoreJob::Pull(peer, known));
         }
         AgentEffect::Record(_)
+        | AgentEffect::RecordProcess(_)
         | AgentEffect::ReplyDispatch { .. }
         | AgentEffect::ReplyFence { .. } => {}
     }
@@ -269,7 +269,7 @@
         let sequence = send.heartbeat.sequence;
         let reply = answer.ok().map(|(header, reply)| {
             self.core.hear(&header);
-            reply
+            (header.sender.name, reply)
         });
         self.core.feed(AgentInput::HeartbeatDone { sequence, reply });
     }
@@ -285,9 +285,10 @@
     fn pull(&self, peer: PeerAddress, known: RevisionNumber) {
         let call = DeclarationPull { known };
         let answer = self.rpc.call(peer, ConnectionUse::Fresh, PULL_DEADLINE, &call);
-        let Ok((_, answer)) = answer else { return };
+        let Ok((header, answer)) = answer else { return };
         if let Some(bundle) = answer.newer {
-            self.core.feed(AgentInput::Declarations(bundle));
+            let source = header.sender.name;
+            self.core.feed(AgentInput::Declarations { bundle, source });
         }
     }
 }
--- a/crates/agent/src/reducer/mod.rs
+++ b/crates/agent/src/reducer/mod.rs
@@ -22,7 +22,7 @@
 
 use {
     attempts::AttemptTable,
-    base::{EventReducer, PeerAddress, RevisionNumber},
+    base::{EventReducer, PeerAddress, ProcessName, RevisionNumber},
     guard::EndpointTable,
     heartbeat::HeartbeatSchedule,
     indexmap::IndexMap,
@@ -34,7 +34,7 @@
     proto::messages::{CommandCursor, DeclarationBundle, DispatchId},
     spread::{DeclarationStore, OfferOutcome},
     std::{sync::Arc, time::Duration},
-    telemetry::AgentEvent,
+    telemetry::{AgentEvent, ProcessEvent},
 };
 
 /// The agent's state. See the module's documentation.
@@ -159,19 +159,21 @@
         self.hurry();
     }
 
-    fn offer_declarations(&mut self, bundle: DeclarationBundle) {
+    fn offer_declarations(&mut self, bundle: DeclarationBundle, source: ProcessName) {
         let revision = bundle.revision;
         match self.declarations.offer(bundle) {
             OfferOutcome::NotNewer => {}
             OfferOutcome::InForce(revision) => {
                 self.policy.replace(&self.config, self.declarations.fleet().clone());
-                self.record(AgentEvent::DeclarationsInForce { revision });
+                let event = ProcessEvent::RevisionInForce { revision, source };
+                self.effects.push(AgentEffect::RecordProcess(event));
                 let bundle: Arc<DeclarationBundle> = self.declarations.bundle().clone();
                 self.effects.push(AgentEffect::PutInForce(bundle));
             }
             OfferOutcome::Refused(errors) => {
                 let reason = errors.first().map(ToString::to_string).unwrap_or_default();
-                self.record(AgentEvent::DeclarationsRefused { revision, reason });
+                let event = ProcessEvent::RevisionRefused { revision, reason };
+                self.effects.push(AgentEffect::RecordProcess(event));
             }
         }
     }
@@ -224,7 +226,7 @@
                     self.hurry();
                 }
             }
-            AgentInput::Declarations(bundle) => self.offer_declarations(bundle),
+            AgentInput::Declarations { bundle, source } => self.offer_declarations(bundle, source),
             AgentInput::RevisionHeard { peer, revision } => {
                 self.hear_revision(now, peer, revision);
             }
--- a/crates/agent/src/reducer/on_heartbeat.rs
+++ b/crates/agent/src/reducer/on_heartbeat.rs
@@ -6,6 +6,7 @@
         types::{AgentEffect, HeartbeatSend},
         AgentReducer,
     },
+    base::ProcessName,
     proto::messages::{
         AgentHeartbeat, AttemptReport, HeartbeatReply, LeaseRenewal, UsageReport,
         WorkerAnnouncement,
@@ -95,7 +96,7 @@
         &mut self,
         now: Duration,
         sequence: u64,
-        reply: Option<HeartbeatReply>,
+        reply: Option<(ProcessName, HeartbeatReply)>,
     ) {
         let Some(schedule) = &mut self.schedule else { return };
         let Some(in_flight) = schedule.in_flight.take_if(|sent| sent.sequence == sequence) else {
@@ -103,11 +104,13 @@
         };
         match reply {
             None => schedule.unanswered(now),
-            Some(HeartbeatReply::NotLeader { leader }) => {
+            Some((_, HeartbeatReply::NotLeader { leader })) => {
                 schedule.not_leader(now, leader.map(|(_, address)| address));
             }
-            Some(HeartbeatReply::Superseded { .. }) => self.on_superseded(),
-            Some(HeartbeatReply::Renewed(renewal)) => self.on_renewed(now, &in_flight, *renewal),
+            Some((_, HeartbeatReply::Superseded { .. })) => self.on_superseded(),
+            Some((source, HeartbeatReply::Renewed(renewal))) => {
+                self.on_renewed(now, &in_flight, source, *renewal);
+            }
         }
         let Some(schedule) = &self.schedule else { return };
         let peer = schedule.target();
@@ -124,7 +127,13 @@
         self.record(AgentEvent::Superseded { worker: self.config.worker.clone() });
     }
 
-    fn on_renewed(&mut self, now: Duration, sent: &HeartbeatInFlight, renewal: LeaseRenewal) {
+    fn on_renewed(
+        &mut self,
+        now: Duration,
+        sent: &HeartbeatInFlight,
+        source: ProcessName,
+        mut renewal: LeaseRenewal,
+    ) {
         let interval = self.policy.lease().heartbeat;
         let held = self.lease.deadline().is_some();
         if renewal.cursor.term < self.cursor.term
@@ -148,8 +157,8 @@
         self.report_all = renewal.report_all || (self.report_all && !self.platform.is_listed());
         self.forget_acknowledged(&renewal);
         self.renew_platform();
-        if let Some(bundle) = renewal.declarations.clone() {
-            self.offer_declarations(bundle);
+        if let Some(bundle) = renewal.declarations.take() {
+            self.offer_declarations(bundle, source);
         }
         let follows = renewal.commands_complete || sent.cursor == self.cursor;
         if follows && renewal.cursor >= self.cursor {
--- a/crates/agent/src/reducer/types.rs
+++ b/crates/agent/src/reducer/types.rs
@@ -6,8 +6,8 @@
         platform::{PlatformCall, PlatformFault, PlatformReply},
     },
     base::{
-        ByteSize, DataCentreName, EndpointId, IncarnationNumber, PeerAddress, RackName, RegionName,
-        ReplyTicket, ResourceVector, RevisionNumber, WorkerId,
+        ByteSize, DataCentreName, EndpointId, IncarnationNumber, PeerAddress, ProcessName,
+        RackName, RegionName, ReplyTicket, ResourceVector, RevisionNumber, WorkerId,
     },
     proto::messages::{
         AgentHeartbeat, DeclarationBundle, DispatchId, DispatchOutcome, DispatchReply,
@@ -17,7 +17,7 @@
         sync::Arc,
         time::{Duration, SystemTime},
     },
-    telemetry::AgentEvent,
+    telemetry::{AgentEvent, ProcessEvent},
 };
 
 /// What the reducer knows from the start.
@@ -78,8 +78,8 @@
     HeartbeatDone {
         /// The heartbeat's number.
         sequence: u64,
-        /// The answer, if there is one.
-        reply: Option<HeartbeatReply>,
+        /// Who answered and what, if there is an answer.
+        reply: Option<(ProcessName, HeartbeatReply)>,
     },
     /// A call to the platform has ended.
     PlatformDone {
@@ -93,7 +93,12 @@
     /// An executor is leaving.
     ExecutorLeft(EndpointId),
     /// Declarations have been received.
-    Declarations(DeclarationBundle),
+    Declarations {
+        /// The declarations.
+        bundle: DeclarationBundle,
+        /// Who sent them.
+        source: ProcessName,
+    },
     /// A message named a revision.
     RevisionHeard {
         /// Who answers pulls for it.
@@ -165,6 +170,8 @@
         /// The revision in force.
         known: RevisionNumber,
     },
-    /// Records an event.
+    /// Records an event of agents.
     Record(AgentEvent),
+    /// Records an event that every role has.
+    RecordProcess(ProcessEvent),
 }
--- a/crates/telemetry/src/catalogue/agent.rs
+++ b/crates/telemetry/src/catalogue/agent.rs
@@ -1,6 +1,6 @@
 //! Events of agents. Numbers 4000 to 4999.
 
-use base::{AttemptNumber, EndpointId, PeerAddress, RevisionNumber, TaskId, WorkerId};
+use base::{AttemptNumber, EndpointId, PeerAddress, TaskId, WorkerId};
 
 catalogue! {
     /// Events of agents.
@@ -22,9 +22,7 @@
         4015 Warning PlatformSilent { reason: String } "The worker's platform does not answer.";
         4016 Info PlatformAnswers {} "The worker's platform answers again.";
         4017 Info DrainBegan { worker: WorkerId } "The agent is leaving and takes no new requests.";
-        4018 Info DeclarationsInForce { revision: RevisionNumber } "Newer declarations are in force.";
-        4019 Warning DeclarationsRefused { revision: RevisionNumber, reason: String } "Declarations were received that can't be used.";
-        4020 Warning Superseded { worker: WorkerId } "Control has seen a newer life of this agent, so that this one takes no new requests and leaves the tasks to the newer one.";
-        4021 Debug ExecutorAnswered { dispatch: String, outcome: String } "An executor call has ended.";
+        4018 Warning Superseded { worker: WorkerId } "Control has seen a newer life of this agent, so that this one takes no new requests and leaves the tasks to the newer one.";
+        4019 Debug ExecutorAnswered { dispatch: String, outcome: String } "An executor call has ended.";
     }
 }
