Add the applied state of the control group

Every replica needs the same state from the log alone. FleetState holds the declarations, workers, jobs and tasks, and the ledger of idempotency keys; FleetCommand changes it, checks again whatever it depends on and is refused the same way everywhere. A task's life cycle is one type a phase. A reservation is freed only by a report of its worker or the expiry of the worker's lease.

--- /dev/null
+++ b/crates/control/src/state/declarations.rs
@@ -0,0 +1,156 @@
+//! The accepted declarations.
+
+use {
+    super::{
+        command::DeclarationChange,
+        submissions::{ContentDigest, SubmissionLog, SubmissionMatch},
+    },
+    base::RevisionNumber,
+    proto::messages::{operator::ApplyReply, DeclarationBundle, DeclarationFile},
+    serde::{Deserialize, Serialize},
+    settings::{declaration::RetentionPolicy, FleetDeclaration, FleetPolicy, PolicySubject},
+    spread::{DeclarationStore, OfferOutcome},
+    std::{
+        sync::Arc,
+        time::{Duration, SystemTime},
+    },
+};
+
+/// The accepted revision, its files and the answers to the newest submissions.
+#[derive(Debug, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct DeclarationTable {
+    bundle: DeclarationBundle,
+    submissions: SubmissionLog<ApplyReply>,
+    /// The longest lease that a worker may hold under this or an earlier revision.
+    lease_bound: Duration,
+    #[serde(skip)]
+    store: DeclarationStore,
+    #[serde(skip)]
+    defaults: FleetPolicy,
+}
+
+impl DeclarationTable {
+    /// The table of a new cluster: the empty folder, revision zero.
+    pub fn new() -> Self {
+        let mut table = Self::default();
+        table.lease_bound = longest_lease(&FleetDeclaration::default());
+        table
+    }
+
+    /// Makes what is derived from the files again, after they were read from a snapshot.
+    pub fn restore(&mut self) {
+        self.store = DeclarationStore::new();
+        self.store.offer(self.bundle.clone());
+        self.defaults = fleet_defaults(self.store.fleet());
+    }
+
+    /// The accepted revision.
+    pub fn revision(&self) -> RevisionNumber {
+        self.store.revision()
+    }
+
+    /// The accepted declarations.
+    pub fn fleet(&self) -> &Arc<FleetDeclaration> {
+        self.store.fleet()
+    }
+
+    /// The accepted files.
+    pub fn bundle(&self) -> &Arc<DeclarationBundle> {
+        self.store.bundle()
+    }
+
+    /// The files for a peer that has `known` in force, when it is behind.
+    pub fn newer_than(&self, known: RevisionNumber) -> Option<DeclarationBundle> {
+        self.store.newer_than(known)
+    }
+
+    /// How much of the past is kept.
+    pub fn retention(&self) -> &RetentionPolicy {
+        &self.defaults.retention
+    }
+
+    /// The fleet's defaults.
+    pub fn defaults(&self) -> &FleetPolicy {
+        &self.defaults
+    }
+
+    /// The longest lease that any worker may hold.
+    pub fn lease_bound(&self) -> Duration {
+        self.lease_bound
+    }
+
+    /// The longest lease that the accepted revision declares.
+    pub fn declared_lease(&self) -> Duration {
+        longest_lease(self.store.fleet())
+    }
+
+    /// Forgets the longer leases of earlier revisions.
+    pub fn settle_lease(&mut self, revision: RevisionNumber) -> bool {
+        let settled = revision == self.revision();
+        if settled {
+            self.lease_bound = self.declared_lease();
+        }
+        settled
+    }
+
+    /// Accepts a change, or answers a resend as it was answered first.
+    pub fn apply(&mut self, change: DeclarationChange) -> ApplyReply {
+        let digest = ContentDigest::of(&(change.base, &change.files));
+        match self.submissions.find(&change.submission, digest) {
+            SubmissionMatch::Resent(answer) => return answer.clone(),
+            SubmissionMatch::Reused => return ApplyReply::SubmissionReused,
+            SubmissionMatch::New => {}
+        }
+        let reply = self.accept(change.base, change.files);
+        let bound = self.retention().submissions as usize;
+        self.submissions.keep(change.submission, digest, reply.clone(), bound);
+        reply
+    }
+
+    fn accept(&mut self, base: RevisionNumber, files: Vec<DeclarationFile>) -> ApplyReply {
+        let current = self.revision();
+        if base != current {
+            return ApplyReply::Conflict { current };
+        }
+        let bundle = DeclarationBundle { revision: current.next(), files };
+        match self.store.offer(bundle.clone()) {
+            OfferOutcome::InForce(revision) => {
+                self.bundle = bundle;
+                self.defaults = fleet_defaults(self.store.fleet());
+                self.lease_bound = self.lease_bound.max(self.declared_lease());
+                ApplyReply::Accepted { revision }
+            }
+            OfferOutcome::NotNewer => ApplyReply::Conflict { current },
+            OfferOutcome::Refused(errors) => {
+                ApplyReply::Invalid { errors: errors.iter().map(ToString::to_string).collect() }
+            }
+        }
+    }
+}
+
+fn fleet_defaults(fleet: &FleetDeclaration) -> FleetPolicy {
+    fleet.policy_for(&PolicySubject::default(), SystemTime::UNIX_EPOCH).policy
+}
+
+/// Every declared lease stands in the defaults or in an exception. Exceptions count from the
+/// epoch on, so that one that has expired still bounds the leases given under it.
+fn longest_lease(fleet: &FleetDeclaration) -> Duration {
+    let everybody = std::iter::once(PolicySubject::default());
+    let exceptions = fleet.exceptions.iter().map(|exception| {
+        let selector = exception.selector.clone();
+        PolicySubject {
+            service: selector.service,
+            team: selector.team,
+            class: selector.class,
+            data_centre: selector.data_centre,
+            rack: selector.rack,
+            worker: selector.worker,
+        }
+    });
+    everybody
+        .chain(exceptions)
+        .map(|subject| fleet.policy_for(&subject, SystemTime::UNIX_EPOCH).policy.lease.length)
+        .max()
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/control/src/state/ledger.rs
@@ -0,0 +1,183 @@
+//! The ledger of idempotency keys. See `docs/decisions/ledger.md`.
+
+use {
+    indexmap::IndexMap,
+    proto::messages::{
+        ClaimEnd, ClaimReply, ClaimTarget, DispatchId, ForwardedAnswer, IdempotencyKey,
+        LedgerClaim, LedgerClose, RequestFingerprint, UnknownReason,
+    },
+    serde::{Deserialize, Serialize},
+    std::collections::{BTreeSet, VecDeque},
+};
+
+/// Bytes of answers that the ledger keeps. Beyond them the oldest answers are dropped, while
+/// their keys stay: a resend is then told that its answer is lost, and still runs at most once.
+const ANSWER_BYTES_LIMIT: usize = 16 * 1024 * 1024;
+/// How much longer than its declared time a claim is kept that nobody has closed, in
+/// milliseconds.
+const OPEN_CLAIM_GRACE_MS: u64 = 3_600_000;
+
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+enum ClaimState {
+    Held(ClaimTarget),
+    Answered(DispatchId, ForwardedAnswer),
+    Lost(DispatchId, UnknownReason),
+}
+
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+struct ClaimRecord {
+    fingerprint: RequestFingerprint,
+    keep_ms: u64,
+    until_ms: u64,
+    state: ClaimState,
+}
+
+/// Every key that is in use or was used not long ago.
+#[derive(Debug, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct LedgerTable {
+    claims: IndexMap<IdempotencyKey, ClaimRecord>,
+    answered: VecDeque<IdempotencyKey>,
+    answer_bytes: usize,
+    #[serde(skip)]
+    deadlines: BTreeSet<(u64, IdempotencyKey)>,
+}
+
+impl LedgerTable {
+    /// Makes the order of expiry again, after the claims were read from a snapshot.
+    pub fn restore(&mut self) {
+        self.deadlines =
+            self.claims.iter().map(|(key, claim)| (claim.until_ms, key.clone())).collect();
+    }
+
+    /// The number of keys.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// True when there is no key.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// True when a key's time is up.
+    pub fn has_expired(&self, at_ms: u64) -> bool {
+        self.deadlines.first().is_some_and(|(until_ms, _)| *until_ms <= at_ms)
+    }
+
+    /// Claims a key, or says who has it. `None` when `bound` keys are kept already: forgetting one
+    /// before its time would let its request run twice.
+    pub fn claim(&mut self, at_ms: u64, claim: LedgerClaim, bound: usize) -> Option<ClaimReply> {
+        let Some(found) = self.claims.get(&claim.key) else {
+            if self.claims.len() >= bound {
+                return None;
+            }
+            self.hold(at_ms, claim);
+            return Some(ClaimReply::Granted);
+        };
+        if found.fingerprint != claim.fingerprint {
+            return Some(ClaimReply::OtherRequest);
+        }
+        let reply = match &found.state {
+            ClaimState::Held(target) if *target == claim.target => ClaimReply::Granted,
+            ClaimState::Held(target) if claim.replaces.as_ref() == Some(&target.dispatch) => {
+                self.hold(at_ms, claim);
+                ClaimReply::Granted
+            }
+            ClaimState::Held(target) => ClaimReply::Held(target.clone()),
+            ClaimState::Answered(_, answer) => ClaimReply::Stored(answer.clone()),
+            ClaimState::Lost(_, reason) => ClaimReply::Lost(*reason),
+        };
+        Some(reply)
+    }
+
+    fn hold(&mut self, at_ms: u64, claim: LedgerClaim) {
+        let keep_ms = u64::try_from(claim.keep.as_millis()).unwrap_or(u64::MAX);
+        let record = ClaimRecord {
+            fingerprint: claim.fingerprint,
+            keep_ms,
+            until_ms: at_ms.saturating_add(keep_ms).saturating_add(OPEN_CLAIM_GRACE_MS),
+            state: ClaimState::Held(claim.target),
+        };
+        self.put(claim.key, record);
+    }
+
+    fn put(&mut self, key: IdempotencyKey, record: ClaimRecord) {
+        self.deadlines.insert((record.until_ms, key.clone()));
+        if let Some(old) = self.claims.insert(key.clone(), record) {
+            if self.claims[&key].until_ms != old.until_ms {
+                self.deadlines.remove(&(old.until_ms, key));
+            }
+        }
+    }
+
+    /// Closes a claim. True when the claim is closed with this dispatch, now or earlier.
+    pub fn close(&mut self, at_ms: u64, close: LedgerClose) -> bool {
+        let Some(found) = self.claims.get(&close.key) else {
+            return matches!(close.end, ClaimEnd::NotRun);
+        };
+        match &found.state {
+            ClaimState::Held(target) if target.dispatch == close.dispatch => {}
+            ClaimState::Held(_) => return false,
+            ClaimState::Answered(dispatch, _) => return *dispatch == close.dispatch,
+            ClaimState::Lost(dispatch, _) => return *dispatch == close.dispatch,
+        }
+        let (fingerprint, keep_ms) = (found.fingerprint, found.keep_ms);
+        let until_ms = at_ms.saturating_add(keep_ms);
+        let state = match close.end {
+            ClaimEnd::NotRun => {
+                self.forget(&close.key);
+                return true;
+            }
+            ClaimEnd::Lost(reason) => ClaimState::Lost(close.dispatch, reason),
+            ClaimEnd::Answered(answer) => {
+                self.answer_bytes += answer_size(&answer);
+                self.answered.push_back(close.key.clone());
+                ClaimState::Answered(close.dispatch, answer)
+            }
+        };
+        self.put(close.key, ClaimRecord { fingerprint, keep_ms, until_ms, state });
+        self.drop_oldest_answers();
+        true
+    }
+
+    fn drop_oldest_answers(&mut self) {
+        while self.answer_bytes > ANSWER_BYTES_LIMIT {
+            let Some(key) = self.answered.pop_front() else { return };
+            let Some(claim) = self.claims.get_mut(&key) else { continue };
+            let ClaimState::Answered(dispatch, answer) = &claim.state else { continue };
+            self.answer_bytes -= answer_size(answer);
+            claim.state = ClaimState::Lost(dispatch.clone(), UnknownReason::BadAnswer);
+        }
+    }
+
+    fn forget(&mut self, key: &IdempotencyKey) {
+        let Some(claim) = self.claims.swap_remove(key) else { return };
+        self.deadlines.remove(&(claim.until_ms, key.clone()));
+        if let ClaimState::Answered(_, answer) = &claim.state {
+            self.answer_bytes -= answer_size(answer);
+            if self.answered.front() == Some(key) {
+                self.answered.pop_front();
+            } else {
+                self.answered.retain(|kept| kept != key);
+            }
+        }
+    }
+
+    /// Forgets the keys whose time is up.
+    pub fn expire(&mut self, at_ms: u64) {
+        while let Some((until_ms, key)) = self.deadlines.first().cloned() {
+            if until_ms > at_ms {
+                return;
+            }
+            self.forget(&key);
+        }
+    }
+}
+
+fn answer_size(answer: &ForwardedAnswer) -> usize {
+    let headers = answer.headers.iter().map(|(name, value)| name.len() + value.len());
+    answer.body.len() + headers.sum::<usize>()
+}
--- /dev/null
+++ b/crates/control/src/state/mod.rs
@@ -0,0 +1,195 @@
+//! The applied state: what every replica derives from the log alone.
+//!
+//! Applying is a pure function of the state and the entry. A command that no longer fits is
+//! refused the same way on every replica, so that a leader may propose from a state that is a few
+//! entries old.
+
+mod command;
+mod declarations;
+mod fact;
+mod jobs;
+mod ledger;
+mod operate;
+mod reason;
+mod submissions;
+mod task;
+mod transition;
+mod workers;
+
+pub use {
+    command::{
+        CommandBatch, CommandOutcome, CommandRefusal, DeclarationChange, FleetCommand, PlaceCommand,
+    },
+    declarations::DeclarationTable,
+    fact::FleetFact,
+    jobs::{JobRecord, JobTable, StepRecord, TaskRecord, TASKS_PER_JOB_LIMIT},
+    ledger::LedgerTable,
+    reason::{RuleNote, StepReason},
+    submissions::{ContentDigest, SubmissionLog, SubmissionMatch},
+    task::{
+        EndPhase, Ended, Parked, Placed, Running, SeatedPhase, StopPurpose, Stopping, Task,
+        TaskLife, TaskSeat, Waiting,
+    },
+    workers::{WorkerRecord, WorkerTable},
+};
+
+use {
+    proto::messages::operator::SubmitReply,
+    serde::{Deserialize, Serialize},
+    snafu::{ResultExt, Snafu},
+};
+
+/// Why a snapshot or an entry can't be used. The log is intact, so that this is a newer format or
+/// the log of another program.
+#[derive(Debug, Snafu)]
+pub enum StateError {
+    /// The bytes are no state or entry of this version.
+    #[snafu(display("the replicated state can't be decoded: {source}"))]
+    Undecodable {
+        /// What the codec reported.
+        source: rmp_serde::decode::Error,
+    },
+}
+
+/// Everything that is replicated.
+#[derive(Debug, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct FleetState {
+    declarations: DeclarationTable,
+    workers: WorkerTable,
+    jobs: JobTable,
+    ledger: LedgerTable,
+    submissions: SubmissionLog<SubmitReply>,
+}
+
+impl FleetState {
+    /// The state of a new cluster.
+    pub fn new() -> Self {
+        Self { declarations: DeclarationTable::new(), ..Self::default() }
+    }
+
+    /// Reads a snapshot.
+    pub fn from_snapshot(data: &[u8]) -> Result<Self, StateError> {
+        let mut state: Self = rmp_serde::from_slice(data).context(UndecodableSnafu)?;
+        state.declarations.restore();
+        state.ledger.restore();
+        Ok(state)
+    }
+
+    /// Writes a snapshot.
+    pub fn to_snapshot(&self) -> Vec<u8> {
+        rmp_serde::to_vec(self).unwrap_or_default()
+    }
+
+    /// The accepted declarations.
+    pub fn declarations(&self) -> &DeclarationTable {
+        &self.declarations
+    }
+
+    /// The workers.
+    pub fn workers(&self) -> &WorkerTable {
+        &self.workers
+    }
+
+    /// The jobs.
+    pub fn jobs(&self) -> &JobTable {
+        &self.jobs
+    }
+
+    /// The ledger of idempotency keys.
+    pub fn ledger(&self) -> &LedgerTable {
+        &self.ledger
+    }
+
+    /// Applies one entry of the log. What changed is appended to `facts`.
+    pub fn apply(
+        &mut self,
+        batch: CommandBatch,
+        facts: &mut Vec<FleetFact>,
+    ) -> Vec<CommandOutcome> {
+        let at_ms = batch.at_ms;
+        batch.commands.into_iter().map(|command| self.apply_one(at_ms, command, facts)).collect()
+    }
+
+    fn apply_one(
+        &mut self,
+        at_ms: u64,
+        command: FleetCommand,
+        facts: &mut Vec<FleetFact>,
+    ) -> CommandOutcome {
+        let mut scope = ApplyScope { state: self, at_ms, facts };
+        match command {
+            FleetCommand::Apply(change) => scope.change_declarations(change),
+            FleetCommand::SubmitJob { submission, job } => scope.submit_job(submission, job),
+            FleetCommand::CancelJob { job } => scope.cancel_job(&job),
+            FleetCommand::ParkJob { job, reason, rule } => scope.park_job(&job, reason, rule),
+            FleetCommand::UnparkJob { job } => scope.unpark_job(&job),
+            FleetCommand::DrainWorker { worker, draining } => scope.drain_worker(worker, draining),
+            FleetCommand::BlameWorker { worker, failed_jobs } => {
+                scope.blame_worker(worker, failed_jobs)
+            }
+            FleetCommand::SeeWorker { worker, incarnation, announcement } => {
+                scope.see_worker(worker, incarnation, announcement)
+            }
+            FleetCommand::SeeEndpoints { worker, incarnation, endpoints } => {
+                scope.see_endpoints(worker, incarnation, endpoints)
+            }
+            FleetCommand::LoseWorker { worker, incarnation } => {
+                scope.lose_worker(worker, incarnation)
+            }
+            FleetCommand::Place(place) => scope.place(place),
+            FleetCommand::Throttle { task, attempt, level, reason, rule } => {
+                let reason = StepReason::Throttled(level.0, reason, rule);
+                scope.throttle(&task, attempt, level, reason)
+            }
+            FleetCommand::Evict { task, attempt, reason, rule } => {
+                scope.evict(&task, attempt, StepReason::Relieved(reason, rule))
+            }
+            FleetCommand::Report { worker, incarnation, report } => {
+                scope.report(&worker, incarnation, report)
+            }
+            FleetCommand::MissAttempt { worker, incarnation, task, attempt } => {
+                scope.miss_attempt(&worker, incarnation, &task, attempt)
+            }
+            FleetCommand::Claim(claim) => scope.claim(claim),
+            FleetCommand::Close(close) => {
+                CommandOutcome::Closed(scope.state.ledger.close(at_ms, close))
+            }
+            FleetCommand::ExpireKeys => {
+                scope.state.ledger.expire(at_ms);
+                CommandOutcome::Done
+            }
+            FleetCommand::SettleLease { revision } => {
+                done_if(scope.state.declarations.settle_lease(revision))
+            }
+        }
+    }
+}
+
+fn done_if(done: bool) -> CommandOutcome {
+    if done {
+        return CommandOutcome::Done;
+    }
+    CommandOutcome::Refused(CommandRefusal::OtherState)
+}
+
+/// The state while one command is applied.
+struct ApplyScope<'a> {
+    state: &'a mut FleetState,
+    at_ms: u64,
+    facts: &'a mut Vec<FleetFact>,
+}
+
+impl ApplyScope<'_> {
+    fn claim(&mut self, claim: proto::messages::LedgerClaim) -> CommandOutcome {
+        let bound = self.state.declarations.retention().ledger_keys as usize;
+        match self.state.ledger.claim(self.at_ms, claim, bound) {
+            Some(reply) => CommandOutcome::Claimed(reply),
+            None => CommandOutcome::Refused(CommandRefusal::Full),
+        }
+    }
+
+    fn step_bound(&self) -> usize {
+        self.state.declarations.retention().task_steps as usize
+    }
+}
