Add the soft state of a control leader

Leases, command streams, the numbered table of endpoints, the processes heard from and what the placement model is told belong to one term and are never logged: a new leader builds them from the applied state.

--- /dev/null
+++ b/crates/control/src/leader/planner.rs
@@ -0,0 +1,238 @@
+//! From the applied state to what the placement model is told, and from its decisions to commands.
+
+use {
+    super::LeaderState,
+    crate::state::{
+        FleetCommand, FleetState, JobRecord, PlaceCommand, RuleNote, TaskLife, WorkerRecord,
+    },
+    base::{JobId, TaskId, WorkerId},
+    proto::messages::{JobSpec, PriorityClass, TaskAssignment, TaskCommand, ThrottleLevel},
+    sched::{
+        HeldTask, ReliefReason, SchedDecision, SchedPolicy, SpreadRule, TaskPriority, TeamQuota,
+        WaitingTask, WorkerView,
+    },
+    settings::{PolicySubject, RuleSource},
+    std::time::{Duration, SystemTime},
+};
+
+/// Commands in one entry of the log.
+const COMMANDS_PER_BATCH: usize = 512;
+/// The shortest time between two decisions, so that bursts of changes are decided on together.
+const DECIDE_PAUSE: Duration = Duration::from_millis(20);
+/// The longest time between two decisions: some rest on time alone.
+const DECIDE_AFTER: Duration = Duration::from_millis(500);
+
+impl LeaderState {
+    /// Asks the model for decisions when it is time, and makes them commands.
+    pub(crate) fn decide(
+        &mut self,
+        now: Duration,
+        wall: SystemTime,
+        state: &FleetState,
+    ) -> Vec<FleetCommand> {
+        let pause = if self.undecided { DECIDE_PAUSE } else { DECIDE_AFTER };
+        if self.deciding || now < self.decided_at + pause {
+            return Vec::new();
+        }
+        self.undecided = false;
+        self.decided_at = now;
+        let decisions = self.model.decide(now);
+        let mut commands: Vec<_> = decisions
+            .into_iter()
+            .filter_map(|decision| to_command(decision, wall, state))
+            .take(COMMANDS_PER_BATCH)
+            .collect();
+        let room = COMMANDS_PER_BATCH - commands.len();
+        let drains = drain_commands(state, &commands);
+        commands.extend(drains.into_iter().take(room));
+        self.deciding = !commands.is_empty();
+        commands
+    }
+}
+
+/// Evictions from workers that are to be left.
+fn drain_commands(state: &FleetState, decided: &[FleetCommand]) -> Vec<FleetCommand> {
+    let evicted = |task: &TaskId| {
+        decided.iter().any(|command| matches!(command, FleetCommand::Evict { task: t, .. } if t == task))
+    };
+    let leaving = state.workers().iter().filter(|(_, record)| record.is_draining() && !record.lost);
+    leaving
+        .flat_map(|(_, record)| &record.held)
+        .filter(|task| !evicted(task))
+        .filter_map(|task| {
+            let life = &state.jobs().task(task)?.life;
+            let stays = matches!(life, TaskLife::Placed(_) | TaskLife::Running(_));
+            stays.then(|| FleetCommand::Evict {
+                task: task.clone(),
+                attempt: life.attempt(),
+                reason: ReliefReason::WorkerDraining,
+                rule: RuleNote::BuiltIn,
+            })
+        })
+        .collect()
+}
+
+fn to_command(
+    decision: SchedDecision,
+    wall: SystemTime,
+    state: &FleetState,
+) -> Option<FleetCommand> {
+    let rule = |job: &JobId, section| rule_for(state, wall, job, section);
+    let command = match decision {
+        SchedDecision::Place { task, worker, reserve, reason } => {
+            let attempt = state.jobs().task(&task)?.life.attempt().next();
+            let rule = rule(&task.job, "weights");
+            FleetCommand::Place(PlaceCommand { task, attempt, worker, reserve, reason, rule })
+        }
+        SchedDecision::Throttle { task, attempt, percent, reason } => {
+            let rule = rule(&task.job, "placement");
+            let level = ThrottleLevel(percent);
+            FleetCommand::Throttle { task, attempt, level, reason, rule }
+        }
+        SchedDecision::Evict { task, attempt, reason } => {
+            let rule = rule(&task.job, "placement");
+            FleetCommand::Evict { task, attempt, reason, rule }
+        }
+        SchedDecision::Park { job, reason } => {
+            let rule = rule(&job, "blame");
+            FleetCommand::ParkJob { job, reason, rule }
+        }
+        SchedDecision::Quarantine { worker, jobs } => {
+            FleetCommand::BlameWorker { worker, failed_jobs: Some(jobs) }
+        }
+        SchedDecision::Restore { worker } => {
+            FleetCommand::BlameWorker { worker, failed_jobs: None }
+        }
+    };
+    Some(command)
+}
+
+/// What decided the values of a section for a job: an exception before the default.
+fn rule_for(state: &FleetState, wall: SystemTime, job: &JobId, section: &str) -> RuleNote {
+    let Some(record) = state.jobs().get(job) else { return RuleNote::BuiltIn };
+    let resolved = state.declarations().fleet().policy_for(&job_subject(&record.spec), wall);
+    let in_section = |key: &str| key.strip_prefix(section).is_some_and(|rest| rest.starts_with('.'));
+    let mut found = RuleNote::BuiltIn;
+    for (_, source) in resolved.sources.iter().filter(|(key, _)| in_section(key)) {
+        match source {
+            RuleSource::Exception { .. } => return source.clone().into(),
+            RuleSource::Default => found = RuleNote::Default,
+            RuleSource::BuiltIn => {}
+        }
+    }
+    found
+}
+
+fn job_subject(spec: &JobSpec) -> PolicySubject {
+    PolicySubject {
+        team: Some(spec.team.clone()),
+        class: Some(spec.class.clone()),
+        service: spec.service.clone(),
+        ..PolicySubject::default()
+    }
+}
+
+/// The declared values that the model decides by.
+pub(super) fn sched_policy(state: &FleetState) -> SchedPolicy {
+    let policy = state.declarations().defaults();
+    SchedPolicy {
+        tail_latency_weight: policy.weights.tail_latency,
+        eviction_weight: policy.weights.evictions,
+        throughput_weight: policy.weights.throughput,
+        relief_above_percent: policy.placement.relief_above_percent,
+        throttle_floor_percent: policy.placement.throttle_floor_percent,
+        patience: policy.placement.patience,
+        retry_pairing_after: policy.placement.retry_pairing_after,
+        job_workers: policy.blame.job_workers,
+        worker_jobs: policy.blame.worker_jobs,
+        probe_after: policy.blame.probe_after,
+    }
+}
+
+/// The declared quotas.
+pub(super) fn team_quotas(state: &FleetState) -> Vec<(base::TeamName, TeamQuota)> {
+    let teams = &state.declarations().fleet().teams;
+    let quota = |team: &settings::TeamDeclaration| TeamQuota {
+        quota: team.quota,
+        may_borrow: team.may_borrow,
+    };
+    teams.iter().map(|(name, team)| (name.clone(), quota(team))).collect()
+}
+
+/// A worker as the model sees it.
+pub(super) fn worker_view(worker: &WorkerId, record: &WorkerRecord, leased: bool) -> WorkerView {
+    WorkerView {
+        worker: worker.clone(),
+        data_centre: record.announcement.data_centre.clone(),
+        rack: record.announcement.rack.clone(),
+        capacity: record.announcement.capacity,
+        accepting: leased && record.is_accepting(),
+    }
+}
+
+/// A task that waits, as the model sees it.
+pub(super) fn waiting_task(job: &JobRecord, task: TaskId) -> Option<WaitingTask> {
+    let life = &job.tasks.get(task.index.0 as usize)?.life;
+    let spec = &job.spec;
+    Some(WaitingTask {
+        task,
+        team: spec.team.clone(),
+        class: spec.class.clone(),
+        priority: match spec.priority {
+            PriorityClass::Batch => TaskPriority::Batch,
+            PriorityClass::LatencyCritical => TaskPriority::LatencyCritical,
+            PriorityClass::Urgent => TaskPriority::Urgent,
+        },
+        declared: spec.resources,
+        run_time: spec.run_time,
+        service: spec.service.clone(),
+        spread: SpreadRule {
+            data_centres: spec.placement.data_centres.clone(),
+            most_per_rack: spec.placement.most_per_rack,
+            most_per_data_centre: spec.placement.most_per_data_centre,
+        },
+        checkpoint: life.checkpoint().cloned(),
+    })
+}
+
+/// A task that holds a place, as the model sees it.
+pub(super) fn held_task(job: &JobRecord, task: TaskId) -> Option<HeldTask> {
+    let life = &job.tasks.get(task.index.0 as usize)?.life;
+    let seat = life.seat()?;
+    Some(HeldTask {
+        attempt: life.attempt(),
+        worker: seat.worker.clone(),
+        reserved: seat.reserved,
+        stopping: matches!(life, TaskLife::Stopping(_)),
+        waiting: waiting_task(job, task)?,
+    })
+}
+
+/// What a worker is told of a task that holds a place on it.
+pub(super) fn task_command(job: &JobRecord, task: TaskId) -> Option<TaskCommand> {
+    let life = &job.tasks.get(task.index.0 as usize)?.life;
+    let attempt = life.attempt();
+    let seat = life.seat()?;
+    let command = match life {
+        TaskLife::Placed(_) | TaskLife::Running(_) => {
+            let spec = &job.spec;
+            let assignment = TaskAssignment {
+                task,
+                attempt,
+                class: spec.class.clone(),
+                priority: spec.priority,
+                reserved: seat.reserved,
+                checkpoint: life.checkpoint().cloned(),
+                service: spec.service.clone(),
+                payload: spec.payload.clone(),
+            };
+            TaskCommand::Run { assignment, throttle: seat.throttle }
+        }
+        TaskLife::Stopping(stopping) => match stopping.phase.purpose {
+            crate::state::StopPurpose::Evict => TaskCommand::Evict { task, attempt },
+            crate::state::StopPurpose::Cancel => TaskCommand::Stop { task, attempt },
+        },
+        TaskLife::Waiting(_) | TaskLife::Parked(_) | TaskLife::Ended(_) => return None,
+    };
+    Some(command)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,4 +5,5 @@
 //! declarations from it. The crate knows nothing of how requests are routed or how a worker runs a
 //! task. `mangorouter` starts it; agents, entries and `mangoctl` talk to it.
 
+pub mod leader;
 pub mod state;
--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -149,8 +149,11 @@
     Claim(LedgerClaim),
     /// Closes a claim.
     Close(LedgerClose),
-    /// Forgets idempotency keys whose time is up.
-    ExpireKeys,
+    /// Lets the ledger's clock go on, and forgets idempotency keys whose time is up.
+    PassTime {
+        /// Milliseconds that the leader has seen pass on its monotonic clock.
+        elapsed_ms: u64,
+    },
     /// No lease that is longer than the declared length can be held any more.
     SettleLease {
         /// The revision that declares the length.
--- a/crates/control/src/state/ledger.rs
+++ b/crates/control/src/state/ledger.rs
@@ -38,6 +38,9 @@
 #[derive(Debug, Default)]
 #[derive(Serialize, Deserialize)]
 pub struct LedgerTable {
+    /// Time that leaders have seen pass while there were keys, in milliseconds. Keys age by this
+    /// clock, so that no wall clock that jumps can make one expire early.
+    clock_ms: u64,
     claims: IndexMap<IdempotencyKey, ClaimRecord>,
     answered: VecDeque<IdempotencyKey>,
     answer_bytes: usize,
@@ -62,19 +65,14 @@
         self.claims.is_empty()
     }
 
-    /// True when a key's time is up.
-    pub fn has_expired(&self, at_ms: u64) -> bool {
-        self.deadlines.first().is_some_and(|(until_ms, _)| *until_ms <= at_ms)
-    }
-
     /// Claims a key, or says who has it. `None` when `bound` keys are kept already: forgetting one
     /// before its time would let its request run twice.
-    pub fn claim(&mut self, at_ms: u64, claim: LedgerClaim, bound: usize) -> Option<ClaimReply> {
+    pub fn claim(&mut self, claim: LedgerClaim, bound: usize) -> Option<ClaimReply> {
         let Some(found) = self.claims.get(&claim.key) else {
             if self.claims.len() >= bound {
                 return None;
             }
-            self.hold(at_ms, claim);
+            self.hold(claim);
             return Some(ClaimReply::Granted);
         };
         if found.fingerprint != claim.fingerprint {
@@ -83,7 +81,7 @@
         let reply = match &found.state {
             ClaimState::Held(target) if *target == claim.target => ClaimReply::Granted,
             ClaimState::Held(target) if claim.replaces.as_ref() == Some(&target.dispatch) => {
-                self.hold(at_ms, claim);
+                self.hold(claim);
                 ClaimReply::Granted
             }
             ClaimState::Held(target) => ClaimReply::Held(target.clone()),
@@ -93,12 +91,12 @@
         Some(reply)
     }
 
-    fn hold(&mut self, at_ms: u64, claim: LedgerClaim) {
+    fn hold(&mut self, claim: LedgerClaim) {
         let keep_ms = u64::try_from(claim.keep.as_millis()).unwrap_or(u64::MAX);
         let record = ClaimRecord {
             fingerprint: claim.fingerprint,
             keep_ms,
-            until_ms: at_ms.saturating_add(keep_ms).saturating_add(OPEN_CLAIM_GRACE_MS),
+            until_ms: self.clock_ms.saturating_add(keep_ms).saturating_add(OPEN_CLAIM_GRACE_MS),
             state: ClaimState::Held(claim.target),
         };
         self.put(claim.key, record);
@@ -114,7 +112,7 @@
     }
 
     /// Closes a claim. True when the claim is closed with this dispatch, now or earlier.
-    pub fn close(&mut self, at_ms: u64, close: LedgerClose) -> bool {
+    pub fn close(&mut self, close: LedgerClose) -> bool {
         let Some(found) = self.claims.get(&close.key) else {
             return matches!(close.end, ClaimEnd::NotRun);
         };
@@ -125,7 +123,7 @@
             ClaimState::Lost(dispatch, _) => return *dispatch == close.dispatch,
         }
         let (fingerprint, keep_ms) = (found.fingerprint, found.keep_ms);
-        let until_ms = at_ms.saturating_add(keep_ms);
+        let until_ms = self.clock_ms.saturating_add(keep_ms);
         let state = match close.end {
             ClaimEnd::NotRun => {
                 self.forget(&close.key);
@@ -166,10 +164,11 @@
         }
     }
 
-    /// Forgets the keys whose time is up.
-    pub fn expire(&mut self, at_ms: u64) {
+    /// Lets time pass, and forgets the keys whose time is up.
+    pub fn pass_time(&mut self, elapsed_ms: u64) {
+        self.clock_ms = self.clock_ms.saturating_add(elapsed_ms);
         while let Some((until_ms, key)) = self.deadlines.first().cloned() {
-            if until_ms > at_ms {
+            if until_ms > self.clock_ms {
                 return;
             }
             self.forget(&key);
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -153,10 +153,10 @@
             }
             FleetCommand::Claim(claim) => scope.claim(claim),
             FleetCommand::Close(close) => {
-                CommandOutcome::Closed(scope.state.ledger.close(at_ms, close))
+                CommandOutcome::Closed(scope.state.ledger.close(close))
             }
-            FleetCommand::ExpireKeys => {
-                scope.state.ledger.expire(at_ms);
+            FleetCommand::PassTime { elapsed_ms } => {
+                scope.state.ledger.pass_time(elapsed_ms);
                 CommandOutcome::Done
             }
             FleetCommand::SettleLease { revision } => {
@@ -183,7 +183,7 @@
 impl ApplyScope<'_> {
     fn claim(&mut self, claim: proto::messages::LedgerClaim) -> CommandOutcome {
         let bound = self.state.declarations.retention().ledger_keys as usize;
-        match self.state.ledger.claim(self.at_ms, claim, bound) {
+        match self.state.ledger.claim(claim, bound) {
             Some(reply) => CommandOutcome::Claimed(reply),
             None => CommandOutcome::Refused(CommandRefusal::Full),
         }
--- a/crates/control/src/state/operate.rs
+++ b/crates/control/src/state/operate.rs
@@ -213,7 +213,7 @@
         let Some(record) = self.state.workers.get_mut(&worker) else {
             return CommandOutcome::Refused(CommandRefusal::Unknown);
         };
-        if record.incarnation != incarnation {
+        if record.incarnation > incarnation {
             return CommandOutcome::Refused(CommandRefusal::OtherIncarnation);
         }
         record.lost = true;
--- a/crates/control/src/state/task.rs
+++ b/crates/control/src/state/task.rs
@@ -287,6 +287,11 @@
         }
     }
 
+    /// True when it waits for a place.
+    pub fn is_waiting(&self) -> bool {
+        matches!(self, Self::Waiting(_))
+    }
+
     /// True when it will not run again.
     pub fn is_ended(&self) -> bool {
         matches!(self, Self::Ended(_))
--- a/crates/proto/src/messages/agent.rs
+++ b/crates/proto/src/messages/agent.rs
@@ -108,7 +108,9 @@
     /// The last command that was received.
     pub cursor: CommandCursor,
     /// True when `reports` names every attempt that the agent knows of, so that what control
-    /// believes to be here and is not named has never started.
+    /// believes to be here, told the agent of up to `cursor` and does not find named runs here no
+    /// more and will not start. It must be false while any known attempt can't be named, for
+    /// example because it is about to start: control would start it elsewhere.
     pub reports_complete: bool,
     /// Attempts whose state the leader has not acknowledged yet.
     pub reports: Vec<AttemptReport>,
--- a/crates/proto/src/messages/operator.rs
+++ b/crates/proto/src/messages/operator.rs
@@ -86,6 +86,18 @@
     NoSuchJob,
 }
 
+/// `POST /v1/jobs/JOB/unpark` answers with this.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "result", rename_all = "kebab-case")]
+pub enum UnparkReply {
+    /// The job may be placed again.
+    Accepted,
+    /// The job is not parked.
+    NotParked,
+    /// There is no such job.
+    NoSuchJob,
+}
+
 /// Where a task stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
