--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,16 +5,21 @@
 //! binaries read settings; `control`, `entry` and `agent` resolve declarations. See
 //! `docs/CONFIGURATION.md`.
 
+pub mod check;
 pub mod declaration;
+mod job;
 pub mod process;
+mod schema;
 
 pub use {
+    check::{CheckError, CheckProblem, TextPlace},
     declaration::{
         ExceptionDeclaration, FleetDeclaration, FleetPolicy, PolicySubject, ResolvedPolicy,
         RuleSource, ServiceDeclaration, TeamDeclaration,
     },
+    job::check_job_file,
     process::{
-        AgentSettings, ControlSettings, EntrySettings, MemberSettings, ProcessSettings,
-        RoleSettings,
+        AgentSettings, ControlSettings, DaemonSettings, EntrySettings, LogSettings, MemberSettings,
+        ProcessSettings, RoleSettings, StandInSettings,
     },
 };
