Add the control reducer

One pure reducer embeds the replicated log, applies committed commands, grants leases after a confirmed read, answers operators and entries, and proposes the placement model's decisions.

--- a/crates/control/src/leader/feed.rs
+++ b/crates/control/src/leader/feed.rs
@@ -28,7 +28,7 @@
             for task in job.task_ids() {
                 if let Some(held) = planner::held_task(job, task.clone()) {
                     self.model.hold(now, held);
-                } else if job.tasks[task.index.0 as usize].life.is_waiting() {
+                } else {
                     self.enqueue(now, job, task);
                 }
             }
@@ -36,6 +36,10 @@
     }
 
     fn enqueue(&mut self, now: Duration, job: &JobRecord, task: TaskId) {
+        let record = job.tasks.get(task.index.0 as usize);
+        if !record.is_some_and(|record| record.life.is_waiting()) {
+            return;
+        }
         if let Some(waiting) = planner::waiting_task(job, task) {
             self.model.enqueue(now, waiting);
         }
@@ -83,7 +87,11 @@
                 self.model.set_quotas(planner::team_quotas(state));
             }
             FleetFact::WorkerChanged(worker) => self.worker_changed(now, wall, state, worker),
-            FleetFact::WorkerLost(worker) => self.leases.forget(worker),
+            FleetFact::WorkerLost(worker) => {
+                self.leases.forget(worker);
+                self.stream_of(worker).restart();
+                self.worker_changed(now, wall, state, worker);
+            }
             FleetFact::WorkerForgotten(worker) => {
                 self.model.remove_worker(worker);
                 self.streams.swap_remove(worker);
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -21,7 +21,7 @@
 use {
     crate::state::FleetState,
     base::{TermNumber, WorkerId},
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     sched::FleetModel,
     std::time::{Duration, SystemTime},
 };
@@ -55,6 +55,8 @@
     pub(crate) ledger_at: Duration,
     /// True while the ledger's clock or the lease bound waits to be committed.
     pub(crate) housekeeping: bool,
+    /// Workers whose reports wait to be committed.
+    pub(crate) reporting: IndexSet<WorkerId>,
     /// The lease terms of each worker under the present declarations.
     terms: IndexMap<WorkerId, LeaseTerms>,
 }
@@ -76,6 +78,7 @@
             revision_at: now,
             ledger_at: now,
             housekeeping: false,
+            reporting: IndexSet::new(),
             terms: IndexMap::new(),
         };
         leader.rebuild(now, wall, state);
--- a/crates/control/src/leader/streams.rs
+++ b/crates/control/src/leader/streams.rs
@@ -56,6 +56,14 @@
         self.issued.swap_remove(&(task.clone(), attempt));
     }
 
+    /// Drops every command: the worker's lease has expired, and what it was to be told of does not
+    /// hold any more. Whatever its cursor is, it is told everything when it comes back.
+    pub fn restart(&mut self) {
+        self.sequence += 1;
+        self.commands.clear();
+        self.issued.clear();
+    }
+
     /// What a worker with this cursor is to be told.
     pub fn after(&mut self, cursor: CommandCursor) -> StreamReply {
         if cursor.term != self.term || cursor.sequence == 0 || cursor.sequence > self.sequence {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,4 +6,5 @@
 //! task. `mangorouter` starts it; agents, entries and `mangoctl` talk to it.
 
 pub mod leader;
+pub mod node;
 pub mod state;
--- /dev/null
+++ b/crates/control/src/node/heartbeat.rs
@@ -0,0 +1,275 @@
+//! Heartbeats: what a worker says is proposed at once, and its lease is renewed once the lead is
+//! confirmed.
+
+use {
+    super::{log::ProposalOwner, reads::WaitingRead, ControlNode, NodeReply},
+    crate::{
+        leader::{HeartbeatVerdict, LeaderState, ProcessNote},
+        state::{FleetCommand, FleetState, TaskLife},
+    },
+    base::{AttemptNumber, IncarnationNumber, ReplyTicket, RevisionNumber, TaskId, WorkerId},
+    proto::{
+        messages::{
+            AgentHeartbeat, AttemptReport, AttemptState, CommandCursor, HeartbeatReply,
+            LeaseRenewal, TablePull, TableReply, TaskCommand,
+        },
+        rpc::RpcRefusal,
+    },
+    std::time::Duration,
+};
+
+/// The time after which a worker is asked again to name every attempt that it knows of.
+const REPORT_ALL_AFTER: Duration = Duration::from_secs(30);
+
+/// A heartbeat that waits for the lead to be confirmed.
+#[derive(Debug)]
+pub(super) struct WaitingHeartbeat {
+    pub(super) ticket: ReplyTicket,
+    worker: WorkerId,
+    incarnation: IncarnationNumber,
+    cursor: CommandCursor,
+    received_at: Duration,
+    revision: RevisionNumber,
+    finals: Vec<(TaskId, AttemptNumber)>,
+    running: Vec<(TaskId, AttemptNumber)>,
+}
+
+impl WaitingHeartbeat {
+    fn new(
+        ticket: ReplyTicket,
+        received_at: Duration,
+        revision: RevisionNumber,
+        heartbeat: &AgentHeartbeat,
+    ) -> Self {
+        let name = |report: &AttemptReport| (report.task.clone(), report.attempt);
+        let runs = |report: &&AttemptReport| report.state == AttemptState::Running;
+        let (running, finals): (Vec<_>, Vec<_>) = heartbeat.reports.iter().partition(runs);
+        Self {
+            ticket,
+            worker: heartbeat.worker.clone(),
+            incarnation: heartbeat.incarnation,
+            cursor: heartbeat.cursor,
+            received_at,
+            revision,
+            finals: finals.into_iter().map(name).collect(),
+            running: running.into_iter().map(name).collect(),
+        }
+    }
+}
+
+impl ControlNode {
+    pub(super) fn take_heartbeat(
+        &mut self,
+        ticket: ReplyTicket,
+        note: ProcessNote,
+        heartbeat: AgentHeartbeat,
+    ) {
+        let now = self.now;
+        let known = self.state.workers().get(&heartbeat.worker);
+        let Some(leader) = &mut self.leader else {
+            let leader = self.leader_hint();
+            let reply = HeartbeatReply::NotLeader { leader };
+            return self.reply(ticket, NodeReply::Heartbeat(reply));
+        };
+        let newest = known.map(|record| record.incarnation);
+        let verdict = match newest.filter(|newest| *newest > heartbeat.incarnation) {
+            Some(newest) => HeartbeatVerdict::Superseded(newest),
+            None => {
+                let AgentHeartbeat { worker, incarnation, sequence, .. } = &heartbeat;
+                leader.leases.receive(worker, *incarnation, *sequence)
+            }
+        };
+        let refusal = match verdict {
+            HeartbeatVerdict::Current => None,
+            HeartbeatVerdict::Late => Some(NodeReply::Refused(RpcRefusal::Overloaded)),
+            HeartbeatVerdict::Superseded(incarnation) => {
+                Some(NodeReply::Heartbeat(HeartbeatReply::Superseded { incarnation }))
+            }
+            HeartbeatVerdict::Ending => {
+                Some(NodeReply::Heartbeat(HeartbeatReply::NotLeader { leader: None }))
+            }
+        };
+        if let Some(refusal) = refusal {
+            return self.reply(ticket, refusal);
+        }
+        let waiting = WaitingHeartbeat::new(ticket, now, note.revision, &heartbeat);
+        let announced = heartbeat.announcement.as_ref();
+        let announcement = announced.or(known.map(|record| &record.announcement));
+        if let Some(announcement) = announcement {
+            leader.processes.hear(now, note, announcement.operator_address);
+        }
+        let commands = worker_commands(leader, &self.state, &heartbeat);
+        if heartbeat.reports_complete {
+            leader.leases.note_complete(now, &heartbeat.worker);
+        }
+        if let Some(usage) = heartbeat.usage {
+            leader.sample(now, &heartbeat.worker, usage);
+        }
+        if !commands.is_empty() {
+            leader.reporting.insert(heartbeat.worker.clone());
+            self.propose(ProposalOwner::Worker(heartbeat.worker), commands);
+        }
+        self.wait_for_confirmation(WaitingRead::Heartbeat(Box::new(waiting)));
+    }
+
+    /// Renews the lease of a worker, the lead being confirmed after its heartbeat was received.
+    pub(super) fn answer_heartbeat(&mut self, waiting: WaitingHeartbeat) {
+        let (now, wall) = (self.now, self.wall());
+        let Some(leader) = &mut self.leader else { return };
+        let WaitingHeartbeat { ticket, worker, incarnation, cursor, received_at, .. } = &waiting;
+        let terms = leader.terms_of(worker, wall, &self.state);
+        let Some(first) = leader.leases.renew(worker, *incarnation, *received_at, terms) else {
+            let reply = HeartbeatReply::NotLeader { leader: None };
+            return self.reply(*ticket, NodeReply::Heartbeat(reply));
+        };
+        if first {
+            leader.worker_renewed(worker, &self.state);
+        }
+        let (commands_complete, mut commands) = leader.commands_for(worker, *cursor, &self.state);
+        let complete_at = leader.leases.complete_at(worker);
+        let strays = waiting.running.iter().filter(|(task, attempt)| {
+            holder_of(&self.state, task, *attempt) != Some(worker)
+        });
+        commands.extend(strays.map(|(task, attempt)| TaskCommand::Stop {
+            task: task.clone(),
+            attempt: *attempt,
+        }));
+        let settled = waiting.finals.iter().filter(|(task, attempt)| {
+            holder_of(&self.state, task, *attempt) != Some(worker)
+        });
+        let renewal = LeaseRenewal {
+            lease: terms.length,
+            report_all: complete_at.is_none_or(|at| now >= at + REPORT_ALL_AFTER),
+            cursor: leader.stream_of(worker).cursor(),
+            commands_complete,
+            commands,
+            acknowledged: settled.cloned().collect(),
+            declarations: self.state.declarations().newer_than(waiting.revision),
+        };
+        let reply = HeartbeatReply::Renewed(Box::new(renewal));
+        self.reply(*ticket, NodeReply::Heartbeat(reply));
+    }
+
+    pub(super) fn take_table_pull(
+        &mut self,
+        ticket: ReplyTicket,
+        note: ProcessNote,
+        pull: TablePull,
+    ) {
+        let now = self.now;
+        let Some(leader) = &mut self.leader else {
+            let leader = self.leader_hint();
+            return self.reply(ticket, NodeReply::Table(TableReply::NotLeader { leader }));
+        };
+        let revision = note.revision;
+        leader.processes.hear(now, note, pull.operator_address);
+        self.wait_for_confirmation(WaitingRead::Table { ticket, pull, revision });
+    }
+
+    pub(super) fn answer_table_pull(
+        &mut self,
+        ticket: ReplyTicket,
+        pull: &TablePull,
+        revision: RevisionNumber,
+    ) {
+        let Some(leader) = &self.leader else { return };
+        let mut changes = leader.table.changes_since(pull.known);
+        changes.declarations = self.state.declarations().newer_than(revision);
+        self.reply(ticket, NodeReply::Table(TableReply::Changes(Box::new(changes))));
+    }
+}
+
+/// The worker that holds an attempt.
+fn holder_of<'a>(
+    state: &'a FleetState,
+    task: &TaskId,
+    attempt: AttemptNumber,
+) -> Option<&'a WorkerId> {
+    let life = &state.jobs().task(task)?.life;
+    if life.attempt() != attempt {
+        return None;
+    }
+    life.seat().map(|seat| &seat.worker)
+}
+
+/// What a heartbeat says that the log does not know yet.
+fn worker_commands(
+    leader: &mut LeaderState,
+    state: &FleetState,
+    heartbeat: &AgentHeartbeat,
+) -> Vec<FleetCommand> {
+    let AgentHeartbeat { worker, incarnation, .. } = heartbeat;
+    let incarnation = *incarnation;
+    let mut commands = Vec::new();
+    let known = state.workers().get(worker);
+    let kept = known.filter(|record| record.lost && record.incarnation == incarnation);
+    let announced = heartbeat.announcement.as_ref().filter(|announcement| {
+        known.is_none_or(|record| {
+            record.lost
+                || record.incarnation != incarnation
+                || record.announcement != **announcement
+        })
+    });
+    if let Some(announcement) = announced.or(kept.map(|record| &record.announcement)) {
+        commands.push(FleetCommand::SeeWorker {
+            worker: worker.clone(),
+            incarnation,
+            announcement: announcement.clone(),
+        });
+    }
+    if let Some(endpoints) = &heartbeat.endpoints {
+        if !commands.is_empty() || known.is_some_and(|record| record.endpoints != *endpoints) {
+            commands.push(FleetCommand::SeeEndpoints {
+                worker: worker.clone(),
+                incarnation,
+                endpoints: endpoints.clone(),
+            });
+        }
+    }
+    if leader.reporting.contains(worker) {
+        return commands;
+    }
+    let news = heartbeat.reports.iter().filter(|report| is_news(state, worker, report));
+    commands.extend(news.map(|report| FleetCommand::Report {
+        worker: worker.clone(),
+        incarnation,
+        report: report.clone(),
+    }));
+    if heartbeat.reports_complete {
+        commands.extend(missing_attempts(leader, state, heartbeat));
+    }
+    commands
+}
+
+fn is_news(state: &FleetState, worker: &WorkerId, report: &AttemptReport) -> bool {
+    if holder_of(state, &report.task, report.attempt) != Some(worker) {
+        return false;
+    }
+    let life = state.jobs().task(&report.task).map(|record| &record.life);
+    report.state != AttemptState::Running || matches!(life, Some(TaskLife::Placed(_)))
+}
+
+/// Attempts that control believes to be on the worker, that the worker was told of in this term
+/// and that it does not name although it names all it knows of.
+fn missing_attempts(
+    leader: &mut LeaderState,
+    state: &FleetState,
+    heartbeat: &AgentHeartbeat,
+) -> Vec<FleetCommand> {
+    let AgentHeartbeat { worker, incarnation, cursor, reports, .. } = heartbeat;
+    let Some(record) = state.workers().get(worker) else { return Vec::new() };
+    let stream = leader.stream_of(worker);
+    let missing = record.held.iter().filter_map(|task| {
+        let attempt = state.jobs().task(task)?.life.attempt();
+        let named = reports.iter().any(|report| report.task == *task && report.attempt == attempt);
+        (!named && stream.has_been_told(*cursor, task, attempt)).then(|| (task.clone(), attempt))
+    });
+    missing
+        .map(|(task, attempt)| FleetCommand::MissAttempt {
+            worker: worker.clone(),
+            incarnation: *incarnation,
+            task,
+            attempt,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/control/src/node/housekeeping.rs
@@ -0,0 +1,103 @@
+//! What a leader does as time passes.
+
+use {
+    super::{log::ProposalOwner, ControlNode},
+    crate::state::FleetCommand,
+    base::WorkerId,
+    std::time::Duration,
+};
+
+/// The time between two entries that move the ledger's clock, while there are keys.
+const LEDGER_STEP: Duration = Duration::from_secs(10);
+/// By how much the leader's clock may run fast, in thousandths: keys must not age faster than
+/// their owners believe.
+const CLOCK_DRIFT_PERMILLE: u32 = 10;
+const PERMILLE: u32 = 1000;
+
+impl ControlNode {
+    pub(super) fn keep_house(&mut self) {
+        self.lose_expired();
+        self.move_clocks();
+    }
+
+    fn lose_expired(&mut self) {
+        let now = self.now;
+        let Some(leader) = &mut self.leader else { return };
+        leader.processes.forget_silent(now);
+        let expired = leader.leases.take_expired(now);
+        if expired.is_empty() {
+            return;
+        }
+        let workers = expired.iter().map(|(worker, _)| worker.clone()).collect();
+        let loss = |(worker, incarnation)| FleetCommand::LoseWorker { worker, incarnation };
+        let commands = expired.into_iter().map(loss).collect();
+        self.propose(ProposalOwner::Losses(workers), commands);
+    }
+
+    /// A worker whose loss came to nothing is judged again.
+    pub(super) fn losses_settled(&mut self, workers: &[WorkerId]) {
+        let Some(leader) = &mut self.leader else { return };
+        for worker in workers {
+            match self.state.workers().get(worker) {
+                Some(record) if !record.lost => leader.leases.retry_ending(worker),
+                _ => leader.leases.forget(worker),
+            }
+        }
+    }
+
+    fn move_clocks(&mut self) {
+        let now = self.now;
+        let Some(leader) = &mut self.leader else { return };
+        if leader.housekeeping {
+            return;
+        }
+        let mut commands = Vec::new();
+        if self.state.ledger().is_empty() {
+            leader.ledger_at = now;
+        } else if now >= leader.ledger_at + LEDGER_STEP {
+            let elapsed = now - leader.ledger_at;
+            let certain = elapsed - elapsed * CLOCK_DRIFT_PERMILLE / PERMILLE;
+            commands.push(FleetCommand::PassTime { elapsed_ms: certain.as_millis() as u64 });
+            leader.ledger_at = now;
+        }
+        let declarations = self.state.declarations();
+        let bound = declarations.lease_bound();
+        let settled_at = leader.gained_at.max(leader.revision_at) + bound * 2;
+        if bound > declarations.declared_lease() && now >= settled_at {
+            commands.push(FleetCommand::SettleLease { revision: declarations.revision() });
+        }
+        if !commands.is_empty() {
+            leader.housekeeping = true;
+            self.propose(ProposalOwner::Housekeeping, commands);
+        }
+    }
+
+    /// Time that was not committed is lost: keys are kept longer, never shorter.
+    pub(super) fn housekeeping_settled(&mut self) {
+        if let Some(leader) = &mut self.leader {
+            leader.housekeeping = false;
+        }
+    }
+
+    pub(super) fn decide(&mut self) {
+        let (now, wall) = (self.now, self.wall());
+        let Some(leader) = &mut self.leader else { return };
+        let commands = leader.decide(now, wall, &self.state);
+        if !commands.is_empty() {
+            self.propose(ProposalOwner::Decisions, commands);
+        }
+    }
+
+    pub(super) fn decisions_settled(&mut self) {
+        if let Some(leader) = &mut self.leader {
+            leader.deciding = false;
+            leader.undecided = true;
+        }
+    }
+
+    pub(super) fn worker_settled(&mut self, worker: &WorkerId) {
+        if let Some(leader) = &mut self.leader {
+            leader.reporting.swap_remove(worker);
+        }
+    }
+}
