--- /dev/null
+++ b/crates/control/src/driver/storage_thread.rs
@@ -0,0 +1,32 @@
+//! The thread that writes and syncs the log. The reducer hands it one batch at a time and gathers
+//! what comes meanwhile, so that one sync serves many entries.
+
+use {
+    crate::node::NodeEvent,
+    crossbeam::channel::{Receiver, Sender},
+    quorum::{LogStorage, PersistBatch},
+    telemetry::{ControlEvent, ProcessContext},
+};
+
+/// Runs until the reducer is gone.
+pub(super) fn run_storage(
+    mut storage: LogStorage,
+    batches: &Receiver<PersistBatch>,
+    written: &Sender<NodeEvent>,
+    context: &ProcessContext,
+) {
+    for batch in batches {
+        let number = batch.number;
+        let report = match storage.persist(&batch) {
+            Ok(()) => NodeEvent::Persisted { number },
+            Err(error) => {
+                let reason = error.to_string();
+                context.recorder.record(&ControlEvent::StorageFailed { reason });
+                NodeEvent::PersistFailed { number }
+            }
+        };
+        if written.send(report).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/control/src/leader/feed.rs
+++ b/crates/control/src/leader/feed.rs
@@ -167,9 +167,8 @@
             return (false, commands);
         }
         let held = state.workers().get(worker).into_iter().flat_map(|record| &record.held);
-        let command = |task: &TaskId| {
-            planner::task_command(state.jobs().get(&task.job)?, task.clone())
-        };
+        let command =
+            |task: &TaskId| planner::task_command(state.jobs().get(&task.job)?, task.clone());
         (true, held.filter_map(command).collect())
     }
 
--- a/crates/control/src/leader/planner.rs
+++ b/crates/control/src/leader/planner.rs
@@ -53,7 +53,9 @@
 /// Evictions from workers that are to be left.
 fn drain_commands(state: &FleetState, decided: &[FleetCommand]) -> Vec<FleetCommand> {
     let evicted = |task: &TaskId| {
-        decided.iter().any(|command| matches!(command, FleetCommand::Evict { task: t, .. } if t == task))
+        decided
+            .iter()
+            .any(|command| matches!(command, FleetCommand::Evict { task: t, .. } if t == task))
     };
     let leaving = state.workers().iter().filter(|(_, record)| record.is_draining() && !record.lost);
     leaving
@@ -111,7 +113,8 @@
 fn rule_for(state: &FleetState, wall: SystemTime, job: &JobId, section: &str) -> RuleNote {
     let Some(record) = state.jobs().get(job) else { return RuleNote::BuiltIn };
     let resolved = state.declarations().fleet().policy_for(&job_subject(&record.spec), wall);
-    let in_section = |key: &str| key.strip_prefix(section).is_some_and(|rest| rest.starts_with('.'));
+    let in_section =
+        |key: &str| key.strip_prefix(section).is_some_and(|rest| rest.starts_with('.'));
     let mut found = RuleNote::BuiltIn;
     for (_, source) in resolved.sources.iter().filter(|(key, _)| in_section(key)) {
         match source {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,3 +8,7 @@
 pub mod leader;
 pub mod node;
 pub mod state;
+
+mod driver;
+
+pub use driver::{ControlProcess, QuorumAcknowledgement, QuorumEnvelope, StartError};
--- a/crates/control/src/node/heartbeat.rs
+++ b/crates/control/src/node/heartbeat.rs
@@ -127,16 +127,18 @@
         }
         let (commands_complete, mut commands) = leader.commands_for(worker, *cursor, &self.state);
         let complete_at = leader.leases.complete_at(worker);
-        let strays = waiting.running.iter().filter(|(task, attempt)| {
-            holder_of(&self.state, task, *attempt) != Some(worker)
-        });
-        commands.extend(strays.map(|(task, attempt)| TaskCommand::Stop {
-            task: task.clone(),
-            attempt: *attempt,
-        }));
-        let settled = waiting.finals.iter().filter(|(task, attempt)| {
-            holder_of(&self.state, task, *attempt) != Some(worker)
-        });
+        let strays = waiting
+            .running
+            .iter()
+            .filter(|(task, attempt)| holder_of(&self.state, task, *attempt) != Some(worker));
+        commands.extend(
+            strays
+                .map(|(task, attempt)| TaskCommand::Stop { task: task.clone(), attempt: *attempt }),
+        );
+        let settled = waiting
+            .finals
+            .iter()
+            .filter(|(task, attempt)| holder_of(&self.state, task, *attempt) != Some(worker));
         let renewal = LeaseRenewal {
             lease: terms.length,
             report_all: complete_at.is_none_or(|at| now >= at + REPORT_ALL_AFTER),
--- a/crates/control/src/node/operator.rs
+++ b/crates/control/src/node/operator.rs
@@ -9,8 +9,8 @@
     crate::state::{CommandOutcome, CommandRefusal, DeclarationChange, FleetCommand},
     base::{JobId, ReplyTicket},
     proto::messages::operator::{
-        ApplyReply, ApplyRequest, MemberReply, MemberRequest, OperatorProblem,
-        OperatorProblemKind, UnparkReply,
+        ApplyReply, ApplyRequest, MemberReply, MemberRequest, OperatorProblem, OperatorProblemKind,
+        UnparkReply,
     },
     quorum::{MemberChange, ProposalError, QuorumEvent},
     settings::FleetDeclaration,
--- a/crates/control/src/node/reads.rs
+++ b/crates/control/src/node/reads.rs
@@ -5,9 +5,7 @@
 //! is under way share the next one.
 
 use {
-    super::{
-        heartbeat::WaitingHeartbeat, ControlNode, NodeReply, OperatorAnswer, OperatorCall,
-    },
+    super::{heartbeat::WaitingHeartbeat, ControlNode, NodeReply, OperatorAnswer, OperatorCall},
     base::{ReplyTicket, RevisionNumber},
     proto::{
         messages::{HeartbeatReply, TablePull, TableReply},
@@ -25,11 +23,7 @@
     /// A heartbeat.
     Heartbeat(Box<WaitingHeartbeat>),
     /// A pull of the table.
-    Table {
-        ticket: ReplyTicket,
-        pull: TablePull,
-        revision: RevisionNumber,
-    },
+    Table { ticket: ReplyTicket, pull: TablePull, revision: RevisionNumber },
     /// An operator's question.
     Operator { ticket: ReplyTicket, call: OperatorCall },
 }
@@ -115,9 +109,7 @@
     fn refuse_read(&mut self, read: WaitingRead) {
         let leader = self.leader_hint().filter(|(replica, _)| *replica != self.core.replica());
         let reply = match &read {
-            WaitingRead::Heartbeat(_) => {
-                NodeReply::Heartbeat(HeartbeatReply::NotLeader { leader })
-            }
+            WaitingRead::Heartbeat(_) => NodeReply::Heartbeat(HeartbeatReply::NotLeader { leader }),
             WaitingRead::Table { .. } => NodeReply::Table(TableReply::NotLeader { leader }),
             WaitingRead::Operator { .. } => {
                 NodeReply::Operator(OperatorAnswer::Problem(self.not_leader()))
--- a/crates/control/src/state/declarations.rs
+++ b/crates/control/src/state/declarations.rs
@@ -33,9 +33,8 @@
 impl DeclarationTable {
     /// The table of a new cluster: the empty folder, revision zero.
     pub fn new() -> Self {
-        let mut table = Self::default();
-        table.lease_bound = longest_lease(&FleetDeclaration::default());
-        table
+        let lease_bound = longest_lease(&FleetDeclaration::default());
+        Self { lease_bound, ..Self::default() }
     }
 
     /// Makes what is derived from the files again, after they were read from a snapshot.
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -152,9 +152,7 @@
                 scope.miss_attempt(&worker, incarnation, &task, attempt)
             }
             FleetCommand::Claim(claim) => scope.claim(claim),
-            FleetCommand::Close(close) => {
-                CommandOutcome::Closed(scope.state.ledger.close(close))
-            }
+            FleetCommand::Close(close) => CommandOutcome::Closed(scope.state.ledger.close(close)),
             FleetCommand::PassTime { elapsed_ms } => {
                 scope.state.ledger.pass_time(elapsed_ms);
                 CommandOutcome::Done
