--- a/crates/mangorouter/src/daemon/running.rs
+++ b/crates/mangorouter/src/daemon/running.rs
@@ -24,7 +24,7 @@
 }
 
 /// A role that runs.
-pub(crate) struct RunningRole {
+pub struct RunningRole {
     context: ProcessContext,
     role: StartedRole,
     port: OperatorPort,
@@ -32,7 +32,7 @@
 
 impl RunningRole {
     /// Starts the role and then its operators' port, so that what answers there is ready to.
-    pub(crate) fn start(settings: &ProcessSettings) -> Result<Self, DaemonFailure> {
+    pub fn start(settings: &ProcessSettings) -> Result<Self, DaemonFailure> {
         let context = context(settings);
         context.recorder.record(&ProcessEvent::Started {
             name: settings.name.clone(),
@@ -53,12 +53,12 @@
     }
 
     /// Where operators reach the process.
-    pub(crate) fn operator_address(&self) -> PeerAddress {
+    pub fn operator_address(&self) -> PeerAddress {
         self.port.address()
     }
 
     /// Drains the role and returns when nothing is in progress.
-    pub(crate) fn shut_down(self) {
+    pub fn shut_down(self) {
         self.context.set_ready(false);
         let reason = "asked to stop".to_owned();
         self.context.recorder.record(&ProcessEvent::ShutdownBegan { reason });
--- a/crates/mangorouter/src/dev/fleet.rs
+++ b/crates/mangorouter/src/dev/fleet.rs
@@ -26,16 +26,17 @@
 pub(super) const SERVICE: &str = "demo";
 
 /// Everything that `dev` runs.
-pub(super) struct DevFleet {
+pub struct DevFleet {
     /// In the order in which they are shut down: those that take work first.
     roles: Vec<RunningRole>,
     callers: PeerAddress,
     operators: Vec<PeerAddress>,
+    control_peers: Vec<PeerAddress>,
 }
 
 impl DevFleet {
     /// Starts three control processes, an entry, and three workers with an executor each.
-    pub(super) fn start(data: &Path) -> Result<Self, DaemonFailure> {
+    pub fn start(data: &Path) -> Result<Self, DaemonFailure> {
         let plan = FleetPlan::reserve()?;
         let mut roles = Vec::new();
         let callers = free_address()?;
@@ -52,19 +53,25 @@
             operators.push(running.operator_address());
             roles.push(running);
         }
-        Ok(Self { roles, callers, operators })
+        let control_peers = plan.founders.iter().map(|founder| founder.address).collect();
+        Ok(Self { roles, callers, operators, control_peers })
     }
 
     /// Where callers are answered.
-    pub(super) fn callers(&self) -> PeerAddress {
+    pub fn callers(&self) -> PeerAddress {
         self.callers
     }
 
     /// Where operators reach the control processes.
-    pub(super) fn operators(&self) -> &[PeerAddress] {
+    pub fn operators(&self) -> &[PeerAddress] {
         &self.operators
     }
 
+    /// Where other processes reach the control processes.
+    pub fn control_peers(&self) -> &[PeerAddress] {
+        &self.control_peers
+    }
+
     /// Tells how to go on by hand.
     pub(super) fn print_addresses(&self) {
         let operators: Vec<_> = self.operators.iter().map(ToString::to_string).collect();
@@ -75,7 +82,7 @@
     }
 
     /// Drains everything.
-    pub(super) fn shut_down(self) {
+    pub fn shut_down(self) {
         self.roles.into_iter().for_each(RunningRole::shut_down);
     }
 }
@@ -87,9 +94,8 @@
 
 impl FleetPlan {
     fn reserve() -> Result<Self, DaemonFailure> {
-        let founder = |number| {
-            Ok(MemberSettings { replica: ReplicaId(number), address: free_address()? })
-        };
+        let founder =
+            |number| Ok(MemberSettings { replica: ReplicaId(number), address: free_address()? });
         let founders: Result<_, DaemonFailure> = (1..=REPLICAS).map(founder).collect();
         Ok(Self { founders: founders? })
     }
--- a/crates/mangorouter/src/dev/mod.rs
+++ b/crates/mangorouter/src/dev/mod.rs
@@ -4,6 +4,8 @@
 mod demonstration;
 mod fleet;
 
+pub use fleet::DevFleet;
+
 use {
     crate::{
         arguments::DevOptions,
@@ -11,7 +13,6 @@
         failure::{DaemonFailure, FileSnafu, SignalsSnafu},
         logging,
     },
-    fleet::DevFleet,
     settings::LogSettings,
     signal_hook::{
         consts::{SIGINT, SIGTERM},
--- a/crates/mangorouter/src/failure/mod.rs
+++ b/crates/mangorouter/src/failure/mod.rs
@@ -9,36 +9,68 @@
 /// Every way in which the daemon fails to start.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
-pub(crate) enum DaemonFailure {
+pub enum DaemonFailure {
     /// The command line can't be understood.
     #[snafu(display("{detail}\nTry \"mangorouter --help\"."))]
-    Usage { detail: String },
+    Usage {
+        /// What is wrong with it.
+        detail: String,
+    },
     /// A file can't be read or written.
     #[snafu(display("{}: {source}", path.display()))]
-    File { path: PathBuf, source: io::Error },
+    File {
+        /// The file.
+        path: PathBuf,
+        /// What the system reported.
+        source: io::Error,
+    },
     /// The settings have errors.
     #[snafu(display("{}", list(errors)))]
-    Invalid { errors: Vec<CheckError> },
+    Invalid {
+        /// Every error.
+        errors: Vec<CheckError>,
+    },
     /// The settings are for another role.
     #[snafu(display("the settings are for role {found}, not {wanted}"))]
-    OtherRole { wanted: String, found: &'static str },
+    OtherRole {
+        /// The role of the command line.
+        wanted: String,
+        /// The role of the settings.
+        found: &'static str,
+    },
     /// The log can't be written.
     #[snafu(display("the log can't be set up: {source}"))]
-    Log { source: log::SetLoggerError },
+    Log {
+        /// What the library reported.
+        source: log::SetLoggerError,
+    },
     /// Signals can't be waited for.
     #[snafu(display("signals can't be waited for: {source}"))]
-    Signals { source: io::Error },
+    Signals {
+        /// What the system reported.
+        source: io::Error,
+    },
     /// The role can't start.
     #[snafu(display("{role} can't start: {source}"))]
-    Start { role: &'static str, source: Box<dyn std::error::Error> },
+    Start {
+        /// What was to start.
+        role: &'static str,
+        /// Why it can't.
+        source: Box<dyn std::error::Error>,
+    },
     /// A step of the demonstration did not do what it shows.
     #[snafu(display("the demonstration failed at {step:?}: {detail}"))]
-    Demonstration { step: &'static str, detail: String },
+    Demonstration {
+        /// The step.
+        step: &'static str,
+        /// What happened instead.
+        detail: String,
+    },
 }
 
 impl DaemonFailure {
     /// The exit code: 1 could not run, 2 usage, 3 errors in settings.
-    pub(crate) fn exit_code(&self) -> u8 {
+    pub fn exit_code(&self) -> u8 {
         match self {
             Self::Usage { .. } => 2,
             Self::File { .. } | Self::Invalid { .. } | Self::OtherRole { .. } => 3,
