Never give up an attempt on a worker that may still start it

An agent names only attempts that it can report on, and one that is being started can't be reported yet. Taking its silence for absence would start the task in a second place. An attempt that is to run is therefore told again and never given up; one that is to stop is given up only when this life of the agent was told to stop it and never told to run it. Commands are given only to lives that the log knows.

A new leader no longer calls workers it has not heard from unaccepting, which made the model evict their tasks; it places nothing on them instead. It also tells the model which workers are quarantined and which tasks are throttled.

--- a/crates/control/src/leader/feed.rs
+++ b/crates/control/src/leader/feed.rs
@@ -3,12 +3,23 @@
 use {
     super::{planner, LeaderState, StreamReply},
     crate::state::{FleetFact, FleetState, JobRecord, WorkerRecord},
-    base::{TaskId, WorkerId},
-    proto::messages::{CommandCursor, TaskCommand, UsageReport},
-    sched::{ServiceSample, TaskSample, WorkerSample},
+    base::{IncarnationNumber, TaskId, WorkerId},
+    proto::messages::{CommandCursor, TaskCommand, ThrottleLevel, UsageReport},
+    sched::{HeldTask, ServiceSample, TaskSample, WorkerSample},
     std::time::{Duration, SystemTime},
 };
 
+/// What a worker is told.
+#[derive(Debug)]
+pub(crate) struct WorkerOrders {
+    /// Where the worker stands in the stream afterwards.
+    pub(crate) cursor: CommandCursor,
+    /// True when what is not named is to be stopped.
+    pub(crate) complete: bool,
+    /// The commands.
+    pub(crate) commands: Vec<TaskCommand>,
+}
+
 impl LeaderState {
     /// Builds everything from the applied state. Every worker may hold a lease that an earlier
     /// leader gave it in its last moment.
@@ -17,6 +28,9 @@
         let bound = state.declarations().lease_bound();
         for (worker, record) in state.workers().iter() {
             self.sync_worker(worker, record);
+            if record.failed_jobs.is_some() {
+                self.model.quarantined(now, worker);
+            }
             self.table.set_worker(worker, Some(record));
             if !record.lost {
                 let terms = self.terms_of(worker, wall, state);
@@ -27,7 +41,7 @@
         for (_, job) in state.jobs().iter() {
             for task in job.task_ids() {
                 if let Some(held) = planner::held_task(job, task.clone()) {
-                    self.model.hold(now, held);
+                    self.rebuild_held(now, state, held);
                 } else {
                     self.enqueue(now, job, task);
                 }
@@ -35,6 +49,21 @@
         }
     }
 
+    /// An earlier leader may have told the worker of the attempt.
+    fn rebuild_held(&mut self, now: Duration, state: &FleetState, held: HeldTask) {
+        let (task, attempt) = (held.waiting.task.clone(), held.attempt);
+        let worker = held.worker.clone();
+        self.model.hold(now, held);
+        let seat = state.jobs().task(&task).and_then(|record| record.life.seat());
+        if let Some(throttle) = seat.map(|seat| seat.throttle).filter(|t| *t < ThrottleLevel::FULL)
+        {
+            self.model.throttled(now, &task, attempt, throttle.0);
+        }
+        if let Some(record) = state.workers().get(&worker) {
+            self.stream_of(&worker).note_told(&task, attempt, record.incarnation);
+        }
+    }
+
     fn enqueue(&mut self, now: Duration, job: &JobRecord, task: TaskId) {
         let record = job.tasks.get(task.index.0 as usize);
         if !record.is_some_and(|record| record.life.is_waiting()) {
@@ -46,8 +75,7 @@
     }
 
     fn sync_worker(&mut self, worker: &WorkerId, record: &WorkerRecord) {
-        let leased = self.leases.is_held(worker);
-        self.model.set_worker(planner::worker_view(worker, record, leased));
+        self.model.set_worker(planner::worker_view(worker, record));
     }
 
     /// Tells the model about a worker whose lease has been renewed for the first time.
@@ -156,20 +184,36 @@
         self.stream_of(&seat.worker).push(task, attempt, command);
     }
 
-    /// What a worker with this cursor is to be told, and whether that is everything.
+    /// What a worker with this cursor is to be told, and whether that is everything. A life of
+    /// which the log does not know yet is told nothing.
     pub(crate) fn commands_for(
         &mut self,
         worker: &WorkerId,
+        life: IncarnationNumber,
         cursor: CommandCursor,
         state: &FleetState,
-    ) -> (bool, Vec<TaskCommand>) {
-        if let StreamReply::Delta(commands) = self.stream_of(worker).after(cursor) {
-            return (false, commands);
+    ) -> WorkerOrders {
+        let record = state.workers().get(worker);
+        let Some(record) = record.filter(|record| !record.lost && record.incarnation == life)
+        else {
+            return WorkerOrders { cursor, complete: false, commands: Vec::new() };
+        };
+        let stream = self.stream_of(worker);
+        let (complete, commands) = match stream.after(cursor) {
+            StreamReply::Delta(commands) => (false, commands),
+            StreamReply::Everything => {
+                let command = |task: &TaskId| {
+                    planner::task_command(state.jobs().get(&task.job)?, task.clone())
+                };
+                (true, record.held.iter().filter_map(command).collect())
+            }
+        };
+        for command in &commands {
+            if let TaskCommand::Run { assignment, .. } = command {
+                stream.note_told(&assignment.task, assignment.attempt, life);
+            }
         }
-        let held = state.workers().get(worker).into_iter().flat_map(|record| &record.held);
-        let command =
-            |task: &TaskId| planner::task_command(state.jobs().get(&task.job)?, task.clone());
-        (true, held.filter_map(command).collect())
+        WorkerOrders { cursor: stream.cursor(), complete, commands }
     }
 
     /// Learns from a measurement.
--- a/crates/control/src/leader/planner.rs
+++ b/crates/control/src/leader/planner.rs
@@ -3,13 +3,14 @@
 use {
     super::LeaderState,
     crate::state::{
-        FleetCommand, FleetState, JobRecord, PlaceCommand, RuleNote, TaskLife, WorkerRecord,
+        FleetCommand, FleetState, JobRecord, PlaceCommand, RuleNote, StopPurpose, TaskLife,
+        WorkerRecord,
     },
     base::{JobId, TaskId, WorkerId},
     proto::messages::{JobSpec, PriorityClass, TaskAssignment, TaskCommand, ThrottleLevel},
     sched::{
-        HeldTask, ReliefReason, SchedDecision, SchedPolicy, SpreadRule, TaskPriority, TeamQuota,
-        WaitingTask, WorkerView,
+        HeldTask, SchedDecision, SchedPolicy, SpreadRule, TaskPriority, TeamQuota, WaitingTask,
+        WorkerView,
     },
     settings::{PolicySubject, RuleSource},
     std::time::{Duration, SystemTime},
@@ -37,41 +38,24 @@
         self.undecided = false;
         self.decided_at = now;
         let decisions = self.model.decide(now);
-        let mut commands: Vec<_> = decisions
+        let commands: Vec<_> = decisions
             .into_iter()
+            .filter(|decision| self.is_possible(decision))
             .filter_map(|decision| to_command(decision, wall, state))
             .take(COMMANDS_PER_BATCH)
             .collect();
-        let room = COMMANDS_PER_BATCH - commands.len();
-        let drains = drain_commands(state, &commands);
-        commands.extend(drains.into_iter().take(room));
         self.deciding = !commands.is_empty();
         commands
     }
-}
 
-/// Evictions from workers that are to be left.
-fn drain_commands(state: &FleetState, decided: &[FleetCommand]) -> Vec<FleetCommand> {
-    let evicted = |task: &TaskId| {
-        decided
-            .iter()
-            .any(|command| matches!(command, FleetCommand::Evict { task: t, .. } if t == task))
-    };
-    let leaving = state.workers().iter().filter(|(_, record)| record.is_draining() && !record.lost);
-    leaving
-        .flat_map(|(_, record)| &record.held)
-        .filter(|task| !evicted(task))
-        .filter_map(|task| {
-            let life = &state.jobs().task(task)?.life;
-            let stays = matches!(life, TaskLife::Placed(_) | TaskLife::Running(_));
-            stays.then(|| FleetCommand::Evict {
-                task: task.clone(),
-                attempt: life.attempt(),
-                reason: ReliefReason::WorkerDraining,
-                rule: RuleNote::BuiltIn,
-            })
-        })
-        .collect()
+    /// A worker that has not been heard from in this term is given nothing: whether its lease holds
+    /// is not known yet.
+    fn is_possible(&self, decision: &SchedDecision) -> bool {
+        match decision {
+            SchedDecision::Place { worker, .. } => self.leases.is_held(worker),
+            _ => true,
+        }
+    }
 }
 
 fn to_command(
@@ -163,13 +147,13 @@
 }
 
 /// A worker as the model sees it.
-pub(super) fn worker_view(worker: &WorkerId, record: &WorkerRecord, leased: bool) -> WorkerView {
+pub(super) fn worker_view(worker: &WorkerId, record: &WorkerRecord) -> WorkerView {
     WorkerView {
         worker: worker.clone(),
         data_centre: record.announcement.data_centre.clone(),
         rack: record.announcement.rack.clone(),
         capacity: record.announcement.capacity,
-        accepting: leased && record.is_accepting(),
+        accepting: record.is_accepting(),
     }
 }
 
@@ -232,8 +216,8 @@
             TaskCommand::Run { assignment, throttle: seat.throttle }
         }
         TaskLife::Stopping(stopping) => match stopping.phase.purpose {
-            crate::state::StopPurpose::Evict => TaskCommand::Evict { task, attempt },
-            crate::state::StopPurpose::Cancel => TaskCommand::Stop { task, attempt },
+            StopPurpose::Evict => TaskCommand::Evict { task, attempt },
+            StopPurpose::Cancel => TaskCommand::Stop { task, attempt },
         },
         TaskLife::Waiting(_) | TaskLife::Parked(_) | TaskLife::Ended(_) => return None,
     };
--- a/crates/control/src/leader/streams.rs
+++ b/crates/control/src/leader/streams.rs
@@ -1,7 +1,7 @@
 //! The numbered commands to one worker.
 
 use {
-    base::{AttemptNumber, TaskId, TermNumber},
+    base::{AttemptNumber, IncarnationNumber, TaskId, TermNumber},
     indexmap::IndexMap,
     proto::messages::{CommandCursor, TaskCommand},
     std::collections::VecDeque,
@@ -26,14 +26,23 @@
     term: TermNumber,
     sequence: u64,
     commands: VecDeque<(u64, TaskCommand)>,
+    /// The last command about each attempt that holds the worker.
     issued: IndexMap<(TaskId, AttemptNumber), u64>,
+    /// The life that was last told to run each attempt, which knows it ever since.
+    told: IndexMap<(TaskId, AttemptNumber), IncarnationNumber>,
 }
 
 impl CommandStream {
     /// An empty stream. Its first command has number 2, so that a worker that has heard nothing of
     /// the term can't be taken for one that has heard all.
     pub fn new(term: TermNumber) -> Self {
-        Self { term, sequence: 1, commands: VecDeque::new(), issued: IndexMap::new() }
+        Self {
+            term,
+            sequence: 1,
+            commands: VecDeque::new(),
+            issued: IndexMap::new(),
+            told: IndexMap::new(),
+        }
     }
 
     /// Where the stream ends.
@@ -45,7 +54,7 @@
     pub fn push(&mut self, task: &TaskId, attempt: AttemptNumber, command: TaskCommand) {
         self.sequence += 1;
         self.commands.push_back((self.sequence, command));
-        self.issued.entry((task.clone(), attempt)).or_insert(self.sequence);
+        self.issued.insert((task.clone(), attempt), self.sequence);
         if self.commands.len() > COMMANDS_LIMIT {
             self.commands.pop_front();
         }
@@ -53,7 +62,9 @@
 
     /// Forgets an attempt that does not hold the worker any more, and the commands about it.
     pub fn forget(&mut self, task: &TaskId, attempt: AttemptNumber) {
-        self.issued.swap_remove(&(task.clone(), attempt));
+        let id = (task.clone(), attempt);
+        self.issued.swap_remove(&id);
+        self.told.swap_remove(&id);
     }
 
     /// Drops every command: the worker's lease has expired, and what it was to be told of does not
@@ -62,6 +73,7 @@
         self.sequence += 1;
         self.commands.clear();
         self.issued.clear();
+        self.told.clear();
     }
 
     /// What a worker with this cursor is to be told.
@@ -79,14 +91,25 @@
         StreamReply::Delta(self.commands.iter().map(|(_, command)| command.clone()).collect())
     }
 
-    /// True when a worker with this cursor has been told of the attempt.
-    pub fn has_been_told(
+    /// Notes that a life of the worker has been told to run an attempt.
+    pub fn note_told(&mut self, task: &TaskId, attempt: AttemptNumber, life: IncarnationNumber) {
+        self.told.insert((task.clone(), attempt), life);
+    }
+
+    /// True when a life of the worker that does not name the attempt, although it names all that it
+    /// knows of, proves that the attempt neither runs there nor will: the life was never told to
+    /// run it, and was told to stop it.
+    pub fn proves_absence(
         &self,
+        life: IncarnationNumber,
         cursor: CommandCursor,
         task: &TaskId,
         attempt: AttemptNumber,
     ) -> bool {
-        let issued = self.issued.get(&(task.clone(), attempt)).copied().unwrap_or(0);
-        cursor.term == self.term && cursor.sequence > 0 && cursor.sequence >= issued
+        let id = (task.clone(), attempt);
+        let issued = self.issued.get(&id).copied().unwrap_or(0);
+        let told_to_stop =
+            cursor.term == self.term && cursor.sequence > 0 && cursor.sequence >= issued;
+        told_to_stop && self.told.get(&id) != Some(&life)
     }
 }
--- a/crates/control/src/node/heartbeat.rs
+++ b/crates/control/src/node/heartbeat.rs
@@ -125,27 +125,20 @@
         if first {
             leader.worker_renewed(worker, &self.state);
         }
-        let (commands_complete, mut commands) = leader.commands_for(worker, *cursor, &self.state);
+        let mut orders = leader.commands_for(worker, *incarnation, *cursor, &self.state);
         let complete_at = leader.leases.complete_at(worker);
-        let strays = waiting
-            .running
-            .iter()
-            .filter(|(task, attempt)| holder_of(&self.state, task, *attempt) != Some(worker));
-        commands.extend(
-            strays
-                .map(|(task, attempt)| TaskCommand::Stop { task: task.clone(), attempt: *attempt }),
-        );
-        let settled = waiting
-            .finals
-            .iter()
-            .filter(|(task, attempt)| holder_of(&self.state, task, *attempt) != Some(worker));
+        let elsewhere = |(task, attempt): &&(TaskId, AttemptNumber)| {
+            holder_of(&self.state, task, *attempt) != Some(worker)
+        };
+        let strays = waiting.running.iter().filter(elsewhere).cloned();
+        orders.commands.extend(strays.map(|(task, attempt)| TaskCommand::Stop { task, attempt }));
         let renewal = LeaseRenewal {
             lease: terms.length,
             report_all: complete_at.is_none_or(|at| now >= at + REPORT_ALL_AFTER),
-            cursor: leader.stream_of(worker).cursor(),
-            commands_complete,
-            commands,
-            acknowledged: settled.cloned().collect(),
+            cursor: orders.cursor,
+            commands_complete: orders.complete,
+            commands: orders.commands,
+            acknowledged: waiting.finals.iter().filter(elsewhere).cloned().collect(),
             declarations: self.state.declarations().newer_than(waiting.revision),
         };
         let reply = HeartbeatReply::Renewed(Box::new(renewal));
@@ -251,8 +244,8 @@
     report.state != AttemptState::Running || matches!(life, Some(TaskLife::Placed(_)))
 }
 
-/// Attempts that control believes to be on the worker, that the worker was told of in this term
-/// and that it does not name although it names all it knows of.
+/// Attempts that are to stop, and of which this life of the worker proves that it never knew them.
+/// An attempt that is to run needs no such proof: the life is told to run it.
 fn missing_attempts(
     leader: &mut LeaderState,
     state: &FleetState,
@@ -262,16 +255,16 @@
     let Some(record) = state.workers().get(worker) else { return Vec::new() };
     let stream = leader.stream_of(worker);
     let missing = record.held.iter().filter_map(|task| {
-        let attempt = state.jobs().task(task)?.life.attempt();
+        let TaskLife::Stopping(stopping) = &state.jobs().task(task)?.life else { return None };
+        let attempt = stopping.attempt;
         let named = reports.iter().any(|report| report.task == *task && report.attempt == attempt);
-        (!named && stream.has_been_told(*cursor, task, attempt)).then(|| (task.clone(), attempt))
-    });
-    missing
-        .map(|(task, attempt)| FleetCommand::MissAttempt {
+        let absent = !named && stream.proves_absence(*incarnation, *cursor, task, attempt);
+        absent.then(|| FleetCommand::MissAttempt {
             worker: worker.clone(),
             incarnation: *incarnation,
-            task,
+            task: task.clone(),
             attempt,
         })
-        .collect()
+    });
+    missing.collect()
 }
--- a/crates/control/src/state/task.rs
+++ b/crates/control/src/state/task.rs
@@ -46,7 +46,7 @@
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Waiting {
-    /// True when it was stopped to run elsewhere.
+    /// True when it resumes from a checkpoint.
     pub evicted: bool,
 }
 
@@ -145,9 +145,10 @@
 impl<S: SeatedPhase> Task<S> {
     /// Leaves its place, which is confirmed to be empty, to run elsewhere. A checkpoint of this
     /// attempt replaces an earlier one.
-    pub fn leave(self, checkpoint: Option<CheckpointId>, evicted: bool) -> Task<Waiting> {
-        let mut task = self.enter(Waiting { evicted });
+    pub fn leave(self, checkpoint: Option<CheckpointId>) -> Task<Waiting> {
+        let mut task = self.enter(Waiting { evicted: false });
         task.checkpoint = checkpoint.or(task.checkpoint);
+        task.phase.evicted = task.checkpoint.is_some();
         task
     }
 
--- a/crates/control/src/state/transition.rs
+++ b/crates/control/src/state/transition.rs
@@ -22,7 +22,7 @@
 enum SeatExit {
     Finished,
     Failed,
-    Left { checkpoint: Option<CheckpointId>, evicted: bool },
+    Left { checkpoint: Option<CheckpointId> },
 }
 
 impl ApplyScope<'_> {
@@ -130,7 +130,7 @@
         match report.state {
             AttemptState::Running => self.start(task),
             AttemptState::Refused(refusal) => {
-                let exit = SeatExit::Left { checkpoint: None, evicted: false };
+                let exit = SeatExit::Left { checkpoint: None };
                 let reason = StepReason::Refused(refusal_text(&refusal));
                 self.vacate(task, exit, AttemptEnd::Refused, reason)
             }
@@ -143,7 +143,7 @@
                 self.vacate(task, SeatExit::Failed, AttemptEnd::Failed, reason)
             }
             AttemptState::Stopped { checkpoint } => {
-                let exit = SeatExit::Left { checkpoint, evicted: true };
+                let exit = SeatExit::Left { checkpoint };
                 self.vacate(task, exit, AttemptEnd::Stopped, StepReason::Stopped)
             }
         }
@@ -164,7 +164,7 @@
 
     /// A task whose attempt runs no more, without a word of how it ended.
     pub(super) fn lose_attempt(&mut self, task: &TaskId, reason: StepReason) -> CommandOutcome {
-        let exit = SeatExit::Left { checkpoint: None, evicted: true };
+        let exit = SeatExit::Left { checkpoint: None };
         self.vacate(task, exit, AttemptEnd::Stopped, reason)
     }
 
@@ -245,9 +245,7 @@
         match exit {
             SeatExit::Finished => TaskLife::Ended(seated.end(EndPhase::Finished)),
             SeatExit::Failed => self.wait_again(task, seated.fail()),
-            SeatExit::Left { checkpoint, evicted } => {
-                self.wait_again(task, seated.leave(checkpoint, evicted))
-            }
+            SeatExit::Left { checkpoint } => self.wait_again(task, seated.leave(checkpoint)),
         }
     }
 
--- a/crates/sched/src/blame/mod.rs
+++ b/crates/sched/src/blame/mod.rs
@@ -100,6 +100,11 @@
         self.workers.entry(worker.clone()).or_default().refuse(now);
     }
 
+    /// Holds a worker back as another model decided.
+    pub(crate) fn note_quarantined(&mut self, now: Duration, worker: &WorkerId) {
+        self.workers.entry(worker.clone()).or_default().quarantine(now);
+    }
+
     /// Failures on a worker that fails everything say nothing about the jobs.
     fn quarantine(&mut self, now: Duration, worker: &WorkerId) {
         let blame = self.workers.entry(worker.clone()).or_default();
--- a/crates/sched/src/fleet/mod.rs
+++ b/crates/sched/src/fleet/mod.rs
@@ -154,6 +154,12 @@
         self.set_throttle(now, task, attempt, percent);
     }
 
+    /// Notes a worker that is held back, for a model that did not decide it itself.
+    pub fn quarantined(&mut self, now: Duration, worker: &WorkerId) {
+        self.clock = now;
+        self.blame.note_quarantined(now, worker);
+    }
+
     /// Learns how an attempt ended. Comes before [`FleetModel::release`].
     pub fn outcome(
         &mut self,
