Outlast elections in every operator's call

Cause: a test that runs the commands of docs/CLI.md against a running fleet found that a read failed at once while no leader was known, where a tired operator expects the command to wait.

--- a/crates/mangoctl/src/commands/declarations.rs
+++ b/crates/mangoctl/src/commands/declarations.rs
@@ -1,20 +1,18 @@
 //! `check`, `diff` and `apply`.
 
 use {
-    super::{client, resend, submission, wait_until},
+    super::{submission, wait_until},
     crate::{
         arguments::CommandCall,
         failure::CommandFailure,
+        fleet_client::FleetClient,
         folder::{check_files, read_folder},
         output::{confirm, show},
     },
     base::RevisionNumber,
-    proto::{
-        messages::{
-            operator::{ApplyReply, ApplyRequest, FleetStatus},
-            DeclarationBundle,
-        },
-        operator_client::OperatorClient,
+    proto::messages::{
+        operator::{ApplyReply, ApplyRequest, FleetStatus},
+        DeclarationBundle,
     },
     serde::Serialize,
     settings::declaration::RuleChange,
@@ -58,7 +56,7 @@
 /// Shows what applying a folder would change.
 pub(super) fn diff(call: &CommandCall, folder: &Path) -> Result<(), CommandFailure> {
     let fleet = check_files(&read_folder(folder)?)?;
-    let changes = changes(&client(call)?, &fleet)?;
+    let changes = changes(&FleetClient::new(call)?, &fleet)?;
     show(call, &changes, describe)
 }
 
@@ -66,7 +64,7 @@
 pub(super) fn apply(call: &CommandCall, folder: &Path) -> Result<(), CommandFailure> {
     let files = read_folder(folder)?;
     let fleet = check_files(&files)?;
-    let client = client(call)?;
+    let client = FleetClient::new(call)?;
     let found = changes(&client, &fleet)?;
     let base = call.base.unwrap_or(found.base);
     if !call.json {
@@ -74,7 +72,7 @@
     }
     confirm(call, &format!("This replaces revision {base} on the whole fleet."))?;
     let request = ApplyRequest { submission: submission(call), base, files };
-    let reply: ApplyReply = resend(call, || client.post("/v1/declarations", &request))?;
+    let reply: ApplyReply = client.submit("/v1/declarations", &request)?;
     let revision = match &reply {
         ApplyReply::Accepted { revision } => *revision,
         ApplyReply::Conflict { current } => {
@@ -103,7 +101,7 @@
 
 fn wait_in_force(
     call: &CommandCall,
-    client: &OperatorClient,
+    client: &FleetClient,
     revision: RevisionNumber,
 ) -> Result<usize, CommandFailure> {
     wait_until(call, || {
@@ -122,7 +120,7 @@
 }
 
 fn changes(
-    client: &OperatorClient,
+    client: &FleetClient,
     fleet: &settings::FleetDeclaration,
 ) -> Result<FolderChanges, CommandFailure> {
     let bundle: DeclarationBundle = client.get("/v1/declarations")?;
--- a/crates/mangoctl/src/commands/explain.rs
+++ b/crates/mangoctl/src/commands/explain.rs
@@ -1,10 +1,10 @@
 //! `explain task`, `worker` and `policy`.
 
 use {
-    super::client,
     crate::{
         arguments::CommandCall,
         failure::CommandFailure,
+        fleet_client::FleetClient,
         folder::{check_files, read_folder},
         output::{show, table},
     },
@@ -25,7 +25,7 @@
 }
 
 fn decisions(call: &CommandCall, path: &str) -> Result<(), CommandFailure> {
-    let reply: ExplainReply = client(call)?.get(path)?;
+    let reply: ExplainReply = FleetClient::new(call)?.get(path)?;
     show(call, &reply, |reply| {
         let mut text = format!("{}\n", reply.subject);
         for decision in &reply.decisions {
@@ -50,7 +50,7 @@
 pub(super) fn policy(call: &CommandCall) -> Result<(), CommandFailure> {
     let files = match &call.folder {
         Some(folder) => read_folder(folder)?,
-        None => client(call)?.get::<DeclarationBundle>("/v1/declarations")?.files,
+        None => FleetClient::new(call)?.get::<DeclarationBundle>("/v1/declarations")?.files,
     };
     let resolved = check_files(&files)?.policy_for(&call.subject, SystemTime::now());
     let values: Vec<ExplainedValue> = resolved
--- a/crates/mangoctl/src/commands/jobs.rs
+++ b/crates/mangoctl/src/commands/jobs.rs
@@ -1,19 +1,17 @@
 //! `job submit`, `list`, `show`, `cancel` and `unpark`.
 
 use {
-    super::{client, resend, submission, wait_until},
+    super::{submission, wait_until},
     crate::{
         arguments::CommandCall,
         failure::{CommandFailure, FileSnafu},
+        fleet_client::FleetClient,
         output::{confirm, show, table},
     },
     base::JobId,
-    proto::{
-        messages::{
-            operator::{CancelReply, JobStatus, SubmitReply, SubmitRequest, TaskPhase, TaskStatus},
-            JobSpec,
-        },
-        operator_client::OperatorClient,
+    proto::messages::{
+        operator::{CancelReply, JobStatus, SubmitReply, SubmitRequest, TaskPhase, TaskStatus},
+        JobSpec,
     },
     snafu::ResultExt,
     std::{fs, path::Path},
@@ -28,9 +26,9 @@
         .try_into()
         .map_err(|error: toml::de::Error| CommandFailure::Usage { detail: error.to_string() })?;
     let name = job.id.clone();
-    let client = client(call)?;
+    let client = FleetClient::new(call)?;
     let request = SubmitRequest { submission: submission(call), job };
-    let reply: SubmitReply = resend(call, || client.post("/v1/jobs", &request))?;
+    let reply: SubmitReply = client.submit("/v1/jobs", &request)?;
     match &reply {
         SubmitReply::Accepted { job } => {
             show(call, &reply, |_| format!("job {job} is accepted\n"))?;
@@ -54,7 +52,7 @@
 
 /// Lists jobs.
 pub(super) fn list(call: &CommandCall) -> Result<(), CommandFailure> {
-    let jobs: Vec<JobStatus> = client(call)?.get("/v1/jobs")?;
+    let jobs: Vec<JobStatus> = FleetClient::new(call)?.get("/v1/jobs")?;
     show(call, &jobs, |jobs| {
         let rows: Vec<Vec<String>> = jobs.iter().map(job_row).collect();
         table(&["job", "team", "class", "priority", "tasks", "phases"], &rows)
@@ -63,13 +61,13 @@
 
 /// Shows a job.
 pub(super) fn show_job(call: &CommandCall, job: &JobId) -> Result<(), CommandFailure> {
-    let status: JobStatus = client(call)?.get(&format!("/v1/jobs/{job}"))?;
+    let status: JobStatus = FleetClient::new(call)?.get(&format!("/v1/jobs/{job}"))?;
     show(call, &status, describe_job)
 }
 
 /// Stops a job for good.
 pub(super) fn cancel(call: &CommandCall, job: &JobId) -> Result<(), CommandFailure> {
-    let client = client(call)?;
+    let client = FleetClient::new(call)?;
     let status: JobStatus = client.get(&format!("/v1/jobs/{job}"))?;
     let about = format!(
         "This stops job {job} of team {} for good ({}).",
@@ -100,13 +98,14 @@
 
 /// Lets a parked job be tried again.
 pub(super) fn unpark(call: &CommandCall, job: &JobId) -> Result<(), CommandFailure> {
-    let reply: serde_json::Value = client(call)?.post(&format!("/v1/jobs/{job}/unpark"), &())?;
+    let reply: serde_json::Value =
+        FleetClient::new(call)?.post(&format!("/v1/jobs/{job}/unpark"), &())?;
     show(call, &reply, |_| format!("job {job} will be tried again\n"))
 }
 
 fn wait_ended(
     call: &CommandCall,
-    client: &OperatorClient,
+    client: &FleetClient,
     job: &JobId,
 ) -> Result<JobStatus, CommandFailure> {
     wait_until(call, || {
--- a/crates/mangoctl/src/commands/members.rs
+++ b/crates/mangoctl/src/commands/members.rs
@@ -1,10 +1,10 @@
 //! `member add`, `promote` and `remove`.
 
 use {
-    super::client,
     crate::{
         arguments::CommandCall,
         failure::CommandFailure,
+        fleet_client::FleetClient,
         output::{confirm, show},
     },
     base::{PeerAddress, ReplicaId},
@@ -34,7 +34,7 @@
 }
 
 fn change(call: &CommandCall, request: &MemberRequest, done: String) -> Result<(), CommandFailure> {
-    let reply: MemberReply = client(call)?.post("/v1/members", request)?;
+    let reply: MemberReply = FleetClient::new(call)?.post("/v1/members", request)?;
     match &reply {
         MemberReply::Accepted => show(call, &reply, |_| done),
         MemberReply::Refused { reason } => Err(CommandFailure::Refused { detail: reason.clone() }),
--- a/crates/mangoctl/src/commands/mod.rs
+++ b/crates/mangoctl/src/commands/mod.rs
@@ -14,7 +14,6 @@
         failure::CommandFailure,
     },
     base::SubmissionId,
-    proto::operator_client::{OperatorClient, OperatorError},
     std::{
         process, thread,
         time::{Duration, Instant, SystemTime},
@@ -23,8 +22,6 @@
 
 /// The time between two looks at what is waited for.
 const LOOK_AGAIN: Duration = Duration::from_millis(200);
-/// The time between two tries of a call whose answer was lost.
-const RESEND_PAUSE: Duration = Duration::from_millis(300);
 
 /// Runs a command.
 pub(crate) fn run(call: &CommandCall) -> Result<(), CommandFailure> {
@@ -50,14 +47,6 @@
     }
 }
 
-fn client(call: &CommandCall) -> Result<OperatorClient, CommandFailure> {
-    if call.peers.is_empty() {
-        let detail = "say where control is: --at ADDRESS or MANGOROUTER_OPERATOR".to_owned();
-        return Err(CommandFailure::Usage { detail });
-    }
-    Ok(OperatorClient::new(call.peers.clone(), call.timeout))
-}
-
 /// The name of a change: the operator's, or a new one.
 fn submission(call: &CommandCall) -> SubmissionId {
     if let Some(submission) = &call.submission {
@@ -68,36 +57,6 @@
     SubmissionId::new(&text).expect("digits and dashes make a name")
 }
 
-/// Sends a change that has a submission id until it is answered or the time is up. Resending is
-/// safe: control gives the first answer again.
-fn resend<T>(
-    call: &CommandCall,
-    send: impl Fn() -> Result<T, OperatorError>,
-) -> Result<T, CommandFailure> {
-    let started = Instant::now();
-    loop {
-        match send() {
-            Err(error) if is_unresolved(&error) && started.elapsed() < call.timeout => {
-                crate::output::progress("no answer yet; resending the same submission");
-                thread::sleep(RESEND_PAUSE);
-            }
-            outcome => return Ok(outcome?),
-        }
-    }
-}
-
-fn is_unresolved(error: &OperatorError) -> bool {
-    match error {
-        OperatorError::Unreachable { .. } | OperatorError::NoAnswer { .. } => true,
-        OperatorError::BadAnswer { .. } => false,
-        OperatorError::Problem { problem } => matches!(
-            problem.kind,
-            proto::messages::operator::OperatorProblemKind::Unconfirmed
-                | proto::messages::operator::OperatorProblemKind::Overloaded
-        ),
-    }
-}
-
 /// Looks again and again until `look` finds what is waited for or the time is up.
 fn wait_until<T>(
     call: &CommandCall,
--- a/crates/mangoctl/src/commands/status.rs
+++ b/crates/mangoctl/src/commands/status.rs
@@ -1,10 +1,10 @@
 //! `status`.
 
 use {
-    super::client,
     crate::{
         arguments::CommandCall,
         failure::CommandFailure,
+        fleet_client::FleetClient,
         output::{show, table},
     },
     proto::messages::operator::FleetStatus,
@@ -12,7 +12,7 @@
 
 /// Shows the fleet.
 pub(super) fn show_fleet(call: &CommandCall) -> Result<(), CommandFailure> {
-    let status: FleetStatus = client(call)?.get("/v1/status")?;
+    let status: FleetStatus = FleetClient::new(call)?.get("/v1/status")?;
     show(call, &status, describe)
 }
 
--- a/crates/mangoctl/src/commands/timeline.rs
+++ b/crates/mangoctl/src/commands/timeline.rs
@@ -1,14 +1,14 @@
 //! `timeline`: the events of all processes in causal order.
 
 use {
-    super::client,
     crate::{
         arguments::CommandCall,
         failure::{CommandFailure, FileSnafu},
+        fleet_client::FleetClient,
         output::show,
     },
     base::{HybridStamp, PeerAddress, ProcessName},
-    proto::{messages::operator::FleetStatus, operator_client::OperatorClient},
+    proto::messages::operator::FleetStatus,
     snafu::ResultExt,
     std::{collections::BTreeMap, fs, thread, time::Duration},
     telemetry::{
@@ -24,7 +24,7 @@
     let filter = EventFilter { fields: call.events.fields.clone(), ..EventFilter::default() };
     let mut records = read_files(call)?;
     let mut reader = match call.events.files.is_empty() || !call.peers.is_empty() {
-        true => Some(FleetReader::find(client(call)?)?),
+        true => Some(FleetReader::find(FleetClient::new(call)?)?),
         false => None,
     };
     if let Some(reader) = &mut reader {
@@ -83,12 +83,12 @@
 
 /// Reads the events of every process that control has heard from, each from where it left off.
 struct FleetReader {
-    client: OperatorClient,
+    client: FleetClient,
     processes: BTreeMap<ProcessName, (PeerAddress, HybridStamp)>,
 }
 
 impl FleetReader {
-    fn find(client: OperatorClient) -> Result<Self, CommandFailure> {
+    fn find(client: FleetClient) -> Result<Self, CommandFailure> {
         let status: FleetStatus = client.get("/v1/status")?;
         let processes = status
             .processes
--- a/crates/mangoctl/src/commands/workers.rs
+++ b/crates/mangoctl/src/commands/workers.rs
@@ -1,22 +1,20 @@
 //! `worker drain` and `undrain`.
 
 use {
-    super::{client, wait_until},
+    super::wait_until,
     crate::{
         arguments::CommandCall,
         failure::CommandFailure,
+        fleet_client::FleetClient,
         output::{confirm, show},
     },
     base::WorkerId,
-    proto::{
-        messages::operator::{DrainReply, FleetStatus},
-        operator_client::OperatorClient,
-    },
+    proto::messages::operator::{DrainReply, FleetStatus},
 };
 
 /// Moves the tasks of a worker away.
 pub(super) fn drain(call: &CommandCall, worker: &WorkerId) -> Result<(), CommandFailure> {
-    let client = client(call)?;
+    let client = FleetClient::new(call)?;
     let about = match tasks_on(&client, worker)? {
         Some(tasks) => format!("This moves {tasks} tasks away from {worker}."),
         None => return Err(no_such_worker(worker)),
@@ -39,12 +37,12 @@
 
 /// Gives a worker tasks again.
 pub(super) fn undrain(call: &CommandCall, worker: &WorkerId) -> Result<(), CommandFailure> {
-    change(call, &client(call)?, worker, "undrain")
+    change(call, &FleetClient::new(call)?, worker, "undrain")
 }
 
 fn change(
     call: &CommandCall,
-    client: &OperatorClient,
+    client: &FleetClient,
     worker: &WorkerId,
     verb: &str,
 ) -> Result<(), CommandFailure> {
@@ -55,7 +53,7 @@
     }
 }
 
-fn tasks_on(client: &OperatorClient, worker: &WorkerId) -> Result<Option<u32>, CommandFailure> {
+fn tasks_on(client: &FleetClient, worker: &WorkerId) -> Result<Option<u32>, CommandFailure> {
     let status: FleetStatus = client.get("/v1/status")?;
     Ok(status.workers.iter().find(|found| found.worker == *worker).map(|found| found.tasks))
 }
--- a/crates/mangoctl/src/main.rs
+++ b/crates/mangoctl/src/main.rs
@@ -5,6 +5,7 @@
 mod arguments;
 mod commands;
 mod failure;
+mod fleet_client;
 mod folder;
 mod output;
 
