Play scenarios and seeded schedules of the agent, and mend what they found

Cause: the agent's promises under failure had no proof: lease end while control is silent, restarts with running tasks, repeated dispatches, fences, drain, over-admission, commands of deposed leaders, revisions over restarts.

Mended on the way: - a superseded agent asked to be woken at once for ever; - a leader that acknowledged an end and still named the attempt got it started a second time: the agent now remembers what it forgot; - an attempt that was never started before its lease ended was reported as stopped instead of refused; - with no leader, members were tried five times a second: now once an interval after each has been tried; - the change of leader was recorded for members that did not answer.

--- a/crates/agent/src/reducer/attempts.rs
+++ b/crates/agent/src/reducer/attempts.rs
@@ -2,12 +2,15 @@
 
 use {
     crate::platform::{AttemptId, PlatformState},
-    base::{CheckpointId, ResourceVector, TaskId},
+    base::{AttemptNumber, CheckpointId, ResourceVector, TaskId},
     indexmap::IndexMap,
     proto::messages::{AttemptReport, AttemptState, StartRefusal, TaskAssignment, ThrottleLevel},
     std::time::Duration,
 };
 
+/// The number of tasks whose latest ended attempt is remembered.
+const FORGOTTEN_LIMIT: usize = 4096;
+
 /// What is wanted of an attempt. Only moves down this list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum AttemptGoal {
@@ -148,9 +151,27 @@
 pub(super) struct AttemptTable {
     /// The attempts.
     pub(super) attempts: IndexMap<AttemptId, LocalAttempt>,
+    /// The latest attempt of each task whose end the leader has acknowledged, oldest first.
+    forgotten: IndexMap<TaskId, AttemptNumber>,
 }
 
 impl AttemptTable {
+    /// Forgets an attempt whose end the leader has acknowledged, but for its number.
+    pub(super) fn forget(&mut self, id: &AttemptId) {
+        self.attempts.shift_remove(id);
+        let latest = self.forgotten.shift_remove(&id.task).unwrap_or_default();
+        if self.forgotten.len() >= FORGOTTEN_LIMIT {
+            self.forgotten.shift_remove_index(0);
+        }
+        self.forgotten.insert(id.task.clone(), latest.max(id.attempt));
+    }
+
+    /// True when the attempt, or a later one of its task, has ended here before. Commands for it
+    /// are leftovers: it must not be started a second time.
+    pub(super) fn was_forgotten(&self, id: &AttemptId) -> bool {
+        self.forgotten.get(&id.task).is_some_and(|latest| id.attempt <= *latest)
+    }
+
     /// True when another attempt of the task may run.
     pub(super) fn other_may_run(&self, id: &AttemptId) -> bool {
         self.of_task(&id.task).any(|attempt| attempt.id() != *id && attempt.may_run())
--- a/crates/agent/src/reducer/heartbeat.rs
+++ b/crates/agent/src/reducer/heartbeat.rs
@@ -35,6 +35,8 @@
     next_at: Duration,
     last_sent: Option<Duration>,
     hints_followed: u32,
+    failures: usize,
+    leader: Option<PeerAddress>,
     /// The number of the next heartbeat.
     pub(super) sequence: u64,
     /// The one that waits for its answer.
@@ -54,6 +56,8 @@
             next_at: Duration::ZERO,
             last_sent: None,
             hints_followed: 0,
+            failures: 0,
+            leader: None,
             sequence: 1,
             in_flight: None,
             failed: true,
@@ -82,21 +86,28 @@
         self.in_flight = Some(in_flight);
     }
 
-    /// The leader answered.
-    pub(super) fn answered(&mut self, interval: Duration) {
+    /// The leader answered. True when it is another one than before.
+    pub(super) fn answered(&mut self, interval: Duration) -> bool {
         self.failed = false;
+        self.failures = 0;
         self.hints_followed = 0;
         self.next_at = self.last_sent.unwrap_or_default() + interval;
+        self.leader.replace(self.target) != Some(self.target)
     }
 
     /// There was no answer: another member is asked after a pause.
-    pub(super) fn unanswered(&mut self, now: Duration) {
+    pub(super) fn unanswered(&mut self, now: Duration, interval: Duration) {
         self.failed = true;
-        self.turn(now);
+        self.turn(now, interval);
     }
 
-    /// The peer does not lead. Returns the new target when it changes.
-    pub(super) fn not_leader(&mut self, now: Duration, hint: Option<PeerAddress>) {
+    /// The peer does not lead. Whom it names is asked at once, else another after a pause.
+    pub(super) fn not_leader(
+        &mut self,
+        now: Duration,
+        interval: Duration,
+        hint: Option<PeerAddress>,
+    ) {
         self.failed = false;
         match hint.filter(|hint| *hint != self.target && self.hints_followed < HINT_LIMIT) {
             Some(leader) => {
@@ -104,7 +115,7 @@
                 self.target = leader;
                 self.next_at = now;
             }
-            None => self.turn(now),
+            None => self.turn(now, interval),
         }
     }
 
@@ -114,10 +125,14 @@
         self.next_at = self.next_at.min(soon);
     }
 
-    fn turn(&mut self, now: Duration) {
+    /// Turns to the next member. Once all have been tried in vain, they are tried no more often
+    /// than heartbeats are sent.
+    fn turn(&mut self, now: Duration, interval: Duration) {
+        self.failures += 1;
         self.hints_followed = 0;
         self.target = self.peers[self.next_peer % self.peers.len()];
         self.next_peer += 1;
-        self.next_at = now + FAILURE_PAUSE;
+        let tried_all = self.failures >= self.peers.len();
+        self.next_at = now + if tried_all { interval } else { FAILURE_PAUSE };
     }
 }
--- a/crates/agent/src/reducer/mod.rs
+++ b/crates/agent/src/reducer/mod.rs
@@ -96,7 +96,7 @@
         let heartbeat = self.schedule.as_ref().and_then(HeartbeatSchedule::next_at);
         let wakeups = [
             heartbeat.filter(|_| !self.superseded),
-            self.platform.next_list_at(),
+            self.platform.next_list_at().filter(|_| !self.superseded),
             self.next_call_deadline(),
             self.lease.stop_at(self.policy.lease().stop_margin),
             self.endpoints.next_expiry(),
--- a/crates/agent/src/reducer/on_command.rs
+++ b/crates/agent/src/reducer/on_command.rs
@@ -55,6 +55,9 @@
             }
             return;
         }
+        if self.attempts.was_forgotten(&id) {
+            return;
+        }
         let refusal = if self.attempts.has_later(&id) {
             Some(StartRefusal::OtherAttempt)
         } else if self.draining {
@@ -122,6 +125,9 @@
             (AttemptPhase::Waiting, AttemptGoal::Undecided | AttemptGoal::Run) => {
                 self.try_start(now, id);
             }
+            (AttemptPhase::Waiting, _) if self.lease.deadline().is_none() => {
+                self.end(now, id, AttemptState::Refused(StartRefusal::LeaseEnding));
+            }
             (AttemptPhase::Waiting, _) => {
                 self.end(now, id, AttemptState::Stopped { checkpoint: None });
             }
--- a/crates/agent/src/reducer/on_heartbeat.rs
+++ b/crates/agent/src/reducer/on_heartbeat.rs
@@ -98,25 +98,21 @@
         sequence: u64,
         reply: Option<(ProcessName, HeartbeatReply)>,
     ) {
+        let interval = self.policy.lease().heartbeat;
         let Some(schedule) = &mut self.schedule else { return };
         let Some(in_flight) = schedule.in_flight.take_if(|sent| sent.sequence == sequence) else {
             return;
         };
         match reply {
-            None => schedule.unanswered(now),
+            None => schedule.unanswered(now, interval),
             Some((_, HeartbeatReply::NotLeader { leader })) => {
-                schedule.not_leader(now, leader.map(|(_, address)| address));
+                schedule.not_leader(now, interval, leader.map(|(_, address)| address));
             }
             Some((_, HeartbeatReply::Superseded { .. })) => self.on_superseded(),
             Some((source, HeartbeatReply::Renewed(renewal))) => {
                 self.on_renewed(now, &in_flight, source, *renewal);
             }
         }
-        let Some(schedule) = &self.schedule else { return };
-        let peer = schedule.target();
-        if peer != in_flight.peer {
-            self.record(AgentEvent::LeaderChanged { peer });
-        }
     }
 
     /// A newer life of this agent holds the worker. Its tasks are the newer one's business.
@@ -140,12 +136,15 @@
             || !self.lease.renew(renewal.cursor.term, sent.sent, renewal.lease)
         {
             if let Some(schedule) = &mut self.schedule {
-                schedule.not_leader(now, None);
+                schedule.unanswered(now, interval);
             }
             return;
         }
         if let Some(schedule) = &mut self.schedule {
-            schedule.answered(interval);
+            if schedule.answered(interval) {
+                self.effects
+                    .push(AgentEffect::Record(AgentEvent::LeaderChanged { peer: sent.peer }));
+            }
         }
         if !held {
             let worker = self.config.worker.clone();
@@ -177,7 +176,7 @@
             let id = crate::platform::AttemptId { task: task.clone(), attempt: *attempt };
             let ended = self.attempts.attempts.get(&id).is_some_and(|known| known.has_ended());
             if ended {
-                self.attempts.attempts.shift_remove(&id);
+                self.attempts.forget(&id);
                 self.forget_on_platform(id);
             }
         }
--- a/crates/agent/src/reducer/on_platform.rs
+++ b/crates/agent/src/reducer/on_platform.rs
@@ -233,7 +233,7 @@
         let Ok(PlatformReply::Listing(listing)) = result else { return };
         let PlatformListing { life, clock, capacity, tasks, usage } = *listing;
         let first = !self.platform.is_listed();
-        if self.platform.known_capacity() != Some(capacity) {
+        if self.platform.known_capacity().unwrap_or(self.config.capacity) != capacity {
             self.announcement_version += 1;
         }
         self.platform.life = Some(life);
--- /dev/null
+++ b/crates/agent/tests/scenarios/leader.rs
@@ -0,0 +1,139 @@
+//! A leader that is told what to want and how to behave.
+
+use {
+    agent::platform::AttemptId,
+    base::{ProcessName, TermNumber},
+    indexmap::{IndexMap, IndexSet},
+    proto::messages::{
+        AgentHeartbeat, AttemptState, CommandCursor, DeclarationBundle, HeartbeatReply,
+        LeaseRenewal, TaskCommand,
+    },
+    std::time::Duration,
+};
+
+/// How the leader answers heartbeats.
+#[derive(Debug, Clone, PartialEq)]
+pub enum LeaderMood {
+    Renews,
+    Silent,
+    /// Heartbeats wait until the script says `answer`.
+    Holds,
+    Points(base::PeerAddress),
+    Superseded,
+}
+
+pub struct ScriptedLeader {
+    pub mood: LeaderMood,
+    pub lease: Duration,
+    pub acknowledges: bool,
+    pub report_all: bool,
+    /// Names what it acknowledges as still wanted.
+    pub stale: bool,
+    pub declarations: Option<DeclarationBundle>,
+    term: TermNumber,
+    log: Vec<TaskCommand>,
+    wanted: IndexMap<AttemptId, TaskCommand>,
+    ended: IndexSet<AttemptId>,
+}
+
+impl ScriptedLeader {
+    pub fn new() -> Self {
+        Self {
+            mood: LeaderMood::Renews,
+            lease: Duration::from_secs(10),
+            acknowledges: true,
+            report_all: false,
+            stale: false,
+            declarations: None,
+            term: TermNumber(1),
+            log: Vec::new(),
+            wanted: IndexMap::new(),
+            ended: IndexSet::new(),
+        }
+    }
+
+    /// Another member takes the lead, at the start of its command log.
+    pub fn new_term(&mut self, term: u64) {
+        self.term = TermNumber(term);
+        self.log.clear();
+    }
+
+    pub fn command(&mut self, command: TaskCommand) {
+        self.wanted.insert(target(&command), command.clone());
+        self.log.push(command);
+    }
+
+    /// True when the end of the attempt is committed, so that control wants it no more.
+    pub fn saw_end(&self, id: &AttemptId) -> bool {
+        self.ended.contains(id)
+    }
+
+    /// Forgets an attempt without telling the agent.
+    pub fn give_up(&mut self, id: &AttemptId) {
+        self.wanted.shift_remove(id);
+    }
+
+    pub fn answer(&mut self, heartbeat: &AgentHeartbeat) -> Option<(ProcessName, HeartbeatReply)> {
+        let reply = match &self.mood {
+            LeaderMood::Silent | LeaderMood::Holds => return None,
+            LeaderMood::Points(address) => {
+                HeartbeatReply::NotLeader { leader: Some((base::ReplicaId(2), *address)) }
+            }
+            LeaderMood::Superseded => {
+                HeartbeatReply::Superseded { incarnation: heartbeat.incarnation.next() }
+            }
+            LeaderMood::Renews => HeartbeatReply::Renewed(Box::new(self.renew(heartbeat))),
+        };
+        Some(("control-1".parse().unwrap(), reply))
+    }
+
+    pub fn renew(&mut self, heartbeat: &AgentHeartbeat) -> LeaseRenewal {
+        let known = heartbeat.cursor;
+        let wanted = self.wanted.clone();
+        let acknowledged = self.acknowledge(heartbeat);
+        let wanted = if self.stale { &wanted } else { &self.wanted };
+        let complete = known.term != self.term || known.sequence > self.log.len() as u64;
+        let commands = if complete {
+            wanted.values().cloned().collect()
+        } else {
+            self.log[known.sequence as usize..].to_vec()
+        };
+        LeaseRenewal {
+            lease: self.lease,
+            report_all: std::mem::take(&mut self.report_all),
+            cursor: CommandCursor { term: self.term, sequence: self.log.len() as u64 },
+            commands_complete: complete,
+            commands,
+            acknowledged,
+            declarations: self.declarations.take(),
+        }
+    }
+
+    fn acknowledge(
+        &mut self,
+        heartbeat: &AgentHeartbeat,
+    ) -> Vec<(base::TaskId, base::AttemptNumber)> {
+        let ended = heartbeat.reports.iter().filter(|report| report.state != AttemptState::Running);
+        let ended: Vec<_> = ended.map(|report| (report.task.clone(), report.attempt)).collect();
+        if !self.acknowledges {
+            return Vec::new();
+        }
+        for (task, attempt) in &ended {
+            let id = AttemptId { task: task.clone(), attempt: *attempt };
+            self.give_up(&id);
+            self.ended.insert(id);
+        }
+        ended
+    }
+}
+
+fn target(command: &TaskCommand) -> AttemptId {
+    match command {
+        TaskCommand::Run { assignment, .. } => {
+            AttemptId { task: assignment.task.clone(), attempt: assignment.attempt }
+        }
+        TaskCommand::Evict { task, attempt } | TaskCommand::Stop { task, attempt } => {
+            AttemptId { task: task.clone(), attempt: *attempt }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/scenarios/main.rs
@@ -0,0 +1,17 @@
+//! Scenarios of one agent: each file of `scenarios/` is a script of commands with what the agent
+//! does beside them. `REWRITE=1` writes the outputs anew.
+
+mod leader;
+mod schedules;
+mod text;
+mod world;
+
+use world::AgentWorld;
+
+#[test]
+fn scenarios_play_out() {
+    datadriven::walk(concat!(env!("CARGO_MANIFEST_DIR"), "/scenarios"), |file| {
+        let mut world = AgentWorld::new();
+        file.run(|case| world.perform(case));
+    });
+}
--- /dev/null
+++ b/crates/agent/tests/scenarios/world.rs
@@ -0,0 +1,500 @@
+//! An agent's reducer among a scripted leader, a stand-in platform and a manual clock.
+
+use {
+    crate::{
+        leader::{LeaderMood, ScriptedLeader},
+        text,
+    },
+    agent::{
+        announce::ExecutorAnnouncement,
+        platform::{AttemptId, PlatformCall, PlatformFault, PlatformRequest},
+        reducer::{AgentConfig, HeartbeatSend},
+        AgentEffect, AgentInput, AgentReducer,
+    },
+    base::{
+        duration_text, ClockSource, EventReducer, IncarnationNumber, ManualClock, ReplyTicket,
+        ResourceVector, RevisionNumber, SeededRandom, TaskId,
+    },
+    bytes::Bytes,
+    datadriven::TestCase,
+    indexmap::{IndexMap, IndexSet},
+    proto::messages::{
+        DeclarationBundle, DeclarationFile, DispatchId, DispatchOutcome, DispatchRequest,
+        FenceReply, FenceRequest, ForwardedAnswer, ForwardedRequest, HeartbeatReply,
+        IdempotencyKey, PriorityClass, TaskAssignment, TaskCommand, ThrottleLevel, UnknownReason,
+    },
+    std::{fmt::Display, str::FromStr, sync::Arc, time::Duration},
+    testkit::{PlatformTasks, StandInWorkerSettings, WorkerFault, WorkerRun},
+};
+
+const FIRST_INCARNATION: IncarnationNumber = IncarnationNumber(7);
+const WORKER: &str = "cpu=4 memory=8GB";
+
+/// What is seen from the outside.
+#[derive(Debug, Clone)]
+pub enum Observation {
+    Restarted,
+    Drained,
+    ExecutorGot(String),
+    ExecutorDone { dispatch: String, ran: bool },
+    Told(String, DispatchOutcome),
+    Fenced(String),
+}
+
+pub struct AgentWorld {
+    observed: Vec<Observation>,
+    granted: Duration,
+    /// The dispatches that were sent, as commands that send them again.
+    sent: Vec<String>,
+    fences: IndexMap<ReplyTicket, String>,
+    executing: IndexSet<String>,
+    clock: Arc<ManualClock>,
+    agent: AgentReducer,
+    incarnation: IncarnationNumber,
+    saved: Option<DeclarationBundle>,
+    leader: ScriptedLeader,
+    platform: PlatformTasks,
+    held: Option<HeartbeatSend>,
+    in_flight: Option<(Duration, HeartbeatSend)>,
+    tickets: u64,
+    shows_usage: bool,
+    output: String,
+}
+
+impl AgentWorld {
+    pub fn new() -> Self {
+        let clock = Arc::new(ManualClock::new());
+        let platform = PlatformTasks::new(StandInWorkerSettings {
+            capacity: resources(WORKER),
+            clock: clock.clone(),
+            ..StandInWorkerSettings::default()
+        });
+        Self {
+            observed: Vec::new(),
+            granted: Duration::ZERO,
+            sent: Vec::new(),
+            fences: IndexMap::new(),
+            executing: IndexSet::new(),
+            agent: new_agent(FIRST_INCARNATION, None),
+            incarnation: FIRST_INCARNATION,
+            saved: None,
+            clock,
+            leader: ScriptedLeader::new(),
+            platform,
+            held: None,
+            in_flight: None,
+            tickets: 0,
+            shows_usage: false,
+            output: String::new(),
+        }
+    }
+
+    pub fn perform(&mut self, case: &TestCase) -> String {
+        for line in std::iter::once(case.directive.as_str()).chain(case.input.lines()) {
+            if !["script", "then"].contains(&line) {
+                self.command(line);
+            }
+        }
+        let output = std::mem::take(&mut self.output);
+        if output.is_empty() {
+            "nothing\n".into()
+        } else {
+            output
+        }
+    }
+
+    /// The worker's cores.
+    pub const CORES: usize = 4;
+
+    pub fn observed(&self) -> &[Observation] {
+        &self.observed
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.saved.as_ref().map_or(0, |bundle| bundle.revision.0)
+    }
+
+    pub fn millis(&self) -> u64 {
+        self.now().as_millis() as u64
+    }
+
+    /// When the lease that control has granted ends by control's own count.
+    pub fn granted_until(&self) -> u64 {
+        self.granted.as_millis() as u64
+    }
+
+    pub fn platform_history(&mut self) -> Vec<WorkerRun> {
+        self.platform.history()
+    }
+
+    /// True when control wants the attempt no more.
+    pub fn leader_saw_end(&self, attempt: &str) -> bool {
+        self.leader.saw_end(&attempt_id(attempt))
+    }
+
+    /// A command that sends an earlier dispatch once more, to the life that it was meant for: an
+    /// entry never sends a dispatch twice, so that a copy can only have been made on the way.
+    pub fn known_dispatch(&self, random: &mut SeededRandom) -> Option<String> {
+        let here = format!("life={}", self.incarnation);
+        let sent: Vec<_> = self.sent.iter().filter(|line| line.ends_with(&here)).collect();
+        sent.get(random.below(sent.len())).map(|line| (*line).clone())
+    }
+
+    /// A dispatch that an executor has.
+    pub fn executing(&self, random: &mut SeededRandom) -> Option<String> {
+        let executing = self.executing.iter().nth(random.below(self.executing.len()));
+        executing.cloned()
+    }
+
+    pub fn command(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words.as_slice() {
+            ["advance", time] => self.advance(duration(time)),
+            ["restart"] => self.restart(),
+            ["announce", endpoint, rest @ ..] => self.announce(endpoint, &rest.join(" ")),
+            ["leave", endpoint] => self.feed(AgentInput::ExecutorLeft(id(endpoint))),
+            ["drain"] => {
+                self.feed(AgentInput::DrainRequested);
+                self.observed.push(Observation::Drained);
+            }
+            ["dispatch", name, rest @ ..] => self.dispatch(name, &rest.join(" ")),
+            ["fence", name, rest @ ..] => self.fence(name, &rest.join(" ")),
+            ["executor", name, how] => self.executor(name, how),
+            ["hear", peer, revision] => {
+                let revision = RevisionNumber(id(revision));
+                self.feed(AgentInput::RevisionHeard { peer: id(peer), revision });
+            }
+            ["declare", revision] => {
+                let source = id("entry-1");
+                self.feed(AgentInput::Declarations { bundle: bundle(id(revision)), source });
+            }
+            ["leader", rest @ ..] => self.leader(rest),
+            ["platform", fault] => self.platform.set_fault(fault_named(fault)),
+            ["platform-restarts"] => self.platform.restart(),
+            ["runs"] => self.runs(),
+            ["show-usage"] => self.shows_usage = true,
+            other => panic!("no such command: {other:?}"),
+        }
+    }
+
+    fn leader(&mut self, words: &[&str]) {
+        match words {
+            ["renews"] => self.leader.mood = LeaderMood::Renews,
+            ["silent"] => self.leader.mood = LeaderMood::Silent,
+            ["holds"] => self.leader.mood = LeaderMood::Holds,
+            ["points", address] => self.leader.mood = LeaderMood::Points(id(address)),
+            ["supersedes"] => self.leader.mood = LeaderMood::Superseded,
+            ["answers"] => self.release_held(),
+            ["term", term] => self.leader.new_term(id(term)),
+            ["is-stale"] => self.leader.stale = true,
+            ["asks-all"] => self.leader.report_all = true,
+            ["acknowledges", word] => self.leader.acknowledges = *word == "yes",
+            ["declares", revision] => self.leader.declarations = Some(bundle(id(revision))),
+            ["gives-up", attempt] => self.leader.give_up(&attempt_id(attempt)),
+            ["evicts", attempt] => {
+                let AttemptId { task, attempt } = attempt_id(attempt);
+                self.leader.command(TaskCommand::Evict { task, attempt });
+            }
+            ["stops", attempt] => {
+                let AttemptId { task, attempt } = attempt_id(attempt);
+                self.leader.command(TaskCommand::Stop { task, attempt });
+            }
+            ["runs", attempt, rest @ ..] => {
+                let command = run_command(&attempt_id(attempt), &rest.join(" "));
+                self.leader.command(command);
+            }
+            other => panic!("no such leader: {other:?}"),
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.clock.monotonic()
+    }
+
+    fn advance(&mut self, time: Duration) {
+        let end = self.now() + time;
+        loop {
+            let lost = self.in_flight.as_ref().map_or(Duration::MAX, |(due, _)| *due);
+            let next = self.agent.next_wakeup().min(lost).max(self.now());
+            if next > end {
+                break;
+            }
+            // A wake-up that leads to nothing must not come again at the same time.
+            let before = (self.now(), self.output.len());
+            self.clock.advance(next - self.now());
+            self.lose_heartbeat(lost);
+            self.tick();
+            let stuck =
+                before == (self.now(), self.output.len()) && self.agent.next_wakeup() <= self.now();
+            assert!(!stuck, "the agent asks to be woken at once, again and again");
+        }
+        self.clock.advance(end - self.now());
+        self.tick();
+    }
+
+    fn lose_heartbeat(&mut self, due: Duration) {
+        if self.now() < due {
+            return;
+        }
+        if let Some((_, send)) = self.in_flight.take() {
+            let sequence = send.heartbeat.sequence;
+            self.feed(AgentInput::HeartbeatDone { sequence, reply: None });
+        }
+    }
+
+    fn tick(&mut self) {
+        let wall = self.clock.wall();
+        self.feed(AgentInput::Tick { wall });
+    }
+
+    fn restart(&mut self) {
+        self.incarnation = self.incarnation.next();
+        self.observed.push(Observation::Restarted);
+        self.executing.clear();
+        self.in_flight = None;
+        self.held = None;
+        self.agent = new_agent(self.incarnation, self.saved.clone());
+        self.say(&format!("life {}, revision {}", self.incarnation, self.agent.revision()));
+    }
+
+    fn announce(&mut self, endpoint: &str, rest: &str) {
+        let announcement = ExecutorAnnouncement {
+            endpoint: id(endpoint),
+            incarnation: IncarnationNumber(field(rest, "life").unwrap_or(1)),
+            service: id("booking"),
+            address: id("127.0.0.1:9000"),
+            slots: field(rest, "slots").unwrap_or(base::SlotCount(2)),
+            connections: field(rest, "connections").unwrap_or(base::ConnectionCount(64)),
+            task: field::<TaskId>(rest, "task"),
+        };
+        self.feed(AgentInput::Announced(announcement));
+    }
+
+    fn dispatch(&mut self, name: &str, rest: &str) {
+        let request = Box::new(DispatchRequest {
+            dispatch: dispatch_id(name),
+            endpoint: field(rest, "endpoint").unwrap_or(id("e1")),
+            incarnation: field(rest, "life").unwrap_or(self.incarnation),
+            priority: PriorityClass::LatencyCritical,
+            remaining: field::<String>(rest, "remaining")
+                .map_or(Duration::from_secs(5), |text| duration(&text)),
+            key: field::<String>(rest, "key").map(key),
+            request: ForwardedRequest {
+                method: "POST".into(),
+                target: "/".into(),
+                headers: Vec::new(),
+                body: Bytes::new(),
+            },
+        });
+        self.sent.push(format!("dispatch {name} {rest} life={}", request.incarnation));
+        let ticket = self.ticket();
+        self.feed(AgentInput::Dispatch { ticket, request });
+    }
+
+    fn fence(&mut self, name: &str, rest: &str) {
+        let request = FenceRequest {
+            endpoint: id("e1"),
+            incarnation: field(rest, "life").unwrap_or(self.incarnation),
+            key: key(name.to_owned()),
+            dispatch: dispatch_id(name),
+        };
+        let ticket = self.ticket();
+        self.fences.insert(ticket, request.dispatch.to_string());
+        self.feed(AgentInput::Fence { ticket, request });
+    }
+
+    fn executor(&mut self, name: &str, how: &str) {
+        let outcome = match how {
+            "answers" => DispatchOutcome::Answered(ForwardedAnswer {
+                status: 200,
+                headers: Vec::new(),
+                body: Bytes::copy_from_slice(name.as_bytes()),
+            }),
+            "refuses" => DispatchOutcome::NotRun(proto::messages::NotRunReason::NoEndpoint),
+            "dies" => DispatchOutcome::Unknown(UnknownReason::ExecutorLost),
+            other => panic!("no such executor: {other}"),
+        };
+        let dispatch = dispatch_id(name);
+        let ran = !matches!(outcome, DispatchOutcome::NotRun(_));
+        if self.executing.swap_remove(&dispatch.to_string()) {
+            let dispatch = dispatch.to_string();
+            self.observed.push(Observation::ExecutorDone { dispatch, ran });
+        }
+        self.feed(AgentInput::ExecutorDone { dispatch, outcome });
+    }
+
+    fn runs(&mut self) {
+        for run in self.platform.history() {
+            let ended = run.ended.map_or("now".to_owned(), |ended| ended.0.to_string());
+            self.say(&format!("{} ran {}..{ended}", text::attempt(&run.id), run.started.0));
+        }
+    }
+
+    fn ticket(&mut self) -> ReplyTicket {
+        self.tickets += 1;
+        ReplyTicket(self.tickets)
+    }
+
+    fn feed(&mut self, input: AgentInput) {
+        let effects = self.agent.reduce(self.now(), input);
+        for effect in effects {
+            if let Some(line) = text::effect(&effect) {
+                self.say(&line);
+            }
+            match effect {
+                AgentEffect::CallExecutor(call) => {
+                    self.executing.insert(call.dispatch.to_string());
+                    self.observed.push(Observation::ExecutorGot(call.dispatch.to_string()));
+                }
+                AgentEffect::ReplyDispatch { reply, .. } => {
+                    let told = Observation::Told(reply.dispatch.to_string(), reply.outcome);
+                    self.observed.push(told);
+                }
+                AgentEffect::ReplyFence { ticket, reply: FenceReply::Fenced } => {
+                    let dispatch = self.fences[&ticket].clone();
+                    self.observed.push(Observation::Fenced(dispatch));
+                }
+                AgentEffect::SendHeartbeat(send) => self.take_heartbeat(send),
+                AgentEffect::CallPlatform(call) => self.take_call(call),
+                AgentEffect::PutInForce(bundle) => self.saved = Some(bundle.as_ref().clone()),
+                _ => {}
+            }
+        }
+    }
+
+    fn take_heartbeat(&mut self, send: HeartbeatSend) {
+        if let Some(line) = text::heartbeat(&send.heartbeat) {
+            self.say(&format!("tells {}: {line}", send.peer));
+        }
+        if let Some(usage) = send.heartbeat.usage.as_ref().filter(|_| self.shows_usage) {
+            self.say(&text::usage(usage));
+        }
+        if self.leader.mood == LeaderMood::Holds {
+            self.held = Some(send);
+            return;
+        }
+        let sequence = send.heartbeat.sequence;
+        match self.leader.answer(&send.heartbeat) {
+            Some(reply) => {
+                self.note_grant(&reply.1);
+                self.feed(AgentInput::HeartbeatDone { sequence, reply: Some(reply) });
+            }
+            None => self.in_flight = Some((self.now() + send.deadline, send)),
+        }
+    }
+
+    fn note_grant(&mut self, reply: &HeartbeatReply) {
+        if let HeartbeatReply::Renewed(renewal) = reply {
+            self.granted = self.granted.max(self.now() + renewal.lease);
+        }
+    }
+
+    fn release_held(&mut self) {
+        let Some(send) = self.held.take() else { panic!("no heartbeat is held") };
+        let renewal = Box::new(self.leader.renew(&send.heartbeat));
+        let reply = HeartbeatReply::Renewed(renewal);
+        self.note_grant(&reply);
+        let reply = Some((id("control-1"), reply));
+        let sequence = send.heartbeat.sequence;
+        self.feed(AgentInput::HeartbeatDone { sequence, reply });
+    }
+
+    fn take_call(&mut self, call: PlatformCall) {
+        let request = PlatformRequest { agent: self.incarnation, call: call.clone() };
+        let reply = self.platform.take(request);
+        if let Some(line) = text::call(&call) {
+            let answer = reply.as_ref().map_or("no answer".to_owned(), text::reply);
+            self.say(&format!("platform: {line} -> {answer}"));
+        }
+        let fault = PlatformFault { detail: "silent".into() };
+        self.feed(AgentInput::PlatformDone { call, result: reply.ok_or(fault) });
+    }
+
+    fn say(&mut self, line: &str) {
+        self.output += &format!("{:>6} {line}\n", self.now().as_millis());
+    }
+}
+
+fn new_agent(incarnation: IncarnationNumber, saved: Option<DeclarationBundle>) -> AgentReducer {
+    let config = AgentConfig {
+        worker: id("w1"),
+        incarnation,
+        region: id("north"),
+        data_centre: id("arusha"),
+        rack: id("r1"),
+        capacity: resources(WORKER),
+        address: id("127.0.0.1:7000"),
+        operator_address: id("127.0.0.1:7001"),
+        control_peers: vec![id("127.0.0.1:1"), id("127.0.0.1:2"), id("127.0.0.1:3")],
+        call_limit: 100,
+    };
+    AgentReducer::new(config, saved)
+}
+
+fn run_command(id: &AttemptId, rest: &str) -> TaskCommand {
+    let assignment = TaskAssignment {
+        task: id.task.clone(),
+        attempt: id.attempt,
+        class: "report".parse().unwrap(),
+        priority: PriorityClass::Batch,
+        reserved: resources(rest),
+        checkpoint: field(rest, "checkpoint"),
+        service: None,
+        payload: field::<String>(rest, "payload").unwrap_or("endless".into()).replace('+', " "),
+    };
+    let throttle = ThrottleLevel(field(rest, "throttle").unwrap_or(100));
+    TaskCommand::Run { assignment, throttle }
+}
+
+fn resources(text: &str) -> ResourceVector {
+    ResourceVector {
+        cpu: field(text, "cpu").unwrap_or_default(),
+        memory: field(text, "memory").unwrap_or_default(),
+        accelerators: field(text, "accelerators").unwrap_or_default(),
+    }
+}
+
+fn field<T: FromStr<Err: Display>>(text: &str, name: &str) -> Option<T> {
+    let fields = text.split_whitespace().filter_map(|word| word.split_once('='));
+    let (_, found) = fields.into_iter().find(|(key, _)| *key == name)?;
+    Some(id(found))
+}
+
+fn id<T: FromStr<Err: Display>>(text: &str) -> T {
+    text.parse().unwrap_or_else(|error| panic!("{text}: {error}"))
+}
+
+fn attempt_id(text: &str) -> AttemptId {
+    let (task, attempt) = text.split_once('@').expect("written as task@attempt");
+    AttemptId { task: id(task), attempt: id(attempt) }
+}
+
+fn dispatch_id(name: &str) -> DispatchId {
+    let (request, number) = name.split_once('#').unwrap_or((name, "0"));
+    DispatchId { request: id(request), number: id(number) }
+}
+
+fn key(text: String) -> IdempotencyKey {
+    IdempotencyKey { service: id("booking"), text }
+}
+
+fn bundle(revision: u64) -> DeclarationBundle {
+    let text = format!("[defaults.lease]\nheartbeat = \"{revision}s\"\n");
+    let files = vec![DeclarationFile { path: "fleet.toml".into(), text }];
+    DeclarationBundle { revision: RevisionNumber(revision), files }
+}
+
+fn duration(text: &str) -> Duration {
+    duration_text::parse(text).unwrap_or_else(|| panic!("no duration: {text}"))
+}
+
+fn fault_named(name: &str) -> WorkerFault {
+    match name {
+        "works" => WorkerFault::None,
+        "silent" => WorkerFault::Silent,
+        "loses-answers" => WorkerFault::LosesAnswers,
+        "fails-tasks" => WorkerFault::FailsTasks,
+        "refuses-tasks" => WorkerFault::RefusesTasks,
+        other => panic!("no such fault: {other}"),
+    }
+}
--- a/crates/telemetry/src/catalogue/agent.rs
+++ b/crates/telemetry/src/catalogue/agent.rs
@@ -7,7 +7,7 @@
     AgentEvent {
         4001 Warning LeaseEnded { worker: WorkerId } "The worker's lease has ended without renewal, and its tasks are being stopped.";
         4002 Info LeaseGranted { worker: WorkerId, leader: PeerAddress } "The worker holds a lease after it held none.";
-        4003 Info LeaderChanged { peer: PeerAddress } "Heartbeats go to another member of the control group.";
+        4003 Info LeaderChanged { peer: PeerAddress } "Another member of the control group renews the worker's lease.";
         4004 Info EndpointAnnounced { endpoint: EndpointId, address: PeerAddress } "An executor has announced itself, or what it announces has changed.";
         4005 Info EndpointDraining { endpoint: EndpointId } "An endpoint takes no new requests.";
         4006 Info EndpointGone { endpoint: EndpointId } "An endpoint has left or is announced no longer.";
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,7 +11,7 @@
 pub use {
     executor::{ExecutorFault, StandInExecutor, StandInExecutorSettings},
     peer::{DelayRelay, RawPeer, RawPeerMode},
-    worker::{StandInWorker, StandInWorkerSettings, WorkerFault, WorkerRun},
+    worker::{PlatformTasks, StandInWorker, StandInWorkerSettings, WorkerFault, WorkerRun},
 };
 
 use {base::PeerAddress, snafu::Snafu};
--- a/crates/testkit/src/worker/mod.rs
+++ b/crates/testkit/src/worker/mod.rs
@@ -4,13 +4,12 @@
 mod payload;
 mod state;
 
-pub use state::WorkerRun;
+pub use state::{PlatformTasks, WorkerRun};
 
 use {
     crate::{listen, StandInError},
     agent::platform::{PlatformReply, PlatformRequest, PLATFORM_PATH},
     base::{ClockSource, PeerAddress, ResourceVector, SystemClock},
-    state::PlatformTasks,
     std::{
         sync::{Arc, Mutex, MutexGuard},
         thread::{self, JoinHandle},
--- a/crates/testkit/src/worker/state.rs
+++ b/crates/testkit/src/worker/state.rs
@@ -23,6 +23,8 @@
 pub struct WorkerRun {
     /// The attempt.
     pub id: AttemptId,
+    /// The life of the platform that ran it.
+    pub life: PlatformLife,
     /// When it started.
     pub started: PlatformInstant,
     /// When it ended, if it has.
@@ -62,8 +64,9 @@
     }
 }
 
-/// The tasks, the lease and the fences of one stand-in worker.
-pub(super) struct PlatformTasks {
+/// The tasks, the lease and the fences of one stand-in worker. Pure but for its clock, so that
+/// scenarios drive the very same platform that [`super::StandInWorker`] serves over HTTP.
+pub struct PlatformTasks {
     settings: StandInWorkerSettings,
     fault: WorkerFault,
     life: PlatformLife,
@@ -76,7 +79,7 @@
 
 impl PlatformTasks {
     /// A worker that runs nothing.
-    pub(super) fn new(settings: StandInWorkerSettings) -> Self {
+    pub fn new(settings: StandInWorkerSettings) -> Self {
         Self {
             settings,
             fault: WorkerFault::None,
@@ -90,12 +93,12 @@
     }
 
     /// Shows a fault from now on.
-    pub(super) fn set_fault(&mut self, fault: WorkerFault) {
+    pub fn set_fault(&mut self, fault: WorkerFault) {
         self.fault = fault;
     }
 
     /// Loses all tasks.
-    pub(super) fn restart(&mut self) {
+    pub fn restart(&mut self) {
         let now = self.now();
         self.settle(now);
         for run in &mut self.runs {
@@ -107,13 +110,13 @@
     }
 
     /// Every run so far.
-    pub(super) fn history(&mut self) -> Vec<WorkerRun> {
+    pub fn history(&mut self) -> Vec<WorkerRun> {
         self.settle(self.now());
         self.runs.clone()
     }
 
     /// Takes a call. `None` when there is no answer.
-    pub(super) fn take(&mut self, request: PlatformRequest) -> Option<PlatformReply> {
+    pub fn take(&mut self, request: PlatformRequest) -> Option<PlatformReply> {
         if self.fault == WorkerFault::Silent {
             return None;
         }
@@ -213,7 +216,7 @@
             return refused("the task can't be started");
         }
         let progress = assignment.checkpoint.as_ref().map(progress_of).unwrap_or_default();
-        self.runs.push(WorkerRun { id: id.clone(), started: now, ended: None });
+        self.runs.push(WorkerRun { id: id.clone(), life: self.life, started: now, ended: None });
         let task = PretendedTask {
             assignment,
             payload,
