--- a/crates/agent/tests/scenarios/schedules.rs
+++ b/crates/agent/tests/scenarios/schedules.rs
@@ -30,7 +30,7 @@
 
 impl PromiseCheck {
     fn check(&mut self, world: &mut AgentWorld) {
-        for seen in world.observed()[self.taken..].to_vec() {
+        for seen in world.observed()[self.taken..].iter().cloned() {
             self.take(seen);
         }
         self.taken = world.observed().len();
