--- a/crates/quorum/src/core/lead.rs
+++ b/crates/quorum/src/core/lead.rs
@@ -288,8 +288,11 @@
         let Some(progress) = leader.progress.get_mut(&peer) else {
             return;
         };
+        let kept = self.log.term_at(LogIndex(progress.next.0 - 1)).is_some();
         match &progress.mode {
             ProgressMode::Probe { .. } => progress.probe_again(),
+            // Messages are outstanding, and the log was compacted past them.
+            ProgressMode::Replicate { .. } if !kept => progress.probe_again(),
             ProgressMode::Snapshot(_) => {
                 progress.probe_again();
                 self.send_bare_append(peer);
--- a/crates/quorum/tests/cluster/mod.rs
+++ b/crates/quorum/tests/cluster/mod.rs
@@ -40,7 +40,6 @@
 /// A message on its way.
 #[derive(Debug, Clone)]
 pub struct Flight {
-    pub at: Duration,
     pub from: ReplicaId,
     pub to: ReplicaId,
     pub message: QuorumMessage,
@@ -70,6 +69,12 @@
     pub nodes: BTreeMap<ReplicaId, Node>,
     pub flights: VecDeque<Flight>,
     pub cuts: BTreeSet<(ReplicaId, ReplicaId)>,
+    /// Messages on these ways are late until the way is taken out.
+    pub delayed: BTreeSet<(ReplicaId, ReplicaId)>,
+    /// Messages on these ways arrive twice.
+    pub doubled: BTreeSet<(ReplicaId, ReplicaId)>,
+    /// Disks that do not finish what they are given.
+    pub slow_disks: BTreeSet<ReplicaId>,
     pub witness: GroupWitness,
     pub breakage: Option<Breakage>,
     pub founders: Vec<GroupMember>,
@@ -100,6 +105,9 @@
             nodes: BTreeMap::new(),
             flights: VecDeque::new(),
             cuts: BTreeSet::new(),
+            delayed: BTreeSet::new(),
+            doubled: BTreeSet::new(),
+            slow_disks: BTreeSet::new(),
             witness: GroupWitness::default(),
             breakage: None,
             founders,
@@ -166,7 +174,7 @@
         match effect {
             QuorumEffect::Send { to, message, .. } => {
                 self.witness.saw_message(replica, &message);
-                self.flights.push_back(Flight { at: self.now, from: replica, to, message });
+                self.flights.push_back(Flight { from: replica, to, message });
             }
             QuorumEffect::Persist(batch) => self.persist(replica, batch),
             QuorumEffect::InstallSnapshot(snapshot) => {
@@ -302,25 +310,44 @@
         if self.cuts.contains(&(flight.from, flight.to)) {
             return;
         }
-        let event = QuorumEvent::Received { from: flight.from, message: flight.message };
-        self.event(flight.to, event);
+        let Flight { from, to, message } = flight;
+        if self.doubled.contains(&(from, to)) {
+            self.event(to, QuorumEvent::Received { from, message: message.clone() });
+        }
+        self.event(to, QuorumEvent::Received { from, message });
     }
 
     /// Delivers every message and finishes every write until nothing is left to do now.
     pub fn settle(&mut self) {
         for _ in 0..10_000 {
-            let ids: Vec<ReplicaId> = self.nodes.keys().copied().collect();
-            let writing = ids.iter().any(|id| !self.nodes[id].unsynced.is_empty());
-            if self.flights.is_empty() && !writing {
+            if !self.step() {
                 return;
             }
-            let flights = std::mem::take(&mut self.flights);
-            flights.into_iter().for_each(|flight| self.deliver(flight));
-            ids.into_iter().for_each(|id| self.sync(id));
         }
         panic!("the group never settles");
     }
 
+    /// Delivers what is on its way now and finishes one write on each disk. False when there was
+    /// nothing to do.
+    pub fn step(&mut self) -> bool {
+        let flights = std::mem::take(&mut self.flights);
+        let (late, due): (Vec<_>, Vec<_>) =
+            flights.into_iter().partition(|flight| self.is_late(flight));
+        self.flights = late.into();
+        let writing = self.nodes.iter().filter(|(_, node)| !node.unsynced.is_empty());
+        let ids: Vec<ReplicaId> = writing.map(|(id, _)| *id).collect();
+        let ids: Vec<_> = ids.into_iter().filter(|id| !self.slow_disks.contains(id)).collect();
+        let busy = !due.is_empty() || !ids.is_empty();
+        due.into_iter().for_each(|flight| self.deliver(flight));
+        ids.into_iter().for_each(|id| self.sync(id));
+        busy
+    }
+
+    fn is_late(&self, flight: &Flight) -> bool {
+        let paused = self.nodes.get(&flight.to).is_some_and(|node| node.paused);
+        paused || self.delayed.contains(&(flight.from, flight.to))
+    }
+
     pub fn tick_all(&mut self) {
         let ids: Vec<ReplicaId> = self.nodes.keys().copied().collect();
         for id in ids.into_iter().filter(|id| !self.nodes[id].paused).collect::<Vec<_>>() {
@@ -338,6 +365,12 @@
         }
     }
 
+    /// Lets time pass for one replica alone, so that it is the first to stand for election.
+    pub fn elect(&mut self, replica: ReplicaId) {
+        self.now += ELECTION_TIMEOUT * 2;
+        self.event(replica, QuorumEvent::Tick);
+    }
+
     /// The leader of the newest term among the replicas that run.
     pub fn leader(&self) -> Option<ReplicaId> {
         let cores = self.nodes.values().filter_map(|node| node.core.as_ref());
--- a/crates/quorum/tests/cluster/schedule.rs
+++ b/crates/quorum/tests/cluster/schedule.rs
@@ -30,6 +30,8 @@
     Crash {
         pick: u64,
         keep_unsynced: bool,
+        /// Whether the replica starts again at once.
+        restart: bool,
     },
     PowerLoss {
         keep_unsynced: bool,
@@ -73,6 +75,8 @@
     pub faults: usize,
     pub acknowledged: usize,
     pub reads: usize,
+    pub snapshots: usize,
+    pub changes: usize,
     pub complaints: Vec<String>,
 }
 
@@ -91,7 +95,7 @@
         0..=689 => Step::Run { millis: 1 + pick % 25, salt: other, loss },
         690..=799 => Step::Propose { pick },
         800..=889 => Step::Read { pick },
-        890..=899 => Step::Crash { pick, keep_unsynced },
+        890..=899 => Step::Crash { pick, keep_unsynced, restart: other.is_multiple_of(3) },
         900..=903 => Step::PowerLoss { keep_unsynced },
         904..=923 => Step::Restart { pick },
         924..=931 => Step::Cut { from: pick, to: other },
@@ -166,9 +170,12 @@
     }
 
     fn finish(mut self) -> RunReport {
-        self.report.complaints = self.cluster.witness.complaints;
-        self.report.acknowledged = self.cluster.witness.acknowledged;
-        self.report.reads = self.cluster.witness.reads_answered;
+        let witness = self.cluster.witness;
+        self.report.complaints = witness.complaints;
+        self.report.acknowledged = witness.acknowledged;
+        self.report.reads = witness.reads_answered;
+        self.report.snapshots = witness.snapshots_installed;
+        self.report.changes = witness.changes_made;
         self.report
     }
 
@@ -202,9 +209,12 @@
     fn fault(&mut self, step: Step) {
         let pick_up = |pick| self.choose(pick, Self::is_up);
         match step {
-            Step::Crash { pick, keep_unsynced } => {
+            Step::Crash { pick, keep_unsynced, restart } => {
                 if let Some(replica) = pick_up(pick) {
                     self.cluster.crash(replica, keep_unsynced);
+                    if restart {
+                        self.cluster.start(replica);
+                    }
                 }
             }
             Step::PowerLoss { keep_unsynced } => {
--- a/crates/quorum/tests/cluster/witness.rs
+++ b/crates/quorum/tests/cluster/witness.rs
@@ -25,6 +25,8 @@
     removed: BTreeMap<ReplicaId, TermNumber>,
     pub acknowledged: usize,
     pub reads_answered: usize,
+    pub snapshots_installed: usize,
+    pub changes_made: usize,
     pub complaints: Vec<String>,
 }
 
@@ -79,6 +81,7 @@
     }
 
     pub fn installed(&mut self, replica: ReplicaId, index: LogIndex, digest: u64) {
+        self.snapshots_installed += 1;
         if self.applied.get(&index).is_none_or(|(_, expected)| *expected != digest) {
             self.complain(format!("{replica} installs a wrong snapshot of {index}"));
         }
@@ -104,6 +107,7 @@
             }
             return;
         }
+        self.changes_made += 1;
         match self.changes.remove(&ticket) {
             Some((_, MemberChange::Remove { replica })) => {
                 self.removed.insert(replica, entry.term);
--- a/crates/quorum/tests/schedules.rs
+++ b/crates/quorum/tests/schedules.rs
@@ -33,14 +33,17 @@
         total.faults += report.faults;
         total.acknowledged += report.acknowledged;
         total.reads += report.reads;
+        total.snapshots += report.snapshots;
+        total.changes += report.changes;
         if !report.complaints.is_empty() {
             println!("seed {seed}: {:?}", report.complaints);
             failed.push(seed);
         }
     }
     println!(
-        "{count} seeds: {} steps, {} faults, {} entries acknowledged, {} reads answered",
-        total.steps, total.faults, total.acknowledged, total.reads
+        "{count} seeds: {} steps, {} faults, {} acknowledged, {} of them membership changes, \
+         {} reads answered, {} snapshots installed",
+        total.steps, total.faults, total.acknowledged, total.changes, total.reads, total.snapshots
     );
     if let Some(seed) = failed.first() {
         println!("seed {seed} shortened: {:#?}", shorten(*seed, None));
