Bound the rim in memory, writes and shutdown, and prove it under bad input

Cause: reading the rim against its promises showed gaps. The write deadline was declared and not kept; bodies of all connections together had no bound (1024 connections of 8 MiB each); connections above the limit were closed without a word; a body that names its size was read before it was refused; a shutdown closed connections whose request was on its way, and those that the system had accepted and the server had not. In the client, a dead peer could not be told from a slow one on a new connection, because the library reports both as a read that timed out.

Change: writes have their deadline; bodies share `body_memory`; refusals say why; a shutdown takes what the system has accepted and gives open connections a quarter of a second for what is on its way. New connections are opened by the pooled library with its pool off, which tells a failed connection apart, so that a dead peer is proof and the time to connect is one second; refusals by a peer's rim are proof as well.

Conclusion: each kind of bad input has a typed answer or a closed connection, and others are served meanwhile.

--- a/crates/proto/src/rpc/client.rs
+++ b/crates/proto/src/rpc/client.rs
@@ -4,14 +4,18 @@
     super::{ProcessIdentity, RpcCall, RpcRefusal},
     crate::envelope::{self, CheckedFrame, FrameError, MessageHeader},
     base::PeerAddress,
+    serde::Deserialize,
     snafu::Snafu,
-    std::{io::Read, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
 };
 
 /// The content type of frames.
 pub const FRAME_CONTENT_TYPE: &str = "application/x-mangorouter-frame";
 const IDLE_CONNECTIONS_PER_PEER: usize = 8;
 const MAX_IDLE_AGE: Duration = Duration::from_secs(5);
+/// How long a connection may take to come about. A peer that does not answer within it is left
+/// alone while there is still time to ask another.
+const CONNECT_DEADLINE: Duration = Duration::from_secs(1);
 /// The largest reply that is read.
 pub const REPLY_LIMIT: u64 = 64 * 1024 * 1024;
 
@@ -83,20 +87,14 @@
 #[derive(Clone)]
 pub struct RpcClient {
     identity: Arc<ProcessIdentity>,
+    fresh: ureq::Agent,
     pool: ureq::Agent,
 }
 
 impl RpcClient {
     /// A client whose headers come from `identity`.
     pub fn new(identity: Arc<ProcessIdentity>) -> Self {
-        let config = ureq::Agent::config_builder()
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .proxy(None)
-            .max_idle_connections_per_host(IDLE_CONNECTIONS_PER_PEER)
-            .max_idle_age(MAX_IDLE_AGE)
-            .build();
-        Self { identity, pool: config.into() }
+        Self { identity, fresh: agent(0), pool: agent(IDLE_CONNECTIONS_PER_PEER) }
     }
 
     /// Sends `call` and waits for its reply, `deadline` at the most. The peer's header is taken
@@ -110,77 +108,90 @@
     ) -> Result<(MessageHeader, C::Reply), RpcError> {
         let frame = envelope::seal(self.identity.header(), call)
             .map_err(|source| RpcError::NotSent { source })?;
-        let url = format!("http://{peer}{}", C::PATH);
-        let bytes = match connection {
-            ConnectionUse::Fresh => send_fresh(peer, &url, deadline, frame)?,
-            ConnectionUse::Pooled => self.send_pooled(peer, &url, deadline, &frame)?,
+        let agent = match connection {
+            ConnectionUse::Fresh => &self.fresh,
+            ConnectionUse::Pooled => &self.pool,
         };
+        let bytes = send(agent, peer, C::PATH, deadline, &frame)?;
         let frame = CheckedFrame::open(&self.identity.sender().cluster, &bytes)
             .map_err(|source| RpcError::BadReply { peer, source })?;
         self.identity.observe(&frame.header);
         let reply = frame.body().map_err(|source| RpcError::BadReply { peer, source })?;
         Ok((frame.header, reply))
     }
+}
 
-    fn send_pooled(
-        &self,
-        peer: PeerAddress,
-        url: &str,
-        deadline: Duration,
-        frame: &[u8],
-    ) -> Result<Vec<u8>, RpcError> {
-        let sent = self
-            .pool
-            .post(url)
-            .config()
-            .timeout_global(Some(deadline))
-            .build()
-            .content_type(FRAME_CONTENT_TYPE)
-            .send(frame);
-        let mut response = sent.map_err(|error| pooled_error(peer, &error))?;
-        let status = response.status().as_u16();
-        let body = response.body_mut().with_config().limit(REPLY_LIMIT).read_to_vec();
-        let body = body.map_err(|error| no_reply(peer, &error))?;
-        accept_status(peer, status, body)
-    }
+fn agent(idle_connections: usize) -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .max_idle_connections_per_host(idle_connections)
+        .max_idle_age(MAX_IDLE_AGE);
+    let config = if idle_connections == 0 { config.max_idle_connections(0) } else { config };
+    config.build().into()
 }
 
-fn send_fresh(
+fn send(
+    agent: &ureq::Agent,
     peer: PeerAddress,
-    url: &str,
+    path: &str,
     deadline: Duration,
-    frame: Vec<u8>,
+    frame: &[u8],
 ) -> Result<Vec<u8>, RpcError> {
-    let sent = attohttpc::post(url)
-        .header("content-type", FRAME_CONTENT_TYPE)
-        .follow_redirects(false)
-        .proxy_settings(attohttpc::ProxySettings::builder().build())
-        .connect_timeout(deadline)
-        .timeout(deadline)
-        .bytes(frame)
-        .send();
-    let response = sent.map_err(|error| fresh_error(peer, &error))?;
-    let (status, _, reader) = response.split();
-    let mut body = Vec::new();
-    reader.take(REPLY_LIMIT).read_to_end(&mut body).map_err(|error| no_reply(peer, &error))?;
-    accept_status(peer, status.as_u16(), body)
+    let sent = agent
+        .post(format!("http://{peer}{path}"))
+        .config()
+        .timeout_connect(Some(deadline.min(CONNECT_DEADLINE)))
+        .timeout_global(Some(deadline))
+        .build()
+        .content_type(FRAME_CONTENT_TYPE)
+        .send(frame);
+    let mut response = sent.map_err(|error| failure(peer, &error))?;
+    let status = response.status().as_u16();
+    let body = response.body_mut().with_config().limit(REPLY_LIMIT).read_to_vec();
+    let body = body.map_err(|error| no_reply(peer, &error))?;
+    accept_status(peer, status, body)
 }
 
 fn accept_status(peer: PeerAddress, status: u16, body: Vec<u8>) -> Result<Vec<u8>, RpcError> {
     if status == 200 {
         return Ok(body);
     }
+    if let Some(refusal) = rim_refusal(&body) {
+        return Err(RpcError::Refused { peer, refusal });
+    }
     match rmp_serde::from_slice(&body) {
         Ok(refusal) => Err(RpcError::Refused { peer, refusal }),
         Err(_) => Err(RpcError::NoReply { peer, detail: format!("status {status}") }),
     }
 }
 
+/// What the peer's rim says of a message that it did not hand on.
+#[derive(Deserialize)]
+struct RimProblem {
+    outcome: String,
+    reason: String,
+}
+
+fn rim_refusal(body: &[u8]) -> Option<RpcRefusal> {
+    let problem: RimProblem = serde_json::from_slice(body).ok()?;
+    if problem.outcome != "not-run" {
+        return None;
+    }
+    Some(match problem.reason.as_str() {
+        "body-too-large" => RpcRefusal::TooLarge,
+        "broken-body" | "slow-body" => RpcRefusal::Malformed,
+        _ => RpcRefusal::Overloaded,
+    })
+}
+
 fn no_reply(peer: PeerAddress, error: &impl ToString) -> RpcError {
     RpcError::NoReply { peer, detail: error.to_string() }
 }
 
-fn pooled_error(peer: PeerAddress, error: &ureq::Error) -> RpcError {
+/// A failure to connect proves that nothing was sent. Every later one leaves it open.
+fn failure(peer: PeerAddress, error: &ureq::Error) -> RpcError {
     let detail = error.to_string();
     match error {
         ureq::Error::ConnectionFailed | ureq::Error::Timeout(ureq::Timeout::Connect) => {
@@ -192,14 +203,3 @@
         _ => RpcError::NoReply { peer, detail },
     }
 }
-
-fn fresh_error(peer: PeerAddress, error: &attohttpc::Error) -> RpcError {
-    let detail = error.to_string();
-    match error.kind() {
-        attohttpc::ErrorKind::ConnectError { .. } => RpcError::NotConnected { peer, detail },
-        attohttpc::ErrorKind::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
-            RpcError::NotConnected { peer, detail }
-        }
-        _ => RpcError::NoReply { peer, detail },
-    }
-}
--- a/crates/proto/src/server/mod.rs
+++ b/crates/proto/src/server/mod.rs
@@ -6,6 +6,8 @@
 //! answers through an [`HttpResponder`] from whatever thread it likes. `docs/decisions/http.md`
 //! says why `hyper` stands here and `tiny_http` does not.
 
+mod connection;
+mod exchange;
 mod rim;
 mod rpc_inbox;
 mod types;
--- a/crates/proto/src/server/rim.rs
+++ b/crates/proto/src/server/rim.rs
@@ -1,28 +1,30 @@
 //! The server itself, on a single-threaded runtime of its own.
 
 use {
-    super::{HttpRequest, HttpResponder, HttpResponse, RequestHandler, ServerLimits},
+    super::{
+        connection::{refuse_connection, serve_connection},
+        exchange::ExchangeContext,
+        RequestHandler, ServerLimits,
+    },
     base::PeerAddress,
-    bytes::Bytes,
-    http::{Request, Response, StatusCode},
-    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::rt::{TokioIo, TokioTimer},
     snafu::{ResultExt, Snafu},
     std::{
-        convert::Infallible,
         io,
-        net::{SocketAddr, TcpListener},
-        pin::pin,
+        net::TcpListener,
         sync::Arc,
         thread::{self, JoinHandle},
         time::Duration,
     },
-    tokio::sync::{oneshot, watch, Semaphore},
+    tokio::{
+        net::TcpStream,
+        sync::{watch, Semaphore},
+        task::JoinSet,
+    },
 };
 
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
-const PROBLEM_CONTENT_TYPE: &str = "application/problem+json";
+/// Connections above the limit that are told so at once; further ones are just closed.
+const REFUSALS_AT_ONCE: usize = 32;
 
 /// Why a server can't start.
 #[derive(Debug, Snafu)]
@@ -77,7 +79,9 @@
         self.address
     }
 
-    /// Stops accepting at once, and returns when every request in progress has been answered.
+    /// Stops accepting, and returns when every request in progress has been answered. Connections
+    /// that were accepted by the system before count, and so do requests that are on their way on
+    /// an open connection.
     pub fn shut_down(mut self) {
         let _ = self.stop.send(true);
         if let Some(thread) = self.thread.take() {
@@ -86,117 +90,72 @@
     }
 }
 
-async fn serve(
-    listener: TcpListener,
-    limits: ServerLimits,
-    handler: Arc<dyn RequestHandler>,
-    mut stopped: watch::Receiver<bool>,
-) {
-    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
-    let connections = Arc::new(Semaphore::new(limits.connections));
-    let requests = Arc::new(Semaphore::new(limits.requests));
-    let mut running = tokio::task::JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            _ = stopped.wait_for(|stop| *stop) => break,
-            accepted = listener.accept() => accepted,
-        };
-        while running.try_join_next().is_some() {}
-        let (stream, peer) = match accepted {
-            Ok(accepted) => accepted,
-            Err(_) => {
-                tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
-                continue;
-            }
+/// What the connections of one server share.
+struct ConnectionTable {
+    exchange: ExchangeContext,
+    stopped: watch::Receiver<bool>,
+    permits: Arc<Semaphore>,
+    refusals: Arc<Semaphore>,
+    running: JoinSet<()>,
+}
+
+impl ConnectionTable {
+    fn new(
+        limits: ServerLimits,
+        handler: Arc<dyn RequestHandler>,
+        stopped: watch::Receiver<bool>,
+    ) -> Self {
+        Self {
+            exchange: ExchangeContext::new(limits, handler, stopped.clone()),
+            stopped,
+            permits: Arc::new(Semaphore::new(limits.connections)),
+            refusals: Arc::new(Semaphore::new(REFUSALS_AT_ONCE)),
+            running: JoinSet::new(),
+        }
+    }
+
+    fn take(&mut self, stream: TcpStream, peer: std::net::SocketAddr) {
+        while self.running.try_join_next().is_some() {}
+        let Ok(permit) = self.permits.clone().try_acquire_owned() else {
+            return self.refuse(stream);
         };
-        let Ok(permit) = connections.clone().try_acquire_owned() else { continue };
         let _ = stream.set_nodelay(true);
-        let exchange =
-            ExchangeContext { limits, peer, handler: handler.clone(), requests: requests.clone() };
-        let stopped = stopped.clone();
-        running.spawn(async move {
+        let exchange = self.exchange.for_peer(peer);
+        let stopped = self.stopped.clone();
+        self.running.spawn(async move {
             serve_connection(stream, exchange, stopped).await;
             drop(permit);
         });
     }
-    drop(listener);
-    while running.join_next().await.is_some() {}
+
+    fn refuse(&mut self, stream: TcpStream) {
+        let Ok(permit) = self.refusals.clone().try_acquire_owned() else { return };
+        self.running.spawn(async move {
+            refuse_connection(stream).await;
+            drop(permit);
+        });
+    }
 }
 
-#[derive(Clone)]
-struct ExchangeContext {
+async fn serve(
+    listener: TcpListener,
     limits: ServerLimits,
-    peer: SocketAddr,
     handler: Arc<dyn RequestHandler>,
-    requests: Arc<Semaphore>,
-}
-
-async fn serve_connection(
-    stream: tokio::net::TcpStream,
-    exchange: ExchangeContext,
     mut stopped: watch::Receiver<bool>,
 ) {
-    let limits = exchange.limits;
-    let service = service_fn(move |request| {
-        let exchange = exchange.clone();
-        async move { Ok::<_, Infallible>(answer(exchange, request).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_deadline)
-        .max_buf_size(limits.head.0 as usize)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = stopped.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
-    }
-    let _ = connection.await;
-}
-
-async fn answer(exchange: ExchangeContext, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let Ok(_permit) = exchange.requests.clone().try_acquire_owned() else {
-        return into_response(problem(StatusCode::SERVICE_UNAVAILABLE, "overloaded"));
-    };
-    let (head, body) = request.into_parts();
-    let limit = exchange.limits.body.0 as usize;
-    let collected =
-        tokio::time::timeout(exchange.limits.body_deadline, Limited::new(body, limit).collect());
-    let body = match collected.await {
-        Err(_) => return into_response(problem(StatusCode::REQUEST_TIMEOUT, "slow-body")),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return into_response(problem(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"));
+    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+    let mut table = ConnectionTable::new(limits, handler, stopped.clone());
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stop| *stop) => break,
+        };
+        match accepted {
+            Ok((stream, peer)) => table.take(stream, peer),
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY_PAUSE).await,
         }
-        Ok(Err(_)) => return into_response(problem(StatusCode::BAD_REQUEST, "broken-body")),
-        Ok(Ok(body)) => body.to_bytes(),
-    };
-    let request = HttpRequest {
-        method: head.method,
-        uri: head.uri,
-        headers: head.headers,
-        body,
-        peer: exchange.peer,
-    };
-    let (sender, receiver) = oneshot::channel();
-    exchange.handler.handle(request, HttpResponder { sender });
-    let dropped = |_| problem(StatusCode::SERVICE_UNAVAILABLE, "no-answer");
-    into_response(receiver.await.unwrap_or_else(dropped))
-}
-
-/// A problem that the rim itself reports. The request has not been handed on, so it did not run,
-/// but for `no-answer`, of which nothing is known.
-fn problem(status: StatusCode, reason: &str) -> HttpResponse {
-    let outcome = if reason == "no-answer" { "unknown" } else { "not-run" };
-    let body = format!(
-        r#"{{"title":"{reason}","status":{},"outcome":"{outcome}","reason":"{reason}"}}"#,
-        status.as_u16()
-    );
-    HttpResponse::new(status, PROBLEM_CONTENT_TYPE, body)
-}
-
-fn into_response(response: HttpResponse) -> Response<Full<Bytes>> {
-    let mut built = Response::new(Full::new(response.body));
-    *built.status_mut() = response.status;
-    *built.headers_mut() = response.headers;
-    built
+    }
+    drop(listener);
+    while table.running.join_next().await.is_some() {}
 }
--- a/crates/proto/src/server/types.rs
+++ b/crates/proto/src/server/types.rs
@@ -87,6 +87,9 @@
     pub head: ByteSize,
     /// Bytes of a request's body.
     pub body: ByteSize,
+    /// Bytes of all requests' bodies together; a request for which there is no room is answered
+    /// with 503.
+    pub body_memory: ByteSize,
     /// How long a peer may take to send a head, counted from the accepted connection or the end of
     /// the exchange before: it bounds idle connections too.
     pub head_deadline: Duration,
@@ -103,6 +106,7 @@
             requests: 1024,
             head: ByteSize(16 * 1024),
             body: ByteSize(8 * 1024 * 1024),
+            body_memory: ByteSize(64 * 1024 * 1024),
             head_deadline: Duration::from_secs(15),
             body_deadline: Duration::from_secs(30),
             write_deadline: Duration::from_secs(30),
--- /dev/null
+++ b/crates/proto/tests/rim/main.rs
@@ -0,0 +1,253 @@
+//! The HTTP rim under bad input, over real sockets. Each bound has a typed answer or a closed
+//! connection, and others are served meanwhile.
+
+mod messages;
+mod support;
+
+use {
+    http::StatusCode,
+    proto::server::{HttpResponse, ServerLimits},
+    rstest::rstest,
+    std::{
+        io::{Read, Write},
+        net::{Shutdown, TcpStream},
+        thread,
+        time::Duration,
+    },
+    support::{read_all, read_one, HeldServer, LIMITS},
+};
+
+const OK: &str = "HTTP/1.1 200";
+
+fn answer_with(text: &'static str) -> HttpResponse {
+    HttpResponse::new(StatusCode::OK, "text/plain", text)
+}
+
+fn post(path: &str, length: usize) -> String {
+    format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n")
+}
+
+#[rstest]
+#[case::no_http(b"hello\r\n\r\n".to_vec(), "HTTP/1.1 400")]
+#[case::binary(vec![0x16, 3, 1, 0, 200, 1, 0, 0, 196, 3, 3], "HTTP/1.1 400")]
+#[case::http2_is_closed(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec(), "")]
+#[case::bad_header(b"GET / HTTP/1.1\r\nhost: a\r\nb@d header\r\n\r\n".to_vec(), "HTTP/1.1 400")]
+#[case::two_lengths(
+    b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab".to_vec(),
+    "HTTP/1.1 400"
+)]
+#[case::bad_chunk(
+    b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n".to_vec(),
+    "broken-body"
+)]
+#[case::long_line([b"GET /".as_slice(), &[b'a'; 20_000], b" HTTP/1.1\r\n\r\n"].concat(), "HTTP/1.1 4")]
+#[case::long_header(
+    [b"GET / HTTP/1.1\r\nx: ".as_slice(), &[b'a'; 20_000], b"\r\n\r\n"].concat(),
+    "HTTP/1.1 431"
+)]
+#[case::many_headers(
+    [b"GET / HTTP/1.1\r\n".as_slice(), "a: b\r\n".repeat(500).as_bytes(), b"\r\n"].concat(),
+    "HTTP/1.1 431"
+)]
+#[case::body_that_says_so(post("/", 65 * 1024).into_bytes(), "body-too-large")]
+#[case::dropped(b"GET /drop HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n".to_vec(), "no-answer")]
+fn malformed_requests_are_refused(#[case] bytes: Vec<u8>, #[case] expected: &str) {
+    let held = HeldServer::start(LIMITS);
+    let mut stream = held.connect();
+    let _ = stream.write_all(&bytes);
+    let answer = read_all(&mut stream);
+    assert!(answer.contains(expected), "{answer:?}");
+    held.assert_works();
+}
+
+/// A body that does not say how long it is can't be refused before it is read.
+#[test]
+fn endless_chunks_are_cut_off() {
+    let held = HeldServer::start(LIMITS);
+    let mut stream = held.connect();
+    stream.write_all(b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n").unwrap();
+    let chunk = [b"400\r\n".as_slice(), &[b'x'; 1024], b"\r\n"].concat();
+    for _ in 0..65 {
+        stream.write_all(&chunk).unwrap();
+    }
+    let answer = read_all(&mut stream);
+    assert!(answer.contains("body-too-large"), "{answer:?}");
+    held.assert_works();
+}
+
+#[rstest]
+#[case::nothing("", "")]
+#[case::part_of_a_head("GET / HTTP/1.1\r\nhost:", "")]
+#[case::part_of_a_body("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc", "slow-body")]
+#[case::part_of_a_chunk(
+    "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n9\r\nabc",
+    "slow-body"
+)]
+fn silent_senders_are_cut_off(#[case] sent: &str, #[case] expected: &str) {
+    let held = HeldServer::start(LIMITS);
+    let mut stream = held.connect();
+    stream.write_all(sent.as_bytes()).unwrap();
+    let answer = read_all(&mut stream);
+    assert!(answer.contains(expected), "{answer:?}");
+    held.assert_works();
+}
+
+/// The deadlines bound the whole head and the whole body: bytes that trickle in don't extend them.
+#[rstest]
+#[case::head("GET / HTTP/1.1\r\n", "")]
+#[case::body("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n", "slow-body")]
+fn trickling_senders_are_cut_off(#[case] start: &str, #[case] expected: &str) {
+    let held = HeldServer::start(LIMITS);
+    let mut stream = held.connect();
+    stream.write_all(start.as_bytes()).unwrap();
+    let mut writer = stream.try_clone().unwrap();
+    let trickle = thread::spawn(move || {
+        // Ends when the server has closed the connection.
+        while writer.write_all(b"x").is_ok() {
+            thread::sleep(Duration::from_millis(5));
+        }
+    });
+    let answer = read_one_or_nothing(&mut stream);
+    assert!(answer.contains(expected), "{answer:?}");
+    stream.shutdown(Shutdown::Both).ok();
+    trickle.join().unwrap();
+    held.assert_works();
+}
+
+fn read_one_or_nothing(stream: &mut TcpStream) -> String {
+    let mut buffer = vec![0; 4096];
+    let count = stream.read(&mut buffer).unwrap_or(0);
+    String::from_utf8_lossy(&buffer[..count]).into_owned()
+}
+
+/// A peer that does not read its answer loses the connection, and with it the memory is free.
+#[test]
+fn answers_that_are_not_read_are_given_up() {
+    let held = HeldServer::start(ServerLimits { connections: 1, ..LIMITS });
+    let mut stream = held.connect();
+    stream.write_all(b"GET /large HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+    // The only connection comes free, because the server gives the first one up.
+    loop {
+        let mut next = held.connect();
+        next.write_all(b"GET /ping HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").unwrap();
+        let answer = read_all(&mut next);
+        if answer.starts_with(OK) {
+            break;
+        }
+        assert!(answer.contains("too-many-connections"), "{answer:?}");
+    }
+    assert!(read_all(&mut stream).len() < 64 * 1024 * 1024, "the answer was cut short");
+}
+
+#[test]
+fn connections_above_the_limit_are_told() {
+    let held = HeldServer::start(ServerLimits { head_deadline: Duration::from_secs(60), ..LIMITS });
+    let mut open: Vec<TcpStream> = (0..LIMITS.connections).map(|_| held.connect()).collect();
+    for stream in &mut open {
+        stream.write_all(b"GET /ping HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+        assert!(read_one(stream).starts_with(OK));
+    }
+    let refused = held.exchange(b"GET /ping HTTP/1.1\r\nhost: a\r\n\r\n");
+    assert!(refused.contains("too-many-connections"), "{refused:?}");
+    assert!(refused.contains("\"outcome\":\"not-run\""), "{refused:?}");
+    // Those that are open are not disturbed.
+    open[0].write_all(b"GET /again HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+    assert!(read_one(&mut open[0]).ends_with("GET /again 0"));
+}
+
+#[test]
+fn requests_above_the_limit_are_told() {
+    let held = HeldServer::start(LIMITS);
+    let mut waiting: Vec<TcpStream> = (0..LIMITS.requests).map(|_| held.connect()).collect();
+    let responders: Vec<_> = waiting
+        .iter_mut()
+        .map(|stream| {
+            stream
+                .write_all(b"GET /hold HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+                .unwrap();
+            held.held.recv().unwrap()
+        })
+        .collect();
+    let refused = held.exchange(b"GET /ping HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    assert!(refused.contains("overloaded") && refused.contains("not-run"), "{refused:?}");
+    for (stream, responder) in waiting.iter_mut().zip(responders) {
+        responder.send(answer_with("whole"));
+        assert!(read_all(stream).ends_with("whole"));
+    }
+    held.assert_works();
+}
+
+/// The memory for bodies is shared: a second large one is refused while the first is held.
+#[test]
+fn bodies_share_their_memory() {
+    let held = HeldServer::start(LIMITS);
+    let mut first = held.connect();
+    first.write_all(post("/hold", 60 * 1024).as_bytes()).unwrap();
+    first.write_all(&[b'x'; 60 * 1024]).unwrap();
+    let responder = held.held.recv().unwrap();
+    let mut second = held.connect();
+    second.write_all(post("/", 60 * 1024).as_bytes()).unwrap();
+    second.write_all(&[b'x'; 60 * 1024]).unwrap();
+    assert!(read_one(&mut second).contains("overloaded"));
+    responder.send(answer_with("whole"));
+    assert!(read_one(&mut first).ends_with("whole"));
+    let mut third = held.connect();
+    third.write_all(post("/", 60 * 1024).as_bytes()).unwrap();
+    third.write_all(&[b'x'; 60 * 1024]).unwrap();
+    assert!(read_one(&mut third).ends_with("POST / 61440"));
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_order() {
+    let held = HeldServer::start(LIMITS);
+    let mut stream = held.connect();
+    let one = |path: &str| format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n");
+    stream.write_all((one("/hold") + &one("/b") + &one("/c")).as_bytes()).unwrap();
+    held.held.recv().unwrap().send(answer_with("a"));
+    let answers = [read_one(&mut stream), read_one(&mut stream), read_one(&mut stream)];
+    let ends = ["a", "GET /b 0", "GET /c 0"];
+    assert!(answers.iter().zip(ends).all(|(answer, end)| answer.ends_with(end)), "{answers:?}");
+}
+
+/// A peer that has gone away is noticed, so that nobody works for it.
+#[test]
+fn responders_of_gone_peers_are_closed() {
+    let held = HeldServer::start(LIMITS);
+    let mut stream = held.connect();
+    stream.write_all(b"GET /hold HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+    let responder = held.held.recv().unwrap();
+    drop(stream);
+    while !responder.is_closed() {
+        thread::yield_now();
+    }
+    held.assert_works();
+}
+
+/// A shutdown answers what is in progress, what is on its way on open connections, and what the
+/// system has accepted and the server has not seen yet.
+#[test]
+fn shutdown_cuts_nothing_off() {
+    let held = HeldServer::start(ServerLimits { connections: 64, requests: 64, ..LIMITS });
+    let mut idle = held.connect();
+    idle.write_all(b"GET /ping HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+    assert!(read_one(&mut idle).starts_with(OK));
+    let mut busy = held.connect();
+    busy.write_all(b"GET /hold HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+    let responder = held.held.recv().unwrap();
+    let mut queued: Vec<TcpStream> = (0..16).map(|_| held.connect()).collect();
+    let HeldServer { server, held: _held } = held;
+    thread::scope(|scope| {
+        let stopping = scope.spawn(|| server.shut_down());
+        idle.write_all(b"GET /last HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+        for stream in &mut queued {
+            stream.write_all(b"GET /new HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+        }
+        assert!(read_all(&mut idle).ends_with("GET /last 0"));
+        for stream in &mut queued {
+            assert!(read_all(stream).ends_with("GET /new 0"));
+        }
+        responder.send(answer_with("whole"));
+        assert!(read_all(&mut busy).ends_with("whole"));
+        stopping.join().unwrap();
+    });
+}
--- /dev/null
+++ b/crates/proto/tests/rim/support.rs
@@ -0,0 +1,131 @@
+//! A server with small bounds and raw sockets to it.
+
+use {
+    base::{ByteSize, ClusterName, IncarnationNumber, PeerAddress, ProcessName, SystemClock},
+    crossbeam::channel::{self, Receiver, Sender},
+    http::StatusCode,
+    proto::{
+        envelope::{ProcessRole, SenderIdentity},
+        rpc::ProcessIdentity,
+        server::{
+            HttpRequest, HttpResponder, HttpResponse, HttpServer, RequestHandler, ServerLimits,
+        },
+    },
+    std::{
+        io::{ErrorKind, Read, Write},
+        net::{Shutdown, TcpStream},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Small bounds, so that each is met at once.
+pub const LIMITS: ServerLimits = ServerLimits {
+    connections: 4,
+    requests: 2,
+    head: ByteSize(8192),
+    body: ByteSize(64 * 1024),
+    body_memory: ByteSize(96 * 1024),
+    head_deadline: Duration::from_millis(300),
+    body_deadline: Duration::from_millis(300),
+    write_deadline: Duration::from_millis(300),
+};
+
+pub fn loopback() -> PeerAddress {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+/// Answers `/hold` when the test says so, `/large` with a large body and others with the length
+/// of what it got.
+struct HoldingHandler {
+    held: Sender<HttpResponder>,
+}
+
+impl RequestHandler for HoldingHandler {
+    fn handle(&self, request: HttpRequest, responder: HttpResponder) {
+        let body = match request.uri.path() {
+            "/hold" => return self.held.send(responder).unwrap(),
+            "/drop" => return drop(responder),
+            "/large" => vec![b'x'; 64 * 1024 * 1024],
+            path => format!("{} {path} {}", request.method, request.body.len()).into_bytes(),
+        };
+        responder.send(HttpResponse::new(StatusCode::OK, "text/plain", body));
+    }
+}
+
+pub struct HeldServer {
+    pub server: HttpServer,
+    pub held: Receiver<HttpResponder>,
+}
+
+impl HeldServer {
+    pub fn start(limits: ServerLimits) -> Self {
+        let (sender, held) = channel::unbounded();
+        let handler = Arc::new(HoldingHandler { held: sender });
+        Self { server: HttpServer::start(loopback(), limits, handler).unwrap(), held }
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.server.address().0).unwrap()
+    }
+
+    /// Sends bytes on a new connection and reads until the server closes it.
+    pub fn exchange(&self, bytes: &[u8]) -> String {
+        let mut stream = self.connect();
+        stream.write_all(bytes).unwrap();
+        stream.shutdown(Shutdown::Write).ok();
+        read_all(&mut stream)
+    }
+
+    /// A well-formed exchange, which shows that the server still works.
+    pub fn assert_works(&self) {
+        let mut stream = self.connect();
+        stream.write_all(b"GET /ping HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").unwrap();
+        let answer = read_all(&mut stream);
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("GET /ping 0"), "{answer}");
+    }
+}
+
+/// Reads until the peer closes. A reset ends the reading too.
+pub fn read_all(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        match stream.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(_) => break,
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Reads one response with a content length.
+pub fn read_one(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    loop {
+        if stream.read(&mut byte).unwrap() == 0 {
+            break;
+        }
+        bytes.push(byte[0]);
+        let text = String::from_utf8_lossy(&bytes).to_lowercase();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        if body.len() == length.map_or(0, |length| length.parse().unwrap()) {
+            break;
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+pub fn identity(role: ProcessRole, cluster: &str, name: &str) -> Arc<ProcessIdentity> {
+    let sender = SenderIdentity {
+        cluster: ClusterName::new(cluster).unwrap(),
+        role,
+        name: ProcessName::new(name).unwrap(),
+        incarnation: IncarnationNumber(1),
+    };
+    Arc::new(ProcessIdentity::new(sender, Arc::new(SystemClock::new())))
+}
