Test the files of the log against tears, damage and failures

A crash may tear the last batch at any byte, a disk may flip a bit or be full at any operation, and an operator may point a replica at the wrong folder. The tests cut a segment at every length, change every byte before the last batch, let every file operation fail in turn followed by a crash or a retry, and offer foreign, newer and damaged files, another cluster's, another replica's and an open folder.

Conclusion: a torn tail is cut, everything else is refused by name with its files untouched, and no failure loses what was synced.

--- a/crates/quorum/tests/cluster/disk.rs
+++ b/crates/quorum/tests/cluster/disk.rs
@@ -1,9 +1,6 @@
 //! A disk that holds exactly what was synced.
 
-use {
-    base::LogIndex,
-    quorum::{HardState, LogEntry, LogSnapshot, PersistBatch, RecoveredLog},
-};
+use quorum::{HardState, LogEntry, LogSnapshot, PersistBatch, RecoveredLog};
 
 #[derive(Debug, Clone, Default)]
 pub struct FakeDisk {
@@ -33,9 +30,4 @@
             entries: self.entries.clone(),
         }
     }
-
-    pub fn last_index(&self) -> LogIndex {
-        let covered = self.snapshot.as_ref().map_or(LogIndex(0), |snapshot| snapshot.index);
-        self.entries.last().map_or(covered, |entry| entry.index)
-    }
 }
--- a/crates/quorum/tests/storage.rs
+++ b/crates/quorum/tests/storage.rs
@@ -1,21 +1,36 @@
-//! The log on disk: what is synced comes back, and what can't be trusted is refused.
+//! The log on disk: what is synced comes back, what a crash left unfinished is cut, and what can't
+//! be trusted is refused and left as it is.
+
+#[path = "cluster/disk.rs"]
+mod disk;
 
 use {
     base::{ClusterName, LogIndex, ReplicaId, TermNumber},
+    disk::FakeDisk,
     quorum::{
-        EntryPayload, HardState, LogEntry, LogSnapshot, LogStorage, PersistBatch, RecoveredLog,
+        DiskFiles, EntryPayload, FileLayer, HardState, LogEntry, LogSnapshot, LogStorage,
+        PersistBatch, RecoveredLog, StorageError,
+    },
+    rstest::rstest,
+    std::{
+        cell::Cell,
+        collections::BTreeMap,
+        fs::{self, File},
+        io::{self, Write},
+        path::{Path, PathBuf},
+        rc::Rc,
     },
-    std::path::Path,
 };
 
 const OWNER: ReplicaId = ReplicaId(1);
+const FIRST_SEGMENT: &str = "segment-00000000000000000001.log";
 
 fn cluster() -> ClusterName {
     ClusterName::new("umoja").unwrap()
 }
 
-fn open(folder: &Path) -> (LogStorage, RecoveredLog) {
-    LogStorage::open(folder, &cluster(), OWNER).unwrap()
+fn open(folder: &Path) -> Result<(LogStorage, RecoveredLog), StorageError> {
+    LogStorage::open(folder, &cluster(), OWNER)
 }
 
 fn entry(index: u64, term: u64) -> LogEntry {
@@ -27,47 +42,342 @@
     range.map(|index| entry(index, term)).collect()
 }
 
-fn snapshot(index: u64, term: u64) -> LogSnapshot {
-    LogSnapshot {
+fn snapshot(index: u64, term: u64) -> Option<LogSnapshot> {
+    Some(LogSnapshot {
         index: LogIndex(index),
         term: TermNumber(term),
         members: Vec::new(),
         retired: Vec::new(),
         data: format!("state at {index}").into_bytes().into(),
-    }
+    })
 }
 
 fn vote(term: u64) -> Option<HardState> {
     Some(HardState { term: TermNumber(term), voted_for: Some(OWNER) })
 }
 
-#[test]
-fn what_is_synced_comes_back() {
-    let folder = tempfile::tempdir().unwrap();
-    let folder = folder.path().join("data/log");
-    let (mut storage, recovered) = open(&folder);
-    assert_eq!(recovered, RecoveredLog::default());
-    let batches = [
-        PersistBatch { hard_state: vote(1), ..Default::default() },
-        PersistBatch { entries: entries(1..=9, 1), ..Default::default() },
+/// Appends, conflicts, a snapshot taken here, and one received that lies after the log's end.
+fn batches() -> Vec<PersistBatch> {
+    let none = PersistBatch::default;
+    vec![
+        PersistBatch { hard_state: vote(1), ..none() },
+        PersistBatch { entries: entries(1..=9, 1), ..none() },
         PersistBatch {
             truncate_from: Some(LogIndex(6)),
             entries: entries(6..=7, 2),
             hard_state: vote(2),
-            ..Default::default()
+            ..none()
+        },
+        PersistBatch { snapshot: snapshot(4, 1), ..none() },
+        PersistBatch { entries: entries(8..=8, 2), ..none() },
+        PersistBatch { snapshot: snapshot(20, 3), entries: entries(21..=22, 3), ..none() },
+        PersistBatch {
+            snapshot: snapshot(22, 3),
+            truncate_from: Some(LogIndex(23)),
+            hard_state: vote(4),
+            ..none()
         },
-        PersistBatch { snapshot: Some(snapshot(4, 1)), ..Default::default() },
-        PersistBatch { entries: entries(8..=8, 2), ..Default::default() },
-    ];
-    for batch in &batches {
+        PersistBatch { entries: entries(23..=24, 4), ..none() },
+    ]
+}
+
+fn model_after(count: usize) -> RecoveredLog {
+    let mut model = FakeDisk::default();
+    batches().iter().take(count).for_each(|batch| model.write(batch));
+    model.recover()
+}
+
+/// Every file but the lock, with its content.
+fn files_in(folder: &Path) -> BTreeMap<PathBuf, Vec<u8>> {
+    let paths = fs::read_dir(folder).unwrap().map(|item| item.unwrap().path());
+    let paths = paths.filter(|path| path.file_name().unwrap() != "lock");
+    paths.map(|path| (path.clone(), fs::read(path).unwrap())).collect()
+}
+
+#[test]
+fn what_is_synced_comes_back() {
+    let folder = tempfile::tempdir().unwrap();
+    let folder = folder.path().join("data/log");
+    for (count, batch) in batches().iter().enumerate() {
+        let (mut storage, recovered) = open(&folder).unwrap();
+        assert_eq!(recovered, model_after(count));
         storage.persist(batch).unwrap();
     }
+    assert_eq!(open(&folder).unwrap().1, model_after(batches().len()));
+}
+
+#[test]
+fn a_batch_costs_one_sync() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut storage, _) = open(folder.path()).unwrap();
+    let batch = PersistBatch { entries: entries(1..=500, 1), ..PersistBatch::default() };
+    storage.persist(&batch).unwrap();
+    assert_eq!(storage.sync_count(), 1);
+}
+
+#[test]
+fn segments_that_a_snapshot_covers_are_removed() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut storage, _) = open(folder.path()).unwrap();
+    batches().iter().for_each(|batch| storage.persist(batch).unwrap());
+    let names = files_in(folder.path()).into_keys();
+    let names: Vec<_> = names.map(|path| path.file_name().unwrap().to_owned()).collect();
+    assert_eq!(names, ["segment-00000000000000000004.log", "snapshot-00000000000000000022.snap"]);
+}
+
+/// Writes all batches but without snapshots, so that there is one segment, and returns its path
+/// and its length after each batch.
+fn one_segment(folder: &Path) -> (PathBuf, Vec<usize>) {
+    let path = folder.join(FIRST_SEGMENT);
+    let (mut storage, _) = open(folder).unwrap();
+    let mut lengths = vec![fs::read(&path).unwrap().len()];
+    for batch in batches().iter().take(3) {
+        storage.persist(batch).unwrap();
+        lengths.push(fs::read(&path).unwrap().len());
+    }
+    (path, lengths)
+}
+
+#[test]
+fn a_torn_tail_is_cut_wherever_it_was_torn() {
+    let folder = tempfile::tempdir().unwrap();
+    let (path, lengths) = one_segment(folder.path());
+    let content = fs::read(&path).unwrap();
+    for length in lengths[0]..=content.len() {
+        fs::write(&path, &content[..length]).unwrap();
+        let whole = lengths.iter().filter(|end| **end <= length).count() - 1;
+        let (mut storage, recovered) = open(folder.path()).unwrap();
+        assert_eq!(recovered, model_after(whole), "cut at {length}");
+        storage.persist(&PersistBatch { hard_state: vote(9), ..Default::default() }).unwrap();
+        drop(storage);
+        assert_eq!(open(folder.path()).unwrap().1.hard_state, vote(9).unwrap());
+    }
+}
+
+/// A torn write may leave zeros, or later parts without earlier ones.
+#[rstest]
+#[case::zeros(|tail: &mut [u8]| tail.fill(0))]
+#[case::half_written(|tail: &mut [u8]| { let half = tail.len() / 2; tail[..half].fill(0) })]
+#[case::a_copy_of_another_frame(|tail: &mut [u8]| tail[8..40].fill(1))]
+fn a_tail_of_garbage_is_cut(#[case] spoil: fn(&mut [u8])) {
+    let folder = tempfile::tempdir().unwrap();
+    let (path, lengths) = one_segment(folder.path());
+    let mut content = fs::read(&path).unwrap();
+    spoil(&mut content[lengths[2]..]);
+    fs::write(&path, &content).unwrap();
+    assert_eq!(open(folder.path()).unwrap().1, model_after(2));
+}
+
+/// What is inside the payload must not be taken for a frame that follows.
+#[test]
+fn a_torn_batch_that_carries_a_log_is_cut() {
+    let folder = tempfile::tempdir().unwrap();
+    let (path, lengths) = one_segment(folder.path());
+    let content = fs::read(&path).unwrap();
+    let (mut storage, _) = open(folder.path()).unwrap();
+    let payload = EntryPayload::Data(content.clone());
+    let carrier = LogEntry { index: LogIndex(8), term: TermNumber(2), payload };
+    storage.persist(&PersistBatch { entries: vec![carrier], ..Default::default() }).unwrap();
+    drop(storage);
+    let mut torn = fs::read(&path).unwrap();
+    *torn.last_mut().unwrap() ^= 1;
+    fs::write(&path, &torn).unwrap();
+    assert_eq!(lengths.last(), Some(&content.len()));
+    assert_eq!(open(folder.path()).unwrap().1, model_after(3));
+}
+
+#[test]
+fn damage_before_the_tail_is_refused_and_left_alone() {
+    let folder = tempfile::tempdir().unwrap();
+    let (path, lengths) = one_segment(folder.path());
+    let content = fs::read(&path).unwrap();
+    for position in lengths[0]..lengths[2] {
+        let mut spoilt = content.clone();
+        spoilt[position] ^= 0x10;
+        fs::write(&path, &spoilt).unwrap();
+        let error = open(folder.path()).unwrap_err();
+        assert!(matches!(error, StorageError::Damaged { .. }), "byte {position}: {error}");
+        assert_eq!(fs::read(&path).unwrap(), spoilt);
+    }
+}
+
+/// Changes something in a folder with two segments and a snapshot, and expects a refusal that
+/// names the file and changes nothing.
+#[rstest]
+#[case::foreign_file(|folder: &Path| fs::write(folder.join("letter.txt"), "dear").unwrap(),
+    "letter.txt: this is no file of a replicated log")]
+#[case::foreign_content(|folder: &Path| fs::write(folder.join(SEGMENT_2), "dear").unwrap(),
+    "segment-00000000000000000002.log: this is no file of a replicated log")]
+#[case::newer_format(|folder: &Path| spoil(&folder.join(SEGMENT_2), 8, 9),
+    "segment-00000000000000000002.log: has format 9, but this release reads up to 1")]
+#[case::damaged_header(|folder: &Path| spoil(&folder.join(SEGMENT_2), 30, 0),
+    "segment-00000000000000000002.log: damaged at byte 0; replace this replica under a new id")]
+#[case::damaged_end_of_earlier_segment(|folder: &Path| shorten(&folder.join(FIRST_SEGMENT)),
+    "segment-00000000000000000001.log: damaged at byte")]
+#[case::damaged_snapshot(|folder: &Path| shorten(&folder.join(SNAPSHOT_4)),
+    "snapshot-00000000000000000004.snap: damaged at byte")]
+#[case::empty_segment(|folder: &Path| fs::write(folder.join(SEGMENT_2), "").unwrap(),
+    "segment-00000000000000000002.log: damaged at byte 0; replace this replica under a new id")]
+#[case::missing_segments(|folder: &Path| remove(folder, &[FIRST_SEGMENT, SEGMENT_2]),
+    "segment-00000000000000000001.log: this file of the log is missing")]
+#[case::missing_snapshot(|folder: &Path| remove(folder, &[FIRST_SEGMENT, SNAPSHOT_4]),
+    "segment-00000000000000000001.log: this file of the log is missing")]
+#[case::missing_entries(|folder: &Path| remove(folder, &[FIRST_SEGMENT]),
+    "position 5 is missing; found 8")]
+fn bad_files_are_refused(#[case] change: fn(&Path), #[case] expected: &str) {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut storage, _) = open(folder.path()).unwrap();
+    batches().iter().take(5).for_each(|batch| storage.persist(batch).unwrap());
     drop(storage);
-    let expected = RecoveredLog {
-        hard_state: vote(2).unwrap(),
-        snapshot: Some(snapshot(4, 1)),
-        entries: [entries(5..=5, 1), entries(6..=8, 2)].concat(),
-    };
-    assert_eq!(open(&folder).1, expected);
-    assert_eq!(open(&folder).1, expected);
+    change(folder.path());
+    let before = files_in(folder.path());
+    let message = open(folder.path()).unwrap_err().to_string();
+    assert!(message.contains(expected), "{message}");
+    assert_eq!(files_in(folder.path()), before);
+}
+
+const SEGMENT_2: &str = "segment-00000000000000000002.log";
+const SNAPSHOT_4: &str = "snapshot-00000000000000000004.snap";
+
+fn spoil(path: &Path, position: usize, byte: u8) {
+    let mut content = fs::read(path).unwrap();
+    content[position] = byte;
+    fs::write(path, content).unwrap();
+}
+
+fn shorten(path: &Path) {
+    let content = fs::read(path).unwrap();
+    fs::write(path, &content[..content.len() - 1]).unwrap();
+}
+
+fn remove(folder: &Path, names: &[&str]) {
+    names.iter().for_each(|name| fs::remove_file(folder.join(name)).unwrap());
+}
+
+#[rstest]
+#[case::cluster("postal", 1, "belongs to cluster umoja, not to postal")]
+#[case::replica("umoja", 2, "belongs to replica 1, not to 2")]
+fn files_of_another_are_refused(#[case] name: &str, #[case] id: u64, #[case] expected: &str) {
+    let folder = tempfile::tempdir().unwrap();
+    one_segment(folder.path());
+    let before = files_in(folder.path());
+    let name = ClusterName::new(name).unwrap();
+    let error = LogStorage::open(folder.path(), &name, ReplicaId(id)).unwrap_err();
+    assert!(error.to_string().contains(expected), "{error}");
+    assert_eq!(files_in(folder.path()), before);
+}
+
+#[test]
+fn a_second_process_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    let first = open(folder.path()).unwrap();
+    assert!(matches!(open(folder.path()), Err(StorageError::Locked { .. })));
+    drop(first);
+    assert!(open(folder.path()).is_ok());
+}
+
+/// Files whose operations fail from some point on, for as long as told.
+#[derive(Debug)]
+struct FailingFiles {
+    left: Rc<Cell<u64>>,
+    failing: Rc<Cell<bool>>,
+}
+
+impl FailingFiles {
+    fn check(&self) -> io::Result<()> {
+        if self.left.get() > 0 {
+            self.left.set(self.left.get() - 1);
+            return Ok(());
+        }
+        match self.failing.get() {
+            true => Err(io::ErrorKind::StorageFull.into()),
+            false => Ok(()),
+        }
+    }
+}
+
+impl FileLayer for FailingFiles {
+    fn append(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
+        if let Err(error) = self.check() {
+            file.write_all(&bytes[..bytes.len() / 2])?;
+            return Err(error);
+        }
+        DiskFiles.append(file, bytes)
+    }
+
+    fn sync(&mut self, file: &File) -> io::Result<()> {
+        self.check().and_then(|()| DiskFiles.sync(file))
+    }
+
+    fn cut(&mut self, file: &File, length: u64) -> io::Result<()> {
+        self.check().and_then(|()| DiskFiles.cut(file, length))
+    }
+
+    fn rename(&mut self, from: &Path, to: &Path) -> io::Result<()> {
+        self.check().and_then(|()| DiskFiles.rename(from, to))
+    }
+
+    fn sync_folder(&mut self, folder: &Path) -> io::Result<()> {
+        self.check().and_then(|()| DiskFiles.sync_folder(folder))
+    }
+}
+
+/// Whichever operation fails, what was synced stays readable, and a retry brings the rest.
+#[rstest]
+#[case::disk_full_then_crash(false)]
+#[case::disk_full_then_retry(true)]
+fn a_failure_loses_nothing_that_was_synced(#[case] retry: bool) {
+    let mut failures = 0;
+    for point in 0.. {
+        let folder = tempfile::tempdir().unwrap();
+        let (left, failing) = (Rc::new(Cell::new(point)), Rc::new(Cell::new(true)));
+        let files = FailingFiles { left: left.clone(), failing: failing.clone() };
+        let Ok((mut storage, _)) = LogStorage::open_with(files, folder.path(), &cluster(), OWNER)
+        else {
+            assert_eq!(open(folder.path()).unwrap().1, RecoveredLog::default());
+            continue;
+        };
+        let all = batches();
+        let failed = all.iter().position(|batch| storage.persist(batch).is_err());
+        let Some(failed) = failed else {
+            assert!(failures > 20, "only {failures} failures were tried");
+            return;
+        };
+        failures += 1;
+        if retry {
+            storage.persist(&all[failed]).unwrap_err();
+            failing.set(false);
+            storage.persist(&retried(&all[failed])).unwrap();
+            all[failed + 1..].iter().for_each(|batch| storage.persist(batch).unwrap());
+            drop(storage);
+            assert_eq!(open(folder.path()).unwrap().1, model_after(all.len()), "point {point}");
+            continue;
+        }
+        drop(storage);
+        let recovered = open(folder.path()).unwrap().1;
+        check_partial(&recovered, failed, point);
+        let (mut storage, _) = open(folder.path()).unwrap();
+        storage.persist(&retried(&all[failed])).unwrap();
+        drop(storage);
+        assert_eq!(open(folder.path()).unwrap().1, model_after(failed + 1), "point {point}");
+    }
+}
+
+/// After a crash the failed batch is there, or not, or only its snapshot, which comes first.
+fn check_partial(recovered: &RecoveredLog, failed: usize, point: u64) {
+    let (before, after) = (model_after(failed), model_after(failed + 1));
+    if *recovered == before || *recovered == after {
+        return;
+    }
+    let start = after.snapshot.as_ref().unwrap().index;
+    let mut only_snapshot = before;
+    only_snapshot.entries.retain(|entry| entry.index > start);
+    only_snapshot.snapshot = after.snapshot;
+    assert_eq!(*recovered, only_snapshot, "point {point}");
+}
+
+/// A retried batch first cuts what may have reached the disk.
+fn retried(batch: &PersistBatch) -> PersistBatch {
+    let first = batch.entries.first().map(|entry| entry.index);
+    PersistBatch { truncate_from: batch.truncate_from.or(first), ..batch.clone() }
 }
