--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -174,7 +174,10 @@
     let accept =
         move |path: &str, frame, responder| accept_call(&own, &calls, path, frame, responder);
     let inbox = RpcInbox::new(identity, accept);
-    HttpServer::start(settings.internal, limits, Arc::new(inbox)).context(ServerSnafu)
+    let server = HttpServer::start(settings.internal, limits, Arc::new(inbox));
+    let server = server.context(ServerSnafu)?;
+    context.identity.listen_at(server.address());
+    Ok(server)
 }
 
 fn node_settings(
--- a/crates/entry/src/driver/mod.rs
+++ b/crates/entry/src/driver/mod.rs
@@ -62,6 +62,7 @@
         let handler = internal_handler(context.clone(), inbox.clone());
         let internal =
             HttpServer::start(settings.internal, limits, handler).context(ServerSnafu)?;
+        context.identity.listen_at(internal.address());
         let handler = Arc::new(CallerHandler::new(context.clone(), inbox.clone()));
         let callers = HttpServer::start(role.callers, limits, handler).context(ServerSnafu)?;
         let setup = entry_setup(settings, &context, internal.address());
--- a/crates/testkit/tests/agent_process/main.rs
+++ b/crates/testkit/tests/agent_process/main.rs
@@ -134,6 +134,15 @@
     assert_eq!(rig.worker.history().len(), 1);
 }
 
+/// An agent whose leader knows of nothing newer learns a revision from the entry that names it.
+#[test]
+fn declarations_come_from_whoever_names_them() {
+    let rig = AgentRig::start(1);
+    rig.entry_hears_of(5);
+    rig.dispatch(&request("r1", "GET /quote", &[], b""));
+    rig.leader.wait_revision(5);
+}
+
 /// A shutdown under load: every request that was admitted is answered, every later one is refused
 /// with proof, and control hears of it.
 #[test]
