--- a/crates/control/src/leader/feed.rs
+++ b/crates/control/src/leader/feed.rs
@@ -1,8 +1,8 @@
 //! Keeps a leader's soft state in step with what is committed and measured.
 
 use {
-    super::{planner, LeaderState, StreamReply},
-    crate::state::{FleetFact, FleetState, JobRecord, WorkerRecord},
+    super::{planner, CommandStream, LeaderState, StreamReply},
+    crate::state::{FleetFact, FleetState, JobRecord, TaskLife, WorkerRecord},
     base::{IncarnationNumber, TaskId, WorkerId},
     proto::messages::{CommandCursor, TaskCommand, ThrottleLevel, UsageReport},
     sched::{HeldTask, ServiceSample, TaskSample, WorkerSample},
@@ -185,7 +185,8 @@
     }
 
     /// What a worker with this cursor is to be told, and whether that is everything. A life of
-    /// which the log does not know yet is told nothing.
+    /// which the log does not know yet is told nothing, nor one that has not said yet which attempts
+    /// of an earlier life it found.
     pub(crate) fn commands_for(
         &mut self,
         worker: &WorkerId,
@@ -199,14 +200,19 @@
             return WorkerOrders { cursor, complete: false, commands: Vec::new() };
         };
         let stream = self.stream_of(worker);
+        let undecided = record.held.iter().any(|task| {
+            let life_cycle = state.jobs().task(task).map(|record| &record.life);
+            life_cycle.is_some_and(|found| {
+                !matches!(found, TaskLife::Stopping(_))
+                    && stream.belongs_to_other(life, task, found.attempt())
+            })
+        });
+        if undecided {
+            return WorkerOrders { cursor, complete: false, commands: Vec::new() };
+        }
         let (complete, commands) = match stream.after(cursor) {
             StreamReply::Delta(commands) => (false, commands),
-            StreamReply::Everything => {
-                let command = |task: &TaskId| {
-                    planner::task_command(state.jobs().get(&task.job)?, task.clone())
-                };
-                (true, record.held.iter().filter_map(command).collect())
-            }
+            StreamReply::Everything => (true, everything(record, life, stream, state)),
         };
         for command in &commands {
             if let TaskCommand::Run { assignment, .. } = command {
@@ -239,3 +245,27 @@
         self.model.sample(received_at, &sample);
     }
 }
+
+/// Everything that is to be on a worker. An attempt that is to stop is named as one to run first:
+/// a worker that was never told of it learns of it, never starts it and confirms the stop. To a
+/// later life than the one that was told of it this would hide an attempt that the platform still
+/// runs.
+fn everything(
+    record: &WorkerRecord,
+    life: IncarnationNumber,
+    stream: &CommandStream,
+    state: &FleetState,
+) -> Vec<TaskCommand> {
+    let mut commands = Vec::new();
+    for task in &record.held {
+        let Some(job) = state.jobs().get(&task.job) else { continue };
+        let Some(command) = planner::task_command(job, task.clone()) else { continue };
+        let attempt = state.jobs().task(task).map(|record| record.life.attempt());
+        let own = attempt.is_some_and(|attempt| !stream.belongs_to_other(life, task, attempt));
+        if own && !matches!(command, TaskCommand::Run { .. }) {
+            commands.extend(planner::run_command(job, task.clone()));
+        }
+        commands.push(command);
+    }
+    commands
+}
--- a/crates/control/src/leader/planner.rs
+++ b/crates/control/src/leader/planner.rs
@@ -199,27 +199,30 @@
 pub(super) fn task_command(job: &JobRecord, task: TaskId) -> Option<TaskCommand> {
     let life = &job.tasks.get(task.index.0 as usize)?.life;
     let attempt = life.attempt();
-    let seat = life.seat()?;
-    let command = match life {
-        TaskLife::Placed(_) | TaskLife::Running(_) => {
-            let spec = &job.spec;
-            let assignment = TaskAssignment {
-                task,
-                attempt,
-                class: spec.class.clone(),
-                priority: spec.priority,
-                reserved: seat.reserved,
-                checkpoint: life.checkpoint().cloned(),
-                service: spec.service.clone(),
-                payload: spec.payload.clone(),
-            };
-            TaskCommand::Run { assignment, throttle: seat.throttle }
-        }
-        TaskLife::Stopping(stopping) => match stopping.phase.purpose {
+    match life {
+        TaskLife::Placed(_) | TaskLife::Running(_) => run_command(job, task),
+        TaskLife::Stopping(stopping) => Some(match stopping.phase.purpose {
             StopPurpose::Evict => TaskCommand::Evict { task, attempt },
             StopPurpose::Cancel => TaskCommand::Stop { task, attempt },
-        },
-        TaskLife::Waiting(_) | TaskLife::Parked(_) | TaskLife::Ended(_) => return None,
+        }),
+        TaskLife::Waiting(_) | TaskLife::Parked(_) | TaskLife::Ended(_) => None,
+    }
+}
+
+/// How a worker learns of an attempt.
+pub(super) fn run_command(job: &JobRecord, task: TaskId) -> Option<TaskCommand> {
+    let life = &job.tasks.get(task.index.0 as usize)?.life;
+    let seat = life.seat()?;
+    let spec = &job.spec;
+    let assignment = TaskAssignment {
+        task,
+        attempt: life.attempt(),
+        class: spec.class.clone(),
+        priority: spec.priority,
+        reserved: seat.reserved,
+        checkpoint: life.checkpoint().cloned(),
+        service: spec.service.clone(),
+        payload: spec.payload.clone(),
     };
-    Some(command)
+    Some(TaskCommand::Run { assignment, throttle: seat.throttle })
 }
--- a/crates/control/src/leader/streams.rs
+++ b/crates/control/src/leader/streams.rs
@@ -96,9 +96,21 @@
         self.told.insert((task.clone(), attempt), life);
     }
 
+    /// True when the attempt was told to another life of the worker. This one is not told to run it
+    /// again: it either found it running and names it, or the attempt is gone.
+    pub fn belongs_to_other(
+        &self,
+        life: IncarnationNumber,
+        task: &TaskId,
+        attempt: AttemptNumber,
+    ) -> bool {
+        let told = self.told.get(&(task.clone(), attempt));
+        told.is_some_and(|told| *told != life)
+    }
+
     /// True when a life of the worker that does not name the attempt, although it names all that it
-    /// knows of, proves that the attempt neither runs there nor will: the life was never told to
-    /// run it, and was told to stop it.
+    /// knows of, proves that the attempt neither runs there nor will. A life that was told to run
+    /// it may be about to start it, which can't be named.
     pub fn proves_absence(
         &self,
         life: IncarnationNumber,
@@ -107,9 +119,12 @@
         attempt: AttemptNumber,
     ) -> bool {
         let id = (task.clone(), attempt);
-        let issued = self.issued.get(&id).copied().unwrap_or(0);
-        let told_to_stop =
-            cursor.term == self.term && cursor.sequence > 0 && cursor.sequence >= issued;
-        told_to_stop && self.told.get(&id) != Some(&life)
+        match self.told.get(&id) {
+            Some(told) => *told != life,
+            None => {
+                let issued = self.issued.get(&id).copied().unwrap_or(0);
+                cursor.term == self.term && cursor.sequence > 0 && cursor.sequence >= issued
+            }
+        }
     }
 }
--- a/crates/control/src/node/heartbeat.rs
+++ b/crates/control/src/node/heartbeat.rs
@@ -98,8 +98,12 @@
         if let Some(announcement) = announcement {
             leader.processes.hear(now, note, announcement.operator_address);
         }
-        let commands = worker_commands(leader, &self.state, &heartbeat);
-        if heartbeat.reports_complete {
+        let busy = leader.reporting.contains(&heartbeat.worker);
+        let mut commands = registrations(&self.state, &heartbeat);
+        if !busy {
+            commands.extend(reports(leader, &self.state, &heartbeat));
+        }
+        if heartbeat.reports_complete && !busy {
             leader.leases.note_complete(now, &heartbeat.worker);
         }
         if let Some(usage) = heartbeat.usage {
@@ -187,12 +191,8 @@
     life.seat().map(|seat| &seat.worker)
 }
 
-/// What a heartbeat says that the log does not know yet.
-fn worker_commands(
-    leader: &mut LeaderState,
-    state: &FleetState,
-    heartbeat: &AgentHeartbeat,
-) -> Vec<FleetCommand> {
+/// What a heartbeat says of its worker and endpoints that the log does not know yet.
+fn registrations(state: &FleetState, heartbeat: &AgentHeartbeat) -> Vec<FleetCommand> {
     let AgentHeartbeat { worker, incarnation, .. } = heartbeat;
     let incarnation = *incarnation;
     let mut commands = Vec::new();
@@ -221,9 +221,18 @@
             });
         }
     }
-    if leader.reporting.contains(worker) {
-        return commands;
-    }
+    commands
+}
+
+/// What a heartbeat says of attempts that the log does not know yet.
+fn reports(
+    leader: &mut LeaderState,
+    state: &FleetState,
+    heartbeat: &AgentHeartbeat,
+) -> Vec<FleetCommand> {
+    let AgentHeartbeat { worker, incarnation, .. } = heartbeat;
+    let incarnation = *incarnation;
+    let mut commands = Vec::new();
     let news = heartbeat.reports.iter().filter(|report| is_news(state, worker, report));
     commands.extend(news.map(|report| FleetCommand::Report {
         worker: worker.clone(),
@@ -244,8 +253,8 @@
     report.state != AttemptState::Running || matches!(life, Some(TaskLife::Placed(_)))
 }
 
-/// Attempts that are to stop, and of which this life of the worker proves that it never knew them.
-/// An attempt that is to run needs no such proof: the life is told to run it.
+/// Attempts of which this life of the worker proves that they do not run there and never will. Those
+/// that it names and that an earlier life was told of are its own from now on.
 fn missing_attempts(
     leader: &mut LeaderState,
     state: &FleetState,
@@ -254,17 +263,24 @@
     let AgentHeartbeat { worker, incarnation, cursor, reports, .. } = heartbeat;
     let Some(record) = state.workers().get(worker) else { return Vec::new() };
     let stream = leader.stream_of(worker);
-    let missing = record.held.iter().filter_map(|task| {
-        let TaskLife::Stopping(stopping) = &state.jobs().task(task)?.life else { return None };
-        let attempt = stopping.attempt;
+    let mut commands = Vec::new();
+    for task in &record.held {
+        let Some(life) = state.jobs().task(task).map(|record| &record.life) else { continue };
+        let attempt = life.attempt();
         let named = reports.iter().any(|report| report.task == *task && report.attempt == attempt);
-        let absent = !named && stream.proves_absence(*incarnation, *cursor, task, attempt);
-        absent.then(|| FleetCommand::MissAttempt {
-            worker: worker.clone(),
-            incarnation: *incarnation,
-            task: task.clone(),
-            attempt,
-        })
-    });
-    missing.collect()
+        if named {
+            stream.note_told(task, attempt, *incarnation);
+        } else if stream.proves_absence(*incarnation, *cursor, task, attempt)
+            && (matches!(life, TaskLife::Stopping(_))
+                || stream.belongs_to_other(*incarnation, task, attempt))
+        {
+            commands.push(FleetCommand::MissAttempt {
+                worker: worker.clone(),
+                incarnation: *incarnation,
+                task: task.clone(),
+                attempt,
+            });
+        }
+    }
+    commands
 }
--- a/crates/mangorouter/src/daemon/mod.rs
+++ b/crates/mangorouter/src/daemon/mod.rs
@@ -48,8 +48,8 @@
 
 fn load(role: &str, config: &Path) -> Result<DaemonSettings, DaemonFailure> {
     let text = fs::read_to_string(config).context(FileSnafu { path: config })?;
-    let settings = DaemonSettings::parse(config, &text)
-        .map_err(|errors| DaemonFailure::Invalid { errors })?;
+    let settings =
+        DaemonSettings::parse(config, &text).map_err(|errors| DaemonFailure::Invalid { errors })?;
     let found = settings.process.role.name();
     if found != role {
         return Err(DaemonFailure::OtherRole { wanted: role.to_owned(), found });
--- a/crates/mangorouter/src/dev/fleet.rs
+++ b/crates/mangorouter/src/dev/fleet.rs
@@ -87,9 +87,8 @@
 
 impl FleetPlan {
     fn reserve() -> Result<Self, DaemonFailure> {
-        let founder = |number| {
-            Ok(MemberSettings { replica: ReplicaId(number), address: free_address()? })
-        };
+        let founder =
+            |number| Ok(MemberSettings { replica: ReplicaId(number), address: free_address()? });
         let founders: Result<_, DaemonFailure> = (1..=REPLICAS).map(founder).collect();
         Ok(Self { founders: founders? })
     }
--- a/crates/mangorouter/src/logging/mod.rs
+++ b/crates/mangorouter/src/logging/mod.rs
@@ -16,8 +16,11 @@
         None => TermLogger::init(level, config(), TerminalMode::Stderr, ColorChoice::Auto)
             .context(LogSnafu),
         Some(path) => {
-            let file =
-                OpenOptions::new().create(true).append(true).open(path).context(FileSnafu { path })?;
+            let file = OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(path)
+                .context(FileSnafu { path })?;
             WriteLogger::init(level, config(), file).context(LogSnafu)
         }
     }
