--- a/crates/mangorouter/src/daemon/mod.rs
+++ b/crates/mangorouter/src/daemon/mod.rs
@@ -2,7 +2,7 @@
 
 mod running;
 
-pub(crate) use running::RunningRole;
+pub use running::RunningRole;
 
 use {
     crate::{
--- a/crates/quorum/src/core/lead.rs
+++ b/crates/quorum/src/core/lead.rs
@@ -16,6 +16,7 @@
         message::{AppendOutcome, AppendReply, AppendRequest, MessageBody},
     },
     base::{LogIndex, ReplicaId, ReplyTicket},
+    std::time::Duration,
 };
 
 /// A member of the group and what this replica knows about it.
@@ -51,8 +52,11 @@
     }
 
     /// Whether a replica answers, as far as a leader knows.
-    pub(crate) fn is_active(&self, replica: ReplicaId) -> bool {
-        let span = self.settings.election_timeout;
+    fn is_active(&self, replica: ReplicaId) -> bool {
+        self.is_active_within(replica, self.settings.election_timeout)
+    }
+
+    pub(crate) fn is_active_within(&self, replica: ReplicaId, span: Duration) -> bool {
         match &self.role {
             RoleState::Leader(leader) => {
                 replica == self.settings.replica || leader.is_active(replica, self.now, span)
@@ -284,8 +288,11 @@
         let Some(progress) = leader.progress.get_mut(&peer) else {
             return;
         };
+        let kept = self.log.term_at(LogIndex(progress.next.0 - 1)).is_some();
         match &progress.mode {
             ProgressMode::Probe { .. } => progress.probe_again(),
+            // Messages are outstanding, and the log was compacted past them.
+            ProgressMode::Replicate { .. } if !kept => progress.probe_again(),
             ProgressMode::Snapshot(_) => {
                 progress.probe_again();
                 self.send_bare_append(peer);
