Let a replica stand until its removal is known to be committed

A leader that removed itself and then crashed could be the only one with that entry. After a restart nothing is known to be committed, and the rule that looked at the group at the committed position kept it from standing: the group stayed without a leader. The rule now looks at the group before the last open change.

--- a/crates/quorum/src/core/election.rs
+++ b/crates/quorum/src/core/election.rs
@@ -43,11 +43,12 @@
         self.send_to_voters(&message);
     }
 
-    /// A replica stands as long as its removal is not committed: it may be the only one that has
-    /// the entry, without which no one else can be elected.
+    /// A replica stands as long as its removal is not known to be committed: it may be the only one
+    /// that has the entry, without which no one else can be elected.
     fn may_stand(&self) -> bool {
         let own = self.settings.replica;
-        self.group.latest().is_voter(own) || self.group.at(self.committed).is_voter(own)
+        let before = self.group.before_open_change(self.committed);
+        self.group.latest().is_voter(own) || before.is_voter(own)
     }
 
     fn start_election(&mut self) {
--- a/crates/quorum/src/core/group.rs
+++ b/crates/quorum/src/core/group.rs
@@ -77,6 +77,16 @@
         self.changes.last().unwrap_or(&self.base)
     }
 
+    /// The group before the last change that is not known to be committed; the latest group when
+    /// there is no such change.
+    pub(crate) fn before_open_change(&self, committed: LogIndex) -> &GroupState {
+        let latest = self.latest().index;
+        if latest <= committed {
+            return self.latest();
+        }
+        self.at(LogIndex(latest.0 - 1))
+    }
+
     /// The group at a position.
     pub(crate) fn at(&self, index: LogIndex) -> &GroupState {
         self.changes.iter().rev().find(|change| change.index <= index).unwrap_or(&self.base)
--- a/crates/quorum/src/core/outbox.rs
+++ b/crates/quorum/src/core/outbox.rs
@@ -50,8 +50,8 @@
         let own = self.settings.replica;
         let founder = self.settings.founders.iter().find(|member| member.replica == own);
         let latest = self.group.latest().address_of(own);
-        let committed = self.group.at(self.committed).address_of(own);
-        latest.or(committed).or(founder.map(|member| member.address))
+        let before = self.group.before_open_change(self.committed).address_of(own);
+        latest.or(before).or(founder.map(|member| member.address))
     }
 
     pub(crate) fn message(&self, body: MessageBody) -> QuorumMessage {
--- a/crates/quorum/tests/cluster/schedule.rs
+++ b/crates/quorum/tests/cluster/schedule.rs
@@ -84,7 +84,17 @@
 pub fn steps_of(seed: u64) -> Vec<Step> {
     let mut random = SeededRandom::new(seed);
     let loss = [0.0, 0.02, 0.2][random.below(3)];
-    (0..STEPS).map(|_| random_step(&mut random, loss)).collect()
+    let changes = [0.0, 0.1][random.below(2)];
+    let mut next = || match random.chance(changes) {
+        true => random_change(&mut random),
+        false => random_step(&mut random, loss),
+    };
+    (0..STEPS).map(|_| next()).collect()
+}
+
+fn random_change(random: &mut SeededRandom) -> Step {
+    let pick = random.next_u64();
+    [Step::AddLearner, Step::Promote { pick }, Step::Remove { pick }][random.below(3)]
 }
 
 fn random_step(random: &mut SeededRandom, loss: f64) -> Step {
