--- a/crates/agent/src/process/executor.rs
+++ b/crates/agent/src/process/executor.rs
@@ -13,6 +13,8 @@
 };
 
 const CONNECT_DEADLINE: Duration = Duration::from_secs(1);
+/// The library's buffers of one connection, each way.
+const BUFFER_BYTES: usize = 16 * 1024;
 const HEAD_LIMIT: usize = 64 * 1024;
 
 /// Headers that belong to one connection or that are written anew for it (RFC 9110, 7.6.1).
@@ -43,9 +45,11 @@
             .accept_encoding("")
             .allow_non_standard_methods(true)
             .http_status_as_error(false)
+            .input_buffer_size(BUFFER_BYTES)
             .max_idle_connections(0)
             .max_redirects(0)
             .max_response_header_size(HEAD_LIMIT)
+            .output_buffer_size(BUFFER_BYTES)
             .proxy(None)
             .timeout_connect(Some(CONNECT_DEADLINE))
             .timeout_global(Some(EXECUTOR_TIME_LIMIT))
--- a/crates/proto/benches/connections.rs
+++ b/crates/proto/benches/connections.rs
@@ -20,6 +20,8 @@
     testkit::DelayRelay,
 };
 
+/// Longer exchanges are counted as this long.
+const LONGEST_MICROS: u64 = 60_000_000;
 const DEADLINE: Duration = Duration::from_secs(10);
 const SILENT_DEADLINE: Duration = Duration::from_millis(500);
 const LOOPBACK_EXCHANGES: usize = 20_000;
@@ -90,7 +92,8 @@
             .map(|_| {
                 let (client, identity) = (client.clone(), identity.clone());
                 scope.spawn(move || {
-                    let mut times = Histogram::<u64>::new(3).expect("valid digits");
+                    let mut times =
+                        Histogram::<u64>::new_with_max(LONGEST_MICROS, 3).expect("valid bounds");
                     exchange(kind, &client, &identity, peer);
                     for _ in 0..count / threads {
                         let start = Instant::now();
@@ -103,7 +106,7 @@
             .collect();
         runs.into_iter().map(|run| run.join().expect("a run")).collect::<Vec<_>>()
     });
-    let mut all = Histogram::<u64>::new(3).expect("valid digits");
+    let mut all = Histogram::<u64>::new_with_max(LONGEST_MICROS, 3).expect("valid bounds");
     for times in measured {
         all.add(times).expect("the same bounds");
     }
--- a/crates/proto/src/rpc/client.rs
+++ b/crates/proto/src/rpc/client.rs
@@ -13,6 +13,9 @@
 pub const FRAME_CONTENT_TYPE: &str = "application/x-mangorouter-frame";
 const IDLE_CONNECTIONS_PER_PEER: usize = 8;
 const MAX_IDLE_AGE: Duration = Duration::from_secs(5);
+/// The library's buffers of one connection, each way. Its own choice of 128 KiB is allocated anew
+/// with every connection.
+const BUFFER_BYTES: usize = 16 * 1024;
 /// How long a connection may take to come about. A peer that does not answer within it is left
 /// alone while there is still time to ask another.
 const CONNECT_DEADLINE: Duration = Duration::from_secs(1);
@@ -124,7 +127,9 @@
 fn agent(idle_connections: usize) -> ureq::Agent {
     let config = ureq::Agent::config_builder()
         .http_status_as_error(false)
+        .input_buffer_size(BUFFER_BYTES)
         .max_redirects(0)
+        .output_buffer_size(BUFFER_BYTES)
         .proxy(None)
         .max_idle_connections_per_host(idle_connections)
         .max_idle_age(MAX_IDLE_AGE);
--- a/crates/testkit/benches/hops.rs
+++ b/crates/testkit/benches/hops.rs
@@ -28,6 +28,8 @@
 };
 
 const EXCHANGES: usize = 5_000;
+/// Longer exchanges are counted as this long.
+const LONGEST_MICROS: u64 = 60_000_000;
 const DEADLINE: Duration = Duration::from_secs(10);
 const DECLARATIONS: &str = "[services.booking]\nteam = \"desk\"\n[teams.desk.quota]\ncpu = \"8\"\n\
                             memory = \"8GB\"\n";
@@ -94,7 +96,7 @@
 }
 
 fn measure(name: &str, count: usize, first: &mut Option<u64>, mut exchange: impl FnMut(usize)) {
-    let mut times = Histogram::<u64>::new(3).expect("valid digits");
+    let mut times = Histogram::<u64>::new_with_max(LONGEST_MICROS, 3).expect("valid bounds");
     exchange(0);
     for number in 1..=count {
         let start = Instant::now();
