--- /dev/null
+++ b/crates/sched/benches/decision_cost/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- a/crates/sched/src/interference/pairs.rs
+++ b/crates/sched/src/interference/pairs.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// True when nothing is remembered, so that no effect can ever be known.
+    pub(crate) fn forgets_all(&self) -> bool {
+        self.remember.is_zero()
+    }
+
     /// True when the pair has been measured lately, at any level.
     pub(crate) fn is_known(&self, now: Duration, class: ClassIndex, aggressor: ClassIndex) -> bool {
         (0..LOAD_LEVELS as u8).any(|level| {
--- a/crates/sched/src/placement/score.rs
+++ b/crates/sched/src/placement/score.rs
@@ -55,6 +55,9 @@
     }
 
     fn may_try(&self, class: ClassIndex) -> bool {
+        if self.pairs.forgets_all() {
+            return true;
+        }
         let hosts = self
             .workers
             .iter()
@@ -129,7 +132,7 @@
         plan: &ClassPlan,
     ) -> bool {
         let can_try = plan.may_try && !holds(&state.planned, plan.class);
-        can_try || self.pairs.is_known(now, victim, plan.class)
+        can_try || self.pairs.forgets_all() || self.pairs.is_known(now, victim, plan.class)
     }
 
     /// The speed, in percent of one task, that the task and its neighbours are predicted to lose.
