Admit batch work by the slowdown that it adds, and believe small surprises slowly

Cause: work queued although services had slack, tasks were admitted only to run throttled, and throttles followed the noise of one-second reports. Change: growth counts by the part of the requests that feels it; a task joins a worker only where its batch work need not run below 0.9 of its speed; unexplained slowdowns within chance weigh 0.08 a report, larger ones 0.5; throttles move in steps of a tenth.

--- a/crates/sched/src/fleet/learn.rs
+++ b/crates/sched/src/fleet/learn.rs
@@ -14,17 +14,21 @@
 /// The time that a worker's first sample is presumed to cover.
 const FIRST_SAMPLE_SPAN: Duration = Duration::from_secs(1);
 /// The variance of a service's slowdown that no number of requests removes, in squared percent.
-const SERVICE_NOISE: f64 = 25.0;
+const SERVICE_NOISE: f64 = 10.0;
 /// The variance that one request would have, in squared percent.
-const REQUEST_NOISE: f64 = 10_000.0;
+const REQUEST_NOISE: f64 = 5_000.0;
 /// The part of a measured slowdown by which the linear model may be wrong.
 const MODEL_ERROR: f64 = 0.1;
 /// The variance of a task's slowdown, in squared percent.
 const TASK_NOISE: f64 = 100.0;
 /// Slowdowns beyond this many percent are taken for it.
 const SLOWDOWN_LIMIT: f64 = 1000.0;
-/// The requests at which half of a new unexplained slowdown is believed.
-const BELIEF_REQUESTS: f64 = 200.0;
+/// The number of standard deviations beyond which a slowdown is no chance.
+const SURPRISE: f64 = 2.5;
+/// The weight of a measurement that is no chance.
+const QUICK_GAIN: f64 = 0.5;
+/// The weight of a measurement that may be chance.
+const SLOW_GAIN: f64 = 0.08;
 /// Below this share of the processors, neighbours do not count.
 const ALONE_SHARE: f64 = 0.005;
 
@@ -108,11 +112,11 @@
         let victim = PairVictim { class, level };
         let pairs = neighbours.iter().map(|share| (share.class, share.share));
         let expected = self.pairs.forecast(now, victim, pairs).mean;
-        let belief = service.requests as f64 / (service.requests as f64 + BELIEF_REQUESTS);
-        known.unexplained += belief * (percent - expected - known.unexplained);
-        let noise = SERVICE_NOISE
-            + REQUEST_NOISE / service.requests as f64
-            + (MODEL_ERROR * percent).powi(2);
+        let chance = SERVICE_NOISE + REQUEST_NOISE / service.requests as f64;
+        let surprise = percent - expected - known.unexplained;
+        let gain = if surprise.abs() > SURPRISE * chance.sqrt() { QUICK_GAIN } else { SLOW_GAIN };
+        known.unexplained += gain * surprise;
+        let noise = chance + (MODEL_ERROR * percent).powi(2);
         self.pairs.learn(now, SlowdownReading { victim, neighbours: &neighbours, percent, noise });
     }
 
--- a/crates/sched/src/fleet/mod.rs
+++ b/crates/sched/src/fleet/mod.rs
@@ -20,7 +20,7 @@
         quota::QuotaBook,
         workers::WorkerBook,
     },
-    base::{AttemptNumber, JobId, SeededRandom, TaskId, TeamName, WorkerId},
+    base::{AttemptNumber, JobId, SeededRandom, ServiceName, TaskId, TeamName, WorkerId},
     indexmap::{IndexMap, IndexSet},
     spread::SpreadBook,
     std::time::Duration,
@@ -47,6 +47,8 @@
     pub(crate) loads: LoadMeter,
     /// Workers on which something has changed, or on which tasks are throttled.
     pub(crate) watched: IndexSet<WorkerId>,
+    /// The number of workers on which each service runs.
+    pub(crate) service_hosts: IndexMap<ServiceName, u32>,
     /// The number of times that room has been freed.
     pub(crate) releases: u64,
     /// Tasks whose eviction has been proposed and not yet committed.
@@ -76,6 +78,7 @@
             baselines: BaselineTable::default(),
             loads: LoadMeter::default(),
             watched: IndexSet::new(),
+            service_hosts: IndexMap::new(),
             releases: 0,
             evicting: IndexSet::new(),
             returning: IndexMap::new(),
@@ -202,12 +205,25 @@
         self.expire_proposals(now);
         self.expire_evictions(now);
         self.claims.expire(now);
+        self.count_service_hosts();
         let mut decisions = self.relieve_workers(now);
         self.place_waiting(now, &mut decisions);
         decisions.extend(self.blame.take_decisions());
         decisions
     }
 
+    fn count_service_hosts(&mut self) {
+        self.service_hosts.clear();
+        for service in self.workers.iter().flat_map(|state| &state.services) {
+            match self.service_hosts.get_mut(&service.service) {
+                Some(hosts) => *hosts += 1,
+                None => {
+                    self.service_hosts.insert(service.service.clone(), 1);
+                }
+            }
+        }
+    }
+
     /// The task as it waits, also while its placement is proposed.
     pub fn waiting(&self, task: &TaskId) -> Option<&WaitingTask> {
         let proposed = self.proposals.get(task).map(|proposal| &proposal.queued.waiting);
--- a/crates/sched/src/fleet/reservations.rs
+++ b/crates/sched/src/fleet/reservations.rs
@@ -66,7 +66,7 @@
             state.proposed += reserve;
             state.proposals.insert(id.clone());
             let share = reserve.cpu.0 as f64 / state.view.capacity.cpu.0.max(1) as f64;
-            add_share(&mut state.planned, class, share);
+            add_share(&mut state.planned, class, share, 100);
         }
         let expires = now + PROPOSAL_TIMEOUT;
         self.proposals.insert(id, PlacementProposal { queued, worker, reserve, expires });
@@ -162,7 +162,7 @@
             if entry.is_leaving() {
                 leaving += entry.footprint();
             }
-            add_share(&mut state.shares, entry.class, entry.share(&capacity));
+            add_share(&mut state.shares, entry.class, entry.share(&capacity), entry.throttle);
             let waiting = &entry.task.waiting;
             if let (TaskPriority::LatencyCritical, Some(service)) =
                 (waiting.priority, &waiting.service)
@@ -184,7 +184,8 @@
         let capacity = state.view.capacity.cpu.0.max(1) as f64;
         for proposal in state.proposals.iter().filter_map(|task| self.proposals.get(task)) {
             let class = self.classes.index(&proposal.queued.waiting.class);
-            add_share(&mut state.planned, class, proposal.reserve.cpu.0 as f64 / capacity);
+            let share = proposal.reserve.cpu.0 as f64 / capacity;
+            add_share(&mut state.planned, class, share, 100);
         }
     }
 }
--- a/crates/sched/src/interference/history.rs
+++ b/crates/sched/src/interference/history.rs
@@ -15,6 +15,8 @@
     pub(crate) class: ClassIndex,
     /// The part of the worker's processors that its tasks may use, throttles included.
     pub(crate) share: f64,
+    /// The part that they might use without throttles.
+    pub(crate) demand: f64,
     /// The number of its tasks.
     pub(crate) tasks: u32,
 }
--- a/crates/sched/src/placement/score.rs
+++ b/crates/sched/src/placement/score.rs
@@ -9,6 +9,7 @@
         interference::{ClassShare, LoadLevel, PairVictim},
         workers::WorkerState,
     },
+    base::ServiceName,
     std::time::Duration,
 };
 
@@ -20,6 +21,12 @@
 const ACCELERATOR_WASTE: f64 = 5.0;
 /// Points for leaving a worker entirely free, which keeps room for large tasks together.
 const FRAGMENT_COST: f64 = 0.5;
+/// A task that slows a service by fewer percent is not kept away from it.
+const HARMLESS_PERCENT: f64 = 1.0;
+/// The level to which a worker's batch tasks may have to be throttled for another to join them.
+const LEAST_LEVEL: f64 = 0.9;
+/// The part of the tolerated slowdown that counts as none.
+const SMALL_PART: f64 = 0.25;
 /// The part of all workers on which a class may be tried beside a service before its effect has
 /// been measured.
 const TRIAL_PART: usize = 8;
@@ -99,30 +106,49 @@
         plan: &ClassPlan,
         share: f64,
     ) -> Option<(f64, f64)> {
-        let relief = f64::from(self.policy.relief_above_percent);
-        let floor = f64::from(self.policy.throttle_floor_percent) / 100.0;
         let (mut growth, mut worst) = (0.0, 0.0_f64);
         for service in state.services.iter().filter(|service| service.class != plan.class) {
+            if plan.is_batch && !self.is_tried(now, state, service.class, plan) {
+                return None;
+            }
             let victim = PairVictim { class: service.class, level: service.level };
             let others = neighbours(&state.planned, service.class);
             let before = self.pairs.forecast(now, victim, others.clone());
             let after = self.pairs.forecast(now, victim, others.chain([(plan.class, share)]));
-            let added = after.pessimistic() - before.pessimistic();
-            let unexplained = service.unexplained(now);
-            let slowdown = before.pessimistic() + unexplained + added;
-            let throttled = before.pessimistic() + unexplained + added * floor;
-            if plan.is_batch && throttled > relief {
+            let forecast = ServiceForecast {
+                unexplained: service.unexplained(now),
+                caused: before.mean,
+                added: after.pessimistic() - before.pessimistic(),
+            };
+            if plan.is_batch && !self.admits(&forecast) {
                 return None;
             }
-            if plan.is_batch && !self.is_tried(now, state, service.class, plan) {
-                return None;
-            }
-            growth += added;
-            worst = worst.max(slowdown);
+            growth += forecast.added / self.hosts_of(&service.service);
+            worst = worst.max(forecast.slowdown());
         }
         Some((growth, worst))
     }
 
+    /// A task that would have to run throttled only keeps room from others, unless no other task
+    /// slows the service: then no place would be better.
+    fn admits(&self, forecast: &ServiceForecast) -> bool {
+        if forecast.added < HARMLESS_PERCENT {
+            return true;
+        }
+        let relief = f64::from(self.policy.relief_above_percent);
+        let floor = f64::from(self.policy.throttle_floor_percent) / 100.0;
+        let spare = relief - forecast.unexplained;
+        let level = spare / (forecast.caused + forecast.added);
+        let has_worker_alone = forecast.caused < relief * SMALL_PART;
+        level >= if has_worker_alone { floor } else { LEAST_LEVEL }
+    }
+
+    /// The number of workers that share the service's requests: the slowdown of one of them is felt
+    /// by that part of the requests.
+    fn hosts_of(&self, service: &ServiceName) -> f64 {
+        f64::from(self.service_hosts.get(service).copied().unwrap_or(1).max(1))
+    }
+
     /// A class whose effect on a service is unknown runs beside it in few places at first.
     fn is_tried(
         &self,
@@ -152,11 +178,27 @@
     }
 }
 
+/// What a service is predicted to suffer on a worker, in percent.
+#[derive(Debug, Clone, Copy)]
+struct ServiceForecast {
+    unexplained: f64,
+    /// Without the new task, as if nothing were throttled.
+    caused: f64,
+    /// By the new task.
+    added: f64,
+}
+
+impl ServiceForecast {
+    fn slowdown(&self) -> f64 {
+        self.unexplained + self.caused + self.added
+    }
+}
+
 fn neighbours(
     shares: &[ClassShare],
     own: ClassIndex,
 ) -> impl Iterator<Item = (ClassIndex, f64)> + Clone + '_ {
-    shares.iter().filter(move |entry| entry.class != own).map(|entry| (entry.class, entry.share))
+    shares.iter().filter(move |entry| entry.class != own).map(|entry| (entry.class, entry.demand))
 }
 
 fn holds(shares: &[ClassShare], class: ClassIndex) -> bool {
--- a/crates/sched/src/relief/throttle.rs
+++ b/crates/sched/src/relief/throttle.rs
@@ -11,17 +11,18 @@
 };
 
 /// The part of the tolerated slowdown to which throttles bring a service.
-const TARGET_PART: f64 = 0.8;
-/// The part of the tolerated slowdown below which throttles are eased.
-const EASE_PART: f64 = 0.6;
+const TARGET_PART: f64 = 0.85;
+/// The part of that target below which throttles are eased.
+const EASE_PART: f64 = 0.85;
 /// How long a worker's throttles are left alone before they are eased.
-const EASE_PAUSE: Duration = Duration::from_secs(3);
-/// How long easing waits for a measurement that was taken after the throttle.
-const MEASUREMENT_WAIT: Duration = Duration::from_secs(60);
+const EASE_PAUSE: Duration = Duration::from_secs(5);
 /// The largest factor by which one step eases a throttle.
 const EASE_FACTOR: f64 = 2.0;
-/// The smallest change of a throttle, as part of the reservation.
-const LEAST_CHANGE: f64 = 0.05;
+/// Throttles are multiples of this part of the reservation, so that small changes of an estimate
+/// change nothing.
+const LEVEL_STEP: f64 = 0.1;
+/// The smallest step by which a throttle is eased, unless it is lifted.
+const LEAST_RAISE: f64 = 0.2;
 /// Effects below this many percent are not worth a throttle.
 const LEAST_EFFECT: f64 = 0.5;
 
@@ -43,8 +44,8 @@
             if excess <= 0.0 || effect < LEAST_EFFECT {
                 break;
             }
-            let lowered = (task.level - excess / effect).max(floor);
-            if task.level - lowered < LEAST_CHANGE {
+            let lowered = on_grid(task.level - excess / effect).max(floor);
+            if task.level <= lowered {
                 continue;
             }
             excess -= (task.level - lowered) * effect;
@@ -69,23 +70,21 @@
         let Some(state) = self.workers.get(worker) else {
             return false;
         };
-        let age = now.saturating_sub(state.throttled_at);
+        let rested = now.saturating_sub(state.throttled_at) >= EASE_PAUSE;
         let worst = estimate.worst();
-        let measured = worst.is_none()
-            || age >= MEASUREMENT_WAIT
-            || state.last_sample.is_none_or(|taken_at| taken_at > state.throttled_at);
-        let rested = age >= EASE_PAUSE;
-        let recovered = worst.is_none_or(|worst| worst.slowdown() < relief * EASE_PART);
-        if !(measured && rested && recovered) {
+        let target = relief * TARGET_PART;
+        let recovered = worst.is_none_or(|worst| worst.slowdown() < target * EASE_PART);
+        if !(rested && recovered) {
             return true;
         }
-        let mut spare = worst.map_or(f64::MAX, |worst| relief * TARGET_PART - worst.slowdown());
+        let mut spare = worst.map_or(f64::MAX, |worst| target - worst.slowdown());
         let order = worst.map_or_else(|| (0..estimate.tasks.len()).collect(), by_effect);
         for index in order {
             let task = &estimate.tasks[index];
             let effect = worst.map_or(0.0, |worst| worst.effects[index]).max(LEAST_EFFECT);
-            let raised = (task.level * EASE_FACTOR).min(task.level + spare / effect).min(1.0);
-            if raised - task.level < LEAST_CHANGE.min(1.0 - task.level) || task.level >= 1.0 {
+            let affordable = (task.level * EASE_FACTOR).min(task.level + spare / effect).min(1.0);
+            let raised = on_grid(affordable);
+            if raised < 1.0 && raised - task.level < LEAST_RAISE || task.level >= raised {
                 continue;
             }
             spare -= (raised - task.level) * effect;
@@ -110,6 +109,10 @@
     }
 }
 
+fn on_grid(level: f64) -> f64 {
+    (level / LEVEL_STEP + 1e-9).floor() * LEVEL_STEP
+}
+
 /// The tasks from the least to the most harmful.
 fn by_effect(service: &ServiceEstimate) -> Vec<usize> {
     let mut order: Vec<usize> = (0..service.effects.len()).collect();
--- a/crates/sched/src/workers/mod.rs
+++ b/crates/sched/src/workers/mod.rs
@@ -121,14 +121,21 @@
     }
 }
 
-/// Adds a task to shares that are kept sorted by class.
-pub(crate) fn add_share(shares: &mut Vec<ClassShare>, class: ClassIndex, share: f64) {
+/// Adds a task to shares that are kept sorted by class. `share` is what its throttle leaves it.
+pub(crate) fn add_share(
+    shares: &mut Vec<ClassShare>,
+    class: ClassIndex,
+    share: f64,
+    throttle_percent: u8,
+) {
+    let demand = share * 100.0 / f64::from(throttle_percent.max(1));
     match shares.binary_search_by_key(&class, |entry| entry.class) {
         Ok(position) => {
             shares[position].share += share;
+            shares[position].demand += demand;
             shares[position].tasks += 1;
         }
-        Err(position) => shares.insert(position, ClassShare { class, share, tasks: 1 }),
+        Err(position) => shares.insert(position, ClassShare { class, share, demand, tasks: 1 }),
     }
 }
 
