Foresee sizes by the steadier of amount and ratio, and smooth load levels

Cause: a class whose declarations are wrong both ways got the largest ratio for all its jobs, which then fitted nowhere; and load levels flapped with the noise of one-second rates, throttles with it. Change: per class, the logarithm of the amount used and of its ratio to the declaration are both tracked; the one with the smaller variance foresees a new job. Rates are smoothed and a level is left only with a margin. Processors get no headroom, so that a saturating task does not grow.

--- a/crates/sched/src/correction/mod.rs
+++ b/crates/sched/src/correction/mod.rs
@@ -1,13 +1,16 @@
 //! Declared sizes and run times, corrected by what was measured.
 
+mod amount;
+
 use {
     crate::interface::{TaskPriority, WaitingTask},
+    amount::AmountEstimate,
     base::{ByteSize, ClassName, CpuMillis, JobId, ResourceVector},
     indexmap::IndexMap,
     std::time::Duration,
 };
 
-/// What is reserved above the largest measured use, in percent of it.
+/// What is reserved above the largest measured use of memory, in percent of it.
 const HEADROOM_PERCENT: u64 = 15;
 /// The samples of a job that a correction needs.
 const LEAST_SAMPLES: u32 = 3;
@@ -15,8 +18,6 @@
 const LEAST_FINISHED: u32 = 1;
 /// The finished tasks of a class that a correction of a new job needs.
 const LEAST_CLASS_FINISHED: u32 = 3;
-/// The weight of a new ratio of measured to declared.
-const RATIO_GAIN: f64 = 0.2;
 /// The number of jobs whose measurements are kept.
 const JOB_LIMIT: usize = 20_000;
 
@@ -27,25 +28,20 @@
     finished: u32,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct ClassRatio {
-    cpu: f64,
-    memory: f64,
-    run_time: f64,
+/// What the finished tasks of a class used.
+#[derive(Debug, Clone, Copy, Default)]
+struct ClassUse {
+    cpu: AmountEstimate,
+    memory: AmountEstimate,
+    run_time: AmountEstimate,
     finished: u32,
 }
 
-impl Default for ClassRatio {
-    fn default() -> Self {
-        Self { cpu: 0.0, memory: 0.0, run_time: 1.0, finished: 0 }
-    }
-}
-
 /// The measured use of jobs and classes.
 #[derive(Debug, Default)]
 pub(crate) struct CorrectionBook {
     jobs: IndexMap<(ClassName, JobId), JobUse>,
-    classes: IndexMap<ClassName, ClassRatio>,
+    classes: IndexMap<ClassName, ClassUse>,
 }
 
 impl CorrectionBook {
@@ -72,21 +68,21 @@
         if let Some(entry) = self.jobs.get_mut(&key) {
             entry.finished = entry.finished.saturating_add(1);
         }
-        let ratio = self.classes.entry(task.class.clone()).or_default();
-        ratio.finished = ratio.finished.saturating_add(1);
-        let part = |used: u64, declared: u64| used as f64 / declared.max(1) as f64;
-        blend(&mut ratio.cpu, part(peak.cpu.0, task.declared.cpu.0));
-        blend(&mut ratio.memory, part(peak.memory.0, task.declared.memory.0));
+        let class = self.classes.entry(task.class.clone()).or_default();
+        class.finished = class.finished.saturating_add(1);
+        class.cpu.learn(peak.cpu.0 as f64, task.declared.cpu.0 as f64);
+        class.memory.learn(peak.memory.0 as f64, task.declared.memory.0 as f64);
         if let (Some(ran), Some(declared)) = (ran, task.run_time) {
-            let part = ran.as_secs_f64() / declared.as_secs_f64().max(0.001);
-            ratio.run_time += RATIO_GAIN * (part - ratio.run_time);
+            class.run_time.learn(ran.as_secs_f64(), declared.as_secs_f64());
         }
     }
 
     /// How long a task is expected to run, from its declaration and its class.
     pub(crate) fn run_time(&self, task: &WaitingTask) -> Option<Duration> {
-        let ratio = self.classes.get(&task.class).map_or(1.0, |ratio| ratio.run_time);
-        task.run_time.map(|declared| declared.mul_f64(ratio.clamp(0.01, 100.0)))
+        let declared = task.run_time?;
+        let class = self.classes.get(&task.class);
+        let expected = class.and_then(|class| class.run_time.expected(declared.as_secs_f64()));
+        expected.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok()).or(Some(declared))
     }
 
     /// What to reserve for a task, never below what tasks of its job are known to use.
@@ -118,36 +114,34 @@
         if class.finished < LEAST_CLASS_FINISHED {
             return task.declared;
         }
-        let scaled = scale(&task.declared, class.cpu, class.memory);
+        let expected = expected_size(&class, &task.declared);
         if may_shrink {
-            shrink_known(&task.declared, &scaled)
+            expected
         } else {
-            task.declared.max_each(&scaled)
+            task.declared.max_each(&expected)
         }
     }
 }
 
-/// A ratio rises at once and falls slowly, because too little room harms more than too much.
-fn blend(ratio: &mut f64, part: f64) {
-    *ratio = if part > *ratio { part } else { *ratio + RATIO_GAIN * (part - *ratio) };
-}
-
+/// Memory gets headroom; processors do not, for a task that uses all that it is given would
+/// otherwise be given more each time.
 fn with_headroom(used: &ResourceVector) -> ResourceVector {
-    let grow = |amount: u64| amount + amount * HEADROOM_PERCENT / 100;
     ResourceVector {
-        cpu: CpuMillis(grow(used.cpu.0)),
-        memory: ByteSize(grow(used.memory.0)),
+        cpu: used.cpu,
+        memory: ByteSize(used.memory.0 + used.memory.0 * HEADROOM_PERCENT / 100),
         accelerators: used.accelerators,
     }
 }
 
-fn scale(declared: &ResourceVector, cpu: f64, memory: f64) -> ResourceVector {
-    let used = ResourceVector {
-        cpu: CpuMillis((declared.cpu.0 as f64 * cpu) as u64),
-        memory: ByteSize((declared.memory.0 as f64 * memory) as u64),
+/// What tasks of the class use, and the declaration where that can't be foreseen.
+fn expected_size(class: &ClassUse, declared: &ResourceVector) -> ResourceVector {
+    let cpu = class.cpu.expected(declared.cpu.0 as f64).map_or(declared.cpu.0, |cpu| cpu as u64);
+    let memory = class.memory.expected(declared.memory.0 as f64);
+    ResourceVector {
+        cpu: CpuMillis(cpu),
+        memory: ByteSize(memory.map_or(declared.memory.0, |memory| memory as u64)),
         accelerators: declared.accelerators,
-    };
-    with_headroom(&used)
+    }
 }
 
 /// The observed size, but the declared amount of what was never seen in use.
--- a/crates/sched/src/fleet/learn.rs
+++ b/crates/sched/src/fleet/learn.rs
@@ -5,7 +5,9 @@
     crate::{
         classes::ClassIndex,
         interface::{ServiceSample, TaskSample, WorkerSample},
-        interference::{ClassShare, LoadLevel, PairVictim, ServiceReading, SlowdownReading},
+        interference::{
+            smooth_rate, ClassShare, LoadLevel, PairVictim, ServiceReading, SlowdownReading,
+        },
     },
     base::WorkerId,
     std::{collections::BTreeSet, time::Duration},
@@ -92,12 +94,13 @@
         window: Option<&SampleWindow>,
     ) {
         let class = self.service_class(&sample.worker, service);
-        let level = self.loads.level(sample.taken_at, &service.service, service.requests, elapsed);
         let Some(state) = self.workers.get_mut(&sample.worker) else {
             return;
         };
-        let known = state.service_mut(now, &service.service, class, level);
-        (known.level, known.seen) = (level, now);
+        let known = state.service_mut(now, &service.service, class);
+        let rate = smooth_rate(known.rate, service.requests, elapsed);
+        let level = self.loads.level(sample.taken_at, &service.service, rate, known.level);
+        (known.level, known.rate, known.seen) = (level, Some(rate), now);
         let Some(window) = window else {
             return;
         };
--- a/crates/sched/src/fleet/reservations.rs
+++ b/crates/sched/src/fleet/reservations.rs
@@ -6,7 +6,6 @@
     crate::{
         held::HeldEntry,
         interface::{HeldTask, TaskPriority},
-        interference::LoadLevel,
         proposals::{PlacementProposal, PROPOSAL_TIMEOUT},
         queue::QueuedTask,
         workers::add_share,
@@ -167,7 +166,7 @@
             if let (TaskPriority::LatencyCritical, Some(service)) =
                 (waiting.priority, &waiting.service)
             {
-                state.service_mut(now, service, entry.class, LoadLevel::BUSIEST);
+                state.service_mut(now, service, entry.class);
             }
         }
         (state.footprint, state.leaving, state.tasks) = (footprint, leaving, tasks);
--- a/crates/sched/src/interference/load.rs
+++ b/crates/sched/src/interference/load.rs
@@ -6,6 +6,10 @@
 pub(crate) const LOAD_LEVELS: usize = 3;
 /// How long it takes the remembered peak to fall by half.
 const PEAK_HALF_LIFE: Duration = Duration::from_secs(3600);
+/// How far beyond a bound the part must be to change the level.
+const LEVEL_MARGIN: f64 = 0.06;
+/// The weight of a new measurement of a rate.
+const RATE_GAIN: f64 = 0.2;
 /// The parts of the peak at which the middle and the high level begin.
 const LEVEL_BOUNDS: [f64; LOAD_LEVELS - 1] = [0.33, 0.67];
 
@@ -31,15 +35,15 @@
 }
 
 impl LoadMeter {
-    /// The level of `requests` that were answered during `elapsed`.
+    /// The level of a service that answers `per_second` requests on a worker where it was at
+    /// `previous` before. A level is left only when its bound is passed by some margin.
     pub(crate) fn level(
         &mut self,
         at: Duration,
         service: &ServiceName,
-        requests: u64,
-        elapsed: Duration,
+        per_second: f64,
+        previous: LoadLevel,
     ) -> LoadLevel {
-        let per_second = requests as f64 / elapsed.as_secs_f64().max(0.001);
         let fresh = RatePeak { per_second, at };
         let peak = self.peaks.entry(service.clone()).or_insert(fresh);
         let age = at.saturating_sub(peak.at).as_secs_f64();
@@ -48,6 +52,16 @@
             *peak = fresh;
         }
         let part = per_second / remembered.max(per_second).max(f64::MIN_POSITIVE);
-        LoadLevel(LEVEL_BOUNDS.iter().filter(|bound| part >= **bound).count() as u8)
+        let passed = |(index, bound): (usize, &f64)| {
+            let is_above = usize::from(previous.0) > index;
+            part >= if is_above { bound - LEVEL_MARGIN } else { bound + LEVEL_MARGIN }
+        };
+        LoadLevel(LEVEL_BOUNDS.iter().enumerate().filter(|entry| passed(*entry)).count() as u8)
     }
 }
+
+/// Smooths the request rate of one service on one worker.
+pub(crate) fn smooth_rate(known: Option<f64>, requests: u64, elapsed: Duration) -> f64 {
+    let per_second = requests as f64 / elapsed.as_secs_f64().max(0.001);
+    known.map_or(per_second, |known| known + RATE_GAIN * (per_second - known))
+}
--- a/crates/sched/src/interference/mod.rs
+++ b/crates/sched/src/interference/mod.rs
@@ -12,6 +12,6 @@
 pub(crate) use {
     baseline::{BaselineTable, ServiceReading},
     history::{ClassShare, OccupancyHistory},
-    load::{LoadLevel, LoadMeter, LOAD_LEVELS},
+    load::{smooth_rate, LoadLevel, LoadMeter, LOAD_LEVELS},
     pairs::{PairTable, PairVictim, SlowdownReading},
 };
--- a/crates/sched/src/workers/mod.rs
+++ b/crates/sched/src/workers/mod.rs
@@ -24,6 +24,8 @@
     pub(crate) service: ServiceName,
     pub(crate) class: ClassIndex,
     pub(crate) level: LoadLevel,
+    /// Requests a second, smoothed, once it has been measured.
+    pub(crate) rate: Option<f64>,
     /// By how many percent it is slower than its neighbours explain, smoothed.
     pub(crate) unexplained: f64,
     pub(crate) seen: Duration,
@@ -99,12 +101,18 @@
         now: Duration,
         service: &ServiceName,
         class: ClassIndex,
-        level: LoadLevel,
     ) -> &mut ServiceState {
         let found = self.services.iter().position(|state| state.service == *service);
         let index = found.unwrap_or_else(|| {
             let service = service.clone();
-            let state = ServiceState { service, class, level, unexplained: 0.0, seen: now };
+            let state = ServiceState {
+                service,
+                class,
+                level: LoadLevel::BUSIEST,
+                rate: None,
+                unexplained: 0.0,
+                seen: now,
+            };
             self.services.push(state);
             self.services.len() - 1
         });
