Ease throttles below the smallest step, and read the baseline off crowded samples

Cause: a task throttled to 10 % was eased by at most a factor of two, which is less than the smallest step, so it stayed there for good. The baseline of a service that was never seen alone followed its luckiest samples and made every slowdown look ten percent larger. Change: a step eases by a factor of two or by the smallest step, whichever is more; a crowded sample is divided by the slowdown that its neighbours are expected to cause before it moves the baseline.

--- a/crates/sched/src/fleet/learn.rs
+++ b/crates/sched/src/fleet/learn.rs
@@ -108,13 +108,13 @@
             window.shares.iter().copied().filter(|share| share.class != class).collect();
         let alone = neighbours.iter().map(|share| share.share).sum::<f64>() < ALONE_SHARE;
         let reading = ServiceReading::new(service.requests, service.mean, service.p99);
-        let percent = self
-            .baselines
-            .slowdown_percent(&service.service, level, reading, alone)
-            .clamp(-SLOWDOWN_LIMIT, SLOWDOWN_LIMIT);
         let victim = PairVictim { class, level };
         let pairs = neighbours.iter().map(|share| (share.class, share.share));
         let expected = self.pairs.forecast(now, victim, pairs).mean;
+        let percent = self
+            .baselines
+            .slowdown_percent(&service.service, level, reading, (!alone).then_some(expected))
+            .clamp(-SLOWDOWN_LIMIT, SLOWDOWN_LIMIT);
         let chance = SERVICE_NOISE + REQUEST_NOISE / service.requests as f64;
         let surprise = percent - expected - known.unexplained;
         let gain = if surprise.abs() > SURPRISE * chance.sqrt() { QUICK_GAIN } else { SLOW_GAIN };
--- a/crates/sched/src/interference/baseline.rs
+++ b/crates/sched/src/interference/baseline.rs
@@ -9,10 +9,11 @@
 
 /// The weight of a new measurement taken without neighbours.
 const ALONE_GAIN: f64 = 0.1;
-/// The weight of a lower measurement taken among neighbours, while none without them is known.
-const LOWER_GAIN: f64 = 0.3;
-/// The weight of a higher one, small because the neighbours may be its cause.
-const HIGHER_GAIN: f64 = 0.005;
+/// The weight of one taken among neighbours, less what they are expected to cause, while none
+/// without them is known.
+const CROWDED_GAIN: f64 = 0.02;
+/// The weight of the same once one without neighbours is known.
+const DRIFT_GAIN: f64 = 0.001;
 /// The number of requests at which the p99 of a sample weighs as much as its mean.
 const P99_TRUST_REQUESTS: f64 = 2000.0;
 
@@ -44,42 +45,41 @@
 }
 
 impl BaselineTable {
-    /// Learns from a reading and gives its slowdown against the baseline, in percent. `alone`
-    /// says that the service had no neighbours.
+    /// Learns from a reading and gives its slowdown against the baseline, in percent. `expected`
+    /// is the slowdown that its neighbours are expected to cause, or `None` when it has none.
     pub(crate) fn slowdown_percent(
         &mut self,
         service: &ServiceName,
         level: LoadLevel,
         reading: ServiceReading,
-        alone: bool,
+        expected: Option<f64>,
     ) -> f64 {
         let row = self.rows.entry(service.clone()).or_default();
-        let known = row.iter().flatten().copied().next();
+        let known = row.iter().flatten().copied().max_by_key(|known| known.alone);
         let cell = &mut row[usize::from(level.0)];
-        let first = ServiceBaseline { mean: reading.mean, p99: reading.p99, alone };
-        let seed = known.map_or(first, |known| ServiceBaseline { alone: false, ..known });
-        let baseline = cell.get_or_insert(seed);
-        baseline.learn(reading, alone);
+        let growth = 1.0 + expected.unwrap_or(0.0) / 100.0;
+        let own = ServiceBaseline {
+            mean: reading.mean / growth,
+            p99: reading.p99 / growth,
+            alone: expected.is_none(),
+        };
+        let baseline = cell.get_or_insert(known.unwrap_or(own));
+        baseline.learn(own);
         baseline.slowdown_percent(reading)
     }
 }
 
 impl ServiceBaseline {
-    fn learn(&mut self, reading: ServiceReading, alone: bool) {
-        if self.alone && !alone {
-            return;
-        }
-        if alone && !self.alone {
-            *self = Self { mean: reading.mean, p99: reading.p99, alone };
-            return;
-        }
-        let gain = match (alone, reading.mean < self.mean) {
-            (true, _) => ALONE_GAIN,
-            (false, true) => LOWER_GAIN,
-            (false, false) => HIGHER_GAIN,
+    fn learn(&mut self, own: Self) {
+        let gain = match (self.alone, own.alone) {
+            (false, true) => 1.0,
+            (true, true) => ALONE_GAIN,
+            (false, false) => CROWDED_GAIN,
+            (true, false) => DRIFT_GAIN,
         };
-        self.mean += gain * (reading.mean - self.mean);
-        self.p99 += gain * (reading.p99 - self.p99);
+        self.mean += gain * (own.mean - self.mean);
+        self.p99 += gain * (own.p99 - self.p99);
+        self.alone |= own.alone;
     }
 
     /// Growth of the mean and of the p99, weighed by how far the p99 of so few requests can be
--- a/crates/sched/src/relief/throttle.rs
+++ b/crates/sched/src/relief/throttle.rs
@@ -82,7 +82,8 @@
         for index in order {
             let task = &estimate.tasks[index];
             let effect = worst.map_or(0.0, |worst| worst.effects[index]).max(LEAST_EFFECT);
-            let affordable = (task.level * EASE_FACTOR).min(task.level + spare / effect).min(1.0);
+            let step = (task.level * EASE_FACTOR).max(task.level + LEAST_RAISE);
+            let affordable = step.min(task.level + spare / effect).min(1.0);
             let raised = on_grid(affordable);
             if raised < 1.0 && raised - task.level < LEAST_RAISE || task.level >= raised {
                 continue;
--- a/crates/sched/tests/support/mod.rs
+++ b/crates/sched/tests/support/mod.rs
@@ -141,6 +141,8 @@
         self.policy.tail_latency_weight = weight("tail", self.policy.tail_latency_weight);
         self.policy.eviction_weight = weight("evictions", self.policy.eviction_weight);
         self.policy.throughput_weight = weight("throughput", self.policy.throughput_weight);
+        let floor = u64::from(self.policy.throttle_floor_percent);
+        self.policy.throttle_floor_percent = words.count("floor", floor) as u32;
         self.model.set_policy(self.policy.clone());
     }
 
