Script one scenario per promise and failure of control

They no longer depend on which replica is elected or which worker the model prefers.

A loss of a worker is no longer recorded as a sighting of it besides.

--- a/crates/control/src/state/operate.rs
+++ b/crates/control/src/state/operate.rs
@@ -223,7 +223,6 @@
             self.lose_attempt(&task, StepReason::WorkerLost);
         }
         self.facts.push(FleetFact::EndpointsChanged(worker.clone()));
-        self.facts.push(FleetFact::WorkerChanged(worker.clone()));
         self.facts.push(FleetFact::WorkerLost(worker));
         let forgotten = self.state.workers.forget_lost();
         self.facts.extend(forgotten.into_iter().map(FleetFact::WorkerForgotten));
--- a/crates/control/tests/fleet/agent.rs
+++ b/crates/control/tests/fleet/agent.rs
@@ -186,7 +186,8 @@
     }
 
     fn reports(&self) -> Vec<AttemptReport> {
-        let due = self.attempts.iter().filter(|(_, fake)| self.report_all || !fake.told_running);
+        let due = |fake: &FakeAttempt| self.report_all || !fake.told_running || !fake.runs();
+        let due = self.attempts.iter().filter(|(_, fake)| due(fake));
         due.filter_map(|((task, attempt), fake)| {
             let state = fake.state.clone()?;
             Some(AttemptReport { task: task.clone(), attempt: *attempt, state })
--- a/crates/control/tests/fleet/calls.rs
+++ b/crates/control/tests/fleet/calls.rs
@@ -155,7 +155,7 @@
 fn answer_text(answer: &OperatorAnswer) -> String {
     match answer {
         OperatorAnswer::Applied(ApplyReply::Invalid { errors }) => {
-            format!("invalid: {} errors", errors.len())
+            format!("invalid: {}", errors.join("; ").replace('\n', " "))
         }
         OperatorAnswer::Problem(problem) => format!("{:?}", problem.kind),
         OperatorAnswer::Applied(reply) => format!("{reply:?}"),
--- a/crates/control/tests/fleet/script.rs
+++ b/crates/control/tests/fleet/script.rs
@@ -19,15 +19,21 @@
 /// The steps of one file.
 pub struct FleetScript {
     fleet: Fleet,
+    /// The leader that was crashed or cut off last.
+    old: Option<ReplicaId>,
 }
 
 impl FleetScript {
     pub fn new() -> Self {
-        Self { fleet: Fleet::new(3, 1) }
+        Self { fleet: Fleet::new(3, 1), old: None }
     }
 
     pub fn step(&mut self, test: &mut TestCase) -> String {
+        let quiet = test.take_flag("quiet").expect("a flag");
         let mut output = self.directive(test);
+        if quiet {
+            self.fleet.lines.clear();
+        }
         test.expect_empty().expect("known arguments");
         let mut lines = std::mem::take(&mut self.fleet.lines);
         lines.extend(self.fleet.witness.violations.drain(..).map(|text| format!("BROKEN: {text}")));
@@ -49,8 +55,10 @@
             "crash" | "restart" | "lose-disk" | "fill-disk" => self.disk(test),
             "agent" => self.agent(test),
             "end" => self.end(test),
-            "leader" => format!("leader {:?}", self.fleet.leader().map(|leader| leader.0)),
+            "leader" => self.leader(),
             "claim" | "close" => self.ledger(test),
+            "many-claims" => self.many_claims(test),
+            "replicas" => self.replicas(),
             _ => self.operate(test),
         }
     }
@@ -67,14 +75,20 @@
 
     fn advance(&mut self, test: &mut TestCase) -> String {
         let seconds: f64 = test.take_arg("s").expect("seconds");
-        let quiet = test.take_flag("quiet").expect("a flag");
         self.fleet.advance(Duration::from_secs_f64(seconds));
-        if quiet {
-            self.fleet.lines.clear();
-        }
         String::new()
     }
 
+    /// Whether the replica that led before still does.
+    fn leader(&mut self) -> String {
+        match (self.fleet.leader(), self.old) {
+            (None, _) => "nobody leads".to_owned(),
+            (Some(leader), Some(old)) if leader == old => "the same replica leads".to_owned(),
+            (Some(_), Some(_)) => "another replica leads".to_owned(),
+            (Some(_), None) => "a replica leads".to_owned(),
+        }
+    }
+
     fn worker(&mut self, test: &mut TestCase) -> String {
         let name: WorkerId = test.take_arg("name").expect("a name");
         let cpu = test.try_take_arg("cpu").expect("a number").unwrap_or(4000);
@@ -91,8 +105,8 @@
             self.fleet.cuts.clear();
             return String::new();
         }
-        let from: Vec<String> = test.take_args("from").expect("places");
-        let to: Vec<String> = test.take_args("to").expect("places");
+        let from = self.places(test.take_args("from").expect("places"));
+        let to = self.places(test.take_args("to").expect("places"));
         for (one, other) in from.iter().flat_map(|one| to.iter().map(move |other| (one, other))) {
             let mut directions = vec![(one.clone(), other.clone())];
             directions.extend((!one_way).then(|| (other.clone(), one.clone())));
@@ -106,8 +120,43 @@
         String::new()
     }
 
+    /// Replicas by what they are: `leader`, `old` (the leader that was crashed or cut off last) and
+    /// `followers` (all replicas that do not lead).
+    fn places(&mut self, names: Vec<String>) -> Vec<String> {
+        let mut places = Vec::new();
+        for name in names {
+            match name.as_str() {
+                "followers" => {
+                    let leader = self.fleet.leader();
+                    let others = self.fleet.replicas.keys().filter(|id| Some(**id) != leader);
+                    places.extend(others.map(ToString::to_string));
+                }
+                "leader" | "old" => places.push(self.replica(&name).to_string()),
+                _ => places.push(name),
+            }
+        }
+        places
+    }
+
+    fn replica(&mut self, name: &str) -> ReplicaId {
+        match name {
+            "leader" => {
+                self.old = self.fleet.leader();
+                self.old.expect("a leader")
+            }
+            "old" => self.old.expect("a leader before"),
+            "follower" => {
+                let leader = self.fleet.leader();
+                let mut others = self.fleet.replicas.keys().filter(|id| Some(**id) != leader);
+                *others.next().expect("a follower")
+            }
+            number => number.parse().expect("a replica"),
+        }
+    }
+
     fn disk(&mut self, test: &mut TestCase) -> String {
-        let replica = ReplicaId(test.take_arg("replica").expect("a number"));
+        let place: String = test.take_arg("replica").expect("a replica");
+        let replica = self.replica(&place);
         match test.directive.as_str() {
             "crash" => self.fleet.crash(replica, false),
             "restart" => self.fleet.start(replica),
@@ -161,8 +210,9 @@
         String::new()
     }
 
-    fn target(&self, test: &mut TestCase) -> ReplicaId {
-        let via = test.try_take_arg("via").expect("a number").map(ReplicaId);
+    fn target(&mut self, test: &mut TestCase) -> ReplicaId {
+        let via: Option<String> = test.try_take_arg("via").expect("a replica");
+        let via = via.map(|via| self.replica(&via));
         via.or(self.fleet.leader()).unwrap_or(ReplicaId(1))
     }
 
@@ -195,6 +245,9 @@
         let fingerprint = test.try_take_arg("request").expect("a number").unwrap_or(1);
         let replaces: Option<String> = test.try_take_arg("replaces").expect("a dispatch");
         let claiming = claim(&text, fingerprint, &by, replaces.as_deref());
+        if test.take_flag("expired").expect("a flag") {
+            self.fleet.witness.freed(&claiming.key);
+        }
         self.fleet.claim_key(at, "call", claiming.clone());
         let reply = self.reply(false).map_or("no reply".to_owned(), |reply| reply_text(&reply));
         if reply == "granted" {
@@ -204,12 +257,42 @@
         reply
     }
 
+    fn many_claims(&mut self, test: &mut TestCase) -> String {
+        let count: u32 = test.take_arg("count").expect("a number");
+        let at = self.target(test);
+        let mut granted = 0;
+        for number in 0..count {
+            let claiming = claim(&format!("many-{number}"), 1, &format!("m{number}"), None);
+            self.fleet.claim_key(at, "call", claiming);
+            let reply = self.reply(false);
+            granted += u32::from(reply.as_ref().map(reply_text).as_deref() == Some("granted"));
+        }
+        format!("{granted} granted")
+    }
+
+    /// What each replica has applied.
+    fn replicas(&mut self) -> String {
+        let fleet = &self.fleet;
+        let line = |id: &ReplicaId| match fleet.node(*id) {
+            None => format!("{id}: down"),
+            Some(node) => {
+                let state = node.state();
+                let (revision, keys) = (state.declarations().revision(), state.ledger().len());
+                let snapshot = fleet.replicas[id].disk.snapshot.is_some();
+                let jobs = state.jobs().iter().count();
+                format!("{id}: revision {revision}, {jobs} jobs, {keys} keys, snapshot {snapshot}")
+            }
+        };
+        fleet.replicas.keys().map(line).collect::<Vec<_>>().join("\n")
+    }
+
     fn operate(&mut self, test: &mut TestCase) -> String {
         let at = self.target(test);
         let lost = test.take_flag("lost").expect("a flag");
         let submission: Option<String> = test.try_take_arg("id").expect("a name");
         let call = parse_call(test, submission.as_deref().unwrap_or("s1"));
         self.fleet.replies.remove("call");
+        let submission = submission.map(|submission| format!("{submission} {call:?}"));
         self.fleet.operate(at, "call", call);
         let Some(NodeReply::Operator(answer)) = self.reply(lost) else {
             return "no reply".to_owned();
