--- a/crates/quorum/src/core/writes.rs
+++ b/crates/quorum/src/core/writes.rs
@@ -96,9 +96,7 @@
 
     /// A received snapshot replaces the whole log, of which only `agreed` is known to be right.
     pub(crate) fn note_reset(&mut self, snapshot: LogSnapshot, agreed: LogIndex) {
-        if self.written > snapshot.index {
-            self.truncate_from = Some(snapshot.index.next());
-        }
+        self.truncate_from = Some(snapshot.index.next());
         self.cap(agreed);
         self.written = snapshot.index;
         self.snapshot = Some(snapshot);
--- a/crates/quorum/src/storage/mod.rs
+++ b/crates/quorum/src/storage/mod.rs
@@ -86,7 +86,7 @@
         remove_leftovers(folder, &listing)?;
         // What a killed process wrote may be readable without being synced.
         sync_folder(&mut files, folder)?;
-        let FolderContent { log, mut segments, intact_length, replayed_to } = content;
+        let FolderContent { log, mut segments, intact_length, restart } = content;
         let next_index = log.next_index();
         let details = SegmentDetails { next_index, hard_state: log.hard_state };
         let (writer, highest) = match segments.pop() {
@@ -94,7 +94,7 @@
                 let path = segment_path(folder, end.number);
                 let mut writer =
                     SegmentWriter::resume(&mut files, path, end.number, intact_length)?;
-                if replayed_to != next_index {
+                if restart {
                     writer.append(&mut files, &BorrowedRecord::restart(next_index))?;
                 }
                 (writer, end.highest)
@@ -159,13 +159,19 @@
         Ok(())
     }
 
+    /// A log that ends before its snapshot, or of which nothing after the snapshot is left, starts
+    /// anew after it: what the files hold up to there may contradict the snapshot.
+    fn restart_of(&self, batch: &PersistBatch) -> Option<LogIndex> {
+        let covered = batch.snapshot.as_ref()?.index;
+        let cut = batch.truncate_from.is_some_and(|from| from <= covered.next());
+        (cut || covered >= self.next_index).then_some(covered)
+    }
+
     fn record_of<'a>(&self, batch: &'a PersistBatch) -> Result<BorrowedRecord<'a>, StorageError> {
-        let covered = batch.snapshot.as_ref().map(|snapshot| snapshot.index);
-        let restart_after = covered.filter(|index| *index >= self.next_index);
+        let restart_after = self.restart_of(batch);
         let next = restart_after.map_or(self.next_index, LogIndex::next);
-        let floor = covered.map_or(LogIndex(1), LogIndex::next);
-        let truncate_from =
-            batch.truncate_from.map(|from| from.max(floor)).filter(|from| *from < next);
+        let truncate_from = batch.truncate_from.filter(|from| *from < next);
+        let truncate_from = truncate_from.filter(|_| restart_after.is_none());
         let record = BorrowedRecord {
             restart_after,
             truncate_from,
@@ -180,7 +186,11 @@
     }
 
     fn note_written(&mut self, record: &BorrowedRecord<'_>) {
-        self.next_index = record.restart_after.map_or(self.next_index, LogIndex::next);
+        if let Some(index) = record.restart_after {
+            self.next_index = index.next();
+            self.highest = self.highest.min(index);
+            self.closed.iter_mut().for_each(|end| end.highest = end.highest.min(index));
+        }
         self.next_index = record.truncate_from.unwrap_or(self.next_index);
         if let Some(last) = record.entries.last() {
             self.next_index = last.index.next();
--- a/crates/quorum/tests/cluster/schedule.rs
+++ b/crates/quorum/tests/cluster/schedule.rs
@@ -12,6 +12,9 @@
 /// More messages than this are not kept on their way.
 const FLIGHTS: usize = 500;
 
+/// One seed in this many writes real files beside the model of a disk.
+const FILES_SEEDS: u64 = 8;
+
 /// What happens next. Numbers choose among whatever is there when the step is run.
 #[derive(Debug, Clone, Copy)]
 pub enum Step {
@@ -169,6 +172,7 @@
         let voters = [1, 3, 3, 3, 5][(seed % 5) as usize];
         let mut cluster = Cluster::new(voters, seed);
         cluster.snapshot_every = [7, 1_000_000][(seed % 2) as usize];
+        cluster.real_files = seed.is_multiple_of(FILES_SEEDS);
         if !seed.is_multiple_of(3) {
             cluster.clock_percents = vec![100, 60, 150, 80];
         }
--- a/crates/quorum/tests/scenarios.rs
+++ b/crates/quorum/tests/scenarios.rs
@@ -26,6 +26,7 @@
     if case.directive == "group" {
         let mut group = Cluster::new(number(case, "voters", 3), 1);
         group.snapshot_every = number(case, "snapshot-every", 1_000_000);
+        group.real_files = true;
         *cluster = Some(group);
         return "ok\n".to_owned();
     }
