--- a/crates/mangorouter/benches/capacity/child.rs
+++ b/crates/mangorouter/benches/capacity/child.rs
@@ -12,7 +12,7 @@
     },
 };
 
-const TICKS_PER_SECOND: f64 = 100.0;
+const NANOS_PER_SECOND: f64 = 1e9;
 const PAGE_BYTES: f64 = 4096.0;
 const MEGABYTE: f64 = 1e6;
 
@@ -51,12 +51,18 @@
         children.iter().zip(&before).map(usage).collect()
     }
 
+    /// Time on a processor of all threads that live, to the nanosecond: the clock ticks of
+    /// `/proc/PID/stat` are too coarse for processes that use a thousandth of a core.
     fn cpu_seconds(&self) -> f64 {
-        let text = fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap_or_default();
-        let fields: Vec<&str> =
-            text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-        let ticks: f64 = [11, 12].iter().filter_map(|i| fields.get(*i)?.parse::<f64>().ok()).sum();
-        ticks / TICKS_PER_SECOND
+        let threads = fs::read_dir(format!("/proc/{}/task", self.0.id()));
+        threads
+            .into_iter()
+            .flatten()
+            .flatten()
+            .filter_map(|thread| fs::read_to_string(thread.path().join("schedstat")).ok())
+            .filter_map(|text| text.split_whitespace().next()?.parse::<f64>().ok())
+            .sum::<f64>()
+            / NANOS_PER_SECOND
     }
 
     fn memory_mb(&self) -> f64 {
--- a/crates/mangorouter/benches/capacity/parts.rs
+++ b/crates/mangorouter/benches/capacity/parts.rs
@@ -143,7 +143,7 @@
         });
         let (usage, (byte_rate, connection_rate)) = counted;
         println!(
-            "| {tasks} | {:.2} | {:.1} | {byte_rate:.0} | {connection_rate:.2} |",
+            "| {tasks} | {:.3} | {:.1} | {byte_rate:.0} | {connection_rate:.2} |",
             usage.cpu_percent, usage.memory_mb
         );
         let x = f64::from(tasks);
@@ -189,7 +189,7 @@
         });
         drop(fleet);
         println!(
-            "| {endpoints} | {:.2} | {:.1} | {byte_rate:.0} |",
+            "| {endpoints} | {:.3} | {:.1} | {byte_rate:.0} |",
             usage.cpu_percent, usage.memory_mb
         );
         let x = endpoints as f64;
