--- a/crates/sched/src/fleet/learn.rs
+++ b/crates/sched/src/fleet/learn.rs
@@ -5,7 +5,9 @@
     crate::{
         classes::ClassIndex,
         interface::{ServiceSample, TaskSample, WorkerSample},
-        interference::{ClassShare, LoadLevel, PairVictim, ServiceReading, SlowdownReading},
+        interference::{
+            smooth_rate, ClassShare, LoadLevel, PairVictim, ServiceReading, SlowdownReading,
+        },
     },
     base::WorkerId,
     std::{collections::BTreeSet, time::Duration},
@@ -14,17 +16,21 @@
 /// The time that a worker's first sample is presumed to cover.
 const FIRST_SAMPLE_SPAN: Duration = Duration::from_secs(1);
 /// The variance of a service's slowdown that no number of requests removes, in squared percent.
-const SERVICE_NOISE: f64 = 25.0;
+const SERVICE_NOISE: f64 = 10.0;
 /// The variance that one request would have, in squared percent.
-const REQUEST_NOISE: f64 = 10_000.0;
+const REQUEST_NOISE: f64 = 5_000.0;
 /// The part of a measured slowdown by which the linear model may be wrong.
 const MODEL_ERROR: f64 = 0.1;
 /// The variance of a task's slowdown, in squared percent.
 const TASK_NOISE: f64 = 100.0;
 /// Slowdowns beyond this many percent are taken for it.
 const SLOWDOWN_LIMIT: f64 = 1000.0;
-/// The requests at which half of a new unexplained slowdown is believed.
-const BELIEF_REQUESTS: f64 = 200.0;
+/// The number of standard deviations beyond which a slowdown is no chance.
+const SURPRISE: f64 = 2.5;
+/// The weight of a measurement that is no chance.
+const QUICK_GAIN: f64 = 0.5;
+/// The weight of a measurement that may be chance.
+const SLOW_GAIN: f64 = 0.08;
 /// Below this share of the processors, neighbours do not count.
 const ALONE_SHARE: f64 = 0.005;
 
@@ -88,12 +94,13 @@
         window: Option<&SampleWindow>,
     ) {
         let class = self.service_class(&sample.worker, service);
-        let level = self.loads.level(sample.taken_at, &service.service, service.requests, elapsed);
         let Some(state) = self.workers.get_mut(&sample.worker) else {
             return;
         };
-        let known = state.service_mut(now, &service.service, class, level);
-        (known.level, known.seen) = (level, now);
+        let known = state.service_mut(now, &service.service, class);
+        let rate = smooth_rate(known.rate, service.requests, elapsed);
+        let level = self.loads.level(sample.taken_at, &service.service, rate, known.level);
+        (known.level, known.rate, known.seen) = (level, Some(rate), now);
         let Some(window) = window else {
             return;
         };
@@ -101,18 +108,18 @@
             window.shares.iter().copied().filter(|share| share.class != class).collect();
         let alone = neighbours.iter().map(|share| share.share).sum::<f64>() < ALONE_SHARE;
         let reading = ServiceReading::new(service.requests, service.mean, service.p99);
-        let percent = self
-            .baselines
-            .slowdown_percent(&service.service, level, reading, alone)
-            .clamp(-SLOWDOWN_LIMIT, SLOWDOWN_LIMIT);
         let victim = PairVictim { class, level };
         let pairs = neighbours.iter().map(|share| (share.class, share.share));
         let expected = self.pairs.forecast(now, victim, pairs).mean;
-        let belief = service.requests as f64 / (service.requests as f64 + BELIEF_REQUESTS);
-        known.unexplained += belief * (percent - expected - known.unexplained);
-        let noise = SERVICE_NOISE
-            + REQUEST_NOISE / service.requests as f64
-            + (MODEL_ERROR * percent).powi(2);
+        let percent = self
+            .baselines
+            .slowdown_percent(&service.service, level, reading, (!alone).then_some(expected))
+            .clamp(-SLOWDOWN_LIMIT, SLOWDOWN_LIMIT);
+        let chance = SERVICE_NOISE + REQUEST_NOISE / service.requests as f64;
+        let surprise = percent - expected - known.unexplained;
+        let gain = if surprise.abs() > SURPRISE * chance.sqrt() { QUICK_GAIN } else { SLOW_GAIN };
+        known.unexplained += gain * surprise;
+        let noise = chance + (MODEL_ERROR * percent).powi(2);
         self.pairs.learn(now, SlowdownReading { victim, neighbours: &neighbours, percent, noise });
     }
 
