Count and time in the agent, and bound its shutdown by declaration

Cause: the agent's instruments were listed and never set; a shutdown waited a fixed time and could hang on an executor that does not answer; and it was tested with requests that stand still, not under load.

Change: admissions, task starts, slots, the lease and executor calls are measured as effects are performed. A shutdown waits `drain.requests` at the most and leaves a hanging executor's thread behind. A test shuts an agent down while eight callers send without a pause and accounts for every request.

Conclusion: a shutdown under load leaves no caller with an unknown outcome.

--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -1,7 +1,7 @@
 //! The reducer with everything that performs its effects.
 
 use {
-    super::{executor::ExecutorClient, pool::JobPool, state_file},
+    super::{executor::ExecutorClient, meters, pool::JobPool, state_file},
     crate::{
         platform::{PlatformCall, PlatformClient},
         reducer::{AgentEffect, AgentInput, AgentReducer, ExecutorCall, HeartbeatSend},
@@ -130,14 +130,16 @@
         self.lock().reducer.next_wakeup()
     }
 
-    /// Waits until nothing is in progress and control knows that the agent leaves, `limit` at the
-    /// most.
-    pub(super) fn wait_for_drain(&self, limit: Duration) {
+    /// Waits until nothing is in progress and control knows that the agent leaves, at most as long
+    /// as is declared. False when something is still in progress.
+    pub(super) fn wait_for_drain(&self) -> bool {
+        let limit = self.lock().reducer.drain_limit();
         let busy = |state: &mut CoreState| {
             state.reducer.in_progress() > 0 || !state.reducer.drain_is_told()
         };
         let waited = self.changed.wait_timeout_while(self.lock(), limit, busy);
-        drop(waited.expect("a core holder never panics"));
+        let (state, _) = waited.expect("a core holder never panics");
+        state.reducer.in_progress() == 0
     }
 
     fn ask(&self, responder: HttpResponder, input: impl FnOnce(ReplyTicket) -> AgentInput) {
@@ -152,6 +154,8 @@
         let before = state.reducer.next_wakeup();
         let now = self.context.clock().monotonic();
         let effects = state.reducer.reduce(now, input);
+        effects.iter().for_each(|effect| meters::count(&self.context.metrics, effect));
+        meters::gauge(&self.context.metrics, &state.reducer, now);
         let earlier = state.reducer.next_wakeup() < before;
         let holds = state.reducer.lease_holds(now);
         let replies = effects.into_iter().filter_map(|effect| self.start(&mut state, effect));
@@ -249,7 +253,11 @@
     pub(super) fn run(&self, job: CoreJob) {
         match job {
             CoreJob::Executor(call) => {
+                let clock = self.core.context.clock();
+                let start = clock.monotonic();
                 let outcome = self.executors.call(&call);
+                let took = clock.monotonic().saturating_sub(start);
+                meters::time(&self.core.context.metrics, &outcome, took);
                 self.core.feed(AgentInput::ExecutorDone { dispatch: call.dispatch, outcome });
             }
             CoreJob::Platform(call) => {
--- a/crates/agent/src/process/mod.rs
+++ b/crates/agent/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod core;
 mod executor;
+mod meters;
 mod pool;
 mod ports;
 mod state_file;
@@ -27,7 +28,6 @@
         path::PathBuf,
         sync::Arc,
         thread::{self, JoinHandle},
-        time::Duration,
     },
     telemetry::ProcessContext,
 };
@@ -36,8 +36,6 @@
 const EXECUTOR_THREADS: usize = 512;
 /// Platform calls for attempts at once.
 const TASK_THREADS: usize = 4;
-/// How long a shutdown waits for requests in progress and for control to learn of it.
-const DRAIN_LIMIT: Duration = Duration::from_secs(30);
 
 /// Why an agent can't start.
 #[derive(Debug, Snafu)]
@@ -133,13 +131,16 @@
     /// on under the platform's lease, for the next life of the agent to adopt.
     pub fn shut_down(self) {
         self.core.feed(AgentInput::DrainRequested);
-        self.core.wait_for_drain(DRAIN_LIMIT);
+        let idle = self.core.wait_for_drain();
         self.internal.shut_down();
         self.announce.shut_down();
         drop(self.stop_timer);
         let _ = self.timer.join();
         let Some(pools) = self.core.close() else { return };
-        pools.executors.shut_down();
+        // A thread whose executor hangs is left behind: its request has been answered.
+        if idle {
+            pools.executors.shut_down();
+        }
         pools.heartbeats.shut_down();
         pools.lease.shut_down();
         pools.tasks.shut_down();
--- a/crates/agent/src/reducer/mod.rs
+++ b/crates/agent/src/reducer/mod.rs
@@ -123,6 +123,16 @@
         self.lease.holds(now, self.policy.lease().stop_margin)
     }
 
+    /// What is left of the worker's lease.
+    pub fn lease_left(&self, now: Duration) -> Duration {
+        self.lease.deadline().unwrap_or_default().saturating_sub(now)
+    }
+
+    /// How long a shutdown may wait for requests in progress.
+    pub fn drain_limit(&self) -> Duration {
+        self.policy.drain_limit()
+    }
+
     /// The revision in force.
     pub fn revision(&self) -> RevisionNumber {
         self.declarations.revision()
--- a/crates/agent/src/reducer/policy.rs
+++ b/crates/agent/src/reducer/policy.rs
@@ -58,6 +58,11 @@
         self.worker.drain.tasks
     }
 
+    /// How long a shutdown may wait for requests in progress.
+    pub(super) fn drain_limit(&self) -> Duration {
+        self.worker.drain.requests
+    }
+
     /// The largest answer of a service.
     pub(super) fn answer_limit(&mut self, config: &AgentConfig, service: &ServiceName) -> ByteSize {
         if let Some(limit) = self.answer_limits.get(service) {
--- a/crates/testkit/tests/agent_process/main.rs
+++ b/crates/testkit/tests/agent_process/main.rs
@@ -171,3 +171,39 @@
     let error = rig.call(&request("gone", "POST /charge", &[], b"x")).unwrap_err();
     assert!(error.proves_not_done(), "{error}");
 }
+
+/// A shutdown while eight callers send without a pause: nobody is left not knowing.
+#[test]
+fn shutdown_under_load_leaves_nothing_unknown() {
+    let rig = AgentRig::start(8);
+    let answers = thread::scope(|scope| {
+        let callers: Vec<_> = (0..8)
+            .map(|caller| {
+                let rig = &rig;
+                scope.spawn(move || send_until_refused(rig, caller))
+            })
+            .collect();
+        while rig.executor.executed().len() < 200 {
+            thread::yield_now();
+        }
+        rig.shut_down();
+        callers.into_iter().map(|caller| caller.join().unwrap()).sum::<usize>()
+    });
+    assert_eq!(rig.executor.executed().len(), answers);
+}
+
+fn send_until_refused(rig: &AgentRig, caller: usize) -> usize {
+    for number in 0.. {
+        let name = format!("c{caller}-{number}");
+        match rig.call(&request(&name, "POST /charge", &[], b"x")) {
+            Ok(reply) => match reply.outcome {
+                DispatchOutcome::Answered(_) => {}
+                DispatchOutcome::NotRun(NotRunReason::Draining) => return number,
+                other => panic!("{other:?}"),
+            },
+            Err(error) if error.proves_not_done() => return number,
+            Err(error) => panic!("{error}"),
+        }
+    }
+    unreachable!("the agent shuts down")
+}
