Reach peers by IP number without a resolver's thread

Cause: the client library starts a thread to look a name up before every new connection, also for an IP number, which shows on loopback with one caller: 153 us at p50 against 89 us by the other library in the same run.

Change: a resolver that reads the number.

--- a/crates/agent/src/process/executor.rs
+++ b/crates/agent/src/process/executor.rs
@@ -6,8 +6,11 @@
     base::ByteSize,
     bytes::Bytes,
     http::{header, HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode},
-    proto::messages::{
-        DispatchOutcome, ForwardedAnswer, ForwardedRequest, NotRunReason, UnknownReason,
+    proto::{
+        messages::{
+            DispatchOutcome, ForwardedAnswer, ForwardedRequest, NotRunReason, UnknownReason,
+        },
+        rpc::number_client,
     },
     std::{io, time::Duration},
 };
@@ -55,7 +58,7 @@
             .timeout_global(Some(EXECUTOR_TIME_LIMIT))
             .user_agent("")
             .build();
-        Self { client: config.into() }
+        Self { client: number_client(config) }
     }
 
     /// Runs one call to its end.
--- a/crates/proto/src/rpc/client.rs
+++ b/crates/proto/src/rpc/client.rs
@@ -1,7 +1,7 @@
 //! The calling side.
 
 use {
-    super::{ProcessIdentity, RpcCall, RpcRefusal},
+    super::{number_client, ProcessIdentity, RpcCall, RpcRefusal},
     crate::envelope::{self, CheckedFrame, FrameError, MessageHeader},
     base::PeerAddress,
     serde::Deserialize,
@@ -134,7 +134,7 @@
         .max_idle_connections_per_host(idle_connections)
         .max_idle_age(MAX_IDLE_AGE);
     let config = if idle_connections == 0 { config.max_idle_connections(0) } else { config };
-    config.build().into()
+    number_client(config.build())
 }
 
 fn send(
--- a/crates/proto/src/rpc/mod.rs
+++ b/crates/proto/src/rpc/mod.rs
@@ -2,10 +2,12 @@
 
 mod client;
 mod identity;
+mod resolver;
 
 pub use {
     client::{ConnectionUse, RpcClient, RpcError, FRAME_CONTENT_TYPE},
     identity::ProcessIdentity,
+    resolver::number_client,
 };
 
 use {
--- a/crates/proto/tests/rim/support.rs
+++ b/crates/proto/tests/rim/support.rs
@@ -13,7 +13,7 @@
     },
     std::{
         io::{ErrorKind, Read, Write},
-        net::{Shutdown, TcpStream},
+        net::TcpStream,
         sync::Arc,
         time::Duration,
     },
@@ -83,7 +83,6 @@
     pub fn exchange(&self, bytes: &[u8]) -> String {
         let mut stream = self.connect();
         stream.write_all(bytes).unwrap();
-        stream.shutdown(Shutdown::Write).ok();
         read_all(&mut stream)
     }
 
