Split the agent's driver, its view of the platform and the scenario words

Change: jobs.rs holds what the agent's threads do, platform_view.rs what is known of the platform, parse.rs the words of scenarios. Nothing else changes.

Conclusion: the same tests pass.

--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -1,30 +1,27 @@
 //! The reducer with everything that performs its effects.
 
 use {
-    super::{executor::ExecutorClient, meters, pool::JobPool, state_file},
+    super::{meters, pool::JobPool},
     crate::{
-        platform::{PlatformCall, PlatformClient},
+        platform::PlatformCall,
         reducer::{AgentEffect, AgentInput, AgentReducer, ExecutorCall, HeartbeatSend},
     },
     base::{EventReducer, PeerAddress, ReplyTicket, RevisionNumber},
-    crossbeam::channel::{Receiver, Sender},
+    crossbeam::channel::Sender,
     indexmap::IndexMap,
     proto::{
         envelope::MessageHeader,
-        messages::{DeclarationBundle, DeclarationPull, DispatchRequest, FenceRequest},
-        rpc::{ConnectionUse, ProcessIdentity, RpcClient},
+        messages::{DeclarationBundle, DispatchReply, DispatchRequest, FenceReply, FenceRequest},
+        rpc::ProcessIdentity,
         server::{reply, HttpResponder},
     },
     std::{
-        path::PathBuf,
         sync::{Arc, Condvar, Mutex, MutexGuard},
         time::Duration,
     },
     telemetry::ProcessContext,
 };
 
-const PULL_DEADLINE: Duration = Duration::from_secs(2);
-
 /// Something that a pool's thread does.
 pub(super) enum CoreJob {
     /// Sends a request to an executor.
@@ -95,6 +92,11 @@
         &self.context.identity
     }
 
+    /// What the process shares with its other parts.
+    pub(super) fn context(&self) -> &ProcessContext {
+        &self.context
+    }
+
     /// Takes a dispatch.
     pub(super) fn dispatch(&self, request: DispatchRequest, responder: HttpResponder) {
         let request = Box::new(request);
@@ -216,8 +218,8 @@
 }
 
 enum ReadyReply {
-    Dispatch(HttpResponder, Box<proto::messages::DispatchReply>),
-    Fence(HttpResponder, Box<proto::messages::FenceReply>),
+    Dispatch(HttpResponder, Box<DispatchReply>),
+    Fence(HttpResponder, Box<FenceReply>),
 }
 
 impl ReadyReply {
@@ -228,91 +230,3 @@
         }
     }
 }
-
-/// Performs jobs on the threads of the pools.
-pub(super) struct JobRunner {
-    core: Arc<AgentCore>,
-    rpc: RpcClient,
-    platform: PlatformClient,
-    executors: ExecutorClient,
-    state_file: Option<PathBuf>,
-}
-
-impl JobRunner {
-    /// A runner that feeds results back to `core`.
-    pub(super) fn new(
-        core: Arc<AgentCore>,
-        platform: PlatformClient,
-        state_file: Option<PathBuf>,
-    ) -> Self {
-        let rpc = RpcClient::new(core.identity().clone());
-        Self { core, rpc, platform, executors: ExecutorClient::new(), state_file }
-    }
-
-    /// Performs one job.
-    pub(super) fn run(&self, job: CoreJob) {
-        match job {
-            CoreJob::Executor(call) => {
-                let clock = self.core.context.clock();
-                let start = clock.monotonic();
-                let outcome = self.executors.call(&call);
-                let took = clock.monotonic().saturating_sub(start);
-                meters::time(&self.core.context.metrics, &outcome, took);
-                self.core.feed(AgentInput::ExecutorDone { dispatch: call.dispatch, outcome });
-            }
-            CoreJob::Platform(call) => {
-                let result = self.platform.call(&call);
-                self.core.feed(AgentInput::PlatformDone { call, result });
-            }
-            CoreJob::Heartbeat(send) => self.send_heartbeat(&send),
-            CoreJob::PutInForce(bundle) => self.put_in_force(&bundle),
-            CoreJob::Pull(peer, known) => self.pull(peer, known),
-        }
-    }
-
-    fn send_heartbeat(&self, send: &HeartbeatSend) {
-        let connection =
-            if send.fresh_connection { ConnectionUse::Fresh } else { ConnectionUse::Pooled };
-        let answer = self.rpc.call(send.peer, connection, send.deadline, &*send.heartbeat);
-        let sequence = send.heartbeat.sequence;
-        let reply = answer.ok().map(|(header, reply)| {
-            self.core.hear(&header);
-            (header.sender.name, reply)
-        });
-        self.core.feed(AgentInput::HeartbeatDone { sequence, reply });
-    }
-
-    fn put_in_force(&self, bundle: &DeclarationBundle) {
-        let saved = self.state_file.as_ref().map(|path| state_file::save(path, bundle));
-        if let Some(Err(error)) = saved {
-            log::error!("the declarations in force can't be saved: {error}");
-        }
-        self.core.identity().put_in_force(bundle.revision);
-    }
-
-    fn pull(&self, peer: PeerAddress, known: RevisionNumber) {
-        let call = DeclarationPull { known };
-        let answer = self.rpc.call(peer, ConnectionUse::Fresh, PULL_DEADLINE, &call);
-        let Ok((header, answer)) = answer else { return };
-        if let Some(bundle) = answer.newer {
-            let source = header.sender.name;
-            self.core.feed(AgentInput::Declarations { bundle, source });
-        }
-    }
-}
-
-/// Ticks until the channel that wakes it is closed.
-pub(super) fn run_timer(core: &AgentCore, woken: &Receiver<()>, stop: &Receiver<()>) {
-    loop {
-        let next = core.tick();
-        let now = core.context.clock().monotonic();
-        let pause = next.saturating_sub(now).min(LONGEST_PAUSE);
-        crossbeam::select! {
-            recv(stop) -> _ => return,
-            recv(woken) -> _ => {}
-            default(pause) => {}
-        }
-    }
-}
-
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
--- a/crates/agent/src/process/mod.rs
+++ b/crates/agent/src/process/mod.rs
@@ -2,19 +2,21 @@
 
 mod core;
 mod executor;
+mod jobs;
 mod meters;
 mod pool;
 mod ports;
 mod state_file;
 
 use {
-    self::core::{run_timer, AgentCore, CoreJob, CorePools, JobRunner},
+    self::core::{AgentCore, CoreJob, CorePools},
     crate::{
         platform::PlatformClient,
         reducer::{AgentConfig, AgentInput, AgentReducer},
     },
     base::PeerAddress,
     crossbeam::channel::{self, Sender},
+    jobs::{run_timer, JobRunner},
     pool::JobPool,
     ports::{announce_limits, internal_handler, AnnounceHandler},
     proto::{
--- a/crates/agent/src/reducer/mod.rs
+++ b/crates/agent/src/reducer/mod.rs
@@ -13,6 +13,7 @@
 mod on_dispatch;
 mod on_heartbeat;
 mod on_platform;
+mod platform_view;
 mod policy;
 mod records;
 mod types;
@@ -29,7 +30,7 @@
     lease::WorkerLease,
     memory::DispatchMemory,
     on_dispatch::RunningCall,
-    on_platform::PlatformView,
+    platform_view::PlatformView,
     policy::PolicyCache,
     proto::messages::{CommandCursor, DeclarationBundle, DispatchId},
     spread::{DeclarationStore, OfferOutcome},
--- a/crates/agent/tests/scenarios/main.rs
+++ b/crates/agent/tests/scenarios/main.rs
@@ -2,6 +2,7 @@
 //! does beside them. `REWRITE=1` writes the outputs anew.
 
 mod leader;
+mod parse;
 mod schedules;
 mod text;
 mod world;
