--- a/crates/testkit/tests/agent_process/main.rs
+++ b/crates/testkit/tests/agent_process/main.rs
@@ -11,7 +11,7 @@
     rstest::rstest,
     std::{thread, time::Duration},
     support::{id, key, request, AgentRig},
-    testkit::ExecutorFault,
+    testkit::{ExecutorFault, RawPeer, RawPeerMode},
 };
 
 fn answered(outcome: DispatchOutcome) -> (u16, Vec<u8>) {
@@ -92,13 +92,97 @@
     assert_eq!(rig.executor.executed().len(), 0);
 }
 
-#[rstest]
-#[case(ExecutorFault::Truncate, UnknownReason::BadAnswer)]
-fn cut_answers_are_no_answers(#[case] fault: ExecutorFault, #[case] reason: UnknownReason) {
+#[test]
+fn cut_answers_are_no_answers() {
     let rig = AgentRig::start(2);
-    rig.executor.set_fault(fault);
+    rig.executor.set_fault(ExecutorFault::Truncate);
     let reply = rig.dispatch(&request("r1", "GET /quote", &[], b""));
-    assert_eq!(reply.outcome, DispatchOutcome::Unknown(reason));
+    assert_eq!(reply.outcome, DispatchOutcome::Unknown(UnknownReason::BadAnswer));
+}
+
+/// A slow answer is passed on whole.
+#[test]
+fn slow_answers_are_whole() {
+    let rig = AgentRig::start(2);
+    rig.executor.set_fault(ExecutorFault::Slow(Duration::from_micros(100)));
+    let reply = rig.dispatch(&request("r1", "POST /", &[("x-echo", "body")], &[b'x'; 500]));
+    assert_eq!(answered(reply.outcome), (200, vec![b'x'; 500]));
+}
+
+const NO_ENDPOINT: DispatchOutcome = DispatchOutcome::NotRun(NotRunReason::NoEndpoint);
+const LOST: DispatchOutcome = DispatchOutcome::Unknown(UnknownReason::ExecutorLost);
+const BAD: DispatchOutcome = DispatchOutcome::Unknown(UnknownReason::BadAnswer);
+const LATE: DispatchOutcome = DispatchOutcome::Unknown(UnknownReason::DeadlinePassed);
+
+/// Only a connection that never came about proves that the executor did not run a request.
+#[rstest]
+#[case::refuses(None, NO_ENDPOINT)]
+#[case::closes(Some(RawPeerMode::Close), LOST)]
+#[case::silent(Some(RawPeerMode::Silent), LATE)]
+#[case::garbage(Some(RawPeerMode::Answer(b"\x00\x01\r\n\r\n".to_vec())), BAD)]
+#[case::cut_head(Some(RawPeerMode::Answer(b"HTTP/1.1 200 OK\r\ncont".to_vec())), LOST)]
+#[case::cut_body(
+    Some(RawPeerMode::Answer(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc".to_vec())),
+    BAD
+)]
+#[case::cut_chunk(
+    Some(RawPeerMode::Answer(
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n".to_vec()
+    )),
+    BAD
+)]
+#[case::ends_with_its_connection(
+    Some(RawPeerMode::Answer(b"HTTP/1.1 200 OK\r\n\r\nabc".to_vec())),
+    BAD
+)]
+#[case::too_large(
+    Some(RawPeerMode::Answer(
+        b"HTTP/1.1 200 OK\r\ncontent-length: 99999999\r\n\r\nabc".to_vec()
+    )),
+    BAD
+)]
+fn failing_executors_are_told_apart(
+    #[case] mode: Option<RawPeerMode>,
+    #[case] expected: DispatchOutcome,
+) {
+    let rig = AgentRig::start(2);
+    let peer = RawPeer::start(mode.clone().unwrap_or(RawPeerMode::Close)).unwrap();
+    let address = peer.address();
+    let _peer = mode.is_some().then_some(peer);
+    let announcement = format!(
+        r#"{{"endpoint":"raw","service":"booking","address":"{address}","slots":1,"connections":1}}"#
+    );
+    assert_eq!(rig.post_announce("/announce", &announcement).0, 200);
+    let mut dispatch = request("r1", "POST /charge", &[], b"x");
+    dispatch.endpoint = id("raw");
+    if expected == LATE {
+        dispatch.remaining = Duration::from_millis(100);
+    }
+    assert_eq!(rig.dispatch(&dispatch).outcome, expected);
+}
+
+#[rstest]
+#[case::no_json("/announce", "hello", 400, "malformed")]
+#[case::missing("/announce", r#"{"endpoint":"e2"}"#, 400, "malformed")]
+#[case::unknown_field("/leave", r#"{"endpoint":"e2","now":true}"#, 400, "malformed")]
+#[case::elsewhere(
+    "/announce",
+    r#"{"endpoint":"e2","service":"s","address":"10.0.0.9:80","slots":1,"connections":1}"#,
+    422,
+    "foreign-address"
+)]
+#[case::other_path("/internal/dispatch", "", 404, "no-such-path")]
+fn bad_announcements_are_refused(
+    #[case] path: &str,
+    #[case] body: &str,
+    #[case] status: u16,
+    #[case] reason: &str,
+) {
+    let rig = AgentRig::start(1);
+    let (found, text) = rig.post_announce(path, body);
+    assert_eq!(found, status, "{text}");
+    assert!(text.contains(reason), "{text}");
+    assert_eq!(answered(rig.dispatch(&request("r1", "GET /", &[], b"")).outcome).0, 200);
 }
 
 /// The executor is still at work on the request, so that its slot stays taken after the caller
--- a/crates/testkit/tests/agent_process/support.rs
+++ b/crates/testkit/tests/agent_process/support.rs
@@ -144,6 +144,7 @@
     pub worker: StandInWorker,
     pub executor: StandInExecutor,
     pub address: PeerAddress,
+    announce: PeerAddress,
     agent: Mutex<Option<AgentProcess>>,
     client: RpcClient,
     entry: Arc<ProcessIdentity>,
@@ -169,12 +170,14 @@
         let client = RpcClient::new(entry.clone());
         let pulls = answer_pulls(&entry);
         let address = agent.internal_address();
+        let announce = agent.announce_address();
         let agent = Mutex::new(Some(agent));
         let rig = Self {
             leader,
             worker,
             executor: executor.unwrap(),
             address,
+            announce,
             agent,
             client,
             entry,
@@ -189,6 +192,17 @@
         answered.map(|(_, reply)| reply)
     }
 
+    /// Posts to the announce port and returns the status and the answer.
+    pub fn post_announce(&self, path: &str, body: &str) -> (u16, String) {
+        let url = format!("http://{}{path}", self.announce);
+        let sent = attohttpc::post(url)
+            .proxy_settings(attohttpc::ProxySettings::builder().build())
+            .text(body)
+            .send()
+            .expect("the agent answers");
+        (sent.status().as_u16(), sent.text().expect("a whole answer"))
+    }
+
     /// From now on the entry names this revision in every message, and answers pulls for it.
     pub fn entry_hears_of(&self, revision: u64) {
         self.entry.put_in_force(RevisionNumber(revision));
