--- a/crates/agent/tests/scenarios/schedules.rs
+++ b/crates/agent/tests/scenarios/schedules.rs
@@ -16,6 +16,8 @@
 const SEEDS: u64 = 300;
 const STEPS: usize = 150;
 const SLOTS: usize = 2;
+/// The cores that each task takes, so that two of them fill the worker.
+const TASK_CORES: usize = 2;
 
 /// What has been seen so far.
 #[derive(Default)]
@@ -93,7 +95,7 @@
             assert!(!outlived, "{id} runs at {now}, and the lease ended at {granted}");
         }
         let running = runs.iter().filter(|run| run.ended.is_none()).count();
-        assert!(running <= AgentWorld::CORES, "{running} tasks of one core run");
+        assert!(running * TASK_CORES <= AgentWorld::CORES, "{running} tasks run");
     }
 }
 
@@ -163,7 +165,7 @@
             }
             attempts.insert(task, next);
             let run = ["endless", "run=900ms", "run=3s+fail"][random.below(3)];
-            format!("leader runs t{task}/0@{next} cpu=1 payload={run}")
+            format!("leader runs t{task}/0@{next} cpu={TASK_CORES} payload={run}")
         }
         29 if attempt > 0 => format!("leader stops t{task}/0@{attempt}"),
         30 if attempt > 0 => format!("leader evicts t{task}/0@{attempt}"),
@@ -172,10 +174,10 @@
         33 => ["leader silent", "leader holds", "leader is-stale"][random.below(3)].into(),
         34 | 35 => "leader renews".into(),
         36 => {
-            let faults = ["silent", "loses-answers", "fails-tasks", "refuses-tasks"];
+            let faults = ["silent", "loses-answers", "fails-tasks", "refuses-tasks", "flaky"];
             format!("platform {}", faults[random.below(faults.len())])
         }
-        37 => "platform works".into(),
+        37 => ["platform works", "platform flaky"][random.below(2)].into(),
         38 => ["restart", "platform-restarts", "drain", "restart"][random.below(4)].into(),
         _ => format!("declare {}", random.below(step + 2)),
     }
--- a/crates/agent/tests/scenarios/world.rs
+++ b/crates/agent/tests/scenarios/world.rs
@@ -58,6 +58,9 @@
     in_flight: Option<(Duration, HeartbeatSend)>,
     tickets: u64,
     shows_usage: bool,
+    /// True when every third call to the platform is lost on its way.
+    flaky: bool,
+    calls: u64,
     output: String,
 }
 
@@ -85,6 +88,8 @@
             in_flight: None,
             tickets: 0,
             shows_usage: false,
+            flaky: false,
+            calls: 0,
             output: String::new(),
         }
     }
@@ -169,7 +174,11 @@
                 self.feed(AgentInput::Declarations { bundle: bundle(id(revision)), source });
             }
             ["leader", rest @ ..] => self.leader(rest),
-            ["platform", fault] => self.platform.set_fault(fault_named(fault)),
+            ["platform", "flaky"] => self.flaky = true,
+            ["platform", fault] => {
+                self.flaky = false;
+                self.platform.set_fault(fault_named(fault));
+            }
             ["platform-restarts"] => self.platform.restart(),
             ["runs"] => self.runs(),
             ["show-usage"] => self.shows_usage = true,
@@ -401,7 +410,9 @@
 
     fn take_call(&mut self, call: PlatformCall) {
         let request = PlatformRequest { agent: self.incarnation, call: call.clone() };
-        let reply = self.platform.take(request);
+        self.calls += 1;
+        let lost = self.flaky && self.calls.is_multiple_of(3);
+        let reply = if lost { None } else { self.platform.take(request) };
         if let Some(line) = text::call(&call) {
             let answer = reply.as_ref().map_or("no answer".to_owned(), text::reply);
             self.say(&format!("platform: {line} -> {answer}"));
