Keep rounds of reads from starving a follower that comes back

Over real sockets a restarted replica never caught up: its leader had lost a probe for the place where the logs agree, and each round of reads put off the heartbeat that repeats the probe. With agents beating all the time that is for ever. A round now counts as a heartbeat only for followers whose log is known.

--- a/crates/control/tests/fleet/script.rs
+++ b/crates/control/tests/fleet/script.rs
@@ -75,7 +75,14 @@
 
     fn advance(&mut self, test: &mut TestCase) -> String {
         let seconds: f64 = test.take_arg("s").expect("seconds");
-        self.fleet.advance(Duration::from_secs_f64(seconds));
+        let reading = test.take_flag("reading").expect("a flag");
+        let end = self.fleet.now + Duration::from_secs_f64(seconds);
+        while reading && self.fleet.now < end {
+            let at = self.fleet.leader().unwrap_or(ReplicaId(1));
+            self.fleet.operate(at, "read", OperatorCall::Status);
+            self.fleet.advance(super::STEP);
+        }
+        self.fleet.advance(end.saturating_sub(self.fleet.now));
         String::new()
     }
 
--- a/crates/control/tests/process.rs
+++ b/crates/control/tests/process.rs
@@ -6,6 +6,7 @@
         ResourceVector, RevisionNumber, SubmissionId, SystemClock, TaskId, TaskIndex,
     },
     control::ControlProcess,
+    crossbeam::channel::tick,
     proto::{
         envelope::{ProcessRole, SenderIdentity},
         messages::{
@@ -27,6 +28,7 @@
 };
 
 const DEADLINE: Duration = Duration::from_secs(10);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 fn any_port() -> PeerAddress {
     "127.0.0.1:0".parse().expect("an address")
@@ -43,26 +45,42 @@
 }
 
 fn start(folder: &Path) -> ControlProcess {
-    let founder = MemberSettings { replica: ReplicaId(1), address: any_port() };
+    start_replica(folder, 1, &[any_port()])
+}
+
+/// Starts one of the founders that listen at `addresses`.
+fn start_replica(folder: &Path, replica: u64, addresses: &[PeerAddress]) -> ControlProcess {
+    let name = format!("control-{replica}");
+    let founder = |(place, address): (usize, &PeerAddress)| MemberSettings {
+        replica: ReplicaId(place as u64 + 1),
+        address: *address,
+    };
     let settings = ProcessSettings {
         cluster: "test".parse().expect("a name"),
-        name: "control-1".parse().expect("a name"),
+        name: name.parse().expect("a name"),
         region: "north".parse().expect("a name"),
         data_centre: "Arusha".parse().expect("a name"),
-        internal: any_port(),
+        internal: addresses[replica as usize - 1],
         operator: any_port(),
-        control_peers: vec![any_port()],
+        control_peers: addresses.to_vec(),
         role: RoleSettings::Control(ControlSettings {
-            replica: ReplicaId(1),
-            data_folder: folder.to_owned(),
-            founders: vec![founder],
+            replica: ReplicaId(replica),
+            data_folder: folder.join(&name),
+            founders: addresses.iter().enumerate().map(founder).collect(),
         }),
     };
-    let identity = identity(ProcessRole::Control, "control-1");
+    let identity = identity(ProcessRole::Control, &name);
     let recorder = Arc::new(EventRecorder::new(identity.clone(), 1024));
     ControlProcess::start(&settings, ProcessContext::new(identity, recorder)).expect("a start")
 }
 
+/// Addresses that no other process uses: replicas have to know each other's before they start, so
+/// that port 0 won't do.
+fn group_addresses() -> Vec<PeerAddress> {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    (1..=3).map(|replica| PeerAddress(([127, 80 + replica, high, low], 7400).into())).collect()
+}
+
 struct TestAgent {
     client: RpcClient,
     control: PeerAddress,
@@ -96,7 +114,9 @@
 
     /// Beats until a renewal satisfies `wanted`.
     fn beat_until(&mut self, wanted: impl Fn(&LeaseRenewal) -> bool) -> LeaseRenewal {
+        let pace = tick(POLL_INTERVAL);
         loop {
+            let _ = pace.recv();
             self.heartbeat.sequence += 1;
             let sent =
                 self.client.call(self.control, ConnectionUse::Pooled, DEADLINE, &self.heartbeat);
@@ -140,9 +160,11 @@
 }
 
 fn status_when_led(client: &OperatorClient) -> FleetStatus {
+    let pace = tick(POLL_INTERVAL);
     loop {
-        if let Ok(status) = client.get("/v1/status") {
-            return status;
+        match client.get("/v1/status") {
+            Ok(status) => return status,
+            Err(_) => _ = pace.recv(),
         }
     }
 }
@@ -200,3 +222,67 @@
     server.shut_down();
     process.shut_down();
 }
+
+#[test]
+fn a_group_survives_the_loss_of_its_leader() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let addresses = group_addresses();
+    let mut group: Vec<_> = (1..=3)
+        .map(|replica| {
+            let process = start_replica(folder.path(), replica, &addresses);
+            let (server, client) = operator(&process);
+            (replica, process, server, client)
+        })
+        .collect();
+    let leader = leader_of(&group, 0);
+    let request = SubmitRequest { submission: submission("s1"), job: job("sweep") };
+    let client = &group.iter().find(|(replica, ..)| *replica == leader).expect("the leader").3;
+    let reply: SubmitReply = client.post("/v1/jobs", &request).expect("an answer");
+    assert_eq!(reply, SubmitReply::Accepted { job: JobId::new("sweep").expect("a name") });
+
+    let place = group.iter().position(|(replica, ..)| *replica == leader).expect("the leader");
+    let (_, process, server, _) = group.remove(place);
+    server.shut_down();
+    process.shut_down();
+
+    let next = leader_of(&group, leader);
+    assert_ne!(next, leader);
+    let client = &group.iter().find(|(replica, ..)| *replica == next).expect("the leader").3;
+    let reply: SubmitReply = client.post("/v1/jobs", &request).expect("an answer");
+    assert_eq!(reply, SubmitReply::Accepted { job: JobId::new("sweep").expect("a name") });
+    let jobs: Vec<JobStatus> = client.get("/v1/jobs").expect("the jobs");
+    assert_eq!(jobs.len(), 1);
+
+    let process = start_replica(folder.path(), leader, &addresses);
+    let (server, client) = operator(&process);
+    group.push((leader, process, server, client));
+    let status = status_of(&group, |status| {
+        let leader = status.members.iter().map(|member| member.matched).max();
+        status.members.iter().all(|member| Some(member.matched) == leader)
+    });
+    assert_eq!(status.members.len(), 3);
+    for (_, process, server, _) in group {
+        server.shut_down();
+        process.shut_down();
+    }
+}
+
+type GroupMember = (u64, ControlProcess, HttpServer, OperatorClient);
+
+/// The replica that leads once another one than `not` does.
+fn leader_of(group: &[GroupMember], not: u64) -> u64 {
+    status_of(group, |status| status.leader != ReplicaId(not)).leader.0
+}
+
+/// Asks every replica in turn until one answers what is wanted, no faster than operators would: each
+/// question takes a connection of its own.
+fn status_of(group: &[GroupMember], wanted: impl Fn(&FleetStatus) -> bool) -> FleetStatus {
+    let pace = tick(POLL_INTERVAL);
+    for (.., client) in group.iter().cycle() {
+        match client.get::<FleetStatus>("/v1/status") {
+            Ok(status) if wanted(&status) => return status,
+            _ => _ = pace.recv(),
+        }
+    }
+    unreachable!("the group is not empty")
+}
--- a/crates/quorum/src/core/replicate.rs
+++ b/crates/quorum/src/core/replicate.rs
@@ -96,6 +96,7 @@
         let Some(progress) = leader.progress.get_mut(&peer) else {
             return;
         };
+        progress.sent = self.now;
         let kept = self.log.term_at(LogIndex(progress.next.0 - 1)).is_some();
         match &progress.mode {
             ProgressMode::Probe { .. } => progress.probe_again(),
@@ -118,9 +119,13 @@
         let Some(progress) = leader.progress.get_mut(&peer) else {
             return;
         };
-        progress.sent = self.now;
+        // A round of reads is no substitute for the probe that a heartbeat repeats: with one round
+        // after another a lost probe would never be sent again.
         let prev_index = match progress.mode {
-            ProgressMode::Replicate { .. } => LogIndex(progress.next.0 - 1),
+            ProgressMode::Replicate { .. } => {
+                progress.sent = self.now;
+                LogIndex(progress.next.0 - 1)
+            }
             _ => LogIndex(0),
         };
         let (prev_index, prev_term) = match self.log.term_at(prev_index) {
