--- a/crates/mangoctl/src/commands/explain.rs
+++ b/crates/mangoctl/src/commands/explain.rs
@@ -6,7 +6,7 @@
         failure::CommandFailure,
         fleet_client::FleetClient,
         folder::{check_files, read_folder},
-        output::{show, table},
+        output::{show, table, time_of_day},
     },
     base::{TaskId, WorkerId},
     proto::messages::{operator::ExplainReply, DeclarationBundle},
@@ -31,7 +31,10 @@
         for decision in &reply.decisions {
             text += &format!(
                 "  {} {}: {}\n      decided by {}\n",
-                decision.at_ms, decision.decision, decision.reason, decision.rule
+                time_of_day(decision.at_ms),
+                decision.decision,
+                decision.reason,
+                decision.rule
             );
         }
         text
--- a/crates/mangoctl/src/commands/jobs.rs
+++ b/crates/mangoctl/src/commands/jobs.rs
@@ -6,7 +6,7 @@
         arguments::CommandCall,
         failure::{CommandFailure, FileSnafu},
         fleet_client::FleetClient,
-        output::{confirm, show, table},
+        output::{confirm, show, table, time_of_day},
     },
     base::JobId,
     proto::messages::{
@@ -173,7 +173,7 @@
                 step.worker.as_ref().map_or(String::new(), |worker| format!(" on {worker}"));
             text += &format!(
                 "  {} {} (attempt {}){worker}: {}\n",
-                step.at_ms,
+                time_of_day(step.at_ms),
                 phase_name(step.phase),
                 step.attempt,
                 step.reason
--- a/crates/mangoctl/src/output/mod.rs
+++ b/crates/mangoctl/src/output/mod.rs
@@ -4,6 +4,7 @@
     crate::{arguments::CommandCall, failure::CommandFailure},
     serde::Serialize,
     std::io::{self, IsTerminal, Write},
+    telemetry::timeline::format_wall,
 };
 
 /// Prints an answer as JSON, or as the text that `human` makes of it.
@@ -60,3 +61,10 @@
         row.iter().zip(widths).map(|(cell, width)| format!("{cell:<width$}")).collect();
     cells.join("  ").trim_end().to_owned() + "\n"
 }
+
+/// The time of day in UTC, to the millisecond.
+pub(crate) fn time_of_day(at_ms: u64) -> String {
+    let mut text = format_wall(at_ms * 1000);
+    text.truncate("00:00:00.000".len());
+    text
+}
--- a/crates/mangorouter/src/logging/mod.rs
+++ b/crates/mangorouter/src/logging/mod.rs
@@ -6,15 +6,24 @@
     settings::LogSettings,
     simplelog::{ColorChoice, Config, ConfigBuilder, TermLogger, TerminalMode, WriteLogger},
     snafu::ResultExt,
-    std::{fs::OpenOptions, str::FromStr},
+    std::{
+        fs::OpenOptions,
+        io::{self, IsTerminal},
+        str::FromStr,
+    },
 };
 
 /// Sets the log up for the whole process.
 pub(crate) fn start(settings: &LogSettings) -> Result<(), DaemonFailure> {
     let level = LevelFilter::from_str(&settings.level).unwrap_or(LevelFilter::Info);
     match &settings.file {
-        None => TermLogger::init(level, config(), TerminalMode::Stderr, ColorChoice::Auto)
-            .context(LogSnafu),
+        None => {
+            let color = match io::stderr().is_terminal() {
+                true => ColorChoice::Auto,
+                false => ColorChoice::Never,
+            };
+            TermLogger::init(level, config(), TerminalMode::Stderr, color).context(LogSnafu)
+        }
         Some(path) => {
             let file = OpenOptions::new()
                 .create(true)
--- a/crates/telemetry/src/timeline/mod.rs
+++ b/crates/telemetry/src/timeline/mod.rs
@@ -81,7 +81,7 @@
 }
 
 /// The time of day in UTC, to the microsecond.
-pub(crate) fn format_wall(wall_micros: u64) -> String {
+pub fn format_wall(wall_micros: u64) -> String {
     const MICROS: u64 = 1_000_000;
     let seconds = wall_micros / MICROS;
     let (hours, minutes) = (seconds / 3600 % 24, seconds / 60 % 60);
