Measure the cost of a decision, and let stuck groups wait longer

Cause: sixty-four groups without place used up a call, and tasks behind them were never looked at. Change: a call counts searches through the workers, a search that must fail is not made again in the same call, and groups without place are looked at ever more rarely. A criterion bench measures a start and a report at 11, 100 and 660 workers with 12,500 tasks running.

--- a/crates/sched/benches/decision_cost/main.rs
+++ b/crates/sched/benches/decision_cost/main.rs
@@ -1,2 +1,204 @@
-//! Placeholder.
-fn main() {}
+//! What a decision costs at 11, 100 and 660 workers with 12,500 tasks running, of which 2,500 are
+//! services: `cargo bench -p sched --bench decision_cost`. Each iteration submits, places, commits
+//! and ends one batch task, or takes in one report.
+
+use {
+    base::{
+        AttemptNumber, ByteSize, CpuMillis, ResourceVector, SeededRandom, TaskId, TaskIndex,
+        WorkerId,
+    },
+    criterion::{criterion_group, criterion_main, BenchmarkId, Criterion},
+    sched::{
+        AttemptEnd, FleetModel, HeldTask, SchedDecision, SchedPolicy, ServiceSample, SpreadRule,
+        TaskPriority, TaskSample, WaitingTask, WorkerSample, WorkerView,
+    },
+    std::time::Duration,
+};
+
+const SERVICES: u32 = 2_500;
+const TASKS: u32 = 12_500;
+const FLEETS: [usize; 3] = [11, 100, 660];
+const CLASSES: usize = 12;
+const WAITING: u32 = 500;
+
+fn policy() -> SchedPolicy {
+    SchedPolicy {
+        tail_latency_weight: 1.0,
+        eviction_weight: 100.0,
+        throughput_weight: 1.0,
+        relief_above_percent: 25,
+        throttle_floor_percent: 20,
+        patience: Duration::from_secs(15),
+        retry_pairing_after: Duration::from_secs(600),
+        job_workers: 3,
+        worker_jobs: 3,
+        probe_after: Duration::from_secs(300),
+    }
+}
+
+fn size(cpu: u64) -> ResourceVector {
+    ResourceVector { cpu: CpuMillis(cpu), memory: ByteSize(cpu), ..ResourceVector::ZERO }
+}
+
+struct LargeFleet {
+    model: FleetModel,
+    now: Duration,
+    workers: usize,
+    next: u32,
+    next_report: usize,
+    tasks: Vec<Vec<TaskId>>,
+}
+
+fn worker_id(index: usize) -> WorkerId {
+    format!("w{index:04}").parse().unwrap()
+}
+
+fn waiting(job: &str, index: u32, priority: TaskPriority, cpu: u64) -> WaitingTask {
+    let is_service = priority == TaskPriority::LatencyCritical;
+    let class = if is_service {
+        format!("service-{}", index % 20)
+    } else {
+        format!("class-{}", index as usize % CLASSES)
+    };
+    WaitingTask {
+        task: TaskId::new(job.parse().unwrap(), TaskIndex(index)),
+        team: format!("team-{}", index % 28).parse().unwrap(),
+        class: class.parse().unwrap(),
+        priority,
+        declared: size(cpu),
+        run_time: Some(Duration::from_secs(60)),
+        service: is_service.then(|| class.parse().unwrap()),
+        spread: SpreadRule::default(),
+        checkpoint: None,
+    }
+}
+
+impl LargeFleet {
+    fn new(workers: usize) -> Self {
+        let mut fleet = Self {
+            model: FleetModel::new(policy(), 1),
+            now: Duration::from_secs(1),
+            workers,
+            next: TASKS,
+            next_report: 0,
+            tasks: vec![Vec::new(); workers],
+        };
+        // Every fleet has a tenth of its processors free.
+        let each = u64::from(TASKS).div_ceil(workers as u64) * 1000 * 11 / 10;
+        for index in 0..workers {
+            fleet.model.set_worker(WorkerView {
+                worker: worker_id(index),
+                data_centre: format!("dc{}", index % 8).parse().unwrap(),
+                rack: format!("r{}", index / 20).parse().unwrap(),
+                capacity: size(each),
+                accepting: true,
+            });
+        }
+        for index in 0..TASKS {
+            let priority = match index < SERVICES {
+                true => TaskPriority::LatencyCritical,
+                false => TaskPriority::Batch,
+            };
+            let task = waiting("running", index, priority, 1000);
+            let place = index as usize % workers;
+            fleet.tasks[place].push(task.task.clone());
+            fleet.hold(task, worker_id(place));
+        }
+        for _ in 0..3 * workers {
+            fleet.report();
+        }
+        for index in 0..WAITING {
+            let task = waiting("stuck", index, TaskPriority::Batch, each * 2 / 3);
+            fleet.model.enqueue(fleet.now, task);
+        }
+        for _ in 0..20 {
+            fleet.start_and_end();
+        }
+        fleet
+    }
+
+    fn hold(&mut self, waiting: WaitingTask, worker: WorkerId) {
+        let reserved = waiting.declared;
+        let attempt = AttemptNumber(1);
+        self.model.hold(self.now, HeldTask { waiting, attempt, worker, reserved, stopping: false });
+    }
+
+    /// One second's report of the next worker.
+    fn report(&mut self) {
+        let index = self.next_report % self.workers;
+        self.next_report += 1;
+        if index == 0 {
+            self.now += Duration::from_secs(1);
+        }
+        let mut random = SeededRandom::new(self.next_report as u64);
+        let task = |task: &TaskId| TaskSample {
+            task: task.clone(),
+            attempt: AttemptNumber(1),
+            used: size(900),
+            speed_permille: 950,
+        };
+        let tasks = self.tasks[index].iter().map(task).collect();
+        let services = (0..20)
+            .filter(|service| (service + index).is_multiple_of(5))
+            .map(|service| ServiceSample {
+                service: format!("service-{service}").parse().unwrap(),
+                requests: 100,
+                p99: Duration::from_millis(30),
+                mean: Duration::from_micros(9_500 + random.below(1000) as u64),
+            })
+            .collect();
+        let sample = WorkerSample { worker: worker_id(index), taken_at: self.now, tasks, services };
+        self.model.sample(self.now, &sample);
+    }
+
+    /// Submits one task, decides until it is placed, commits, and ends it.
+    fn start_and_end(&mut self) {
+        self.next += 1;
+        self.now += Duration::from_millis(10);
+        let task = waiting("short", self.next, TaskPriority::Batch, 500);
+        self.model.enqueue(self.now, task.clone());
+        let decisions = self.model.decide(self.now);
+        let placed = decisions.into_iter().find_map(|decision| match decision {
+            SchedDecision::Place { task: id, worker, .. } if id == task.task => Some(worker),
+            _ => None,
+        });
+        match placed {
+            Some(worker) => {
+                let id = task.task.clone();
+                self.hold(task, worker);
+                self.model.outcome(self.now, &id, AttemptNumber(1), AttemptEnd::Finished);
+                self.model.release(self.now, &id, AttemptNumber(1));
+            }
+            None => {
+                let reason = self.model.wait_reason(&task.task);
+                panic!("a small task finds no place: {reason:?}");
+            }
+        }
+    }
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decision");
+    group.sample_size(30).measurement_time(Duration::from_secs(2));
+    for workers in FLEETS {
+        let mut fleet = LargeFleet::new(workers);
+        group.bench_function(BenchmarkId::new("start and end", workers), |bencher| {
+            bencher.iter(|| fleet.start_and_end());
+        });
+        let mut fleet = LargeFleet::new(workers);
+        group.bench_function(BenchmarkId::new("report", workers), |bencher| {
+            bencher.iter(|| fleet.report());
+        });
+        let mut fleet = LargeFleet::new(workers);
+        group.bench_function(BenchmarkId::new("report and look after", workers), |bencher| {
+            bencher.iter(|| {
+                fleet.report();
+                fleet.model.decide(fleet.now)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/crates/sched/src/interface/mod.rs
+++ b/crates/sched/src/interface/mod.rs
@@ -80,6 +80,15 @@
     pub most_per_data_centre: Option<u32>,
 }
 
+impl SpreadRule {
+    /// True when the tasks may run anywhere.
+    pub fn is_open(&self) -> bool {
+        self.data_centres.is_empty()
+            && self.most_per_rack.is_none()
+            && self.most_per_data_centre.is_none()
+    }
+}
+
 /// A task that waits for a place.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WaitingTask {
--- a/crates/sched/src/placement/mod.rs
+++ b/crates/sched/src/placement/mod.rs
@@ -13,16 +13,18 @@
         queue::GroupNumber,
         quota::QuotaVerdict,
     },
-    base::{ResourceVector, TeamName},
+    base::{ClassName, ResourceVector, TeamName},
     std::{collections::VecDeque, time::Duration},
 };
 
 /// The largest number of placements that one call proposes.
 const PLACEMENTS_PER_CALL: usize = 128;
-/// The largest number of batch groups for which one call finds no place.
-const BATCH_FAILURES_PER_CALL: usize = 64;
-/// How long a batch group without place is not looked at.
-const BATCH_RETRY: Duration = Duration::from_millis(500);
+/// The largest number of searches through all workers in one call.
+const SEARCHES_PER_CALL: usize = 160;
+/// How long a batch group without place is not looked at, after its first failure.
+const BATCH_RETRY: Duration = Duration::from_millis(250);
+/// The number of times that this doubles.
+const RETRY_DOUBLINGS: u32 = 3;
 /// How long a job must have fitted no worker before it is parked.
 const NEVER_FITS_GRACE: Duration = Duration::from_secs(30);
 
@@ -38,20 +40,32 @@
 #[derive(Debug)]
 struct CallBudget {
     placements: usize,
-    failures: usize,
+    searches: usize,
     evictions: usize,
     eviction_plans: usize,
-    /// Sizes for which no worker has room, whatever else is asked.
-    hopeless: Vec<(ResourceVector, WaitReason)>,
+    /// What has found no place in this call.
+    hopeless: Vec<HopelessRequest>,
 }
 
 impl CallBudget {
-    fn hopeless_reason(&self, size: &ResourceVector) -> Option<WaitReason> {
-        let smaller = self.hopeless.iter().find(|(smaller, _)| smaller.fits_in(size));
-        smaller.map(|(_, reason)| reason.clone())
+    /// Why a request is known to find no place, because a smaller one has just found none.
+    fn hopeless_reason(&self, request: &PlacementRequest) -> Option<WaitReason> {
+        let smaller = self.hopeless.iter().find(|smaller| {
+            smaller.class.as_ref().is_none_or(|class| *class == request.waiting.class)
+                && smaller.reserve.fits_in(&request.reserve)
+        });
+        smaller.map(|smaller| smaller.reason.clone())
     }
 }
 
+/// A request without place. Without class it holds for tasks of all classes.
+#[derive(Debug)]
+struct HopelessRequest {
+    class: Option<ClassName>,
+    reserve: ResourceVector,
+    reason: WaitReason,
+}
+
 /// The groups of one team, in their order.
 struct TeamTurn {
     team: TeamName,
@@ -64,7 +78,7 @@
     pub(crate) fn place_waiting(&mut self, now: Duration, decisions: &mut Vec<SchedDecision>) {
         let mut budget = CallBudget {
             placements: PLACEMENTS_PER_CALL,
-            failures: BATCH_FAILURES_PER_CALL,
+            searches: SEARCHES_PER_CALL,
             evictions: preempt::EVICTIONS_PER_CALL,
             eviction_plans: preempt::PLANS_PER_CALL,
             hopeless: Vec::new(),
@@ -82,7 +96,7 @@
         decisions: &mut Vec<SchedDecision>,
     ) {
         let mut turns = self.turns(now, priority);
-        while budget.placements > 0 && budget.failures > 0 {
+        while budget.placements > 0 && budget.searches > 0 {
             let next = turns
                 .iter_mut()
                 .filter(|turn| !turn.groups.is_empty())
@@ -102,9 +116,6 @@
                 continue;
             }
             turn.groups.pop_front();
-            if priority == TaskPriority::Batch {
-                budget.failures -= 1;
-            }
         }
     }
 
@@ -152,10 +163,16 @@
         let reserve = self.corrections.reservation(&waiting, &ceiling);
         let request = PlacementRequest { waiting, since, reserve };
         match self.place_one(now, &request, budget, decisions) {
-            Ok(()) => true,
+            Ok(()) => {
+                if let Some(group) = self.queue.group_mut(number) {
+                    group.failures = 0;
+                }
+                true
+            }
             Err(reason) => {
+                let failures = self.queue.group(number).map_or(0, |group| group.failures);
                 let pause = match priority {
-                    TaskPriority::Batch => BATCH_RETRY,
+                    TaskPriority::Batch => BATCH_RETRY * (1 << failures.min(RETRY_DOUBLINGS)),
                     TaskPriority::LatencyCritical | TaskPriority::Urgent => Duration::ZERO,
                 };
                 self.note_failure(number, Some(reason), now + pause);
@@ -174,6 +191,7 @@
             group.retry_at = retry_at;
             group.tried_at_release = self.releases;
             group.reason = reason;
+            group.failures += 1;
             group.never_fits_since = None;
         }
     }
@@ -239,12 +257,16 @@
         let waiting = &request.waiting;
         let is_plain =
             waiting.priority == TaskPriority::Batch && self.claims.get(&waiting.task).is_none();
-        if let Some(reason) = budget.hopeless_reason(&request.reserve).filter(|_| is_plain) {
+        if let Some(reason) = budget.hopeless_reason(request).filter(|_| is_plain) {
             return Err(reason);
         }
+        budget.searches = budget.searches.saturating_sub(1);
         let choice = self.choose_worker(now, request);
-        if let (true, Err(reason @ WaitReason::NoRoom { .. })) = (is_plain, &choice) {
-            budget.hopeless.push((request.reserve, reason.clone()));
+        if let (true, Err(reason)) = (is_plain && waiting.spread.is_open(), &choice) {
+            let any_class = matches!(reason, WaitReason::NoRoom { .. });
+            let class = (!any_class).then(|| waiting.class.clone());
+            let (reserve, reason) = (request.reserve, reason.clone());
+            budget.hopeless.push(HopelessRequest { class, reserve, reason });
         }
         choice
     }
--- a/crates/sched/src/queue/mod.rs
+++ b/crates/sched/src/queue/mod.rs
@@ -12,6 +12,9 @@
     },
 };
 
+/// After so many failures in a row a group no longer reacts to every release, but only waits.
+const HOPEFUL_FAILURES: u32 = 3;
+
 /// Numbers groups in the order in which they came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct GroupNumber(u64);
@@ -54,6 +57,8 @@
     pub(crate) reason: Option<WaitReason>,
     /// Not looked at before this time.
     pub(crate) retry_at: Duration,
+    /// How often in a row no place was found.
+    pub(crate) failures: u32,
     /// The number of releases that had been seen when it was last looked at.
     pub(crate) tried_at_release: u64,
     /// Since when no worker has been large enough.
@@ -113,6 +118,7 @@
             tasks: BTreeMap::new(),
             reason: None,
             retry_at: Duration::ZERO,
+            failures: 0,
             tried_at_release: 0,
             never_fits_since: None,
         };
@@ -190,7 +196,8 @@
     pub(crate) fn is_due(&self, now: Duration, releases: u64) -> bool {
         let lacks_room =
             matches!(self.reason, Some(WaitReason::NoRoom { .. } | WaitReason::QuotaUsed { .. }));
-        self.retry_at <= now || (lacks_room && self.tried_at_release < releases)
+        let may_hope = lacks_room && self.failures <= HOPEFUL_FAILURES;
+        self.retry_at <= now || (may_hope && self.tried_at_release < releases)
     }
 
     /// The task that has waited longest, and since when.
