Keep the books of workers by difference, and compare a bounded number of candidates

Cause: a start cost 0.82 ms at 660 workers; every change worked out its worker anew, every decision counted services and scored every worker, and every report was learned from task by task. Change: occupancies are whole numbers that tasks are added to and subtracted from; 32 workers with room are compared, from a seeded start; a worker is estimated task by task only when its classes say that a service suffers or a task is throttled; a report teaches from three classes. All groups react to released room while they are few. The fake restarts failed tasks from nothing. Crowded workers (over a hundred tasks each) still cost too much.

--- a/crates/sched/benches/decision_cost/main.rs
+++ b/crates/sched/benches/decision_cost/main.rs
@@ -7,7 +7,7 @@
         AttemptNumber, ByteSize, CpuMillis, ResourceVector, SeededRandom, TaskId, TaskIndex,
         WorkerId,
     },
-    criterion::{criterion_group, criterion_main, BenchmarkId, Criterion},
+    criterion::{criterion_group, criterion_main, BenchmarkId, Criterion, Throughput},
     sched::{
         AttemptEnd, FleetModel, HeldTask, SchedDecision, SchedPolicy, ServiceSample, SpreadRule,
         TaskPriority, TaskSample, WaitingTask, WorkerSample, WorkerView,
@@ -20,6 +20,7 @@
 const FLEETS: [usize; 3] = [11, 100, 660];
 const CLASSES: usize = 12;
 const WAITING: u32 = 500;
+const WAVE: u32 = 1_000;
 
 fn policy() -> SchedPolicy {
     SchedPolicy {
@@ -197,6 +198,16 @@
             });
         });
     }
+    let mut fleet = LargeFleet::new(FLEETS[2]);
+    let wave: Vec<WaitingTask> =
+        (0..WAVE).map(|index| waiting("wave", index, TaskPriority::Batch, 500)).collect();
+    group.throughput(Throughput::Elements(u64::from(WAVE)));
+    group.bench_function("submit and cancel 1000 waiting tasks", |bencher| {
+        bencher.iter(|| {
+            wave.iter().for_each(|task| fleet.model.enqueue(fleet.now, task.clone()));
+            wave.iter().for_each(|task| fleet.model.withdraw(&task.task));
+        });
+    });
     group.finish();
 }
 
--- a/crates/sched/benches/experiments/fleet.rs
+++ b/crates/sched/benches/experiments/fleet.rs
@@ -459,7 +459,8 @@
             if end == AttemptEnd::Failed {
                 self.outcome.failures += 1;
             }
-            self.leave(&task, attempt, end, 0.0);
+            let lost_work = if end == AttemptEnd::Failed { f64::MAX } else { 0.0 };
+            self.leave(&task, attempt, end, lost_work);
         }
         self.slow_executors();
     }
--- a/crates/sched/src/fleet/learn.rs
+++ b/crates/sched/src/fleet/learn.rs
@@ -6,11 +6,11 @@
         classes::ClassIndex,
         interface::{ServiceSample, TaskSample, WorkerSample},
         interference::{
-            smooth_rate, ClassShare, LoadLevel, PairVictim, ServiceReading, SlowdownReading,
+            smooth_rate, LoadLevel, Occupancy, PairVictim, ServiceReading, SlowdownReading,
         },
     },
-    base::WorkerId,
-    std::{collections::BTreeSet, time::Duration},
+    base::{CpuMillis, WorkerId},
+    std::time::Duration,
 };
 
 /// The time that a worker's first sample is presumed to cover.
@@ -23,6 +23,10 @@
 const MODEL_ERROR: f64 = 0.1;
 /// The variance of a task's slowdown, in squared percent.
 const TASK_NOISE: f64 = 100.0;
+/// The classes of batch tasks from which one sample teaches.
+const CLASSES_PER_SAMPLE: usize = 3;
+/// The measurements of a task that count towards the correction of its job, new peaks apart.
+const CORRECTION_SAMPLES: u32 = 3;
 /// Slowdowns beyond this many percent are taken for it.
 const SLOWDOWN_LIMIT: f64 = 1000.0;
 /// The number of standard deviations beyond which a slowdown is no chance.
@@ -37,7 +41,8 @@
 /// Who was there while a sample was taken.
 struct SampleWindow {
     from: Duration,
-    shares: Vec<ClassShare>,
+    shares: Occupancy,
+    cpu: CpuMillis,
 }
 
 impl FleetModel {
@@ -52,11 +57,13 @@
         state.last_sample = Some(sample.taken_at);
         let to = sample.taken_at;
         let from = last.unwrap_or_else(|| to.saturating_sub(FIRST_SAMPLE_SPAN));
-        let window = state
-            .history
-            .during(from, to)
-            .map(|shares| SampleWindow { from, shares: shares.to_vec() });
-        self.learn_uses(sample);
+        let cpu = state.view.capacity.cpu;
+        let window = state.history.during(from, to).map(|shares| SampleWindow {
+            from,
+            shares: shares.clone(),
+            cpu,
+        });
+        self.learn_uses(now, sample);
         let elapsed = to.saturating_sub(from);
         for service in sample.services.iter().filter(|service| service.requests > 0) {
             self.learn_service(now, sample, service, elapsed, window.as_ref());
@@ -67,10 +74,10 @@
         if let Some(state) = self.workers.get_mut(&sample.worker) {
             state.forget_services(now);
         }
-        self.refresh(now, &sample.worker);
+        self.touch(now, &sample.worker);
     }
 
-    fn learn_uses(&mut self, sample: &WorkerSample) {
+    fn learn_uses(&mut self, now: Duration, sample: &WorkerSample) {
         for task in &sample.tasks {
             let Some(entry) = self.held.get_mut(&task.task) else {
                 continue;
@@ -78,10 +85,16 @@
             if entry.task.attempt != task.attempt || entry.since > sample.taken_at {
                 continue;
             }
-            entry.used = task.used;
-            entry.peak = entry.peak.max_each(&task.used);
-            let throttled = entry.throttle < 100 || entry.throttled_at > sample.taken_at;
-            self.corrections.learn_use(&entry.task.waiting, &task.used, throttled);
+            let is_new_peak = !task.used.fits_in(&entry.peak);
+            if is_new_peak || entry.samples < CORRECTION_SAMPLES {
+                entry.samples += 1;
+                entry.peak = entry.peak.max_each(&task.used);
+                let throttled = entry.throttle < 100 || entry.throttled_at > sample.taken_at;
+                self.corrections.learn_use(&entry.task.waiting, &task.used, throttled);
+            }
+            if entry.used != task.used {
+                self.change_held(now, &task.task, |entry| entry.used = task.used);
+            }
         }
     }
 
@@ -104,13 +117,13 @@
         let Some(window) = window else {
             return;
         };
-        let neighbours: Vec<ClassShare> =
-            window.shares.iter().copied().filter(|share| share.class != class).collect();
-        let alone = neighbours.iter().map(|share| share.share).sum::<f64>() < ALONE_SHARE;
+        let others = window.shares.iter().filter(|share| share.class != class);
+        let neighbours: Vec<(ClassIndex, f64)> =
+            others.map(|share| (share.class, share.active_part(window.cpu))).collect();
+        let alone = neighbours.iter().map(|(_, share)| share).sum::<f64>() < ALONE_SHARE;
         let reading = ServiceReading::new(service.requests, service.mean, service.p99);
         let victim = PairVictim { class, level };
-        let pairs = neighbours.iter().map(|share| (share.class, share.share));
-        let expected = self.pairs.forecast(now, victim, pairs).mean;
+        let expected = self.pairs.forecast(now, victim, neighbours.iter().copied()).mean;
         let percent = self
             .baselines
             .slowdown_percent(&service.service, level, reading, (!alone).then_some(expected))
@@ -137,24 +150,35 @@
         }
     }
 
-    /// One task of each class is enough: its neighbours are almost those of the others.
+    /// One task of a class is enough, because its neighbours are almost those of the others, and a
+    /// few classes are enough for one sample.
     fn learn_tasks(&mut self, now: Duration, sample: &WorkerSample, window: &SampleWindow) {
-        let Some(capacity) = self.workers.get(&sample.worker).map(|state| state.view.capacity)
-        else {
-            return;
-        };
-        let mut done = BTreeSet::new();
-        for task in &sample.tasks {
+        let mut done = [ClassIndex::LAST; CLASSES_PER_SAMPLE];
+        let mut count = 0;
+        let start = self.random.below(sample.tasks.len());
+        let (before, after) = sample.tasks.split_at(start);
+        for task in after.iter().chain(before) {
+            if count == CLASSES_PER_SAMPLE {
+                return;
+            }
             let Some(entry) = self.held.get(&task.task) else {
                 continue;
             };
             let settled = entry.task.attempt == task.attempt
                 && entry.throttle == 100
                 && entry.throttled_at <= window.from;
-            if !settled || entry.task.waiting.service.is_some() || !done.insert(entry.class) {
+            if !settled
+                || entry.task.waiting.service.is_some()
+                || done[..count].contains(&entry.class)
+            {
                 continue;
             }
-            let neighbours = without(&window.shares, entry.class, entry.share(&capacity));
+            done[count] = entry.class;
+            count += 1;
+            let mut others = window.shares.clone();
+            others.subtract(&entry.weight().share);
+            let neighbours: Vec<(ClassIndex, f64)> =
+                others.iter().map(|share| (share.class, share.active_part(window.cpu))).collect();
             let victim = PairVictim { class: entry.class, level: LoadLevel::default() };
             let percent = slowdown_of(task);
             let noise = TASK_NOISE + (MODEL_ERROR * percent).powi(2);
@@ -164,14 +188,6 @@
     }
 }
 
-fn without(shares: &[ClassShare], class: ClassIndex, own: f64) -> Vec<ClassShare> {
-    let mut shares = shares.to_vec();
-    for share in shares.iter_mut().filter(|share| share.class == class) {
-        share.share = (share.share - own).max(0.0);
-    }
-    shares
-}
-
 fn slowdown_of(task: &TaskSample) -> f64 {
     let speed = f64::from(task.speed_permille.max(1));
     ((1000.0 / speed - 1.0) * 100.0).clamp(0.0, SLOWDOWN_LIMIT)
--- a/crates/sched/src/fleet/mod.rs
+++ b/crates/sched/src/fleet/mod.rs
@@ -26,6 +26,9 @@
     std::time::Duration,
 };
 
+/// How long the number of a service's workers is taken to stay the same.
+const HOST_COUNT_PERIOD: Duration = Duration::from_secs(1);
+
 /// Everything that placement decides from. The caller reports what is committed and what was
 /// measured; [`FleetModel::decide`] says what should be done.
 #[derive(Debug)]
@@ -49,6 +52,7 @@
     pub(crate) watched: IndexSet<WorkerId>,
     /// The number of workers on which each service runs.
     pub(crate) service_hosts: IndexMap<ServiceName, u32>,
+    count_hosts_at: Duration,
     /// The number of times that room has been freed.
     pub(crate) releases: u64,
     /// Tasks whose eviction has been proposed and not yet committed.
@@ -79,6 +83,7 @@
             loads: LoadMeter::default(),
             watched: IndexSet::new(),
             service_hosts: IndexMap::new(),
+            count_hosts_at: Duration::ZERO,
             releases: 0,
             evicting: IndexSet::new(),
             returning: IndexMap::new(),
@@ -211,14 +216,18 @@
         self.expire_proposals(now);
         self.expire_evictions(now);
         self.claims.expire(now);
-        self.count_service_hosts();
+        self.count_service_hosts(now);
         let mut decisions = self.relieve_workers(now);
         self.place_waiting(now, &mut decisions);
         decisions.extend(self.blame.take_decisions());
         decisions
     }
 
-    fn count_service_hosts(&mut self) {
+    fn count_service_hosts(&mut self, now: Duration) {
+        if now < self.count_hosts_at {
+            return;
+        }
+        self.count_hosts_at = now + HOST_COUNT_PERIOD;
         self.service_hosts.clear();
         for service in self.workers.iter().flat_map(|state| &state.services) {
             match self.service_hosts.get_mut(&service.service) {
--- a/crates/sched/src/fleet/reservations.rs
+++ b/crates/sched/src/fleet/reservations.rs
@@ -4,11 +4,12 @@
 use {
     super::FleetModel,
     crate::{
+        classes::ClassIndex,
         held::HeldEntry,
         interface::{HeldTask, TaskPriority},
+        interference::ClassShare,
         proposals::{PlacementProposal, PROPOSAL_TIMEOUT},
         queue::QueuedTask,
-        workers::add_share,
     },
     base::{AttemptNumber, ResourceVector, TaskId, WorkerId},
     std::time::Duration,
@@ -18,25 +19,78 @@
     pub(super) fn reserve(&mut self, now: Duration, held: HeldTask) {
         let id = held.waiting.task.clone();
         let worker = held.worker.clone();
-        if let Some(entry) = self.held.get_mut(&id) {
-            if entry.task.attempt == held.attempt && entry.task.worker == held.worker {
-                let (old, new) = (entry.task.reserved, held.reserved);
-                self.quotas.subtract(&held.waiting.team, &old);
-                self.quotas.add(&held.waiting.team, &new);
-                entry.task = held;
-                self.refresh(now, &worker);
-                return;
-            }
-            self.unreserve(now, &id);
+        let known = self.held.get(&id).map(|entry| &entry.task);
+        if known.is_some_and(|known| known.attempt == held.attempt && known.worker == worker) {
+            self.replace(now, held);
+            return;
         }
+        self.unreserve(now, &id);
         let class = self.classes.index(&held.waiting.class);
         self.quotas.add(&held.waiting.team, &held.reserved);
         self.spread.add(&id, &held.waiting.spread, &worker);
-        self.held.insert(id.clone(), HeldEntry::new(now, class, held));
+        self.note_service(now, &held, class);
+        let entry = HeldEntry::new(now, class, held);
+        if let Some(state) = self.workers.get_mut(&worker) {
+            state.tasks.insert(id.clone());
+            state.add_weight(&entry.weight());
+        }
+        self.held.insert(id, entry);
+        self.touch(now, &worker);
+    }
+
+    /// A reservation has changed, but not its place.
+    fn replace(&mut self, now: Duration, held: HeldTask) {
+        let id = held.waiting.task.clone();
+        if let Some(entry) = self.held.get(&id) {
+            self.quotas.subtract(&held.waiting.team, &entry.task.reserved);
+            self.quotas.add(&held.waiting.team, &held.reserved);
+        }
+        self.change_held(now, &id, |entry| entry.task = held);
+    }
+
+    fn note_service(&mut self, now: Duration, held: &HeldTask, class: ClassIndex) {
+        let waiting = &held.waiting;
+        let Some(state) = self.workers.get_mut(&held.worker) else {
+            return;
+        };
+        if let (TaskPriority::LatencyCritical, Some(service)) = (waiting.priority, &waiting.service)
+        {
+            state.service_mut(now, service, class);
+        }
+    }
+
+    /// Changes a reservation and the books of its worker with it.
+    pub(crate) fn change_held(
+        &mut self,
+        now: Duration,
+        task: &TaskId,
+        change: impl FnOnce(&mut HeldEntry),
+    ) {
+        let Some(entry) = self.held.get_mut(task) else {
+            return;
+        };
+        let before = entry.weight();
+        change(entry);
+        let after = entry.weight();
+        if before == after {
+            return;
+        }
+        let worker = entry.task.worker.clone();
         if let Some(state) = self.workers.get_mut(&worker) {
-            state.tasks.insert(id);
+            state.subtract_weight(&before);
+            state.add_weight(&after);
+        }
+        self.touch(now, &worker);
+    }
+
+    /// Notes who shares a worker from now on, and has it looked after.
+    pub(crate) fn touch(&mut self, now: Duration, worker: &WorkerId) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.history.push(now, &state.shares);
+        }
+        if !self.watched.contains(worker) {
+            self.watched.insert(worker.clone());
         }
-        self.refresh(now, &worker);
     }
 
     pub(super) fn unreserve(&mut self, now: Duration, task: &TaskId) {
@@ -48,8 +102,10 @@
         self.spread.remove(task);
         if let Some(state) = self.workers.get_mut(&entry.task.worker) {
             state.tasks.swap_remove(task);
+            state.subtract_weight(&entry.weight());
+            state.throttled -= u32::from(entry.throttle < 100 && state.throttled > 0);
         }
-        self.refresh(now, &entry.task.worker);
+        self.touch(now, &entry.task.worker);
     }
 
     /// Takes a task out of the queue and keeps room for it until its commit.
@@ -62,10 +118,8 @@
         self.quotas.add(&waiting.team, &reserve);
         self.spread.add(&id, &waiting.spread, &worker);
         if let Some(state) = self.workers.get_mut(&worker) {
-            state.proposed += reserve;
-            state.proposals.insert(id.clone());
-            let share = reserve.cpu.0 as f64 / state.view.capacity.cpu.0.max(1) as f64;
-            add_share(&mut state.planned, class, share, 100);
+            let share = ClassShare::of_task(class, reserve.cpu, 100);
+            state.add_proposal(id.clone(), &reserve, &share);
         }
         let expires = now + PROPOSAL_TIMEOUT;
         self.proposals.insert(id, PlacementProposal { queued, worker, reserve, expires });
@@ -78,10 +132,10 @@
         self.quotas.subtract(&proposal.queued.waiting.team, &proposal.reserve);
         self.spread.remove(task);
         if let Some(state) = self.workers.get_mut(&proposal.worker) {
-            state.proposed = state.proposed.saturating_sub(&proposal.reserve);
-            state.proposals.swap_remove(task);
+            let class = self.classes.index(&proposal.queued.waiting.class);
+            let share = ClassShare::of_task(class, proposal.reserve.cpu, 100);
+            state.subtract_proposal(task, &proposal.reserve, &share);
         }
-        self.plan(&proposal.worker);
         Some(proposal)
     }
 
@@ -103,19 +157,15 @@
     /// Lets evictions that were not committed in time be decided anew.
     pub(super) fn expire_evictions(&mut self, now: Duration) {
         for task in std::mem::take(&mut self.evicting) {
-            let Some(entry) = self.held.get_mut(&task) else {
+            let pending = self.held.get(&task).filter(|entry| !entry.task.stopping);
+            let Some(again_at) = pending.and_then(|entry| entry.evict_again_at) else {
                 continue;
             };
-            if entry.task.stopping || entry.evict_again_at.is_none() {
-                continue;
-            }
-            if entry.evict_again_at.is_some_and(|again_at| now < again_at) {
+            if now < again_at {
                 self.evicting.insert(task);
                 continue;
             }
-            entry.evict_again_at = None;
-            let worker = entry.task.worker.clone();
-            self.refresh(now, &worker);
+            self.change_held(now, &task, |entry| entry.evict_again_at = None);
         }
     }
 
@@ -134,58 +184,22 @@
         attempt: AttemptNumber,
         percent: u8,
     ) {
-        let Some(entry) = self.held.get_mut(task).filter(|entry| entry.task.attempt == attempt)
-        else {
+        let Some(entry) = self.held.get(task).filter(|entry| entry.task.attempt == attempt) else {
             return;
         };
-        entry.throttle = percent.clamp(1, 100);
-        entry.throttled_at = now;
-        let worker = entry.task.worker.clone();
-        if let Some(state) = self.workers.get_mut(&worker) {
+        let (was_full, is_full) = (entry.throttle == 100, percent >= 100);
+        if let Some(state) = self.workers.get_mut(&entry.task.worker) {
             state.throttled_at = now;
-        }
-        self.refresh(now, &worker);
-    }
-
-    /// Works out again what a worker's tasks take, after any of them has changed.
-    pub(crate) fn refresh(&mut self, now: Duration, worker: &WorkerId) {
-        let Some(state) = self.workers.get_mut(worker) else {
-            return;
-        };
-        let capacity = state.view.capacity;
-        let tasks = std::mem::take(&mut state.tasks);
-        let (mut footprint, mut leaving) = (ResourceVector::ZERO, ResourceVector::ZERO);
-        state.shares.clear();
-        for entry in tasks.iter().filter_map(|task| self.held.get(task)) {
-            footprint += entry.footprint();
-            if entry.is_leaving() {
-                leaving += entry.footprint();
-            }
-            add_share(&mut state.shares, entry.class, entry.share(&capacity), entry.throttle);
-            let waiting = &entry.task.waiting;
-            if let (TaskPriority::LatencyCritical, Some(service)) =
-                (waiting.priority, &waiting.service)
-            {
-                state.service_mut(now, service, entry.class);
+            match (was_full, is_full) {
+                (true, false) => state.throttled += 1,
+                (false, true) => state.throttled = state.throttled.saturating_sub(1),
+                _ => {}
             }
         }
-        (state.footprint, state.leaving, state.tasks) = (footprint, leaving, tasks);
-        state.history.push(now, &state.shares);
-        self.plan(worker);
-        self.watched.insert(worker.clone());
-    }
-
-    fn plan(&mut self, worker: &WorkerId) {
-        let Some(state) = self.workers.get_mut(worker) else {
-            return;
-        };
-        state.planned.clone_from(&state.shares);
-        let capacity = state.view.capacity.cpu.0.max(1) as f64;
-        for proposal in state.proposals.iter().filter_map(|task| self.proposals.get(task)) {
-            let class = self.classes.index(&proposal.queued.waiting.class);
-            let share = proposal.reserve.cpu.0 as f64 / capacity;
-            add_share(&mut state.planned, class, share, 100);
-        }
+        self.change_held(now, task, |entry| {
+            entry.throttle = percent.clamp(1, 100);
+            entry.throttled_at = now;
+        });
     }
 }
 
--- a/crates/sched/src/held/mod.rs
+++ b/crates/sched/src/held/mod.rs
@@ -1,7 +1,7 @@
 //! The committed reservations.
 
 use {
-    crate::{classes::ClassIndex, interface::HeldTask},
+    crate::{classes::ClassIndex, interface::HeldTask, interference::ClassShare},
     base::{ResourceVector, TaskId},
     indexmap::IndexMap,
     std::time::Duration,
@@ -15,6 +15,8 @@
     pub(crate) since: Duration,
     /// The last measured use.
     pub(crate) used: ResourceVector,
+    /// The number of its measurements, as far as it matters.
+    pub(crate) samples: u32,
     /// The largest measured use.
     pub(crate) peak: ResourceVector,
     /// Percent of the reservation that it may use.
@@ -31,6 +33,7 @@
             class,
             since: now,
             used: ResourceVector::ZERO,
+            samples: 0,
             peak: ResourceVector::ZERO,
             throttle: 100,
             throttled_at: now,
@@ -48,12 +51,23 @@
         self.task.stopping || self.evict_again_at.is_some()
     }
 
-    /// The part of `capacity` processors that it may use.
-    pub(crate) fn share(&self, capacity: &ResourceVector) -> f64 {
-        let reserved = self.task.reserved.cpu.0 as f64 / capacity.cpu.0.max(1) as f64;
-        reserved * f64::from(self.throttle) / 100.0
+    /// What it adds to the books of its worker.
+    pub(crate) fn weight(&self) -> TaskWeight {
+        TaskWeight {
+            footprint: self.footprint(),
+            is_leaving: self.is_leaving(),
+            share: ClassShare::of_task(self.class, self.task.reserved.cpu, self.throttle),
+        }
     }
 }
 
+/// What a reservation adds to the books of its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct TaskWeight {
+    pub(crate) footprint: ResourceVector,
+    pub(crate) is_leaving: bool,
+    pub(crate) share: ClassShare,
+}
+
 /// All reservations by task.
 pub(crate) type HeldTable = IndexMap<TaskId, HeldEntry>;
--- a/crates/sched/src/interference/history.rs
+++ b/crates/sched/src/interference/history.rs
@@ -2,34 +2,100 @@
 
 use {
     crate::classes::ClassIndex,
+    base::CpuMillis,
     std::{collections::VecDeque, time::Duration},
 };
 
 /// The number of past occupancies that are kept for each worker.
 const HISTORY_LIMIT: usize = 32;
 
-/// What the tasks of one class take of a worker.
-#[derive(Debug, Clone, Copy, PartialEq)]
+/// Percents of a throttle that is lifted.
+const FULL_PERCENT: u64 = 100;
+
+/// What one task, or all tasks of a class, take of a worker. Whole numbers, so that adding and
+/// subtracting a task leaves no trace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ClassShare {
     /// The class.
     pub(crate) class: ClassIndex,
-    /// The part of the worker's processors that its tasks may use, throttles included.
-    pub(crate) share: f64,
-    /// The part that they might use without throttles.
-    pub(crate) demand: f64,
+    /// Processors that its tasks may use, in thousandths of a core times percent of throttle.
+    active: u64,
+    /// The same as if nothing were throttled.
+    demand: u64,
     /// The number of its tasks.
     pub(crate) tasks: u32,
 }
 
+impl ClassShare {
+    /// The share of one task.
+    pub(crate) fn of_task(class: ClassIndex, cpu: CpuMillis, throttle_percent: u8) -> Self {
+        let active = cpu.0 * u64::from(throttle_percent);
+        Self { class, active, demand: cpu.0 * FULL_PERCENT, tasks: 1 }
+    }
+
+    /// The part of the worker's processors that is used, throttles included.
+    pub(crate) fn active_part(&self, capacity: CpuMillis) -> f64 {
+        part(self.active, capacity)
+    }
+
+    /// The part of the worker's processors that would be used without throttles.
+    pub(crate) fn demand_part(&self, capacity: CpuMillis) -> f64 {
+        part(self.demand, capacity)
+    }
+}
+
+fn part(amount: u64, capacity: CpuMillis) -> f64 {
+    amount as f64 / (capacity.0.max(1) * FULL_PERCENT) as f64
+}
+
+/// Who shares a worker, by class.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Occupancy(Vec<ClassShare>);
+
+impl Occupancy {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &ClassShare> + Clone {
+        self.0.iter()
+    }
+
+    pub(crate) fn holds(&self, class: ClassIndex) -> bool {
+        self.0.binary_search_by_key(&class, |share| share.class).is_ok()
+    }
+
+    pub(crate) fn add(&mut self, task: &ClassShare) {
+        match self.0.binary_search_by_key(&task.class, |share| share.class) {
+            Ok(position) => {
+                let share = &mut self.0[position];
+                share.active += task.active;
+                share.demand += task.demand;
+                share.tasks += task.tasks;
+            }
+            Err(position) => self.0.insert(position, *task),
+        }
+    }
+
+    pub(crate) fn subtract(&mut self, task: &ClassShare) {
+        let Ok(position) = self.0.binary_search_by_key(&task.class, |share| share.class) else {
+            return;
+        };
+        let share = &mut self.0[position];
+        share.active = share.active.saturating_sub(task.active);
+        share.demand = share.demand.saturating_sub(task.demand);
+        share.tasks = share.tasks.saturating_sub(task.tasks);
+        if share.tasks == 0 {
+            self.0.remove(position);
+        }
+    }
+}
+
 /// The occupancies of one worker, the newest last.
 #[derive(Debug, Default)]
 pub(crate) struct OccupancyHistory {
-    entries: VecDeque<(Duration, Vec<ClassShare>)>,
+    entries: VecDeque<(Duration, Occupancy)>,
 }
 
 impl OccupancyHistory {
     /// Notes that the worker is shared like this from `at`.
-    pub(crate) fn push(&mut self, at: Duration, shares: &[ClassShare]) {
+    pub(crate) fn push(&mut self, at: Duration, shares: &Occupancy) {
         if self.entries.back().is_some_and(|(_, last)| last == shares) {
             return;
         }
@@ -39,13 +105,13 @@
         if self.entries.len() == HISTORY_LIMIT {
             self.entries.pop_front();
         }
-        self.entries.push_back((at, shares.to_vec()));
+        self.entries.push_back((at, shares.clone()));
     }
 
     /// Who was there during the whole time from `from` to `to`; `None` when that has changed
     /// within it or is forgotten.
-    pub(crate) fn during(&self, from: Duration, to: Duration) -> Option<&[ClassShare]> {
+    pub(crate) fn during(&self, from: Duration, to: Duration) -> Option<&Occupancy> {
         let (since, shares) = self.entries.iter().rev().find(|(since, _)| *since <= to)?;
-        (*since <= from).then_some(shares.as_slice())
+        (*since <= from).then_some(shares)
     }
 }
--- a/crates/sched/src/interference/mod.rs
+++ b/crates/sched/src/interference/mod.rs
@@ -11,7 +11,7 @@
 
 pub(crate) use {
     baseline::{BaselineTable, ServiceReading},
-    history::{ClassShare, OccupancyHistory},
+    history::{ClassShare, Occupancy, OccupancyHistory},
     load::{smooth_rate, LoadLevel, LoadMeter, LOAD_LEVELS},
     pairs::{PairTable, PairVictim, SlowdownReading},
 };
--- a/crates/sched/src/interference/pairs.rs
+++ b/crates/sched/src/interference/pairs.rs
@@ -1,7 +1,7 @@
 //! The effect of one class on another, at a load level: a linear filter with one unknown a pair.
 
 use {
-    super::{ClassShare, LoadLevel, LOAD_LEVELS},
+    super::{LoadLevel, LOAD_LEVELS},
     crate::classes::{ClassIndex, CLASS_LIMIT},
     std::time::Duration,
 };
@@ -50,7 +50,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct SlowdownReading<'a> {
     pub(crate) victim: PairVictim,
-    pub(crate) neighbours: &'a [ClassShare],
+    /// Their classes and shares of the processors.
+    pub(crate) neighbours: &'a [(ClassIndex, f64)],
     pub(crate) percent: f64,
     /// In squared percent.
     pub(crate) noise: f64,
@@ -141,6 +142,22 @@
         self.effect(now, victim, aggressor).effect
     }
 
+    /// The forecast with one more neighbour.
+    pub(crate) fn with_neighbour(
+        &self,
+        now: Duration,
+        victim: PairVictim,
+        forecast: SlowdownForecast,
+        neighbour: (ClassIndex, f64),
+    ) -> SlowdownForecast {
+        let (class, share) = neighbour;
+        let pair = self.effect(now, victim, class);
+        SlowdownForecast {
+            mean: forecast.mean + share * pair.effect,
+            variance: forecast.variance + share * share * pair.variance,
+        }
+    }
+
     /// What the neighbours are predicted to do to the victim.
     pub(crate) fn forecast(
         &self,
@@ -159,14 +176,13 @@
 
     /// Corrects the effects of the neighbours by what was measured.
     pub(crate) fn learn(&mut self, now: Duration, reading: SlowdownReading<'_>) {
-        let highest = reading.neighbours.iter().map(|share| share.class).max();
+        let highest = reading.neighbours.iter().map(|(class, _)| *class).max();
         self.grow(highest.max(Some(reading.victim.class)));
-        let shares = reading.neighbours.iter().filter(|share| share.share >= LEAST_SHARE);
+        let shares = reading.neighbours.iter().filter(|(_, share)| *share >= LEAST_SHARE);
         let pairs: Vec<(usize, f64, PairEffect)> = shares
-            .filter_map(|share| {
-                let position = self.position(reading.victim, share.class)?;
-                let pair = self.effect(now, reading.victim, share.class);
-                Some((position, share.share, pair))
+            .filter_map(|(class, share)| {
+                let position = self.position(reading.victim, *class)?;
+                Some((position, *share, self.effect(now, reading.victim, *class)))
             })
             .collect();
         let expected: f64 = pairs.iter().map(|(_, share, pair)| share * pair.effect).sum();
--- a/crates/sched/src/placement/fit.rs
+++ b/crates/sched/src/placement/fit.rs
@@ -15,6 +15,10 @@
     std::time::Duration,
 };
 
+/// The number of workers with room that are compared. The search starts anywhere, so that these
+/// are as good as any others.
+const CANDIDATE_LIMIT: u32 = 32;
+
 /// The chosen worker.
 #[derive(Debug)]
 pub(super) struct WorkerChoice {
@@ -84,6 +88,9 @@
             if best.as_ref().is_none_or(|(_, best, _)| score.cost < best.cost) {
                 best = Some((index, score, probe));
             }
+            if candidates == CANDIDATE_LIMIT {
+                break;
+            }
         }
         let chosen = best.and_then(|(index, score, probe)| {
             let worker = self.workers.get_index(index)?.view.worker.clone();
--- a/crates/sched/src/placement/mod.rs
+++ b/crates/sched/src/placement/mod.rs
@@ -121,9 +121,7 @@
 
     fn turns(&self, now: Duration, priority: TaskPriority) -> Vec<TeamTurn> {
         let capacity = self.workers.capacity();
-        let is_due = |number: &GroupNumber| {
-            self.queue.group(*number).is_some_and(|group| group.is_due(now, self.releases))
-        };
+        let is_due = |number: &GroupNumber| self.queue.is_due(now, *number, self.releases);
         self.queue
             .teams(priority)
             .map(|(team, numbers)| TeamTurn {
--- a/crates/sched/src/placement/preempt.rs
+++ b/crates/sched/src/placement/preempt.rs
@@ -189,8 +189,8 @@
         if state.services.is_empty() {
             return 0.0;
         }
-        let shares = victims.iter().filter_map(|victim| self.held.get(victim));
-        shares.map(|entry| entry.share(&state.view.capacity)).sum()
+        let entries = victims.iter().filter_map(|victim| self.held.get(victim));
+        entries.map(|entry| entry.weight().share.active_part(state.view.capacity.cpu)).sum()
     }
 
     /// Proposes to evict a task, unless that has just been proposed.
@@ -200,14 +200,10 @@
         task: &TaskId,
         reason: ReliefReason,
     ) -> Option<SchedDecision> {
-        let entry = self.held.get_mut(task)?;
-        if entry.is_leaving() {
-            return None;
-        }
-        entry.evict_again_at = Some(now + EVICTION_TIMEOUT);
+        let entry = self.held.get(task).filter(|entry| !entry.is_leaving())?;
+        let attempt = entry.task.attempt;
+        self.change_held(now, task, |entry| entry.evict_again_at = Some(now + EVICTION_TIMEOUT));
         self.evicting.insert(task.clone());
-        let (attempt, worker) = (entry.task.attempt, entry.task.worker.clone());
-        self.refresh(now, &worker);
         Some(SchedDecision::Evict { task: task.clone(), attempt, reason })
     }
 }
--- a/crates/sched/src/placement/score.rs
+++ b/crates/sched/src/placement/score.rs
@@ -6,7 +6,7 @@
         classes::ClassIndex,
         fleet::FleetModel,
         interface::TaskPriority,
-        interference::{ClassShare, LoadLevel, PairVictim},
+        interference::{LoadLevel, PairVictim},
         workers::WorkerState,
     },
     base::ServiceName,
@@ -68,7 +68,7 @@
         let hosts = self
             .workers
             .iter()
-            .filter(|state| !state.services.is_empty() && holds(&state.planned, class))
+            .filter(|state| !state.services.is_empty() && state.planned.holds(class))
             .count();
         hosts < (self.workers.len() / TRIAL_PART).max(1)
     }
@@ -106,15 +106,17 @@
         plan: &ClassPlan,
         share: f64,
     ) -> Option<(f64, f64)> {
+        let cpu = state.view.capacity.cpu;
         let (mut growth, mut worst) = (0.0, 0.0_f64);
         for service in state.services.iter().filter(|service| service.class != plan.class) {
             if plan.is_batch && !self.is_tried(now, state, service.class, plan) {
                 return None;
             }
             let victim = PairVictim { class: service.class, level: service.level };
-            let others = neighbours(&state.planned, service.class);
-            let before = self.pairs.forecast(now, victim, others.clone());
-            let after = self.pairs.forecast(now, victim, others.chain([(plan.class, share)]));
+            let others = state.planned.iter().filter(|entry| entry.class != service.class);
+            let parts = others.map(|entry| (entry.class, entry.demand_part(cpu)));
+            let before = self.pairs.forecast(now, victim, parts);
+            let after = self.pairs.with_neighbour(now, victim, before, (plan.class, share));
             let forecast = ServiceForecast {
                 unexplained: service.unexplained(now),
                 caused: before.mean,
@@ -157,16 +159,17 @@
         victim: ClassIndex,
         plan: &ClassPlan,
     ) -> bool {
-        let can_try = plan.may_try && !holds(&state.planned, plan.class);
+        let can_try = plan.may_try && !state.planned.holds(plan.class);
         can_try || self.pairs.forgets_all() || self.pairs.is_known(now, victim, plan.class)
     }
 
     /// The speed, in percent of one task, that the task and its neighbours are predicted to lose.
     fn speed_loss(&self, now: Duration, state: &WorkerState, plan: &ClassPlan, share: f64) -> f64 {
         let own = PairVictim { class: plan.class, level: LoadLevel::default() };
-        let all = state.planned.iter().map(|entry| (entry.class, entry.share));
+        let cpu = state.view.capacity.cpu;
+        let all = state.planned.iter().map(|entry| (entry.class, entry.active_part(cpu)));
         let mut loss = lost_speed(self.pairs.forecast(now, own, all).mean);
-        for entry in &state.planned {
+        for entry in state.planned.iter() {
             if state.services.iter().any(|service| service.class == entry.class) {
                 continue;
             }
@@ -194,17 +197,6 @@
     }
 }
 
-fn neighbours(
-    shares: &[ClassShare],
-    own: ClassIndex,
-) -> impl Iterator<Item = (ClassIndex, f64)> + Clone + '_ {
-    shares.iter().filter(move |entry| entry.class != own).map(|entry| (entry.class, entry.demand))
-}
-
-fn holds(shares: &[ClassShare], class: ClassIndex) -> bool {
-    shares.iter().any(|entry| entry.class == class)
-}
-
 /// The speed that is lost, in percent, by a task that takes so many percent longer.
 fn lost_speed(slowdown_percent: f64) -> f64 {
     100.0 - 100.0 / (1.0 + slowdown_percent.max(0.0) / 100.0)
--- a/crates/sched/src/queue/mod.rs
+++ b/crates/sched/src/queue/mod.rs
@@ -12,8 +12,11 @@
     },
 };
 
-/// After so many failures in a row a group no longer reacts to every release, but only waits.
+/// After so many failures in a row a group no longer reacts to every release, but only waits,
+/// when there are many groups.
 const HOPEFUL_FAILURES: u32 = 3;
+/// Up to so many groups all react to every release.
+const FEW_GROUPS: usize = 64;
 
 /// Numbers groups in the order in which they came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -162,6 +165,12 @@
             .map(|((_, team), numbers)| (team, numbers))
     }
 
+    /// True when a group should be looked at; `releases` counts how often room has been freed.
+    pub(crate) fn is_due(&self, now: Duration, number: GroupNumber, releases: u64) -> bool {
+        let few_groups = self.groups.len() <= FEW_GROUPS;
+        self.groups.get(&number).is_some_and(|group| group.is_due(now, releases, few_groups))
+    }
+
     /// A group.
     pub(crate) fn group(&self, number: GroupNumber) -> Option<&WaitGroup> {
         self.groups.get(&number)
@@ -193,10 +202,10 @@
 
 impl WaitGroup {
     /// True when it should be looked at: some time has passed, or what it lacks has been freed.
-    pub(crate) fn is_due(&self, now: Duration, releases: u64) -> bool {
+    fn is_due(&self, now: Duration, releases: u64, few_groups: bool) -> bool {
         let lacks_room =
             matches!(self.reason, Some(WaitReason::NoRoom { .. } | WaitReason::QuotaUsed { .. }));
-        let may_hope = lacks_room && self.failures <= HOPEFUL_FAILURES;
+        let may_hope = lacks_room && (few_groups || self.failures <= HOPEFUL_FAILURES);
         self.retry_at <= now || (may_hope && self.tried_at_release < releases)
     }
 
--- a/crates/sched/src/relief/estimate.rs
+++ b/crates/sched/src/relief/estimate.rs
@@ -1,7 +1,9 @@
 //! What the tasks of one worker are estimated to do to its services now.
 
 use {
-    crate::{fleet::FleetModel, interface::TaskPriority, interference::PairVictim},
+    crate::{
+        fleet::FleetModel, interface::TaskPriority, interference::PairVictim, workers::WorkerState,
+    },
     base::{AttemptNumber, ServiceName, TaskId, WorkerId},
     std::time::Duration,
 };
@@ -51,22 +53,36 @@
 }
 
 impl FleetModel {
+    /// True when a worker's services suffer or its throttles might be eased. Costs far less than
+    /// an estimate of every task.
+    pub(super) fn needs_relief(&self, now: Duration, state: &WorkerState) -> bool {
+        let relief = f64::from(self.policy.relief_above_percent);
+        let cpu = state.view.capacity.cpu;
+        state.throttled > 0
+            || state.services.iter().any(|service| {
+                let victim = PairVictim { class: service.class, level: service.level };
+                let others = state.shares.iter().filter(|share| share.class != service.class);
+                let parts = others.map(|share| (share.class, share.active_part(cpu)));
+                self.pairs.forecast(now, victim, parts).mean + service.unexplained(now) > relief
+            })
+    }
+
     pub(super) fn estimate(&self, now: Duration, worker: &WorkerId) -> WorkerEstimate {
         let mut estimate = WorkerEstimate { tasks: Vec::new(), services: Vec::new() };
         let Some(state) = self.workers.get(worker) else {
             return estimate;
         };
-        let capacity = &state.view.capacity;
+        let cpu = state.view.capacity.cpu;
         let mut classes = Vec::new();
         let mut fixed = Vec::new();
         for entry in state.tasks.iter().filter_map(|task| self.held.get(task)) {
             let waiting = &entry.task.waiting;
             let level = f64::from(entry.throttle) / 100.0;
             if waiting.priority != TaskPriority::Batch || entry.is_leaving() {
-                fixed.push((entry.class, entry.share(capacity)));
+                fixed.push((entry.class, entry.weight().share.active_part(cpu)));
                 continue;
             }
-            classes.push((entry.class, entry.share(capacity) / level));
+            classes.push((entry.class, entry.weight().share.demand_part(cpu)));
             let (task, attempt) = (waiting.task.clone(), entry.task.attempt);
             estimate.tasks.push(BatchEstimate { task, attempt, level });
         }
--- a/crates/sched/src/relief/mod.rs
+++ b/crates/sched/src/relief/mod.rs
@@ -52,7 +52,12 @@
         if !state.view.accepting {
             return self.empty_worker(now, worker, decisions);
         }
+        let needs_relief = self.needs_relief(now, state);
         self.relieve_memory(now, worker, decisions);
+        if !needs_relief {
+            self.set_over_since(worker, None);
+            return false;
+        }
         let estimate = self.estimate(now, worker);
         let relief = f64::from(self.policy.relief_above_percent);
         match estimate.worst() {
--- a/crates/sched/src/workers/mod.rs
+++ b/crates/sched/src/workers/mod.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         classes::ClassIndex,
+        held::TaskWeight,
         interface::WorkerView,
-        interference::{ClassShare, LoadLevel, OccupancyHistory},
+        interference::{ClassShare, LoadLevel, Occupancy, OccupancyHistory},
     },
     base::{DataCentreName, ResourceVector, ServiceName, TaskId, WorkerId},
     indexmap::{IndexMap, IndexSet},
@@ -54,9 +55,11 @@
     pub(crate) tasks: IndexSet<TaskId>,
     pub(crate) proposals: IndexSet<TaskId>,
     /// Who shares it now.
-    pub(crate) shares: Vec<ClassShare>,
+    pub(crate) shares: Occupancy,
     /// Who will share it once proposals are committed.
-    pub(crate) planned: Vec<ClassShare>,
+    pub(crate) planned: Occupancy,
+    /// The number of batch tasks that are throttled.
+    pub(crate) throttled: u32,
     pub(crate) history: OccupancyHistory,
     pub(crate) services: Vec<ServiceState>,
     pub(crate) last_sample: Option<Duration>,
@@ -74,8 +77,9 @@
             proposed: ResourceVector::ZERO,
             tasks: IndexSet::new(),
             proposals: IndexSet::new(),
-            shares: Vec::new(),
-            planned: Vec::new(),
+            shares: Occupancy::default(),
+            planned: Occupancy::default(),
+            throttled: 0,
             history: OccupancyHistory::default(),
             services: Vec::new(),
             last_sample: None,
@@ -84,6 +88,50 @@
         }
     }
 
+    /// Adds a task to the books.
+    pub(crate) fn add_weight(&mut self, weight: &TaskWeight) {
+        self.footprint += weight.footprint;
+        if weight.is_leaving {
+            self.leaving += weight.footprint;
+        }
+        self.shares.add(&weight.share);
+        self.planned.add(&weight.share);
+    }
+
+    /// Takes a task out of the books.
+    pub(crate) fn subtract_weight(&mut self, weight: &TaskWeight) {
+        self.footprint = self.footprint.saturating_sub(&weight.footprint);
+        if weight.is_leaving {
+            self.leaving = self.leaving.saturating_sub(&weight.footprint);
+        }
+        self.shares.subtract(&weight.share);
+        self.planned.subtract(&weight.share);
+    }
+
+    /// Adds a proposed task to the books.
+    pub(crate) fn add_proposal(
+        &mut self,
+        task: TaskId,
+        reserve: &ResourceVector,
+        share: &ClassShare,
+    ) {
+        self.proposed += *reserve;
+        self.planned.add(share);
+        self.proposals.insert(task);
+    }
+
+    /// Takes a proposed task out of the books.
+    pub(crate) fn subtract_proposal(
+        &mut self,
+        task: &TaskId,
+        reserve: &ResourceVector,
+        share: &ClassShare,
+    ) {
+        self.proposed = self.proposed.saturating_sub(reserve);
+        self.planned.subtract(share);
+        self.proposals.swap_remove(task);
+    }
+
     /// What is free now.
     pub(crate) fn room(&self) -> ResourceVector {
         self.view.capacity.saturating_sub(&(self.footprint + self.proposed))
@@ -123,30 +171,11 @@
     pub(crate) fn forget_services(&mut self, now: Duration) {
         let shares = &self.shares;
         self.services.retain(|state| {
-            now.saturating_sub(state.seen) < SERVICE_FORGET
-                || shares.iter().any(|share| share.class == state.class)
+            now.saturating_sub(state.seen) < SERVICE_FORGET || shares.holds(state.class)
         });
     }
 }
 
-/// Adds a task to shares that are kept sorted by class. `share` is what its throttle leaves it.
-pub(crate) fn add_share(
-    shares: &mut Vec<ClassShare>,
-    class: ClassIndex,
-    share: f64,
-    throttle_percent: u8,
-) {
-    let demand = share * 100.0 / f64::from(throttle_percent.max(1));
-    match shares.binary_search_by_key(&class, |entry| entry.class) {
-        Ok(position) => {
-            shares[position].share += share;
-            shares[position].demand += demand;
-            shares[position].tasks += 1;
-        }
-        Err(position) => shares.insert(position, ClassShare { class, share, demand, tasks: 1 }),
-    }
-}
-
 #[derive(Debug)]
 struct RetiredWorker {
     view: WorkerView,
@@ -159,12 +188,16 @@
     workers: IndexMap<WorkerId, WorkerState>,
     retired: IndexMap<WorkerId, RetiredWorker>,
     capacity: ResourceVector,
+    /// The sizes that occur, with their data centres, of present workers and of those that may
+    /// come back.
+    sizes: IndexSet<(DataCentreName, ResourceVector)>,
 }
 
 impl WorkerBook {
     pub(crate) fn set(&mut self, view: WorkerView) {
         self.retired.swap_remove(&view.worker);
         match self.workers.get_mut(&view.worker) {
+            Some(state) if state.view == view => return,
             Some(state) => state.view = view,
             None => {
                 self.workers.insert(view.worker.clone(), WorkerState::new(view));
@@ -184,6 +217,10 @@
 
     fn measure(&mut self) {
         self.capacity = self.accepting().map(|state| state.view.capacity).sum();
+        let present = self.workers.values().map(|state| &state.view);
+        let retired = self.retired.values().map(|retired| &retired.view);
+        let sizes = present.chain(retired);
+        self.sizes = sizes.map(|view| (view.data_centre.clone(), view.capacity)).collect();
     }
 
     /// What all accepting workers offer together.
@@ -215,10 +252,8 @@
         self.workers.values().filter(|state| state.view.accepting)
     }
 
-    /// The sizes of all workers, and of those that may come back.
-    pub(crate) fn sizes(&self) -> impl Iterator<Item = (&DataCentreName, &ResourceVector)> {
-        let present = self.workers.values().map(|state| &state.view);
-        let retired = self.retired.values().map(|retired| &retired.view);
-        present.chain(retired).map(|view| (&view.data_centre, &view.capacity))
+    /// The sizes that occur, those of workers that may come back included.
+    pub(crate) fn sizes(&self) -> impl Iterator<Item = &(DataCentreName, ResourceVector)> {
+        self.sizes.iter()
     }
 }
