--- a/crates/sched/src/fleet/reservations.rs
+++ b/crates/sched/src/fleet/reservations.rs
@@ -87,6 +87,7 @@
     pub(crate) fn touch(&mut self, now: Duration, worker: &WorkerId) {
         if let Some(state) = self.workers.get_mut(worker) {
             state.history.push(now, &state.shares);
+            state.look_at = now;
         }
         if !self.watched.contains(worker) {
             self.watched.insert(worker.clone());
--- a/crates/sched/src/interference/pairs.rs
+++ b/crates/sched/src/interference/pairs.rs
@@ -7,7 +7,7 @@
 };
 
 /// The slowdown that a neighbour with all processors of a worker is presumed to cause, in percent.
-const PRIOR_EFFECT: f64 = 20.0;
+const PRIOR_EFFECT: f64 = 10.0;
 /// The variance of that presumption, in squared percent.
 const PRIOR_VARIANCE: f64 = 60.0 * 60.0;
 /// The number of standard deviations that a pessimistic forecast adds.
--- a/crates/sched/src/relief/mod.rs
+++ b/crates/sched/src/relief/mod.rs
@@ -16,6 +16,8 @@
 
 /// The largest number of relief decisions that one call makes.
 const RELIEF_PER_CALL: usize = 128;
+/// How often a worker is looked after while nothing changes on it.
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
 /// The longest time, in patiences, for which an eviction is credited with its relief.
 const LONGEST_CREDIT: f64 = 20.0;
 
@@ -28,10 +30,14 @@
                 self.watched.insert(worker);
                 continue;
             }
+            if self.workers.get(&worker).is_some_and(|state| now < state.look_at) {
+                self.watched.insert(worker);
+                continue;
+            }
             let before = decisions.len();
             let keep_watching = self.relieve_worker(now, &worker, &mut decisions);
             if keep_watching || decisions.len() > before {
-                self.watched.insert(worker);
+                self.watch_later(now, worker);
             } else {
                 self.watched.swap_remove(&worker);
             }
@@ -39,6 +45,13 @@
         decisions
     }
 
+    fn watch_later(&mut self, now: Duration, worker: WorkerId) {
+        if let Some(state) = self.workers.get_mut(&worker) {
+            state.look_at = now + LOOK_PERIOD;
+        }
+        self.watched.insert(worker);
+    }
+
     /// True when the worker has to be looked at again although nothing changes on it.
     fn relieve_worker(
         &mut self,
--- a/crates/sched/src/workers/mod.rs
+++ b/crates/sched/src/workers/mod.rs
@@ -63,6 +63,8 @@
     pub(crate) history: OccupancyHistory,
     pub(crate) services: Vec<ServiceState>,
     pub(crate) last_sample: Option<Duration>,
+    /// Not looked after before this time unless something changes on it.
+    pub(crate) look_at: Duration,
     /// Since when throttles alone have not been enough.
     pub(crate) over_since: Option<Duration>,
     pub(crate) throttled_at: Duration,
@@ -83,6 +85,7 @@
             history: OccupancyHistory::default(),
             services: Vec::new(),
             last_sample: None,
+            look_at: Duration::ZERO,
             over_since: None,
             throttled_at: Duration::ZERO,
         }
