--- a/crates/agent/src/process/executor.rs
+++ b/crates/agent/src/process/executor.rs
@@ -6,13 +6,18 @@
     base::ByteSize,
     bytes::Bytes,
     http::{header, HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode},
-    proto::messages::{
-        DispatchOutcome, ForwardedAnswer, ForwardedRequest, NotRunReason, UnknownReason,
+    proto::{
+        messages::{
+            DispatchOutcome, ForwardedAnswer, ForwardedRequest, NotRunReason, UnknownReason,
+        },
+        rpc::number_client,
     },
     std::{io, time::Duration},
 };
 
 const CONNECT_DEADLINE: Duration = Duration::from_secs(1);
+/// The library's buffers of one connection, each way.
+const BUFFER_BYTES: usize = 16 * 1024;
 const HEAD_LIMIT: usize = 64 * 1024;
 
 /// Headers that belong to one connection or that are written anew for it (RFC 9110, 7.6.1).
@@ -43,15 +48,17 @@
             .accept_encoding("")
             .allow_non_standard_methods(true)
             .http_status_as_error(false)
+            .input_buffer_size(BUFFER_BYTES)
             .max_idle_connections(0)
             .max_redirects(0)
             .max_response_header_size(HEAD_LIMIT)
+            .output_buffer_size(BUFFER_BYTES)
             .proxy(None)
             .timeout_connect(Some(CONNECT_DEADLINE))
             .timeout_global(Some(EXECUTOR_TIME_LIMIT))
             .user_agent("")
             .build();
-        Self { client: config.into() }
+        Self { client: number_client(config) }
     }
 
     /// Runs one call to its end.
--- a/crates/agent/src/reducer/mod.rs
+++ b/crates/agent/src/reducer/mod.rs
@@ -13,6 +13,7 @@
 mod on_dispatch;
 mod on_heartbeat;
 mod on_platform;
+mod platform_view;
 mod policy;
 mod records;
 mod types;
@@ -29,7 +30,7 @@
     lease::WorkerLease,
     memory::DispatchMemory,
     on_dispatch::RunningCall,
-    on_platform::PlatformView,
+    platform_view::PlatformView,
     policy::PolicyCache,
     proto::messages::{CommandCursor, DeclarationBundle, DispatchId},
     spread::{DeclarationStore, OfferOutcome},
@@ -123,6 +124,16 @@
         self.lease.holds(now, self.policy.lease().stop_margin)
     }
 
+    /// What is left of the worker's lease.
+    pub fn lease_left(&self, now: Duration) -> Duration {
+        self.lease.deadline().unwrap_or_default().saturating_sub(now)
+    }
+
+    /// How long a shutdown may wait for requests in progress.
+    pub fn drain_limit(&self) -> Duration {
+        self.policy.drain_limit()
+    }
+
     /// The revision in force.
     pub fn revision(&self) -> RevisionNumber {
         self.declarations.revision()
