Let exceptions hold for services, keep room for old large tasks, free a team's own quota

Cause: exceptions for a service changed nothing in placement; a large batch task could be overtaken for good; urgent work behind its own team's batch tasks waited for good when its worker had room; a job that had failed somewhere made others of its size wait with it. Change: set_service_policies gives a service its own tail weight and tolerated slowdown; after ten minutes room is kept for one large batch task at a time; own batch tasks are evicted, largest first, until the quota suffices; searches of jobs that have failed are not taken for others.

--- a/crates/sched/src/blame/mod.rs
+++ b/crates/sched/src/blame/mod.rs
@@ -159,6 +159,11 @@
         self.jobs.get(job).is_some_and(|blame| now < blame.rest_until)
     }
 
+    /// True when the job has failed lately, so that some workers are closed to it.
+    pub(crate) fn has_failed(&self, job: &JobId) -> bool {
+        self.jobs.contains_key(job)
+    }
+
     /// True when the job has failed on the worker.
     pub(crate) fn has_failed_on(&self, job: &JobId, worker: &WorkerId) -> bool {
         self.jobs.get(job).is_some_and(|blame| blame.failed_on(worker))
--- a/crates/sched/src/fleet/mod.rs
+++ b/crates/sched/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 #[derive(Debug)]
 pub struct FleetModel {
     pub(crate) policy: SchedPolicy,
+    service_policies: IndexMap<ServiceName, SchedPolicy>,
     pub(crate) random: SeededRandom,
     pub(crate) classes: ClassIndexer,
     pub(crate) workers: WorkerBook,
@@ -68,6 +69,7 @@
         Self {
             pairs: PairTable::new(policy.retry_pairing_after),
             policy,
+            service_policies: IndexMap::new(),
             random: SeededRandom::new(seed),
             classes: ClassIndexer::default(),
             workers: WorkerBook::default(),
@@ -98,6 +100,18 @@
         self.queue.retry_all();
     }
 
+    /// Replaces the declared values that hold for single services instead of the fleet's: their
+    /// weight of tail latency and the slowdown above which they are relieved.
+    pub fn set_service_policies(&mut self, policies: Vec<(ServiceName, SchedPolicy)>) {
+        self.service_policies = policies.into_iter().collect();
+        self.queue.retry_all();
+    }
+
+    /// The declared values for a service.
+    pub(crate) fn policy_of(&self, service: &ServiceName) -> &SchedPolicy {
+        self.service_policies.get(service).unwrap_or(&self.policy)
+    }
+
     /// Replaces the quotas of all teams. A team without quota may use what others leave.
     pub fn set_quotas(&mut self, quotas: Vec<(TeamName, TeamQuota)>) {
         self.quotas.set_quotas(quotas);
--- a/crates/sched/src/placement/mod.rs
+++ b/crates/sched/src/placement/mod.rs
@@ -1,6 +1,8 @@
 //! Choosing a worker for each waiting task: hard constraints first, then the cheapest in points.
 
+mod aged;
 mod fit;
+mod own_quota;
 mod preempt;
 mod score;
 
@@ -223,7 +225,7 @@
         let team = &request.waiting.team;
         let verdict = self.quotas.check(team, &request.reserve, self.workers.capacity());
         if let QuotaVerdict::Exceeds(short_of) = verdict {
-            self.make_room(now, request, preempt::VictimRule::SameTeam, budget, decisions);
+            self.free_own_quota(now, request, budget, decisions);
             return Err(WaitReason::QuotaUsed { short_of });
         }
         match self.find_worker(now, request, budget) {
@@ -234,11 +236,15 @@
             Err(reason) => {
                 let rule = match (request.waiting.priority, verdict) {
                     (TaskPriority::Batch, QuotaVerdict::Within) => preempt::VictimRule::Borrowed,
-                    (TaskPriority::Batch, _) => return Err(reason),
+                    (TaskPriority::Batch, _) => {
+                        self.claim_when_old(now, request, &reason);
+                        return Err(reason);
+                    }
                     _ => preempt::VictimRule::AnyBatch,
                 };
                 if matches!(reason, WaitReason::NoRoom { .. }) {
                     self.make_room(now, request, rule, budget, decisions);
+                    self.claim_when_old(now, request, &reason);
                 }
                 Err(reason)
             }
@@ -253,8 +259,9 @@
         budget: &mut CallBudget,
     ) -> Result<fit::WorkerChoice, WaitReason> {
         let waiting = &request.waiting;
-        let is_plain =
-            waiting.priority == TaskPriority::Batch && self.claims.get(&waiting.task).is_none();
+        let is_plain = waiting.priority == TaskPriority::Batch
+            && self.claims.get(&waiting.task).is_none()
+            && !self.blame.has_failed(&waiting.task.job);
         if let Some(reason) = budget.hopeless_reason(request).filter(|_| is_plain) {
             return Err(reason);
         }
--- a/crates/sched/src/placement/preempt.rs
+++ b/crates/sched/src/placement/preempt.rs
@@ -32,8 +32,6 @@
     AnyBatch,
     /// Those of teams that hold more than their quota.
     Borrowed,
-    /// Those of the team itself, because its quota is used up.
-    SameTeam,
 }
 
 #[derive(Debug)]
@@ -54,9 +52,6 @@
         decisions: &mut Vec<SchedDecision>,
     ) {
         let task = &request.waiting.task;
-        if rule == VictimRule::SameTeam && request.waiting.priority == TaskPriority::Batch {
-            return;
-        }
         let nobody = rule == VictimRule::Borrowed && !self.quotas.has_borrowers();
         if nobody || budget.eviction_plans == 0 || self.claim_holds(request) {
             return;
@@ -85,7 +80,7 @@
                 VictimRule::Borrowed => {
                     ReliefReason::Reclaimed { by: request.waiting.team.clone() }
                 }
-                _ => ReliefReason::Preempted { by: task.clone() },
+                VictimRule::AnyBatch => ReliefReason::Preempted { by: task.clone() },
             };
             decisions.extend(self.evict(now, &victim, reason));
         }
@@ -167,7 +162,6 @@
             VictimRule::Borrowed => {
                 victim.team != request.waiting.team && self.quotas.borrows(&victim.team)
             }
-            VictimRule::SameTeam => victim.team == request.waiting.team,
         }
     }
 
--- a/crates/sched/src/placement/score.rs
+++ b/crates/sched/src/placement/score.rs
@@ -5,7 +5,7 @@
     crate::{
         classes::ClassIndex,
         fleet::FleetModel,
-        interface::TaskPriority,
+        interface::{SchedPolicy, TaskPriority},
         interference::{LoadLevel, PairVictim},
         workers::WorkerState,
     },
@@ -83,10 +83,9 @@
     ) -> Option<PlacementScore> {
         let capacity = &state.view.capacity;
         let share = request.reserve.cpu.0 as f64 / capacity.cpu.0.max(1) as f64;
-        let (growth, worst) = self.service_growth(now, state, plan, share)?;
+        let (growth_cost, worst) = self.service_growth(now, state, plan, share)?;
         let loss = self.speed_loss(now, state, plan, share);
-        let mut cost =
-            self.policy.tail_latency_weight * growth + self.policy.throughput_weight * loss;
+        let mut cost = growth_cost + self.policy.throughput_weight * loss;
         if plan.is_batch && cost > plan.highest_cost {
             return None;
         }
@@ -98,7 +97,7 @@
         Some(PlacementScore { cost, service_slowdown_percent: worst })
     }
 
-    /// By how many percent the worker's services are predicted to slow down, in sum and at worst.
+    /// The points for the slowdown of the worker's services, and the worst one's in percent.
     fn service_growth(
         &self,
         now: Duration,
@@ -107,7 +106,7 @@
         share: f64,
     ) -> Option<(f64, f64)> {
         let cpu = state.view.capacity.cpu;
-        let (mut growth, mut worst) = (0.0, 0.0_f64);
+        let (mut cost, mut worst) = (0.0, 0.0_f64);
         for service in state.services.iter().filter(|service| service.class != plan.class) {
             if plan.is_batch && !self.is_tried(now, state, service.class, plan) {
                 return None;
@@ -122,27 +121,15 @@
                 caused: before.mean,
                 added: after.pessimistic() - before.pessimistic(),
             };
-            if plan.is_batch && !self.admits(&forecast) {
+            let policy = self.policy_of(&service.service);
+            if plan.is_batch && !admits(policy, &forecast) {
                 return None;
             }
-            growth += forecast.added / self.hosts_of(&service.service);
+            let felt = forecast.added / self.hosts_of(&service.service);
+            cost += policy.tail_latency_weight * felt;
             worst = worst.max(forecast.slowdown());
         }
-        Some((growth, worst))
-    }
-
-    /// A task that would have to run throttled only keeps room from others, unless no other task
-    /// slows the service: then no place would be better.
-    fn admits(&self, forecast: &ServiceForecast) -> bool {
-        if forecast.added < HARMLESS_PERCENT {
-            return true;
-        }
-        let relief = f64::from(self.policy.relief_above_percent);
-        let floor = f64::from(self.policy.throttle_floor_percent) / 100.0;
-        let spare = relief - forecast.unexplained;
-        let level = spare / (forecast.caused + forecast.added);
-        let has_worker_alone = forecast.caused < relief * SMALL_PART;
-        level >= if has_worker_alone { floor } else { LEAST_LEVEL }
+        Some((cost, worst))
     }
 
     /// The number of workers that share the service's requests: the slowdown of one of them is felt
@@ -197,6 +184,20 @@
     }
 }
 
+/// A task that would have to run throttled only keeps room from others, unless no other task
+/// slows the service: then no place would be better.
+fn admits(policy: &SchedPolicy, forecast: &ServiceForecast) -> bool {
+    if forecast.added < HARMLESS_PERCENT {
+        return true;
+    }
+    let relief = f64::from(policy.relief_above_percent);
+    let floor = f64::from(policy.throttle_floor_percent) / 100.0;
+    let spare = relief - forecast.unexplained;
+    let level = spare / (forecast.caused + forecast.added);
+    let has_worker_alone = forecast.caused < relief * SMALL_PART;
+    level >= if has_worker_alone { floor } else { LEAST_LEVEL }
+}
+
 /// The speed that is lost, in percent, by a task that takes so many percent longer.
 fn lost_speed(slowdown_percent: f64) -> f64 {
     100.0 - 100.0 / (1.0 + slowdown_percent.max(0.0) / 100.0)
--- a/crates/sched/src/proposals/mod.rs
+++ b/crates/sched/src/proposals/mod.rs
@@ -52,6 +52,11 @@
         self.claims.is_empty()
     }
 
+    /// True while room is kept for a batch task.
+    pub(crate) fn has_batch(&self) -> bool {
+        self.claims.values().any(|claim| claim.priority == TaskPriority::Batch)
+    }
+
     pub(crate) fn get(&self, task: &TaskId) -> Option<&RoomClaim> {
         self.claims.get(task)
     }
--- a/crates/sched/src/quota/mod.rs
+++ b/crates/sched/src/quota/mod.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// What `team` would hold above its quota with `size` more.
+    pub(crate) fn excess(&self, team: &TeamName, size: &ResourceVector) -> ResourceVector {
+        let quota = self.quotas.get(team).map_or(ResourceVector::ZERO, |declared| declared.quota);
+        (self.holding(team) + *size).saturating_sub(&quota)
+    }
+
     /// True when `team` holds more than its quota.
     pub(crate) fn borrows(&self, team: &TeamName) -> bool {
         let quota = self.quotas.get(team).map_or(ResourceVector::ZERO, |declared| declared.quota);
--- a/crates/sched/src/relief/estimate.rs
+++ b/crates/sched/src/relief/estimate.rs
@@ -21,6 +21,8 @@
 #[derive(Debug)]
 pub(super) struct ServiceEstimate {
     pub(super) service: ServiceName,
+    /// The slowdown above which it is relieved, in percent.
+    pub(super) relief: f64,
     /// The slowdown that does not come from throttlable tasks, in percent.
     pub(super) fixed: f64,
     /// The slowdown that each task would cause without throttle, in percent.
@@ -33,6 +35,10 @@
     pub(super) fn slowdown(&self) -> f64 {
         self.fixed + self.caused
     }
+
+    fn severity(&self) -> f64 {
+        self.slowdown() / self.relief.max(1.0)
+    }
 }
 
 /// The services and batch tasks of one worker.
@@ -43,8 +49,9 @@
 }
 
 impl WorkerEstimate {
+    /// The service that exceeds what is tolerated most, or comes closest to it.
     pub(super) fn worst(&self) -> Option<&ServiceEstimate> {
-        self.services.iter().max_by(|a, b| a.slowdown().total_cmp(&b.slowdown()))
+        self.services.iter().max_by(|a, b| a.severity().total_cmp(&b.severity()))
     }
 
     pub(super) fn has_throttles(&self) -> bool {
@@ -56,17 +63,21 @@
     /// True when a worker's services suffer or its throttles might be eased. Costs far less than
     /// an estimate of every task.
     pub(super) fn needs_relief(&self, now: Duration, state: &WorkerState) -> bool {
-        let relief = f64::from(self.policy.relief_above_percent);
         let cpu = state.view.capacity.cpu;
         state.throttled > 0
             || state.services.iter().any(|service| {
                 let victim = PairVictim { class: service.class, level: service.level };
                 let others = state.shares.iter().filter(|share| share.class != service.class);
                 let parts = others.map(|share| (share.class, share.active_part(cpu)));
-                self.pairs.forecast(now, victim, parts).mean + service.unexplained(now) > relief
+                let caused = self.pairs.forecast(now, victim, parts).mean;
+                caused + service.unexplained(now) > self.relief_of(&service.service)
             })
     }
 
+    fn relief_of(&self, service: &ServiceName) -> f64 {
+        f64::from(self.policy_of(service).relief_above_percent)
+    }
+
     pub(super) fn estimate(&self, now: Duration, worker: &WorkerId) -> WorkerEstimate {
         let mut estimate = WorkerEstimate { tasks: Vec::new(), services: Vec::new() };
         let Some(state) = self.workers.get(worker) else {
@@ -97,6 +108,7 @@
                 effects.iter().zip(&estimate.tasks).map(|(effect, task)| effect * task.level);
             estimate.services.push(ServiceEstimate {
                 service: service.service.clone(),
+                relief: self.relief_of(&service.service),
                 fixed: self.pairs.forecast(now, victim, others).mean + service.unexplained(now),
                 caused: caused.sum(),
                 effects,
--- a/crates/sched/src/relief/mod.rs
+++ b/crates/sched/src/relief/mod.rs
@@ -72,10 +72,9 @@
             return false;
         }
         let estimate = self.estimate(now, worker);
-        let relief = f64::from(self.policy.relief_above_percent);
         match estimate.worst() {
             None => estimate.has_throttles() && self.ease(now, worker, &estimate, decisions),
-            Some(worst) if worst.slowdown() > relief => {
+            Some(worst) if worst.slowdown() > worst.relief => {
                 self.relieve_service(now, worker, &estimate, worst, decisions);
                 true
             }
@@ -189,8 +188,9 @@
             Some(expected) => expected.saturating_sub(ran).as_secs_f64() / patience,
             None => LONGEST_CREDIT,
         };
-        let gain =
-            self.policy.tail_latency_weight * excess.min(effect) * credit.min(LONGEST_CREDIT);
+        let gain = self.policy_of(&worst.service).tail_latency_weight
+            * excess.min(effect)
+            * credit.min(LONGEST_CREDIT);
         (gain > self.policy.eviction_weight).then(|| task.clone())
     }
 }
--- a/crates/sched/src/relief/throttle.rs
+++ b/crates/sched/src/relief/throttle.rs
@@ -36,7 +36,7 @@
         worst: &ServiceEstimate,
         decisions: &mut Vec<SchedDecision>,
     ) -> f64 {
-        let relief = f64::from(self.policy.relief_above_percent);
+        let relief = worst.relief;
         let floor = f64::from(self.policy.throttle_floor_percent) / 100.0;
         let mut excess = worst.slowdown() - relief * TARGET_PART;
         for index in by_effect(worst).into_iter().rev() {
@@ -66,13 +66,12 @@
         estimate: &WorkerEstimate,
         decisions: &mut Vec<SchedDecision>,
     ) -> bool {
-        let relief = f64::from(self.policy.relief_above_percent);
         let Some(state) = self.workers.get(worker) else {
             return false;
         };
         let rested = now.saturating_sub(state.throttled_at) >= EASE_PAUSE;
         let worst = estimate.worst();
-        let target = relief * TARGET_PART;
+        let target = worst.map_or(f64::MAX, |worst| worst.relief * TARGET_PART);
         let recovered = worst.is_none_or(|worst| worst.slowdown() < target * EASE_PART);
         if !(rested && recovered) {
             return true;
--- a/crates/sched/tests/support/mod.rs
+++ b/crates/sched/tests/support/mod.rs
@@ -119,6 +119,7 @@
     fn command(&mut self, words: &Words<'_>) -> Option<String> {
         match words.0[0] {
             "policy" => self.change_policy(words),
+            "service" => self.except_service(words),
             "quota" => self.set_quotas(words),
             "worker" => self.set_worker(words),
             "remove" => self.model.remove_worker(&words.0[1].parse().unwrap()),
@@ -146,6 +147,12 @@
         self.model.set_policy(self.policy.clone());
     }
 
+    fn except_service(&mut self, words: &Words<'_>) {
+        let relief_above_percent = words.count("relief", 25) as u32;
+        let policy = SchedPolicy { relief_above_percent, ..self.policy.clone() };
+        self.model.set_service_policies(vec![(words.0[1].parse().unwrap(), policy)]);
+    }
+
     /// `quota tanga:cpu=4:borrow moshi:cpu=8` replaces all quotas.
     fn set_quotas(&mut self, words: &Words<'_>) {
         let quotas = words.0[1..].iter().map(|word| {
