--- a/crates/sched/src/fleet/mod.rs
+++ b/crates/sched/src/fleet/mod.rs
@@ -26,11 +26,15 @@
     std::time::Duration,
 };
 
+/// How long the number of a service's workers is taken to stay the same.
+const HOST_COUNT_PERIOD: Duration = Duration::from_secs(1);
+
 /// Everything that placement decides from. The caller reports what is committed and what was
 /// measured; [`FleetModel::decide`] says what should be done.
 #[derive(Debug)]
 pub struct FleetModel {
     pub(crate) policy: SchedPolicy,
+    service_policies: IndexMap<ServiceName, SchedPolicy>,
     pub(crate) random: SeededRandom,
     pub(crate) classes: ClassIndexer,
     pub(crate) workers: WorkerBook,
@@ -49,6 +53,7 @@
     pub(crate) watched: IndexSet<WorkerId>,
     /// The number of workers on which each service runs.
     pub(crate) service_hosts: IndexMap<ServiceName, u32>,
+    count_hosts_at: Duration,
     /// The number of times that room has been freed.
     pub(crate) releases: u64,
     /// Tasks whose eviction has been proposed and not yet committed.
@@ -64,6 +69,7 @@
         Self {
             pairs: PairTable::new(policy.retry_pairing_after),
             policy,
+            service_policies: IndexMap::new(),
             random: SeededRandom::new(seed),
             classes: ClassIndexer::default(),
             workers: WorkerBook::default(),
@@ -79,6 +85,7 @@
             loads: LoadMeter::default(),
             watched: IndexSet::new(),
             service_hosts: IndexMap::new(),
+            count_hosts_at: Duration::ZERO,
             releases: 0,
             evicting: IndexSet::new(),
             returning: IndexMap::new(),
@@ -93,6 +100,18 @@
         self.queue.retry_all();
     }
 
+    /// Replaces the declared values that hold for single services instead of the fleet's: their
+    /// weight of tail latency and the slowdown above which they are relieved.
+    pub fn set_service_policies(&mut self, policies: Vec<(ServiceName, SchedPolicy)>) {
+        self.service_policies = policies.into_iter().collect();
+        self.queue.retry_all();
+    }
+
+    /// The declared values for a service.
+    pub(crate) fn policy_of(&self, service: &ServiceName) -> &SchedPolicy {
+        self.service_policies.get(service).unwrap_or(&self.policy)
+    }
+
     /// Replaces the quotas of all teams. A team without quota may use what others leave.
     pub fn set_quotas(&mut self, quotas: Vec<(TeamName, TeamQuota)>) {
         self.quotas.set_quotas(quotas);
@@ -211,14 +230,18 @@
         self.expire_proposals(now);
         self.expire_evictions(now);
         self.claims.expire(now);
-        self.count_service_hosts();
+        self.count_service_hosts(now);
         let mut decisions = self.relieve_workers(now);
         self.place_waiting(now, &mut decisions);
         decisions.extend(self.blame.take_decisions());
         decisions
     }
 
-    fn count_service_hosts(&mut self) {
+    fn count_service_hosts(&mut self, now: Duration) {
+        if now < self.count_hosts_at {
+            return;
+        }
+        self.count_hosts_at = now + HOST_COUNT_PERIOD;
         self.service_hosts.clear();
         for service in self.workers.iter().flat_map(|state| &state.services) {
             match self.service_hosts.get_mut(&service.service) {
--- a/crates/sched/src/placement/score.rs
+++ b/crates/sched/src/placement/score.rs
@@ -5,8 +5,8 @@
     crate::{
         classes::ClassIndex,
         fleet::FleetModel,
-        interface::TaskPriority,
-        interference::{ClassShare, LoadLevel, PairVictim},
+        interface::{SchedPolicy, TaskPriority},
+        interference::{LoadLevel, PairVictim},
         workers::WorkerState,
     },
     base::ServiceName,
@@ -68,7 +68,7 @@
         let hosts = self
             .workers
             .iter()
-            .filter(|state| !state.services.is_empty() && holds(&state.planned, class))
+            .filter(|state| !state.services.is_empty() && state.planned.holds(class))
             .count();
         hosts < (self.workers.len() / TRIAL_PART).max(1)
     }
@@ -83,10 +83,9 @@
     ) -> Option<PlacementScore> {
         let capacity = &state.view.capacity;
         let share = request.reserve.cpu.0 as f64 / capacity.cpu.0.max(1) as f64;
-        let (growth, worst) = self.service_growth(now, state, plan, share)?;
+        let (growth_cost, worst) = self.service_growth(now, state, plan, share)?;
         let loss = self.speed_loss(now, state, plan, share);
-        let mut cost =
-            self.policy.tail_latency_weight * growth + self.policy.throughput_weight * loss;
+        let mut cost = growth_cost + self.policy.throughput_weight * loss;
         if plan.is_batch && cost > plan.highest_cost {
             return None;
         }
@@ -98,7 +97,7 @@
         Some(PlacementScore { cost, service_slowdown_percent: worst })
     }
 
-    /// By how many percent the worker's services are predicted to slow down, in sum and at worst.
+    /// The points for the slowdown of the worker's services, and the worst one's in percent.
     fn service_growth(
         &self,
         now: Duration,
@@ -106,41 +105,31 @@
         plan: &ClassPlan,
         share: f64,
     ) -> Option<(f64, f64)> {
-        let (mut growth, mut worst) = (0.0, 0.0_f64);
+        let cpu = state.view.capacity.cpu;
+        let (mut cost, mut worst) = (0.0, 0.0_f64);
         for service in state.services.iter().filter(|service| service.class != plan.class) {
             if plan.is_batch && !self.is_tried(now, state, service.class, plan) {
                 return None;
             }
             let victim = PairVictim { class: service.class, level: service.level };
-            let others = neighbours(&state.planned, service.class);
-            let before = self.pairs.forecast(now, victim, others.clone());
-            let after = self.pairs.forecast(now, victim, others.chain([(plan.class, share)]));
+            let others = state.planned.iter().filter(|entry| entry.class != service.class);
+            let parts = others.map(|entry| (entry.class, entry.demand_part(cpu)));
+            let before = self.pairs.forecast(now, victim, parts);
+            let after = self.pairs.with_neighbour(now, victim, before, (plan.class, share));
             let forecast = ServiceForecast {
                 unexplained: service.unexplained(now),
                 caused: before.mean,
                 added: after.pessimistic() - before.pessimistic(),
             };
-            if plan.is_batch && !self.admits(&forecast) {
+            let policy = self.policy_of(&service.service);
+            if plan.is_batch && !admits(policy, &forecast) {
                 return None;
             }
-            growth += forecast.added / self.hosts_of(&service.service);
+            let felt = forecast.added / self.hosts_of(&service.service);
+            cost += policy.tail_latency_weight * felt;
             worst = worst.max(forecast.slowdown());
         }
-        Some((growth, worst))
-    }
-
-    /// A task that would have to run throttled only keeps room from others, unless no other task
-    /// slows the service: then no place would be better.
-    fn admits(&self, forecast: &ServiceForecast) -> bool {
-        if forecast.added < HARMLESS_PERCENT {
-            return true;
-        }
-        let relief = f64::from(self.policy.relief_above_percent);
-        let floor = f64::from(self.policy.throttle_floor_percent) / 100.0;
-        let spare = relief - forecast.unexplained;
-        let level = spare / (forecast.caused + forecast.added);
-        let has_worker_alone = forecast.caused < relief * SMALL_PART;
-        level >= if has_worker_alone { floor } else { LEAST_LEVEL }
+        Some((cost, worst))
     }
 
     /// The number of workers that share the service's requests: the slowdown of one of them is felt
@@ -157,16 +146,17 @@
         victim: ClassIndex,
         plan: &ClassPlan,
     ) -> bool {
-        let can_try = plan.may_try && !holds(&state.planned, plan.class);
+        let can_try = plan.may_try && !state.planned.holds(plan.class);
         can_try || self.pairs.forgets_all() || self.pairs.is_known(now, victim, plan.class)
     }
 
     /// The speed, in percent of one task, that the task and its neighbours are predicted to lose.
     fn speed_loss(&self, now: Duration, state: &WorkerState, plan: &ClassPlan, share: f64) -> f64 {
         let own = PairVictim { class: plan.class, level: LoadLevel::default() };
-        let all = state.planned.iter().map(|entry| (entry.class, entry.share));
+        let cpu = state.view.capacity.cpu;
+        let all = state.planned.iter().map(|entry| (entry.class, entry.active_part(cpu)));
         let mut loss = lost_speed(self.pairs.forecast(now, own, all).mean);
-        for entry in &state.planned {
+        for entry in state.planned.iter() {
             if state.services.iter().any(|service| service.class == entry.class) {
                 continue;
             }
@@ -194,15 +184,18 @@
     }
 }
 
-fn neighbours(
-    shares: &[ClassShare],
-    own: ClassIndex,
-) -> impl Iterator<Item = (ClassIndex, f64)> + Clone + '_ {
-    shares.iter().filter(move |entry| entry.class != own).map(|entry| (entry.class, entry.demand))
-}
-
-fn holds(shares: &[ClassShare], class: ClassIndex) -> bool {
-    shares.iter().any(|entry| entry.class == class)
+/// A task that would have to run throttled only keeps room from others, unless no other task
+/// slows the service: then no place would be better.
+fn admits(policy: &SchedPolicy, forecast: &ServiceForecast) -> bool {
+    if forecast.added < HARMLESS_PERCENT {
+        return true;
+    }
+    let relief = f64::from(policy.relief_above_percent);
+    let floor = f64::from(policy.throttle_floor_percent) / 100.0;
+    let spare = relief - forecast.unexplained;
+    let level = spare / (forecast.caused + forecast.added);
+    let has_worker_alone = forecast.caused < relief * SMALL_PART;
+    level >= if has_worker_alone { floor } else { LEAST_LEVEL }
 }
 
 /// The speed that is lost, in percent, by a task that takes so many percent longer.
