--- a/crates/sched/src/placement/preempt.rs
+++ b/crates/sched/src/placement/preempt.rs
@@ -32,8 +32,6 @@
     AnyBatch,
     /// Those of teams that hold more than their quota.
     Borrowed,
-    /// Those of the team itself, because its quota is used up.
-    SameTeam,
 }
 
 #[derive(Debug)]
@@ -54,9 +52,6 @@
         decisions: &mut Vec<SchedDecision>,
     ) {
         let task = &request.waiting.task;
-        if rule == VictimRule::SameTeam && request.waiting.priority == TaskPriority::Batch {
-            return;
-        }
         let nobody = rule == VictimRule::Borrowed && !self.quotas.has_borrowers();
         if nobody || budget.eviction_plans == 0 || self.claim_holds(request) {
             return;
@@ -85,7 +80,7 @@
                 VictimRule::Borrowed => {
                     ReliefReason::Reclaimed { by: request.waiting.team.clone() }
                 }
-                _ => ReliefReason::Preempted { by: task.clone() },
+                VictimRule::AnyBatch => ReliefReason::Preempted { by: task.clone() },
             };
             decisions.extend(self.evict(now, &victim, reason));
         }
@@ -167,7 +162,6 @@
             VictimRule::Borrowed => {
                 victim.team != request.waiting.team && self.quotas.borrows(&victim.team)
             }
-            VictimRule::SameTeam => victim.team == request.waiting.team,
         }
     }
 
@@ -189,8 +183,8 @@
         if state.services.is_empty() {
             return 0.0;
         }
-        let shares = victims.iter().filter_map(|victim| self.held.get(victim));
-        shares.map(|entry| entry.share(&state.view.capacity)).sum()
+        let entries = victims.iter().filter_map(|victim| self.held.get(victim));
+        entries.map(|entry| entry.weight().share.active_part(state.view.capacity.cpu)).sum()
     }
 
     /// Proposes to evict a task, unless that has just been proposed.
@@ -200,14 +194,10 @@
         task: &TaskId,
         reason: ReliefReason,
     ) -> Option<SchedDecision> {
-        let entry = self.held.get_mut(task)?;
-        if entry.is_leaving() {
-            return None;
-        }
-        entry.evict_again_at = Some(now + EVICTION_TIMEOUT);
+        let entry = self.held.get(task).filter(|entry| !entry.is_leaving())?;
+        let attempt = entry.task.attempt;
+        self.change_held(now, task, |entry| entry.evict_again_at = Some(now + EVICTION_TIMEOUT));
         self.evicting.insert(task.clone());
-        let (attempt, worker) = (entry.task.attempt, entry.task.worker.clone());
-        self.refresh(now, &worker);
         Some(SchedDecision::Evict { task: task.clone(), attempt, reason })
     }
 }
--- a/crates/sched/src/relief/mod.rs
+++ b/crates/sched/src/relief/mod.rs
@@ -16,6 +16,8 @@
 
 /// The largest number of relief decisions that one call makes.
 const RELIEF_PER_CALL: usize = 128;
+/// How often a worker is looked after while nothing changes on it.
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
 /// The longest time, in patiences, for which an eviction is credited with its relief.
 const LONGEST_CREDIT: f64 = 20.0;
 
@@ -28,10 +30,14 @@
                 self.watched.insert(worker);
                 continue;
             }
+            if self.workers.get(&worker).is_some_and(|state| now < state.look_at) {
+                self.watched.insert(worker);
+                continue;
+            }
             let before = decisions.len();
             let keep_watching = self.relieve_worker(now, &worker, &mut decisions);
             if keep_watching || decisions.len() > before {
-                self.watched.insert(worker);
+                self.watch_later(now, worker);
             } else {
                 self.watched.swap_remove(&worker);
             }
@@ -39,6 +45,13 @@
         decisions
     }
 
+    fn watch_later(&mut self, now: Duration, worker: WorkerId) {
+        if let Some(state) = self.workers.get_mut(&worker) {
+            state.look_at = now + LOOK_PERIOD;
+        }
+        self.watched.insert(worker);
+    }
+
     /// True when the worker has to be looked at again although nothing changes on it.
     fn relieve_worker(
         &mut self,
@@ -52,12 +65,16 @@
         if !state.view.accepting {
             return self.empty_worker(now, worker, decisions);
         }
+        let needs_relief = self.needs_relief(now, state);
         self.relieve_memory(now, worker, decisions);
+        if !needs_relief {
+            self.set_over_since(worker, None);
+            return false;
+        }
         let estimate = self.estimate(now, worker);
-        let relief = f64::from(self.policy.relief_above_percent);
         match estimate.worst() {
             None => estimate.has_throttles() && self.ease(now, worker, &estimate, decisions),
-            Some(worst) if worst.slowdown() > relief => {
+            Some(worst) if worst.slowdown() > worst.relief => {
                 self.relieve_service(now, worker, &estimate, worst, decisions);
                 true
             }
@@ -171,8 +188,9 @@
             Some(expected) => expected.saturating_sub(ran).as_secs_f64() / patience,
             None => LONGEST_CREDIT,
         };
-        let gain =
-            self.policy.tail_latency_weight * excess.min(effect) * credit.min(LONGEST_CREDIT);
+        let gain = self.policy_of(&worst.service).tail_latency_weight
+            * excess.min(effect)
+            * credit.min(LONGEST_CREDIT);
         (gain > self.policy.eviction_weight).then(|| task.clone())
     }
 }
