--- a/crates/control/tests/fleet/agent.rs
+++ b/crates/control/tests/fleet/agent.rs
@@ -49,6 +49,10 @@
     pub replicas: Vec<ReplicaId>,
     /// Does not stop what it is asked to stop, until its lease ends.
     pub stuck: bool,
+    /// Lets tasks run on when its lease has ended.
+    pub overstays: bool,
+    /// Confirms a stop and lets the task run on.
+    pub lies: bool,
     /// Fails whatever it starts.
     pub failing: bool,
     /// How long a start takes.
@@ -76,6 +80,8 @@
             target: replicas[0],
             replicas,
             stuck: false,
+            overstays: false,
+            lies: false,
             failing: false,
             start_delay: Duration::ZERO,
             sequence: 0,
@@ -127,7 +133,7 @@
     /// Lets time pass: starts come about, and the lease may end.
     pub fn pass(&mut self, now: Duration) -> Vec<AgentAction> {
         let mut actions = Vec::new();
-        if now >= self.lease_until {
+        if now >= self.lease_until && !self.overstays {
             for ((task, attempt), fake) in &mut self.attempts {
                 if fake.runs() {
                     actions.push(AgentAction::Stopped(task.clone(), *attempt, "lease ended"));
@@ -303,6 +309,9 @@
             Some(AttemptState::Running) => {
                 let checkpoint = checkpoint.then(|| CheckpointId::new(&name).expect("a name"));
                 fake.state = Some(AttemptState::Stopped { checkpoint });
+                if self.lies {
+                    return Vec::new();
+                }
                 vec![AgentAction::Stopped(id.0.clone(), id.1, "as told")]
             }
             Some(_) => Vec::new(),
--- a/crates/control/tests/fleet/mod.rs
+++ b/crates/control/tests/fleet/mod.rs
@@ -33,6 +33,7 @@
 
 pub const STEP: Duration = Duration::from_millis(50);
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(1000);
+const CLOCK_AHEAD: Duration = Duration::from_secs(30);
 const LEADER_HEARTBEAT: Duration = Duration::from_millis(200);
 
 /// A replica with its disk.
@@ -48,6 +49,19 @@
     halted: bool,
 }
 
+/// A deliberate fault beside the reducer, to show that the witness sees what it is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Breakage {
+    /// Agents let tasks run on when their lease has ended.
+    LeaseOverstayed,
+    /// Agents confirm a stop at once and let the task run on.
+    StopConfirmedEarly,
+    /// Disks report batches as synced that they forget.
+    DiskForgets,
+    /// The clock of whoever leads runs far ahead, so that no lease is waited for.
+    NoWaitForLeases,
+}
+
 /// How messages travel in a seeded schedule. Scenarios have a perfect network but for their cuts.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct NetworkFaults {
@@ -80,6 +94,7 @@
     /// Cut directions between places, which are replica ids and worker names as text.
     pub cuts: BTreeSet<(String, String)>,
     pub faults: NetworkFaults,
+    pub breakage: Option<Breakage>,
     pub witness: FleetWitness,
     pub lines: Vec<String>,
     pub snapshot_every: u64,
@@ -114,6 +129,7 @@
             agents: BTreeMap::new(),
             cuts: BTreeSet::new(),
             faults: NetworkFaults::default(),
+            breakage: None,
             witness: FleetWitness::default(),
             lines: Vec::new(),
             snapshot_every: 1_000_000,
@@ -357,7 +373,9 @@
         if replica.disk_full {
             return self.event(at, NodeEvent::PersistFailed { number });
         }
-        write_batch(&mut replica.disk, &batch);
+        if self.breakage != Some(Breakage::DiskForgets) {
+            write_batch(&mut replica.disk, &batch);
+        }
         self.event(at, NodeEvent::Persisted { number });
     }
 
@@ -384,6 +402,8 @@
         let now = self.now;
         let Some(replica) = self.replicas.get_mut(&at) else { return };
         let Some(node) = replica.node.as_mut().filter(|_| !replica.halted) else { return };
+        let ahead = self.breakage == Some(Breakage::NoWaitForLeases) && node.is_leader();
+        let now = if ahead { now + CLOCK_AHEAD } else { now };
         for effect in node.reduce(now, event) {
             self.perform(at, effect);
         }
--- a/crates/control/tests/fleet/schedule.rs
+++ b/crates/control/tests/fleet/schedule.rs
@@ -5,7 +5,7 @@
 use {
     super::{
         calls::{apply, claim, close, job, submit},
-        Fleet, NetworkFaults,
+        Breakage, Fleet, NetworkFaults,
     },
     base::{JobId, ReplicaId, SeededRandom, TaskId, WorkerId},
     control::node::{NodeReply, OperatorAnswer, OperatorCall},
@@ -44,8 +44,13 @@
 }
 
 /// Runs the schedule of a seed.
-pub fn run(seed: u64) -> ScheduleReport {
+pub fn run(seed: u64, breakage: Option<Breakage>) -> ScheduleReport {
     let mut schedule = Schedule::new(seed);
+    schedule.fleet.breakage = breakage;
+    for agent in schedule.fleet.agents.values_mut() {
+        agent.overstays = breakage == Some(Breakage::LeaseOverstayed);
+        agent.lies = breakage == Some(Breakage::StopConfirmedEarly);
+    }
     for _ in 0..STEPS {
         schedule.step();
         if !schedule.fleet.witness.violations.is_empty() {
@@ -233,9 +238,13 @@
         }
     }
 
+    /// Heals the cuts between replicas, and more seldom those of workers, which have to outlast a
+    /// lease now and then.
     fn heal(&mut self) {
-        self.note("heal".to_owned());
-        self.fleet.cuts.clear();
+        let all = self.random.chance(0.2);
+        self.note(format!("heal all={all}"));
+        let is_worker = |place: &String| place.starts_with('w');
+        self.fleet.cuts.retain(|(from, to)| !all && (is_worker(from) || is_worker(to)));
     }
 
     fn change_agent(&mut self) {
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -3,7 +3,14 @@
 
 mod fleet;
 
+use {
+    fleet::{schedule, Breakage},
+    rstest::rstest,
+};
+
 const ALWAYS: std::ops::Range<u64> = 0..60;
+/// Seeds within which a deliberate fault must be seen.
+const SEEDS_TO_FAIL: u64 = 40;
 
 fn seeds() -> std::ops::Range<u64> {
     let Ok(text) = std::env::var("SEEDS") else { return ALWAYS };
@@ -18,7 +25,7 @@
     let seeds = seeds();
     let count = seeds.clone().count();
     for seed in seeds {
-        let report = fleet::schedule::run(seed);
+        let report = schedule::run(seed, None);
         faults += report.faults;
         if !report.violations.is_empty() {
             println!("seed {seed}:\n{}", report.lines.join("\n"));
@@ -29,3 +36,20 @@
     println!("{count} schedules, {faults} faults, failed: {failed:?}");
     assert!(failed.is_empty(), "failed seeds: {failed:?}");
 }
+
+/// The checks can fail: each deliberate fault is seen, within a bounded number of seeds, as what it
+/// is.
+#[rstest]
+#[case::lease_overstayed(Breakage::LeaseOverstayed, " runs on ")]
+#[case::stop_confirmed_early(Breakage::StopConfirmedEarly, " runs on ")]
+#[case::disk_forgets(Breakage::DiskForgets, "")]
+#[case::no_wait_for_leases(Breakage::NoWaitForLeases, " runs on ")]
+fn a_deliberate_fault_is_seen(#[case] breakage: Breakage, #[case] seen: &str) {
+    let found = (0..SEEDS_TO_FAIL).find_map(|seed| {
+        let report = schedule::run(seed, Some(breakage));
+        let violation = report.violations.into_iter().find(|text| text.contains(seen));
+        violation.map(|violation| (seed, violation))
+    });
+    let (seed, violation) = found.expect("no seed shows the fault");
+    println!("{breakage:?}: seed {seed}: {violation}");
+}
