Script what the entry does when claims, agents and endpoints fail

The outcome rules were untested. Eight scenarios in fake time drive the reducer through lost claims, held keys, unheard agents, drains and moved leaders. They showed two faults, mended here: a decided claim was closed as if the ledger had not been heard, and ejection counted an endpoint that is leaving as one that still serves, which left a request with nowhere to go.

--- a/crates/entry/src/reducer/ledger.rs
+++ b/crates/entry/src/reducer/ledger.rs
@@ -120,6 +120,7 @@
             }
             return;
         }
+        self.claim_heard(number);
         match reply {
             _ if granted => self.granted(now, number, own.clone(), effects),
             ClaimReply::Held(holder) => self.ask_holder(now, number, holder, effects),
@@ -210,6 +211,15 @@
         }
     }
 
+    /// The ledger has decided, so that there is nothing to free that we don't know of.
+    fn claim_heard(&mut self, number: RequestNumber) {
+        if let Some(request) = self.open.get_mut(&number) {
+            if let RequestStage::Claiming(step) = &mut request.stage {
+                step.unheard = false;
+            }
+        }
+    }
+
     /// Makes again the calls that are due.
     pub(super) fn retry_calls(&mut self, now: Duration, effects: &mut Vec<EntryEffect>) {
         let due: Vec<_> = self
--- /dev/null
+++ b/crates/entry/tests/scenarios.rs
@@ -0,0 +1,13 @@
+//! The reducer of the entry, driven by the scripts under `scenarios/` in fake time.
+
+mod script;
+
+use script::EntryScript;
+
+#[test]
+fn scenarios() {
+    datadriven::walk("scenarios", |file| {
+        let mut script = EntryScript::new();
+        file.run(|case| script.run(case));
+    });
+}
--- a/crates/routing/src/pool/mod.rs
+++ b/crates/routing/src/pool/mod.rs
@@ -144,11 +144,13 @@
         }
     }
 
-    /// Notes a failure, and ejects the endpoint for a while when failures persist and most others
-    /// are not ejected.
+    /// Notes a failure, and ejects the endpoint for a while when failures persist. At most half of
+    /// the endpoints are ejected, and never the last that takes requests.
     pub fn failed(&mut self, now: Duration, endpoint: &EndpointId, random: &mut SeededRandom) {
-        let ejected = self.endpoints.values().filter(|state| state.is_ejected(now)).count();
-        let may_eject = (ejected + 1) * 2 <= self.endpoints.len();
+        let staying = self.endpoints.values().filter(|state| !state.is_leaving(now));
+        let (ejected, serving): (Vec<_>, Vec<_>) =
+            staying.filter(|state| state.id() != endpoint).partition(|state| state.is_ejected(now));
+        let may_eject = ejected.len() < serving.len();
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             state.failed(now, may_eject, random);
         }
