--- a/crates/routing/src/latency/mod.rs
+++ b/crates/routing/src/latency/mod.rs
@@ -9,12 +9,23 @@
 const LARGEST_MICROS: u64 = 600_000_000;
 const SIGNIFICANT_DIGITS: u8 = 2;
 
-/// Percentiles of the last one to two windows.
+/// How long a percentile that was read stands, since reading one walks the whole histogram.
+const READING: Duration = Duration::from_millis(100);
+
+/// One percentile of the last one to two windows, read anew ten times a second at most.
 #[derive(Debug, Clone)]
 pub struct LatencyWindow {
     current: Histogram<u32>,
     previous: Histogram<u32>,
     rotated_at: Duration,
+    readings: Vec<QuantileReading>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct QuantileReading {
+    share: f64,
+    at: Duration,
+    value: Option<Duration>,
 }
 
 impl LatencyWindow {
@@ -22,7 +33,12 @@
     pub fn new() -> Self {
         let empty = Histogram::new_with_max(LARGEST_MICROS, SIGNIFICANT_DIGITS)
             .expect("the bounds are valid for every histogram");
-        Self { current: empty.clone(), previous: empty, rotated_at: Duration::ZERO }
+        Self {
+            current: empty.clone(),
+            previous: empty,
+            rotated_at: Duration::ZERO,
+            readings: Vec::new(),
+        }
     }
 
     /// Counts an answer.
@@ -37,7 +53,21 @@
     }
 
     /// The latency below which `share` of the answers stay, when enough of them are known.
-    pub fn quantile(&self, share: f64) -> Option<Duration> {
+    pub fn quantile(&mut self, now: Duration, share: f64) -> Option<Duration> {
+        let known = self.readings.iter().position(|reading| reading.share == share);
+        if let Some(index) = known {
+            let reading = self.readings[index];
+            if now < reading.at + READING {
+                return reading.value;
+            }
+            self.readings.swap_remove(index);
+        }
+        let value = self.read(share);
+        self.readings.push(QuantileReading { share, at: now, value });
+        value
+    }
+
+    fn read(&self, share: f64) -> Option<Duration> {
         let known = [&self.previous, &self.current]
             .into_iter()
             .filter(|histogram| histogram.len() >= SAMPLES_NEEDED)
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -126,7 +126,7 @@
         let place = QueuePlace::new(request.priority, request.deadline, request.number);
         let ahead = self.queue.ahead_of(&place);
         let wait = self.waits.wait(now, ahead, self.pool.in_flight(), request.priority);
-        let needed = wait.saturating_add(self.time_needed());
+        let needed = wait.saturating_add(self.time_needed(now));
         if ahead > 0 && now.saturating_add(needed) > request.deadline {
             return vec![self.refuse_new(
                 request.number,
@@ -218,7 +218,7 @@
     fn assign(&mut self, now: Duration, steps: &mut Vec<RouterStep>) {
         let mut skipped = BTreeSet::new();
         while let Some(place) = self.queue.first_but(&skipped) {
-            if now.saturating_add(self.time_needed()) > place.deadline {
+            if now.saturating_add(self.time_needed(now)) > place.deadline {
                 let ended = self.end(place.number, NotRunReason::DeadlineUnreachable);
                 steps.extend(ended.map(RouterStep::End));
                 continue;
@@ -255,6 +255,7 @@
         hedge: bool,
     ) -> RouterStep {
         let id = endpoint.endpoint.clone();
+        let hedge_delay = self.latencies.quantile(now, self.policy.hedge_quantile());
         self.pool.begin(&id);
         self.flights.insert(number, Flight { endpoint: id.clone(), sent_at: now });
         let mut remaining = Duration::ZERO;
@@ -262,7 +263,7 @@
             tracked.note_tried(id);
             remaining = tracked.request.deadline.saturating_sub(now);
             let may_hedge = !hedge && tracked.request.rule.is_idempotent();
-            if let Some(delay) = self.latencies.quantile(self.policy.hedge_quantile()) {
+            if let Some(delay) = hedge_delay {
                 if may_hedge && self.policy.hedge_percent > 0 {
                     self.hedge_timers.set(now + delay, number);
                 }
@@ -272,8 +273,8 @@
     }
 
     /// The time that a request still needs once it has an endpoint.
-    fn time_needed(&self) -> Duration {
-        self.latencies.quantile(self.policy.needed_quantile()).unwrap_or(Duration::ZERO)
+    fn time_needed(&mut self, now: Duration) -> Duration {
+        self.latencies.quantile(now, self.policy.needed_quantile()).unwrap_or(Duration::ZERO)
     }
 
     fn requeue(&mut self, number: RequestNumber, ticket: RetryTicket) {
