Keep slots busy under overload, and refused retries out of the way

An endpoint without a slot is now left alone for 10 ms, doubling, until an answer of it tells anew how busy it is; retries that are not paid for wait in a queue of their own; distant endpoints keep one slot for their own data centre.

--- a/crates/routing/benches/routing/baseline.rs
+++ b/crates/routing/benches/routing/baseline.rs
@@ -70,9 +70,10 @@
     }
 
     fn send(&mut self, now: Duration, number: RequestNumber) -> Vec<VariantStep> {
-        let avoid = self.requests.get(&number).map(|r| r.last.clone()).filter(|_| {
-            self.requests.get(&number).is_some_and(|request| request.dispatches > 0)
-        });
+        let avoid =
+            self.requests.get(&number).map(|r| r.last.clone()).filter(|_| {
+                self.requests.get(&number).is_some_and(|request| request.dispatches > 0)
+            });
         let Some(endpoint) = self.choose(avoid.as_ref()) else {
             return self.end(number, VariantStep::Fail(number));
         };
--- a/crates/routing/benches/routing/desk.rs
+++ b/crates/routing/benches/routing/desk.rs
@@ -31,11 +31,7 @@
                 executors: &[3, 3, 3, 2],
                 far: Duration::from_micros(1000),
             },
-            Self {
-                name: "pen-pal desk",
-                executors: &[4, 4, 3],
-                far: Duration::from_micros(1500),
-            },
+            Self { name: "pen-pal desk", executors: &[4, 4, 3], far: Duration::from_micros(1500) },
         ]
     }
 
@@ -51,9 +47,17 @@
 pub enum Mishap {
     None,
     /// Every `period`, `count` executors chosen anew serve `factor` times slower for `length`.
-    Noise { period: Duration, length: Duration, count: usize, factor: f64 },
+    Noise {
+        period: Duration,
+        length: Duration,
+        count: usize,
+        factor: f64,
+    },
     /// The first `count` executors fall silent at a time.
-    Silent { at: Duration, count: usize },
+    Silent {
+        at: Duration,
+        count: usize,
+    },
 }
 
 /// One experiment.
--- a/crates/routing/benches/routing/simulation.rs
+++ b/crates/routing/benches/routing/simulation.rs
@@ -95,12 +95,7 @@
 }
 
 impl<'a> Simulation<'a> {
-    pub fn new(
-        desk: &'a Desk,
-        experiment: &'a Experiment,
-        kind: VariantKind,
-        seed: u64,
-    ) -> Self {
+    pub fn new(desk: &'a Desk, experiment: &'a Experiment, kind: VariantKind, seed: u64) -> Self {
         let mut executors = Vec::new();
         for (data_centre, count) in desk.executors.iter().enumerate() {
             for _ in 0..*count {
@@ -321,10 +316,8 @@
     }
 
     fn settle(&mut self, call: Call, end: CallEnd, in_use: u32) {
-        let dispatch = DispatchId {
-            request: RequestId::new("r").unwrap(),
-            number: call.flight.dispatch,
-        };
+        let dispatch =
+            DispatchId { request: RequestId::new("r").unwrap(), number: call.flight.dispatch };
         let load = EndpointLoad {
             in_use: SlotCount(in_use),
             slots: SlotCount(SLOTS),
--- a/crates/routing/src/admission/mod.rs
+++ b/crates/routing/src/admission/mod.rs
@@ -69,9 +69,9 @@
         self.places.iter()
     }
 
-    /// The first in order that is not among `skipped`.
-    pub fn first_but(&self, skipped: &BTreeSet<QueuePlace>) -> Option<QueuePlace> {
-        self.places.iter().find(|place| !skipped.contains(place)).copied()
+    /// The first in order.
+    pub fn first(&self) -> Option<QueuePlace> {
+        self.places.first().copied()
     }
 
     /// True while a request waits here.
--- a/crates/routing/src/budget/mod.rs
+++ b/crates/routing/src/budget/mod.rs
@@ -28,13 +28,15 @@
         self.tokens = (self.tokens + share).min(RESERVE);
     }
 
-    /// Takes a token when there is one. A bucket for zero percent never grants.
-    pub fn try_take(&mut self, now: Duration, percent: u32) -> bool {
-        if percent == 0 {
-            return false;
-        }
+    /// True when there is a token. A bucket for zero percent never has one.
+    pub fn has_token(&mut self, now: Duration, percent: u32) -> bool {
         self.trickle(now);
-        if self.tokens < 1.0 {
+        percent > 0 && self.tokens >= 1.0
+    }
+
+    /// Takes a token when there is one.
+    pub fn try_take(&mut self, now: Duration, percent: u32) -> bool {
+        if !self.has_token(now, percent) {
             return false;
         }
         self.tokens -= 1.0;
--- a/crates/routing/src/pool/endpoint.rs
+++ b/crates/routing/src/pool/endpoint.rs
@@ -14,6 +14,10 @@
 /// The time in which a high latency loses about two thirds of its worth, so that an endpoint that
 /// was slow is tried again.
 const LATENCY_MEMORY: Duration = Duration::from_secs(2);
+/// How long an endpoint that had no slot is left alone, unless it answers another request of ours
+/// before and so tells anew how busy it is. The pause doubles with each refusal in a row.
+const FIRST_REFUSAL_PAUSE: Duration = Duration::from_millis(10);
+const LONGEST_REFUSAL_PAUSE: Duration = Duration::from_millis(320);
 /// How long an endpoint's own word goes before the table's.
 const TABLE_LAG: Duration = Duration::from_secs(5);
 /// What is assumed of an endpoint that has not answered yet.
@@ -42,6 +46,8 @@
     limit: ConcurrencyLimit,
     health: EndpointHealth,
     left_at: Option<Duration>,
+    refused_until: Duration,
+    refusal_pause: Duration,
 }
 
 impl EndpointState {
@@ -56,6 +62,8 @@
             limit,
             health,
             left_at: None,
+            refused_until: Duration::ZERO,
+            refusal_pause: FIRST_REFUSAL_PAUSE,
         }
     }
 
@@ -112,16 +120,21 @@
         f64::from(self.in_flight) + others
     }
 
-    /// True when another request may be sent to it.
-    pub fn has_room(&self, now: Duration) -> bool {
-        if self.is_leaving(now) || self.health.is_ejected(now) {
+    /// True when it takes requests, as far as is known.
+    pub fn is_serving(&self, now: Duration) -> bool {
+        !self.is_leaving(now) && !self.health.is_ejected(now)
+    }
+
+    /// True when another request may be sent to it and `reserve` slots stay free.
+    pub fn has_room(&self, now: Duration, reserve: f64) -> bool {
+        if !self.is_serving(now) || now < self.refused_until {
             return false;
         }
         let slots = f64::from(self.record.slots.0);
         let Some(share) = self.health.share(now) else { return self.in_flight == 0 };
         let allowed = self.limit.value().min((slots * share).max(1.0));
         f64::from(self.in_flight) + 1.0 <= allowed.max(1.0) + ROUNDING
-            && self.estimated_in_use(now) + 1.0 <= slots + ROOM_TOLERANCE
+            && self.estimated_in_use(now) + 1.0 + reserve <= slots + ROOM_TOLERANCE
     }
 
     /// What a request sent here now is expected to cost, in seconds: latency, dearer the more
@@ -157,6 +170,8 @@
     pub(super) fn answered(&mut self, now: Duration, latency: Duration) {
         self.health.alive(now);
         self.limit.grow(self.in_flight);
+        self.refused_until = Duration::ZERO;
+        self.refusal_pause = FIRST_REFUSAL_PAUSE;
         let seconds = latency.as_secs_f64();
         let smoothed = match self.latency {
             Some(_) => {
@@ -171,6 +186,8 @@
     pub(super) fn refused(&mut self, now: Duration) {
         self.health.alive(now);
         self.limit.back_off(now);
+        self.refused_until = now + self.refusal_pause;
+        self.refusal_pause = (self.refusal_pause * 2).min(LONGEST_REFUSAL_PAUSE);
     }
 
     pub(super) fn left(&mut self, now: Duration) {
--- a/crates/routing/src/pool/limit.rs
+++ b/crates/routing/src/pool/limit.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 const SMALLEST: f64 = 1.0;
-const BACKOFF: f64 = 0.7;
+const BACKOFF: f64 = 0.9;
 /// What a full window of answers adds.
-const GROWTH: f64 = 0.5;
+const GROWTH: f64 = 1.0;
 /// Refusals within this time of a backoff tell nothing new.
 const BACKOFF_PAUSE: Duration = Duration::from_millis(20);
 
@@ -36,9 +36,10 @@
         self.value
     }
 
-    /// An answer came while `in_flight` requests were out. Only a limit that binds may grow.
+    /// An answer came, which leaves `in_flight` requests out. Only a limit that binds may grow: one
+    /// more than there were before the answer would have exceeded it.
     pub fn grow(&mut self, in_flight: u32) {
-        if f64::from(in_flight) + 1.0 < self.value {
+        if f64::from(in_flight) + 2.0 <= self.value {
             return;
         }
         self.value = (self.value + GROWTH / self.value).min(self.largest);
--- a/crates/routing/src/pool/mod.rs
+++ b/crates/routing/src/pool/mod.rs
@@ -17,6 +17,9 @@
 /// How much dearer than the nearest endpoint a distant one may look and still be left alone. Keeps
 /// traffic in its data centre until that is clearly worse.
 const HOME_ADVANTAGE: f64 = 1.5;
+/// Slots of a distant endpoint that are left to its own data centre, so that under load requests
+/// stay where their round trip is short.
+const GUEST_RESERVE: f64 = 1.0;
 /// How long after the first endpoint others count as known from the start.
 const FOUNDING_TIME: Duration = Duration::from_secs(2);
 /// Endpoints that are compared in each choice.
@@ -87,10 +90,16 @@
         random: &mut SeededRandom,
         avoid: &[EndpointId],
     ) -> Option<&EndpointState> {
+        let has_home =
+            self.endpoints.values().any(|state| state.is_home() && state.is_serving(now));
+        let reserve = if has_home { GUEST_RESERVE } else { 0.0 };
         let (home, away): (Vec<_>, Vec<_>) = self
             .endpoints
             .values()
-            .filter(|state| state.has_room(now) && !avoid.contains(state.id()))
+            .filter(|state| {
+                let reserve = if state.is_home() { 0.0 } else { reserve };
+                state.has_room(now, reserve) && !avoid.contains(state.id())
+            })
             .partition(|state| state.is_home());
         let home = cheapest_of_sample(now, random, home);
         let away = cheapest_of_sample(now, random, away);
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -13,14 +13,14 @@
 use {
     self::{
         hedge::HedgeTimers,
-        request::{Flight, RetryTicket, TrackedRequest},
+        request::{Flight, TrackedRequest},
         wait::WaitEstimator,
     },
     crate::{
         admission::{AdmissionQueue, PlaceOutcome, QueuePlace},
         budget::DispatchBudget,
         latency::LatencyWindow,
-        outcome::AttemptHistory,
+        outcome::{AttemptHistory, RetryPermit},
         pool::{EndpointPool, EndpointState},
     },
     base::{DataCentreName, EndpointId, SeededRandom},
@@ -41,6 +41,8 @@
     policy: RouterPolicy,
     pool: EndpointPool,
     queue: AdmissionQueue,
+    /// Retries for which the budget had nothing left.
+    unpaid: AdmissionQueue,
     requests: BTreeMap<RequestNumber, TrackedRequest>,
     flights: BTreeMap<FlightNumber, Flight>,
     deadlines: BTreeSet<(Duration, RequestNumber)>,
@@ -59,6 +61,7 @@
             policy,
             pool: EndpointPool::new(home),
             queue: AdmissionQueue::default(),
+            unpaid: AdmissionQueue::default(),
             requests: BTreeMap::new(),
             flights: BTreeMap::new(),
             deadlines: BTreeSet::new(),
@@ -93,7 +96,7 @@
 
     /// Requests that wait for an endpoint.
     pub fn waiting(&self) -> usize {
-        self.queue.len()
+        self.queue.len() + self.unpaid.len()
     }
 
     /// Requests whose callers have not been told anything yet.
@@ -163,7 +166,7 @@
 
     /// When [`ServiceRouter::pump`] is due if nothing happens before.
     pub fn next_wake(&self, now: Duration) -> Option<Duration> {
-        let queue = (!self.queue.is_empty()).then(|| now + QUEUE_WAKE);
+        let queue = (self.waiting() > 0).then(|| now + QUEUE_WAKE);
         let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
         [queue, deadline, self.hedge_timers.next()].into_iter().flatten().min()
     }
@@ -178,13 +181,17 @@
 
     /// Ends every request that waits and has not been dispatched.
     pub fn end_waiting(&mut self, reason: NotRunReason) -> Vec<EndedRequest> {
-        let waiting: Vec<_> = self.queue.places().map(|place| place.number).collect();
+        let places = self.queue.places().chain(self.unpaid.places());
+        let waiting: Vec<_> = places.map(|place| place.number).collect();
         waiting.into_iter().filter_map(|number| self.end(number, reason)).collect()
     }
 
     /// True while a request waits for an endpoint.
     pub fn is_waiting(&self, number: RequestNumber) -> bool {
-        self.requests.get(&number).is_some_and(|request| self.queue.contains(&request.place()))
+        self.requests.get(&number).is_some_and(|request| {
+            let place = request.place();
+            self.queue.contains(&place) || self.unpaid.contains(&place)
+        })
     }
 
     fn refuse_new(
@@ -200,6 +207,7 @@
     fn forget(&mut self, number: RequestNumber) -> Option<TrackedRequest> {
         let request = self.requests.remove(&number)?;
         self.queue.leave(&request.place());
+        self.unpaid.leave(&request.place());
         self.deadlines.remove(&(request.request.deadline, number));
         Some(request)
     }
@@ -216,37 +224,41 @@
     }
 
     fn assign(&mut self, now: Duration, steps: &mut Vec<RouterStep>) {
-        let mut skipped = BTreeSet::new();
-        while let Some(place) = self.queue.first_but(&skipped) {
+        while let Some(place) = self.next_place(now) {
             if now.saturating_add(self.time_needed(now)) > place.deadline {
                 let ended = self.end(place.number, NotRunReason::DeadlineUnreachable);
                 steps.extend(ended.map(RouterStep::End));
                 continue;
             }
-            let Some(request) = self.requests.get_mut(&place.number) else {
-                self.queue.leave(&place);
-                continue;
-            };
+            let Some(request) = self.requests.get_mut(&place.number) else { return };
             let Some(chosen) = choose(&self.pool, now, &mut self.random, &request.tried) else {
                 return;
             };
             let endpoint = chosen.record().clone();
-            let unpaid = matches!(&request.retry, Some(ticket) if !ticket.paid);
-            if unpaid && !self.retries.try_take(now, self.policy.retry_percent) {
-                skipped.insert(place);
-                continue;
+            self.queue.leave(&place);
+            if self.unpaid.leave(&place) {
+                self.retries.try_take(now, self.policy.retry_percent);
             }
             let number = match request.retry.take() {
-                Some(ticket) => Some(request.history.again(ticket.permit)),
+                Some(permit) => Some(request.history.again(permit)),
                 None => request.history.first(),
             };
-            self.queue.leave(&place);
             let Some(number) = number else { continue };
             let flight = FlightNumber { request: place.number, dispatch: number };
             steps.push(self.launch(now, flight, endpoint, false));
         }
     }
 
+    /// The waiting request whose turn it is. Retries that the budget has not been charged for yet
+    /// only have a turn when there is something to charge.
+    fn next_place(&mut self, now: Duration) -> Option<QueuePlace> {
+        let unpaid = match self.retries.has_token(now, self.policy.retry_percent) {
+            true => self.unpaid.first(),
+            false => None,
+        };
+        self.queue.first().into_iter().chain(unpaid).min()
+    }
+
     fn launch(
         &mut self,
         now: Duration,
@@ -277,10 +289,15 @@
         self.latencies.quantile(now, self.policy.needed_quantile()).unwrap_or(Duration::ZERO)
     }
 
-    fn requeue(&mut self, number: RequestNumber, ticket: RetryTicket) {
+    /// Lets a request wait for its next dispatch.
+    fn requeue(&mut self, now: Duration, number: RequestNumber, permit: RetryPermit) {
+        let paid = self.retries.try_take(now, self.policy.retry_percent);
         let Some(request) = self.requests.get_mut(&number) else { return };
-        request.retry = Some(ticket);
-        self.queue.rejoin(request.place());
+        request.retry = Some(permit);
+        match paid {
+            true => self.queue.rejoin(request.place()),
+            false => self.unpaid.rejoin(request.place()),
+        }
     }
 
     /// The outcome of a request that is given up now.
--- a/crates/routing/src/router/request.rs
+++ b/crates/routing/src/router/request.rs
@@ -123,19 +123,13 @@
     pub sent_at: Duration,
 }
 
-/// Grounds for the next dispatch, and whether the budget has been charged for it.
-#[derive(Debug)]
-pub(super) struct RetryTicket {
-    pub permit: RetryPermit,
-    pub paid: bool,
-}
-
 /// A request whose caller has not been told anything yet.
 #[derive(Debug)]
 pub(super) struct TrackedRequest {
     pub request: RouterRequest,
     pub history: AttemptHistory,
-    pub retry: Option<RetryTicket>,
+    /// Grounds for the next dispatch.
+    pub retry: Option<RetryPermit>,
     pub tried: Vec<EndpointId>,
 }
 
--- a/crates/routing/src/router/settle.rs
+++ b/crates/routing/src/router/settle.rs
@@ -1,10 +1,7 @@
 //! What follows from the end of a dispatch.
 
 use {
-    super::{
-        request::{Flight, RetryTicket},
-        Assignment, FlightNumber, RequestNumber, ServiceRouter, Settlement,
-    },
+    super::{request::Flight, Assignment, FlightNumber, RequestNumber, ServiceRouter, Settlement},
     crate::outcome::{DispatchEnd, NotRunProof},
     proto::messages::{EndpointLoad, NotRunReason, UnknownReason},
     std::time::Duration,
@@ -79,8 +76,7 @@
             return self.give_up(number, reason);
         }
         let permit = tracked.request.rule.retry_not_run(proof);
-        let paid = self.retries.try_take(now, self.policy.retry_percent);
-        self.requeue(number, RetryTicket { permit, paid });
+        self.requeue(now, number, permit);
         Settlement::Waiting
     }
 
@@ -98,11 +94,11 @@
         let Some(permit) = tracked.request.rule.retry_blind() else {
             return self.give_up(number, NotRunReason::DeadlinePassed);
         };
-        if now >= tracked.request.deadline || !self.retries.try_take(now, self.policy.retry_percent)
-        {
+        let in_time = now < tracked.request.deadline;
+        if !in_time || !self.retries.has_token(now, self.policy.retry_percent) {
             return self.give_up(number, NotRunReason::DeadlinePassed);
         }
-        self.requeue(number, RetryTicket { permit, paid: true });
+        self.requeue(now, number, permit);
         Settlement::Waiting
     }
 
