Leave silent endpoints alone, and know what others usually have in use

An endpoint that has been silent for four times the usual latency is ejected, and what it has and may be repeated goes elsewhere within the budget. What other entries have in use now fades to what is usual instead of to nothing, and an endpoint is steeply dearer when nearly full.

--- a/crates/routing/src/pool/endpoint.rs
+++ b/crates/routing/src/pool/endpoint.rs
@@ -9,8 +9,13 @@
 
 /// The weight of a new measurement of latency.
 const LATENCY_WEIGHT: f64 = 0.2;
-/// The time in which a report of other entries' requests loses about two thirds of its worth.
-const REPORT_MEMORY: Duration = Duration::from_millis(100);
+/// The time in which a report of other entries' requests loses about two thirds of its worth
+/// against what is usual.
+const REPORT_MEMORY: Duration = Duration::from_millis(50);
+/// The time in which what is usual loses about two thirds of its worth.
+const USUAL_MEMORY: Duration = Duration::from_millis(500);
+/// The least weight of a report in what is usual.
+const LEAST_REPORT_WEIGHT: f64 = 0.05;
 /// The time in which a high latency loses about two thirds of its worth, so that an endpoint that
 /// was slow is tried again.
 const LATENCY_MEMORY: Duration = Duration::from_secs(2);
@@ -20,13 +25,19 @@
 const LONGEST_REFUSAL_PAUSE: Duration = Duration::from_millis(320);
 /// How long an endpoint's own word goes before the table's.
 const TABLE_LAG: Duration = Duration::from_secs(5);
+/// How much dearer an endpoint is with all slots in use, and how steeply it gets there.
+const CROWDING: f64 = 2.0;
+const CROWDING_POWER: i32 = 3;
 /// What is assumed of an endpoint that has not answered yet.
 const UNKNOWN_LATENCY: Duration = Duration::from_millis(1);
 
 #[derive(Debug, Clone, Copy)]
 struct LoadReport {
     at: Duration,
+    /// What other entries had in use.
     others: f64,
+    /// What they had in use on the average of recent reports.
+    usual: f64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -48,6 +59,7 @@
     left_at: Option<Duration>,
     refused_until: Duration,
     refusal_pause: Duration,
+    heard_at: Duration,
 }
 
 impl EndpointState {
@@ -64,6 +76,7 @@
             left_at: None,
             refused_until: Duration::ZERO,
             refusal_pause: FIRST_REFUSAL_PAUSE,
+            heard_at: Duration::ZERO,
         }
     }
 
@@ -111,11 +124,13 @@
         self.record.draining || self.left_at.is_some_and(|at| now < at + TABLE_LAG)
     }
 
-    /// The slots that are probably in use: our own requests, and those that others had when the
-    /// endpoint last reported, which count less the older the report is.
+    /// The slots that are probably in use: our own requests, and those of others, which go from
+    /// what was last reported to what is usual as the report ages.
     pub fn estimated_in_use(&self, now: Duration) -> f64 {
         let others = self.report.map_or(0.0, |report| {
-            report.others * decay(now.saturating_sub(report.at), REPORT_MEMORY)
+            let age = now.saturating_sub(report.at);
+            let last = (report.others - report.usual) * decay(age, REPORT_MEMORY);
+            (report.usual + last) * decay(age, USUAL_MEMORY)
         });
         f64::from(self.in_flight) + others
     }
@@ -138,10 +153,11 @@
     }
 
     /// What a request sent here now is expected to cost, in seconds: latency, dearer the more
-    /// slots are in use.
+    /// slots are in use, and steeply so when nearly all are.
     pub fn cost(&self, now: Duration) -> f64 {
         let slots = f64::from(self.record.slots.0).max(1.0);
-        self.expected_latency(now) * (1.0 + self.estimated_in_use(now) / slots)
+        let share = self.estimated_in_use(now) / slots;
+        self.expected_latency(now) * (1.0 + CROWDING * share.powi(CROWDING_POWER))
     }
 
     fn expected_latency(&self, now: Duration) -> f64 {
@@ -159,9 +175,19 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
+    /// True when it has said nothing since `sent_at`.
+    pub(super) fn is_silent_since(&self, sent_at: Duration) -> bool {
+        self.heard_at <= sent_at
+    }
+
     pub(super) fn report(&mut self, now: Duration, load: EndpointLoad) {
-        let others = load.in_use.0.saturating_sub(self.in_flight);
-        self.report = Some(LoadReport { at: now, others: f64::from(others) });
+        self.heard_at = now;
+        let others = f64::from(load.in_use.0.saturating_sub(self.in_flight));
+        let usual = self.report.map_or(others, |report| {
+            let worth = 1.0 - decay(now.saturating_sub(report.at), USUAL_MEMORY);
+            report.usual + (others - report.usual) * worth.max(LEAST_REPORT_WEIGHT)
+        });
+        self.report = Some(LoadReport { at: now, others, usual });
         if load.draining {
             self.left_at = Some(now);
         }
@@ -194,6 +220,10 @@
         self.left_at = Some(now);
     }
 
+    pub(super) fn suspect(&mut self, now: Duration, may_eject: bool, random: &mut SeededRandom) {
+        self.health.suspect(now, may_eject, random);
+    }
+
     pub(super) fn failed(&mut self, now: Duration, may_eject: bool, random: &mut SeededRandom) {
         self.health.failed(now, may_eject, random);
     }
--- a/crates/routing/src/pool/health.rs
+++ b/crates/routing/src/pool/health.rs
@@ -81,9 +81,19 @@
             HealthState::Ejected { until } => now >= until,
             HealthState::Probation => true,
         };
-        if !persists {
-            return;
+        if persists {
+            self.leave_alone(now, may_eject, random);
+        }
+    }
+
+    /// It has said nothing for so long that it has probably failed.
+    pub fn suspect(&mut self, now: Duration, may_eject: bool, random: &mut SeededRandom) {
+        if matches!(self.state, HealthState::Serving { .. }) {
+            self.leave_alone(now, may_eject, random);
         }
+    }
+
+    fn leave_alone(&mut self, now: Duration, may_eject: bool, random: &mut SeededRandom) {
         if !may_eject {
             self.state = HealthState::Probation;
             return;
--- a/crates/routing/src/pool/limit.rs
+++ b/crates/routing/src/pool/limit.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 const SMALLEST: f64 = 1.0;
-const BACKOFF: f64 = 0.9;
+const BACKOFF: f64 = 0.8;
 /// What a full window of answers adds.
 const GROWTH: f64 = 1.0;
 /// Refusals within this time of a backoff tell nothing new.
--- a/crates/routing/src/pool/mod.rs
+++ b/crates/routing/src/pool/mod.rs
@@ -92,7 +92,7 @@
     ) -> Option<&EndpointState> {
         let has_home =
             self.endpoints.values().any(|state| state.is_home() && state.is_serving(now));
-        let reserve = if has_home { GUEST_RESERVE } else { 0.0 };
+        let reserve = if has_home { GUEST_RESERVE } else { GUEST_RESERVE / 2.0 };
         let (home, away): (Vec<_>, Vec<_>) = self
             .endpoints
             .values()
@@ -153,17 +153,39 @@
         }
     }
 
-    /// Notes a failure, and ejects the endpoint for a while when failures persist. At most half of
-    /// the endpoints are ejected, and never the last that takes requests.
+    /// Notes a failure, and ejects the endpoint for a while when failures persist.
     pub fn failed(&mut self, now: Duration, endpoint: &EndpointId, random: &mut SeededRandom) {
-        let staying = self.endpoints.values().filter(|state| !state.is_leaving(now));
-        let (ejected, serving): (Vec<_>, Vec<_>) =
-            staying.filter(|state| state.id() != endpoint).partition(|state| state.is_ejected(now));
-        let may_eject = ejected.len() < serving.len();
+        let may_eject = self.may_eject(now, endpoint);
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             state.failed(now, may_eject, random);
         }
     }
+
+    /// Ejects an endpoint that has said nothing since `sent_at`. True when it has been silent.
+    pub fn suspect(
+        &mut self,
+        now: Duration,
+        endpoint: &EndpointId,
+        sent_at: Duration,
+        random: &mut SeededRandom,
+    ) -> bool {
+        let may_eject = self.may_eject(now, endpoint);
+        match self.endpoints.get_mut(endpoint) {
+            Some(state) if state.is_silent_since(sent_at) => {
+                state.suspect(now, may_eject, random);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// At most half of the endpoints are ejected, and never the last that takes requests.
+    fn may_eject(&self, now: Duration, endpoint: &EndpointId) -> bool {
+        let staying = self.endpoints.values().filter(|state| !state.is_leaving(now));
+        let (ejected, serving): (Vec<_>, Vec<_>) =
+            staying.filter(|state| state.id() != endpoint).partition(|state| state.is_ejected(now));
+        ejected.len() < serving.len()
+    }
 }
 
 fn cheapest_of_sample<'a>(
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -3,6 +3,7 @@
 mod hedge;
 mod request;
 mod settle;
+mod suspicion;
 mod wait;
 
 pub use request::{
@@ -52,6 +53,7 @@
     latencies: LatencyWindow,
     waits: WaitEstimator,
     random: SeededRandom,
+    swept_at: Duration,
 }
 
 impl ServiceRouter {
@@ -71,6 +73,7 @@
             latencies: LatencyWindow::new(),
             waits: WaitEstimator::default(),
             random,
+            swept_at: Duration::ZERO,
         }
     }
 
@@ -159,6 +162,7 @@
     /// far as there is room.
     pub fn pump(&mut self, now: Duration) -> Vec<RouterStep> {
         let mut steps = self.expire(now);
+        self.suspect_silent(now);
         self.assign(now, &mut steps);
         self.send_hedges(now, &mut steps);
         steps
--- a/crates/routing/src/router/settle.rs
+++ b/crates/routing/src/router/settle.rs
@@ -69,7 +69,7 @@
         let Some(tracked) = self.requests.get_mut(&number) else { return Settlement::Stale };
         let reason = proof.reason();
         tracked.history.not_run(&proof);
-        if tracked.history.outstanding() > 0 {
+        if tracked.history.outstanding() > 0 || tracked.retry.is_some() {
             return Settlement::Waiting;
         }
         if !may_succeed_elsewhere(reason) {
@@ -88,7 +88,7 @@
     ) -> Settlement {
         let Some(tracked) = self.requests.get_mut(&number) else { return Settlement::Stale };
         tracked.history.unknown(reason);
-        if tracked.history.outstanding() > 0 {
+        if tracked.history.outstanding() > 0 || tracked.retry.is_some() {
             return Settlement::Waiting;
         }
         let Some(permit) = tracked.request.rule.retry_blind() else {
