--- /dev/null
+++ b/crates/sched/src/correction/mod.rs
@@ -0,0 +1,152 @@
+//! Declared sizes and run times, corrected by what was measured.
+
+mod amount;
+
+use {
+    crate::interface::{TaskPriority, WaitingTask},
+    amount::AmountEstimate,
+    base::{ByteSize, ClassName, CpuMillis, JobId, ResourceVector},
+    indexmap::IndexMap,
+    std::time::Duration,
+};
+
+/// What is reserved above the largest measured use of memory, in percent of it.
+const HEADROOM_PERCENT: u64 = 15;
+/// The samples of a job that a correction needs.
+const LEAST_SAMPLES: u32 = 3;
+/// The finished tasks of a job, or of its class, that a smaller reservation needs.
+const LEAST_FINISHED: u32 = 1;
+/// The finished tasks of a class that a correction of a new job needs.
+const LEAST_CLASS_FINISHED: u32 = 3;
+/// The number of jobs whose measurements are kept.
+const JOB_LIMIT: usize = 20_000;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct JobUse {
+    peak: ResourceVector,
+    samples: u32,
+    finished: u32,
+}
+
+/// What the finished tasks of a class used.
+#[derive(Debug, Clone, Copy, Default)]
+struct ClassUse {
+    cpu: AmountEstimate,
+    memory: AmountEstimate,
+    run_time: AmountEstimate,
+    finished: u32,
+}
+
+/// The measured use of jobs and classes.
+#[derive(Debug, Default)]
+pub(crate) struct CorrectionBook {
+    jobs: IndexMap<(ClassName, JobId), JobUse>,
+    classes: IndexMap<ClassName, ClassUse>,
+}
+
+impl CorrectionBook {
+    /// Learns what a task uses. The processors of a throttled task say nothing.
+    pub(crate) fn learn_use(&mut self, task: &WaitingTask, used: &ResourceVector, throttled: bool) {
+        let key = (task.class.clone(), task.task.job.clone());
+        if self.jobs.len() >= JOB_LIMIT && !self.jobs.contains_key(&key) {
+            self.jobs.shift_remove_index(0);
+        }
+        let entry = self.jobs.entry(key).or_default();
+        let cpu = if throttled { CpuMillis::ZERO } else { used.cpu };
+        entry.peak = entry.peak.max_each(&ResourceVector { cpu, ..*used });
+        entry.samples = entry.samples.saturating_add(1);
+    }
+
+    /// Learns that a task has finished after running for `ran`. `peak` is the most that it used.
+    pub(crate) fn learn_finish(
+        &mut self,
+        task: &WaitingTask,
+        peak: &ResourceVector,
+        ran: Option<Duration>,
+    ) {
+        let key = (task.class.clone(), task.task.job.clone());
+        if let Some(entry) = self.jobs.get_mut(&key) {
+            entry.finished = entry.finished.saturating_add(1);
+        }
+        let class = self.classes.entry(task.class.clone()).or_default();
+        class.finished = class.finished.saturating_add(1);
+        class.cpu.learn(peak.cpu.0 as f64, task.declared.cpu.0 as f64);
+        class.memory.learn(peak.memory.0 as f64, task.declared.memory.0 as f64);
+        if let (Some(ran), Some(declared)) = (ran, task.run_time) {
+            class.run_time.learn(ran.as_secs_f64(), declared.as_secs_f64());
+        }
+    }
+
+    /// How long a task is expected to run, from its declaration and its class.
+    pub(crate) fn run_time(&self, task: &WaitingTask) -> Option<Duration> {
+        let declared = task.run_time?;
+        let class = self.classes.get(&task.class);
+        let expected = class.and_then(|class| class.run_time.expected(declared.as_secs_f64()));
+        expected.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok()).or(Some(declared))
+    }
+
+    /// What to reserve for a task, never below what tasks of its job are known to use.
+    /// `ceiling` is the largest worker that could take it as declared.
+    pub(crate) fn reservation(
+        &self,
+        task: &WaitingTask,
+        ceiling: &ResourceVector,
+    ) -> ResourceVector {
+        let wanted = self.wanted(task);
+        let cpu = CpuMillis(wanted.cpu.0.min(ceiling.cpu.0).max(1));
+        let memory = ByteSize(wanted.memory.0.min(ceiling.memory.0));
+        ResourceVector { cpu, memory, accelerators: task.declared.accelerators }
+    }
+
+    fn wanted(&self, task: &WaitingTask) -> ResourceVector {
+        let key = (task.class.clone(), task.task.job.clone());
+        let class = self.classes.get(&task.class).copied().unwrap_or_default();
+        let may_shrink = task.priority == TaskPriority::Batch;
+        if let Some(job) = self.jobs.get(&key).filter(|job| job.samples >= LEAST_SAMPLES) {
+            let proven = job.finished >= LEAST_FINISHED || class.finished >= LEAST_CLASS_FINISHED;
+            let observed = with_headroom(&job.peak);
+            return if may_shrink && proven {
+                shrink_known(&task.declared, &observed)
+            } else {
+                task.declared.max_each(&observed)
+            };
+        }
+        if class.finished < LEAST_CLASS_FINISHED {
+            return task.declared;
+        }
+        let expected = expected_size(&class, &task.declared);
+        if may_shrink {
+            expected
+        } else {
+            task.declared.max_each(&expected)
+        }
+    }
+}
+
+/// Memory gets headroom; processors do not, for a task that uses all that it is given would
+/// otherwise be given more each time.
+fn with_headroom(used: &ResourceVector) -> ResourceVector {
+    ResourceVector {
+        cpu: used.cpu,
+        memory: ByteSize(used.memory.0 + used.memory.0 * HEADROOM_PERCENT / 100),
+        accelerators: used.accelerators,
+    }
+}
+
+/// What tasks of the class use, and the declaration where that can't be foreseen.
+fn expected_size(class: &ClassUse, declared: &ResourceVector) -> ResourceVector {
+    let cpu = class.cpu.expected(declared.cpu.0 as f64).map_or(declared.cpu.0, |cpu| cpu as u64);
+    let memory = class.memory.expected(declared.memory.0 as f64);
+    ResourceVector {
+        cpu: CpuMillis(cpu),
+        memory: ByteSize(memory.map_or(declared.memory.0, |memory| memory as u64)),
+        accelerators: declared.accelerators,
+    }
+}
+
+/// The observed size, but the declared amount of what was never seen in use.
+fn shrink_known(declared: &ResourceVector, observed: &ResourceVector) -> ResourceVector {
+    let cpu = if observed.cpu == CpuMillis::ZERO { declared.cpu } else { observed.cpu };
+    let memory = if observed.memory == ByteSize::ZERO { declared.memory } else { observed.memory };
+    ResourceVector { cpu, memory, accelerators: declared.accelerators }
+}
--- /dev/null
+++ b/crates/sched/src/fleet/reservations.rs
@@ -0,0 +1,213 @@
+//! Bookkeeping of reservations and proposals: every change goes through here, so that workers,
+//! quotas and spread always agree.
+
+use {
+    super::FleetModel,
+    crate::{
+        classes::ClassIndex,
+        held::HeldEntry,
+        interface::{HeldTask, TaskPriority},
+        interference::ClassShare,
+        proposals::{PlacementProposal, PROPOSAL_TIMEOUT},
+        queue::QueuedTask,
+    },
+    base::{AttemptNumber, ResourceVector, TaskId, WorkerId},
+    std::time::Duration,
+};
+
+impl FleetModel {
+    pub(super) fn reserve(&mut self, now: Duration, held: HeldTask) {
+        let id = held.waiting.task.clone();
+        let worker = held.worker.clone();
+        let known = self.held.get(&id).map(|entry| &entry.task);
+        if known.is_some_and(|known| known.attempt == held.attempt && known.worker == worker) {
+            self.replace(now, held);
+            return;
+        }
+        self.unreserve(now, &id);
+        let class = self.classes.index(&held.waiting.class);
+        self.quotas.add(&held.waiting.team, &held.reserved);
+        self.spread.add(&id, &held.waiting.spread, &worker);
+        self.note_service(now, &held, class);
+        let entry = HeldEntry::new(now, class, held);
+        if let Some(state) = self.workers.get_mut(&worker) {
+            state.tasks.insert(id.clone());
+            state.add_weight(&entry.weight());
+        }
+        self.held.insert(id, entry);
+        self.touch(now, &worker);
+    }
+
+    /// A reservation has changed, but not its place.
+    fn replace(&mut self, now: Duration, held: HeldTask) {
+        let id = held.waiting.task.clone();
+        if let Some(entry) = self.held.get(&id) {
+            self.quotas.subtract(&held.waiting.team, &entry.task.reserved);
+            self.quotas.add(&held.waiting.team, &held.reserved);
+        }
+        self.change_held(now, &id, |entry| entry.task = held);
+    }
+
+    fn note_service(&mut self, now: Duration, held: &HeldTask, class: ClassIndex) {
+        let waiting = &held.waiting;
+        let Some(state) = self.workers.get_mut(&held.worker) else {
+            return;
+        };
+        if let (TaskPriority::LatencyCritical, Some(service)) = (waiting.priority, &waiting.service)
+        {
+            state.service_mut(now, service, class);
+        }
+    }
+
+    /// Changes a reservation and the books of its worker with it.
+    pub(crate) fn change_held(
+        &mut self,
+        now: Duration,
+        task: &TaskId,
+        change: impl FnOnce(&mut HeldEntry),
+    ) {
+        let Some(entry) = self.held.get_mut(task) else {
+            return;
+        };
+        let before = entry.weight();
+        change(entry);
+        let after = entry.weight();
+        if before == after {
+            return;
+        }
+        let worker = entry.task.worker.clone();
+        if let Some(state) = self.workers.get_mut(&worker) {
+            state.subtract_weight(&before);
+            state.add_weight(&after);
+        }
+        self.touch(now, &worker);
+    }
+
+    /// Notes who shares a worker from now on, and has it looked after.
+    pub(crate) fn touch(&mut self, now: Duration, worker: &WorkerId) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.history.push(now, &state.shares);
+            state.look_at = now;
+        }
+        if !self.watched.contains(worker) {
+            self.watched.insert(worker.clone());
+        }
+    }
+
+    pub(super) fn unreserve(&mut self, now: Duration, task: &TaskId) {
+        let Some(entry) = self.held.swap_remove(task) else {
+            return;
+        };
+        self.releases += 1;
+        self.quotas.subtract(&entry.task.waiting.team, &entry.task.reserved);
+        self.spread.remove(task);
+        if let Some(state) = self.workers.get_mut(&entry.task.worker) {
+            state.tasks.swap_remove(task);
+            state.subtract_weight(&entry.weight());
+            state.throttled -= u32::from(entry.throttle < 100 && state.throttled > 0);
+        }
+        self.touch(now, &entry.task.worker);
+    }
+
+    /// Takes a task out of the queue and keeps room for it until its commit.
+    pub(crate) fn propose(&mut self, now: Duration, proposal: ProposedPlace) {
+        let ProposedPlace { queued, worker, reserve } = proposal;
+        let waiting = &queued.waiting;
+        let id = waiting.task.clone();
+        let class = self.classes.index(&waiting.class);
+        self.claims.remove(&id);
+        self.quotas.add(&waiting.team, &reserve);
+        self.spread.add(&id, &waiting.spread, &worker);
+        if let Some(state) = self.workers.get_mut(&worker) {
+            let share = ClassShare::of_task(class, reserve.cpu, 100);
+            state.add_proposal(id.clone(), &reserve, &share);
+        }
+        let expires = now + PROPOSAL_TIMEOUT;
+        self.proposals.insert(id, PlacementProposal { queued, worker, reserve, expires });
+    }
+
+    /// Forgets a proposal; its task is no longer known.
+    pub(super) fn drop_proposal(&mut self, task: &TaskId) -> Option<PlacementProposal> {
+        let proposal = self.proposals.swap_remove(task)?;
+        self.releases += 1;
+        self.quotas.subtract(&proposal.queued.waiting.team, &proposal.reserve);
+        self.spread.remove(task);
+        if let Some(state) = self.workers.get_mut(&proposal.worker) {
+            let class = self.classes.index(&proposal.queued.waiting.class);
+            let share = ClassShare::of_task(class, proposal.reserve.cpu, 100);
+            state.subtract_proposal(task, &proposal.reserve, &share);
+        }
+        Some(proposal)
+    }
+
+    pub(super) fn drop_proposals_on(&mut self, worker: &WorkerId) {
+        let tasks = self.workers.get(worker).map(|state| state.proposals.clone());
+        self.requeue(tasks.into_iter().flatten());
+    }
+
+    pub(super) fn expire_proposals(&mut self, now: Duration) {
+        let expired: Vec<TaskId> = self
+            .proposals
+            .iter()
+            .filter(|(_, proposal)| proposal.expires <= now)
+            .map(|(task, _)| task.clone())
+            .collect();
+        self.requeue(expired);
+    }
+
+    /// Lets evictions that were not committed in time be decided anew.
+    pub(super) fn expire_evictions(&mut self, now: Duration) {
+        for task in std::mem::take(&mut self.evicting) {
+            let pending = self.held.get(&task).filter(|entry| !entry.task.stopping);
+            let Some(again_at) = pending.and_then(|entry| entry.evict_again_at) else {
+                continue;
+            };
+            if now < again_at {
+                self.evicting.insert(task);
+                continue;
+            }
+            self.change_held(now, &task, |entry| entry.evict_again_at = None);
+        }
+    }
+
+    fn requeue(&mut self, tasks: impl IntoIterator<Item = TaskId>) {
+        for task in tasks {
+            if let Some(proposal) = self.drop_proposal(&task) {
+                self.queue.put(proposal.queued);
+            }
+        }
+    }
+
+    pub(crate) fn set_throttle(
+        &mut self,
+        now: Duration,
+        task: &TaskId,
+        attempt: AttemptNumber,
+        percent: u8,
+    ) {
+        let Some(entry) = self.held.get(task).filter(|entry| entry.task.attempt == attempt) else {
+            return;
+        };
+        let (was_full, is_full) = (entry.throttle == 100, percent >= 100);
+        if let Some(state) = self.workers.get_mut(&entry.task.worker) {
+            state.throttled_at = now;
+            match (was_full, is_full) {
+                (true, false) => state.throttled += 1,
+                (false, true) => state.throttled = state.throttled.saturating_sub(1),
+                _ => {}
+            }
+        }
+        self.change_held(now, task, |entry| {
+            entry.throttle = percent.clamp(1, 100);
+            entry.throttled_at = now;
+        });
+    }
+}
+
+/// A placement that is about to be proposed.
+#[derive(Debug)]
+pub(crate) struct ProposedPlace {
+    pub(crate) queued: QueuedTask,
+    pub(crate) worker: WorkerId,
+    pub(crate) reserve: ResourceVector,
+}
--- /dev/null
+++ b/crates/sched/src/relief/estimate.rs
@@ -0,0 +1,119 @@
+//! What the tasks of one worker are estimated to do to its services now.
+
+use {
+    crate::{
+        fleet::FleetModel, interface::TaskPriority, interference::PairVictim, workers::WorkerState,
+    },
+    base::{AttemptNumber, ServiceName, TaskId, WorkerId},
+    std::time::Duration,
+};
+
+/// A batch task that may be throttled.
+#[derive(Debug)]
+pub(super) struct BatchEstimate {
+    pub(super) task: TaskId,
+    pub(super) attempt: AttemptNumber,
+    /// The part of its reservation that it may use now, from 0 to 1.
+    pub(super) level: f64,
+}
+
+/// A service and what each batch task does to it.
+#[derive(Debug)]
+pub(super) struct ServiceEstimate {
+    pub(super) service: ServiceName,
+    /// The slowdown above which it is relieved, in percent.
+    pub(super) relief: f64,
+    /// The slowdown that does not come from throttlable tasks, in percent.
+    pub(super) fixed: f64,
+    /// The slowdown that each task would cause without throttle, in percent.
+    pub(super) effects: Vec<f64>,
+    /// The slowdown that the tasks cause at their present levels, in percent.
+    pub(super) caused: f64,
+}
+
+impl ServiceEstimate {
+    pub(super) fn slowdown(&self) -> f64 {
+        self.fixed + self.caused
+    }
+
+    fn severity(&self) -> f64 {
+        self.slowdown() / self.relief.max(1.0)
+    }
+}
+
+/// The services and batch tasks of one worker.
+#[derive(Debug)]
+pub(super) struct WorkerEstimate {
+    pub(super) tasks: Vec<BatchEstimate>,
+    pub(super) services: Vec<ServiceEstimate>,
+}
+
+impl WorkerEstimate {
+    /// The service that exceeds what is tolerated most, or comes closest to it.
+    pub(super) fn worst(&self) -> Option<&ServiceEstimate> {
+        self.services.iter().max_by(|a, b| a.severity().total_cmp(&b.severity()))
+    }
+
+    pub(super) fn has_throttles(&self) -> bool {
+        self.tasks.iter().any(|task| task.level < 1.0)
+    }
+}
+
+impl FleetModel {
+    /// True when a worker's services suffer or its throttles might be eased. Costs far less than
+    /// an estimate of every task.
+    pub(super) fn needs_relief(&self, now: Duration, state: &WorkerState) -> bool {
+        let cpu = state.view.capacity.cpu;
+        state.throttled > 0
+            || state.services.iter().any(|service| {
+                let victim = PairVictim { class: service.class, level: service.level };
+                let others = state.shares.iter().filter(|share| share.class != service.class);
+                let parts = others.map(|share| (share.class, share.active_part(cpu)));
+                let caused = self.pairs.forecast(now, victim, parts).mean;
+                caused + service.unexplained(now) > self.relief_of(&service.service)
+            })
+    }
+
+    fn relief_of(&self, service: &ServiceName) -> f64 {
+        f64::from(self.policy_of(service).relief_above_percent)
+    }
+
+    pub(super) fn estimate(&self, now: Duration, worker: &WorkerId) -> WorkerEstimate {
+        let mut estimate = WorkerEstimate { tasks: Vec::new(), services: Vec::new() };
+        let Some(state) = self.workers.get(worker) else {
+            return estimate;
+        };
+        let cpu = state.view.capacity.cpu;
+        let mut classes = Vec::new();
+        let mut fixed = Vec::new();
+        for entry in state.tasks.iter().filter_map(|task| self.held.get(task)) {
+            let waiting = &entry.task.waiting;
+            let level = f64::from(entry.throttle) / 100.0;
+            if waiting.priority != TaskPriority::Batch || entry.is_leaving() {
+                fixed.push((entry.class, entry.weight().share.active_part(cpu)));
+                continue;
+            }
+            classes.push((entry.class, entry.weight().share.demand_part(cpu)));
+            let (task, attempt) = (waiting.task.clone(), entry.task.attempt);
+            estimate.tasks.push(BatchEstimate { task, attempt, level });
+        }
+        for service in &state.services {
+            let victim = PairVictim { class: service.class, level: service.level };
+            let others = fixed.iter().copied().filter(|(class, _)| *class != service.class);
+            let effects: Vec<f64> = classes
+                .iter()
+                .map(|(class, share)| share * self.pairs.unit_effect(now, victim, *class))
+                .collect();
+            let caused =
+                effects.iter().zip(&estimate.tasks).map(|(effect, task)| effect * task.level);
+            estimate.services.push(ServiceEstimate {
+                service: service.service.clone(),
+                relief: self.relief_of(&service.service),
+                fixed: self.pairs.forecast(now, victim, others).mean + service.unexplained(now),
+                caused: caused.sum(),
+                effects,
+            });
+        }
+        estimate
+    }
+}
