Do not call a request "not run" whose key is running

An agent that runs a key under another dispatch refuses the second one. The caller was told "not run" and the key was freed, as if the whole key had not run.

--- a/crates/entry/src/problem/mod.rs
+++ b/crates/entry/src/problem/mod.rs
@@ -46,6 +46,9 @@
     pub fn of_ended(ended: &EndedRequest) -> Option<Self> {
         match ended.outcome {
             RequestOutcome::Answered(_) => None,
+            RequestOutcome::NotRun(verdict) if verdict.reason() == NotRunReason::KeyInProgress => {
+                Some(Self::in_progress())
+            }
             RequestOutcome::NotRun(verdict) => Some(Self::not_run(verdict, ended.retry_after)),
             RequestOutcome::Unknown(reason) => Some(Self::unknown(reason)),
         }
--- a/crates/entry/src/reducer/close.rs
+++ b/crates/entry/src/reducer/close.rs
@@ -56,7 +56,8 @@
 }
 
 impl EntryReducer {
-    /// Closes the claim of a dispatch that has ended, unless the request goes on under it.
+    /// Closes the claim of a dispatch that has ended. One that did not run is left to the request,
+    /// which goes on under the claim or frees it when it ends.
     pub(super) fn close_after(
         &mut self,
         now: Duration,
@@ -66,8 +67,8 @@
         effects: &mut Vec<EntryEffect>,
     ) {
         let Some(end) = end else { return };
-        let moves_on = matches!(settlement, Settlement::Waiting);
-        if moves_on && end == ClaimEnd::NotRun {
+        let is_stale = matches!(settlement, Settlement::Stale);
+        if end == ClaimEnd::NotRun && !is_stale {
             return;
         }
         let (key, dispatch) = (sent.fence_key.clone(), sent.target.dispatch.clone());
--- a/crates/entry/src/reducer/mod.rs
+++ b/crates/entry/src/reducer/mod.rs
@@ -361,9 +361,11 @@
     /// known to be right.
     fn ended(&mut self, now: Duration, ended: EndedRequest, effects: &mut Vec<EntryEffect>) {
         let Some(request) = self.open.remove(&ended.number) else { return };
-        let not_run = matches!(ended.outcome, RequestOutcome::NotRun(_));
-        if not_run {
-            self.free_key(now, &request, effects);
+        match ended.outcome {
+            RequestOutcome::NotRun(verdict) if verdict.reason() != NotRunReason::KeyInProgress => {
+                self.free_key(now, &request, effects);
+            }
+            _ => {}
         }
         let Some(problem) = ProblemReport::of_ended(&ended) else { return };
         self.tell_problem(ended.number, problem, effects);
--- a/crates/entry/tests/script/mod.rs
+++ b/crates/entry/tests/script/mod.rs
@@ -210,6 +210,7 @@
                 DispatchOutcome::Answered(answer())
             }
             "no-slot" => DispatchOutcome::NotRun(NotRunReason::NoSlot),
+            "key-in-progress" => DispatchOutcome::NotRun(NotRunReason::KeyInProgress),
             "draining" => DispatchOutcome::NotRun(NotRunReason::Draining),
             "other-incarnation" => DispatchOutcome::NotRun(NotRunReason::OtherIncarnation),
             "executor-lost" => DispatchOutcome::Unknown(UnknownReason::ExecutorLost),
