--- a/crates/routing/src/pool/mod.rs
+++ b/crates/routing/src/pool/mod.rs
@@ -17,6 +17,9 @@
 /// How much dearer than the nearest endpoint a distant one may look and still be left alone. Keeps
 /// traffic in its data centre until that is clearly worse.
 const HOME_ADVANTAGE: f64 = 1.5;
+/// Slots of a distant endpoint that are left to its own data centre, so that under load requests
+/// stay where their round trip is short.
+const GUEST_RESERVE: f64 = 1.0;
 /// How long after the first endpoint others count as known from the start.
 const FOUNDING_TIME: Duration = Duration::from_secs(2);
 /// Endpoints that are compared in each choice.
@@ -87,10 +90,16 @@
         random: &mut SeededRandom,
         avoid: &[EndpointId],
     ) -> Option<&EndpointState> {
+        let has_home =
+            self.endpoints.values().any(|state| state.is_home() && state.is_serving(now));
+        let reserve = if has_home { GUEST_RESERVE } else { GUEST_RESERVE / 2.0 };
         let (home, away): (Vec<_>, Vec<_>) = self
             .endpoints
             .values()
-            .filter(|state| state.has_room(now) && !avoid.contains(state.id()))
+            .filter(|state| {
+                let reserve = if state.is_home() { 0.0 } else { reserve };
+                state.has_room(now, reserve) && !avoid.contains(state.id())
+            })
             .partition(|state| state.is_home());
         let home = cheapest_of_sample(now, random, home);
         let away = cheapest_of_sample(now, random, away);
@@ -144,15 +153,39 @@
         }
     }
 
-    /// Notes a failure, and ejects the endpoint for a while when failures persist and most others
-    /// are not ejected.
+    /// Notes a failure, and ejects the endpoint for a while when failures persist.
     pub fn failed(&mut self, now: Duration, endpoint: &EndpointId, random: &mut SeededRandom) {
-        let ejected = self.endpoints.values().filter(|state| state.is_ejected(now)).count();
-        let may_eject = (ejected + 1) * 2 <= self.endpoints.len();
+        let may_eject = self.may_eject(now, endpoint);
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             state.failed(now, may_eject, random);
         }
     }
+
+    /// Ejects an endpoint that has said nothing since `sent_at`. True when it has been silent.
+    pub fn suspect(
+        &mut self,
+        now: Duration,
+        endpoint: &EndpointId,
+        sent_at: Duration,
+        random: &mut SeededRandom,
+    ) -> bool {
+        let may_eject = self.may_eject(now, endpoint);
+        match self.endpoints.get_mut(endpoint) {
+            Some(state) if state.is_silent_since(sent_at) => {
+                state.suspect(now, may_eject, random);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// At most half of the endpoints are ejected, and never the last that takes requests.
+    fn may_eject(&self, now: Duration, endpoint: &EndpointId) -> bool {
+        let staying = self.endpoints.values().filter(|state| !state.is_leaving(now));
+        let (ejected, serving): (Vec<_>, Vec<_>) =
+            staying.filter(|state| state.id() != endpoint).partition(|state| state.is_ejected(now));
+        ejected.len() < serving.len()
+    }
 }
 
 fn cheapest_of_sample<'a>(
