--- a/crates/sched/benches/experiments/main.rs
+++ b/crates/sched/benches/experiments/main.rs
@@ -66,6 +66,7 @@
     let late = |lag| Experiment { report_lag: lag, ..make("", BASE_LOAD, waves, vec![]) };
     vec![
         make("noisy waves", BASE_LOAD, waves, vec![]),
+        Experiment { name: "no batch work", jobs: Vec::new(), ..late(5.0) },
         Experiment { name: "interference of half the strength", strength: 0.5, ..late(5.0) },
         Experiment { name: "interference of twice the strength", strength: 2.0, ..late(5.0) },
         make("merger: twice the load", 0.3, merger, vec![Mishap::Merger { at: 600.0 }]),
--- a/crates/sched/src/placement/score.rs
+++ b/crates/sched/src/placement/score.rs
@@ -10,7 +10,7 @@
         workers::WorkerState,
     },
     base::ServiceName,
-    std::time::Duration,
+    std::{cell::OnceCell, time::Duration},
 };
 
 /// The speed that a waiting batch task loses, in percent.
@@ -45,7 +45,7 @@
     is_batch: bool,
     highest_cost: f64,
     /// True when the class runs on so few workers that it may be tried on another.
-    may_try: bool,
+    may_try: OnceCell<bool>,
 }
 
 impl FleetModel {
@@ -57,14 +57,11 @@
             class,
             is_batch: request.waiting.priority == TaskPriority::Batch,
             highest_cost: worth * (1.0 + waited),
-            may_try: self.may_try(class),
+            may_try: OnceCell::new(),
         }
     }
 
     fn may_try(&self, class: ClassIndex) -> bool {
-        if self.pairs.forgets_all() {
-            return true;
-        }
         let hosts = self
             .workers
             .iter()
@@ -146,8 +143,11 @@
         victim: ClassIndex,
         plan: &ClassPlan,
     ) -> bool {
-        let can_try = plan.may_try && !state.planned.holds(plan.class);
-        can_try || self.pairs.forgets_all() || self.pairs.is_known(now, victim, plan.class)
+        if self.pairs.forgets_all() || self.pairs.is_known(now, victim, plan.class) {
+            return true;
+        }
+        let may_try = *plan.may_try.get_or_init(|| self.may_try(plan.class));
+        may_try && !state.planned.holds(plan.class)
     }
 
     /// The speed, in percent of one task, that the task and its neighbours are predicted to lose.
