Quarantine at most a third of the workers, and give small fleets as many tries

Cause: when something that all tasks need fails, worker after worker would have been quarantined until nothing ran; and on a fleet of one worker the first failure parked a job. Change: no quarantine beyond a third of the workers; a job is parked only after job_workers failures, and may return to a worker on which it failed when it has failed on all.

--- a/crates/sched/src/blame/job.rs
+++ b/crates/sched/src/blame/job.rs
@@ -55,6 +55,14 @@
         self.workers.contains(worker)
     }
 
+    pub(super) fn failed_workers(&self) -> usize {
+        self.workers.len()
+    }
+
+    pub(super) fn strikes(&self) -> u32 {
+        self.strikes
+    }
+
     /// The number of distinct workers on which the job, or one of its tasks, failed.
     pub(super) fn workers(&self) -> u32 {
         let most = self.tasks.values().map(IndexSet::len).max().unwrap_or(0);
--- a/crates/sched/src/blame/mod.rs
+++ b/crates/sched/src/blame/mod.rs
@@ -17,6 +17,8 @@
 const FIRST_PAUSE: Duration = Duration::from_secs(1);
 /// The longest rest after a failure.
 const LONGEST_PAUSE: Duration = Duration::from_secs(60);
+/// The part of all workers that may be in quarantine at once.
+const QUARANTINED_PART: usize = 3;
 /// How long a parked job with waiting tasks goes unmentioned at first. Doubles each time.
 const FIRST_REPEAT: Duration = Duration::from_secs(10);
 
@@ -87,14 +89,24 @@
         }
         job.fail(now, attempt);
         worker.fail(now, &attempt.task.job);
+        let distinct = job.workers();
         let enough = policy.job_workers.min(workers as u32).max(1);
-        if worker.failed_jobs() >= policy.worker_jobs.max(1) {
+        let is_hopeless = distinct >= enough && job.strikes() >= policy.job_workers;
+        let is_broken = worker.failed_jobs() >= policy.worker_jobs.max(1);
+        if is_broken && self.may_quarantine(workers) {
             self.quarantine(now, attempt.worker);
-        } else if job.workers() >= enough {
-            self.park(now, &attempt.task.job, ParkReason::FailedEverywhere { workers: enough });
+        } else if is_hopeless {
+            self.park(now, &attempt.task.job, ParkReason::FailedEverywhere { workers: distinct });
         }
     }
 
+    /// When jobs fail on most workers, something that all workers need has failed, and taking them
+    /// away one by one would only stop everything.
+    fn may_quarantine(&self, workers: usize) -> bool {
+        let quarantined = self.workers.values().filter(|worker| worker.is_quarantined()).count();
+        quarantined < (workers / QUARANTINED_PART).max(1)
+    }
+
     /// Learns that the agent or platform refused a task.
     pub(crate) fn refused(&mut self, now: Duration, worker: &WorkerId) {
         self.workers.entry(worker.clone()).or_default().refuse(now);
@@ -164,9 +176,11 @@
         self.jobs.contains_key(job)
     }
 
-    /// True when the job has failed on the worker.
-    pub(crate) fn has_failed_on(&self, job: &JobId, worker: &WorkerId) -> bool {
-        self.jobs.get(job).is_some_and(|blame| blame.failed_on(worker))
+    /// True when the job has failed on the worker, and there are others among `workers` on which
+    /// it has not.
+    pub(crate) fn avoids(&self, job: &JobId, worker: &WorkerId, workers: usize) -> bool {
+        let blame = self.jobs.get(job);
+        blame.is_some_and(|blame| blame.failed_on(worker) && blame.failed_workers() < workers)
     }
 
     /// What a worker may be given now.
--- a/crates/sched/src/fleet/mod.rs
+++ b/crates/sched/src/fleet/mod.rs
@@ -204,7 +204,7 @@
                 self.blame.finished(record);
             }
             AttemptEnd::Failed => {
-                let workers = self.workers.accepting().count();
+                let workers = self.workers.accepting_count();
                 self.blame.failed(now, record, &self.policy, workers);
             }
             AttemptEnd::Refused => self.blame.refused(now, worker),
--- a/crates/sched/src/placement/fit.rs
+++ b/crates/sched/src/placement/fit.rs
@@ -148,7 +148,7 @@
             return Some(WorkerStanding::Trusted);
         }
         let worker = &state.view.worker;
-        if self.blame.has_failed_on(&waiting.task.job, worker) {
+        if self.blame.avoids(&waiting.task.job, worker, self.workers.accepting_count()) {
             return None;
         }
         match self.blame.standing(now, worker, &self.policy) {
--- a/crates/sched/src/workers/mod.rs
+++ b/crates/sched/src/workers/mod.rs
@@ -191,6 +191,7 @@
     workers: IndexMap<WorkerId, WorkerState>,
     retired: IndexMap<WorkerId, RetiredWorker>,
     capacity: ResourceVector,
+    accepting: usize,
     /// The sizes that occur, with their data centres, of present workers and of those that may
     /// come back.
     sizes: IndexSet<(DataCentreName, ResourceVector)>,
@@ -219,6 +220,7 @@
     }
 
     fn measure(&mut self) {
+        self.accepting = self.accepting().count();
         self.capacity = self.accepting().map(|state| state.view.capacity).sum();
         let present = self.workers.values().map(|state| &state.view);
         let retired = self.retired.values().map(|retired| &retired.view);
@@ -226,6 +228,11 @@
         self.sizes = sizes.map(|view| (view.data_centre.clone(), view.capacity)).collect();
     }
 
+    /// The number of workers that take tasks.
+    pub(crate) fn accepting_count(&self) -> usize {
+        self.accepting
+    }
+
     /// What all accepting workers offer together.
     pub(crate) fn capacity(&self) -> &ResourceVector {
         &self.capacity
