Model a dispatch as one connection, and demand more at rest

Traces showed two causes, both in the model.

Change: dispatches and fences reach only the life they were sent to; at rest ten fresh reads are sent and eight must be answered, which is stricter than one of four. TRACE=1 prints what travels.

Ruled out: that the entry retries without proof: the traces show the refusal in hand each time.

--- a/crates/testkit/tests/whole_system/callers.rs
+++ b/crates/testkit/tests/whole_system/callers.rs
@@ -39,25 +39,37 @@
                 self.keyed.remove(0);
             }
         }
-        let text = format!("operation {number}");
-        let method = if idempotent { "GET" } else { "POST" };
-        let mut fingerprint = [0; 16];
-        fingerprint[..8].copy_from_slice(&number.to_le_bytes());
-        let head = RequestHead {
-            services: vec![SERVICE.parse().expect("a name")],
-            method: method.to_owned(),
-            key: keyed.then(|| format!("key {number}")),
-            fingerprint: RequestFingerprint(fingerprint),
-            deadline: Some(Duration::from_millis(500 + world.random.below(2500) as u64)),
-            body: ByteSize(text.len() as u64),
-        };
-        let request = ForwardedRequest {
-            method: method.to_owned(),
-            target: "/".to_owned(),
-            headers: Vec::new(),
-            body: text.clone().into_bytes().into(),
-        };
-        let entry = 1 + world.random.below(ENTRIES.into()) as u16;
-        world.ask(entry, Operation { text, idempotent }, head, request);
+        let deadline = Duration::from_millis(500 + world.random.below(2500) as u64);
+        ask(world, number, keyed, idempotent, deadline);
+    }
+
+    /// Sends one request that may be repeated and has time.
+    pub fn read(&mut self, world: &mut World) {
+        const DEADLINE: Duration = Duration::from_secs(3);
+        self.last += 1;
+        ask(world, self.last, false, true, DEADLINE);
     }
 }
+
+fn ask(world: &mut World, number: u64, keyed: bool, idempotent: bool, deadline: Duration) {
+    let text = format!("operation {number}");
+    let method = if idempotent { "GET" } else { "POST" };
+    let mut fingerprint = [0; 16];
+    fingerprint[..8].copy_from_slice(&number.to_le_bytes());
+    let head = RequestHead {
+        services: vec![SERVICE.parse().expect("a name")],
+        method: method.to_owned(),
+        key: keyed.then(|| format!("key {number}")),
+        fingerprint: RequestFingerprint(fingerprint),
+        deadline: Some(deadline),
+        body: ByteSize(text.len() as u64),
+    };
+    let request = ForwardedRequest {
+        method: method.to_owned(),
+        target: "/".to_owned(),
+        headers: Vec::new(),
+        body: text.clone().into_bytes().into(),
+    };
+    let entry = 1 + world.random.below(ENTRIES.into()) as u16;
+    world.ask(entry, Operation { text, idempotent }, head, request);
+}
--- a/crates/testkit/tests/whole_system/network.rs
+++ b/crates/testkit/tests/whole_system/network.rs
@@ -64,7 +64,7 @@
 #[derive(Debug, Clone)]
 pub enum Flight {
     Quorum { from: ReplicaId, to: ReplicaId, message: Box<QuorumMessage> },
-    Call { from: Place, to: Place, id: u64, revision: RevisionNumber, call: Call },
+    Call { from: Place, to: Place, to_life: u64, id: u64, revision: RevisionNumber, call: Call },
     Reply { from: Place, to: Place, id: u64, revision: RevisionNumber, reply: Reply },
     Timeout { id: u64 },
     Written { at: u16, life: u64, number: u64 },
--- a/crates/testkit/tests/whole_system/schedule.rs
+++ b/crates/testkit/tests/whole_system/schedule.rs
@@ -328,12 +328,20 @@
         }
     }
 
+    /// Executors lose one answer in twenty even at rest; repeats make up for most of these.
     fn demand_answers(&mut self) {
+        const READS: u32 = 10;
+        const ANSWERED: u32 = 8;
         let before = self.world.witness.answered;
-        (0..4).for_each(|_| self.callers.send(&mut self.world));
-        self.world.advance(Duration::from_secs(5));
-        if self.world.witness.answered == before {
-            self.world.witness.violations.push("no request is answered at rest".to_owned());
+        for _ in 0..READS {
+            self.callers.read(&mut self.world);
+            self.world.advance(Duration::from_millis(500));
+        }
+        self.world.advance(Duration::from_secs(4));
+        let answered = self.world.witness.answered - before;
+        if answered < ANSWERED {
+            let text = format!("{answered} of {READS} requests are answered at rest");
+            self.world.witness.violations.push(text);
         }
     }
 
--- a/crates/testkit/tests/whole_system/world.rs
+++ b/crates/testkit/tests/whole_system/world.rs
@@ -92,6 +92,7 @@
     revisions: BTreeMap<Place, RevisionNumber>,
     led: Option<u16>,
     hurry_until: Duration,
+    traced: bool,
 }
 
 fn capacity() -> ResourceVector {
@@ -120,6 +121,7 @@
             revisions: BTreeMap::new(),
             led: None,
             hurry_until: Duration::ZERO,
+            traced: std::env::var_os("TRACE").is_some(),
         };
         for number in 1..=AGENTS {
             world.add_agent(number);
@@ -615,6 +617,7 @@
 
     fn execute(&mut self, number: u16, call: ExecutorCall) {
         let body = String::from_utf8_lossy(&call.request.body).into_owned();
+        self.trace(|| format!("agent {number} runs {} of {body}", call.dispatch));
         self.witness.executes(number, &call.dispatch.request, &body, self.now);
         let took = self.random.duration_between(Duration::ZERO, LONGEST_SERVICE);
         let found = self.agents.get_mut(&number).expect("an agent");
@@ -664,9 +667,11 @@
         let life = self.life(from);
         self.calls.insert(id, OpenCall { from, life, peer, purpose });
         let to = Place::at(peer);
+        self.trace(|| format!("{from} -> {to} call {id}: {call:?}"));
         self.network.at(self.now + timeout, Flight::Timeout { id });
         let revision = self.revisions.get(&from).copied().unwrap_or_default();
-        self.network.send(self.now, Flight::Call { from, to, id, revision, call });
+        let to_life = self.life(to);
+        self.network.send(self.now, Flight::Call { from, to, to_life, id, revision, call });
     }
 
     fn life(&self, place: Place) -> u64 {
@@ -678,7 +683,15 @@
         }
     }
 
+    /// Writes what happens, when `TRACE` is set.
+    fn trace(&self, text: impl FnOnce() -> String) {
+        if self.traced {
+            println!("{:>7.2}s {}", self.now.as_secs_f64(), text());
+        }
+    }
+
     fn reply(&mut self, from: Place, to: Place, id: u64, reply: Reply) {
+        self.trace(|| format!("{from} -> {to} reply {id}: {reply:?}"));
         let revision = self.revisions.get(&from).copied().unwrap_or_default();
         self.network.send(self.now, Flight::Reply { from, to, id, revision, reply });
     }
@@ -696,9 +709,12 @@
                     self.control(number, event);
                 }
             }
-            Flight::Call { from, to, id, revision, call } => {
-                self.receive(from, to, id, revision, call)
+            Flight::Call { from, to, to_life, id, revision, call } => {
+                if may_arrive(&call, to_life == self.life(to)) {
+                    self.receive(from, to, id, revision, call);
+                }
             }
+
             Flight::Reply { id, revision, reply, .. } => self.finish(id, revision, Some(reply)),
             Flight::Timeout { id } => self.finish(id, RevisionNumber(0), None),
             Flight::Written { at, life, number } => self.written(at, life, number),
@@ -779,6 +795,9 @@
     /// Ends a call: with its reply, or with the knowledge that there is none.
     fn finish(&mut self, id: u64, revision: RevisionNumber, reply: Option<Reply>) {
         let Some(open) = self.calls.remove(&id) else { return };
+        if reply.is_none() {
+            self.trace(|| format!("{} call {id} timed out: {:?}", open.from, open.purpose));
+        }
         if open.life != self.life(open.from) {
             return;
         }
@@ -920,6 +939,16 @@
     }
 }
 
+/// A dispatch travels once, on a connection of its own, and a connection ends with the process that
+/// accepted it: no copy of a dispatch can reach a later life of its agent. Other calls are harmless
+/// to repeat, and are delivered to whatever life is there.
+fn may_arrive(call: &Call, same_life: bool) -> bool {
+    match call {
+        Call::Dispatch(_) | Call::Fence(_) => same_life,
+        _ => true,
+    }
+}
+
 fn bundle_of(reply: Reply) -> Option<DeclarationBundle> {
     match reply {
         Reply::Declarations(newer) => newer,
