Measure the applied state, and meter the control process

Commits, decisions on tasks, disk syncs, the leader, the committed position, the revision and the live workers are metered. A test asks the operators' interface for what does not exist or is malformed.

--- a/crates/control/src/driver/reducer_thread.rs
+++ b/crates/control/src/driver/reducer_thread.rs
@@ -12,10 +12,11 @@
     proto::server::{refuse, reply, HttpResponder},
     quorum::PersistBatch,
     std::time::{Duration, SystemTime},
-    telemetry::{ProcessContext, ProcessEvent},
+    telemetry::{ControlEvent, CounterKind, GaugeKind, ProcessContext, ProcessEvent},
 };
 
 const TICK: Duration = Duration::from_millis(20);
+const TICKS_PER_MEASUREMENT: u64 = 50;
 
 /// What the reducer's thread owns.
 pub(super) struct ReducerThread {
@@ -33,6 +34,9 @@
     waiting: IndexMap<ReplyTicket, HttpResponder>,
     last_ticket: ReplyTicket,
     halted: bool,
+    ticks: u64,
+    /// Up to where applied entries are counted.
+    counted: u64,
 }
 
 /// Runs until told to stop, or until the replicated state can't be used.
@@ -40,11 +44,14 @@
     let ticks = tick(TICK);
     let (calls, reports) = (thread.calls.clone(), thread.reports.clone());
     let stopped = thread.stopped.clone();
+    let applied = thread.node.core().applied().0;
     let mut running = ReducerLoop {
         thread,
         waiting: IndexMap::new(),
         last_ticket: ReplyTicket(0),
         halted: false,
+        ticks: 0,
+        counted: applied,
     };
     while !running.halted {
         select! {
@@ -69,6 +76,23 @@
         let wall = self.thread.context.clock().wall();
         let since = wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         self.step(NodeEvent::Tick { wall_ms: since.as_millis() as u64 });
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(TICKS_PER_MEASUREMENT) {
+            self.measure();
+        }
+    }
+
+    fn measure(&mut self) {
+        let (metrics, node) = (&self.thread.context.metrics, &self.thread.node);
+        let applied = node.core().applied().0;
+        metrics.add(CounterKind::Commits, "applied", applied.saturating_sub(self.counted));
+        self.counted = applied;
+        let leader = node.core().leader().map_or(0, |leader| leader.0);
+        metrics.set(GaugeKind::Leader, leader);
+        metrics.set(GaugeKind::CommittedIndex, node.core().committed().0);
+        metrics.set(GaugeKind::Revision, node.state().declarations().revision().0);
+        let live = node.state().workers().iter().filter(|(_, worker)| !worker.lost).count();
+        metrics.set(GaugeKind::LiveWorkers, live as u64);
     }
 
     fn take(&mut self, call: InboundCall) {
@@ -136,7 +160,12 @@
                 let _ = self.thread.batches.send(batch);
             }
             NodeEffect::Reply { ticket, reply } => self.answer(ticket, reply),
-            NodeEffect::Record(event) => context.recorder.record(&event),
+            NodeEffect::Record(event) => {
+                if let Some(decision) = decision_label(&event) {
+                    context.metrics.add(CounterKind::Placements, decision, 1);
+                }
+                context.recorder.record(&event);
+            }
             NodeEffect::PutInForce(revision) => {
                 if revision > context.identity.in_force() {
                     context.identity.put_in_force(revision);
@@ -163,3 +192,14 @@
         }
     }
 }
+
+/// The kind of decision on a task that an event tells of.
+fn decision_label(event: &ControlEvent) -> Option<&'static str> {
+    match event {
+        ControlEvent::TaskPlaced { .. } => Some("place"),
+        ControlEvent::TaskThrottled { .. } => Some("throttle"),
+        ControlEvent::TaskStopping { .. } => Some("stop"),
+        ControlEvent::JobParked { .. } => Some("park"),
+        _ => None,
+    }
+}
--- a/crates/control/src/driver/storage_thread.rs
+++ b/crates/control/src/driver/storage_thread.rs
@@ -5,7 +5,7 @@
     crate::node::NodeEvent,
     crossbeam::channel::{Receiver, Sender},
     quorum::{LogStorage, PersistBatch},
-    telemetry::{ControlEvent, ProcessContext},
+    telemetry::{ControlEvent, DurationKind, ProcessContext},
 };
 
 /// Runs until the reducer is gone.
@@ -17,7 +17,11 @@
 ) {
     for batch in batches {
         let number = batch.number;
-        let report = match storage.persist(&batch) {
+        let started = context.clock().monotonic();
+        let result = storage.persist(&batch);
+        let took = context.clock().monotonic().saturating_sub(started);
+        context.metrics.observe(DurationKind::DiskSync, "batch", took);
+        let report = match result {
             Ok(()) => NodeEvent::Persisted { number },
             Err(error) => {
                 let reason = error.to_string();
--- a/crates/control/tests/process.rs
+++ b/crates/control/tests/process.rs
@@ -11,14 +11,14 @@
         envelope::{ProcessRole, SenderIdentity},
         messages::{
             operator::{
-                ApplyReply, ApplyRequest, FleetStatus, JobStatus, SubmitReply, SubmitRequest,
-                TaskPhase,
+                ApplyReply, ApplyRequest, CancelReply, DrainReply, ExplainReply, FleetStatus,
+                JobStatus, OperatorProblemKind, SubmitReply, SubmitRequest, TaskPhase, UnparkReply,
             },
             AgentHeartbeat, AttemptReport, AttemptState, CommandCursor, DeclarationFile,
             HeartbeatReply, JobSpec, LeaseRenewal, PlacementRule, PriorityClass, TaskCommand,
             WorkerAnnouncement,
         },
-        operator_client::OperatorClient,
+        operator_client::{OperatorClient, OperatorError},
         rpc::{ConnectionUse, ProcessIdentity, RpcClient},
         server::{HttpServer, ServerLimits},
     },
@@ -286,3 +286,45 @@
     }
     unreachable!("the group is not empty")
 }
+
+#[test]
+fn operators_are_told_what_is_wrong_with_a_call() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let process = start(folder.path());
+    let (server, client) = operator(&process);
+    status_when_led(&client);
+    let got = |path: &str| kind_of(client.get::<serde_json::Value>(path));
+    let posted = |path: &str| kind_of(client.post::<_, serde_json::Value>(path, &"nonsense"));
+    let not_found = Some(OperatorProblemKind::NotFound);
+    let bad_request = Some(OperatorProblemKind::BadRequest);
+    assert_eq!(got("/v1/jobs/nothing"), not_found);
+    assert_eq!(got("/v1/explain/task/nothing/0"), not_found);
+    assert_eq!(got("/v1/explain/worker/w%31"), not_found);
+    assert_eq!(got("/v1/nonsense"), not_found);
+    assert_eq!(got("/v2/status"), not_found);
+    assert_eq!(got("/v1/explain/task/nothing"), bad_request);
+    assert_eq!(got("/v1/explain/policy?colour=red"), bad_request);
+    assert_eq!(got("/v1/jobs/a%20b"), bad_request);
+    assert_eq!(posted("/v1/jobs"), bad_request);
+    assert_eq!(posted("/v1/declarations"), bad_request);
+    assert_eq!(posted("/v1/members"), bad_request);
+    assert_eq!(posted("/v1/workers/w1/paint"), not_found);
+
+    let reply: DrainReply = client.post("/v1/workers/w1/drain", &()).expect("an answer");
+    assert_eq!(reply, DrainReply::NoSuchWorker);
+    let reply: UnparkReply = client.post("/v1/jobs/j/unpark", &()).expect("an answer");
+    assert_eq!(reply, UnparkReply::NoSuchJob);
+    let reply: CancelReply = client.delete("/v1/jobs/j").expect("an answer");
+    assert_eq!(reply, CancelReply::NoSuchJob);
+    let reply: ExplainReply = client.get("/v1/explain/policy?team=desk").expect("an answer");
+    assert_eq!(reply.subject, "policy of team desk");
+    server.shut_down();
+    process.shut_down();
+}
+
+fn kind_of<T>(result: Result<T, OperatorError>) -> Option<OperatorProblemKind> {
+    match result {
+        Err(OperatorError::Problem { problem }) => Some(problem.kind),
+        _ => None,
+    }
+}
