Refuse early what would wait long, and keep a slot from batch

Under twice the load accepted requests were in time but slow: half of them waited for more than 460 ms, and latency-critical requests waited behind batch requests that held the slots near the smallest data centre.

A latency-critical request is refused when its wait would take an eighth of its time, and batch requests leave one slot of each endpoint free while more urgent ones come.

Nothing changes without batch and without queues.

--- a/crates/routing/src/pool/mod.rs
+++ b/crates/routing/src/pool/mod.rs
@@ -83,22 +83,24 @@
     }
 
     /// Chooses an endpoint with room, and never one of `avoid`: the better of two from the home
-    /// data centre, unless the better of two from elsewhere is clearly better still.
+    /// data centre, unless the better of two from elsewhere is clearly better still. `reserve`
+    /// slots of it stay free.
     pub fn choose(
         &self,
         now: Duration,
         random: &mut SeededRandom,
         avoid: &[EndpointId],
+        reserve: f64,
     ) -> Option<&EndpointState> {
         let has_home =
             self.endpoints.values().any(|state| state.is_home() && state.is_serving(now));
-        let reserve = if has_home { GUEST_RESERVE } else { GUEST_RESERVE / 2.0 };
+        let guest_reserve = if has_home { GUEST_RESERVE } else { GUEST_RESERVE / 2.0 };
         let (home, away): (Vec<_>, Vec<_>) = self
             .endpoints
             .values()
             .filter(|state| {
-                let reserve = if state.is_home() { 0.0 } else { reserve };
-                state.has_room(now, reserve) && !avoid.contains(state.id())
+                let guest_reserve = if state.is_home() { 0.0 } else { guest_reserve };
+                state.has_room(now, reserve + guest_reserve) && !avoid.contains(state.id())
             })
             .partition(|state| state.is_home());
         let home = cheapest_of_sample(now, random, home);
--- a/crates/routing/src/router/hedge.rs
+++ b/crates/routing/src/router/hedge.rs
@@ -47,7 +47,7 @@
             return None;
         }
         let permit = tracked.request.rule.retry_blind()?;
-        let chosen = self.pool.choose(now, &mut self.random, &tracked.tried)?;
+        let chosen = self.pool.choose(now, &mut self.random, &tracked.tried, 0.0)?;
         let endpoint = chosen.record().clone();
         if !self.hedges.try_take(now, self.policy.hedge_percent) {
             return None;
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -25,7 +25,7 @@
         pool::{EndpointPool, EndpointState},
     },
     base::{DataCentreName, EndpointId, SeededRandom},
-    proto::messages::{EndpointRecord, NotRunReason},
+    proto::messages::{EndpointRecord, NotRunReason, PriorityClass},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
@@ -36,6 +36,11 @@
 /// others have in use fade with time alone.
 const QUEUE_WAKE: Duration = Duration::from_millis(5);
 
+/// The part of its time that a request that is not batch may have to wait, as a divisor.
+const WAIT_DIVISOR: u32 = 8;
+/// Slots of an endpoint that batch requests leave free while more urgent ones come.
+const BATCH_RESERVE: f64 = 1.0;
+
 /// Routes the requests of one service.
 #[derive(Debug)]
 pub struct ServiceRouter {
@@ -140,6 +145,9 @@
                 Some(wait),
             )];
         }
+        if ahead > 0 && wait > longest_wait(now, &request) {
+            return vec![self.refuse_new(request.number, NotRunReason::QueueFull, Some(wait))];
+        }
         let displaced = match self.queue.join(place, self.policy.queue as usize) {
             PlaceOutcome::Waiting => None,
             PlaceOutcome::Displaced(number) => Some(number),
@@ -235,7 +243,14 @@
                 continue;
             }
             let Some(request) = self.requests.get_mut(&place.number) else { return };
-            let Some(chosen) = choose(&self.pool, now, &mut self.random, &request.tried) else {
+            let reserve = match place.priority.0 {
+                PriorityClass::Batch if self.waits.has_more_urgent(now, place.priority.0) => {
+                    BATCH_RESERVE
+                }
+                _ => 0.0,
+            };
+            let random = &mut self.random;
+            let Some(chosen) = choose(&self.pool, now, random, &request.tried, reserve) else {
                 return;
             };
             let endpoint = chosen.record().clone();
@@ -313,16 +328,27 @@
     }
 }
 
+/// How long a newcomer may have to wait. Batch requests may use up their time; others are refused
+/// sooner, since their callers are better served by an early word than by a late answer.
+fn longest_wait(now: Duration, request: &RouterRequest) -> Duration {
+    let remaining = request.deadline.saturating_sub(now);
+    match request.priority {
+        PriorityClass::Batch => remaining,
+        PriorityClass::LatencyCritical | PriorityClass::Urgent => remaining / WAIT_DIVISOR,
+    }
+}
+
 /// Prefers endpoints that the request has not tried.
 fn choose<'a>(
     pool: &'a EndpointPool,
     now: Duration,
     random: &mut SeededRandom,
     tried: &[EndpointId],
+    reserve: f64,
 ) -> Option<&'a EndpointState> {
-    let untried = pool.choose(now, random, tried);
+    let untried = pool.choose(now, random, tried, reserve);
     if untried.is_some() || tried.is_empty() {
         return untried;
     }
-    pool.choose(now, random, &[])
+    pool.choose(now, random, &[], reserve)
 }
--- a/crates/routing/src/router/wait.rs
+++ b/crates/routing/src/router/wait.rs
@@ -30,6 +30,16 @@
         *mean += MEAN_WEIGHT * (seconds - *mean);
     }
 
+    /// True when requests that are more urgent have come lately.
+    pub fn has_more_urgent(&self, now: Duration, priority: PriorityClass) -> bool {
+        self.urgent_rate(now, priority) >= 1.0
+    }
+
+    fn urgent_rate(&self, now: Duration, priority: PriorityClass) -> f64 {
+        let urgent = self.admitted.iter().filter(|(other, _)| **other > priority);
+        urgent.map(|(_, meter)| meter.per_second(now)).sum()
+    }
+
     /// The wait behind `ahead` requests, when more urgent ones keep coming as they did.
     pub fn wait(
         &self,
@@ -43,12 +53,7 @@
             return Duration::ZERO;
         }
         let served = f64::from(in_flight.max(1)) / mean.max(f64::EPSILON);
-        let urgent: f64 = self
-            .admitted
-            .iter()
-            .filter(|(other, _)| **other > priority)
-            .map(|(_, meter)| meter.per_second(now))
-            .sum();
+        let urgent = self.urgent_rate(now, priority);
         let rate = (served - urgent).max(LEAST_RATE);
         Duration::from_secs_f64(ahead as f64 / rate)
     }
