--- a/crates/entry/tests/caller_path.rs
+++ b/crates/entry/tests/caller_path.rs
@@ -3,14 +3,18 @@
 mod support;
 
 use {
-    proto::messages::{DispatchOutcome, NotRunReason, UnknownReason},
+    proto::messages::{DispatchOutcome, DispatchRequest, NotRunReason, UnknownReason},
     rstest::rstest,
-    std::sync::Arc,
+    std::{
+        net::TcpStream,
+        sync::{mpsc, Arc, Mutex},
+        thread,
+    },
     support::{agent, answer, call, control, entry},
 };
 
 /// The executor echoes what it was sent; some paths make it fail.
-fn run_script(request: &proto::messages::DispatchRequest) -> DispatchOutcome {
+fn run_script(request: &DispatchRequest) -> DispatchOutcome {
     let forwarded = &request.request;
     match forwarded.target.as_str() {
         "/booking/lost" => DispatchOutcome::Unknown(UnknownReason::ExecutorLost),
@@ -89,3 +93,44 @@
     control.shut_down();
     agent.shut_down();
 }
+
+/// A request that is with its executor when the entry is told to leave is answered, and one that
+/// comes on another connection is not taken any more.
+#[test]
+fn shutdown_answers_what_is_in_progress() {
+    let (started, has_started) = mpsc::channel();
+    let (release, released) = mpsc::channel::<()>();
+    let released = Mutex::new(released);
+    let agent = agent(Arc::new(move |_: &DispatchRequest| {
+        started.send(()).unwrap();
+        released.lock().unwrap().recv().unwrap();
+        answer(200, "whole")
+    }));
+    let control = control(agent.address());
+    let (entry, context) = entry(control.address());
+    let address = entry.caller_address();
+    let caller = thread::spawn(move || call(address, "POST /booking/a", &[], "", &[]));
+    has_started.recv().unwrap();
+    let leaving = thread::spawn(move || entry.shut_down());
+    while context.is_ready() {
+        thread::yield_now();
+    }
+    release.send(()).unwrap();
+    assert_eq!(caller.join().unwrap(), "200 whole");
+    leaving.join().unwrap();
+    assert!(TcpStream::connect(address.0).is_err());
+    control.shut_down();
+    agent.shut_down();
+}
+
+#[test]
+fn internal_port_refuses_callers() {
+    let agent = agent(Arc::new(run_script));
+    let control = control(agent.address());
+    let (entry, _) = entry(control.address());
+    let seen = call(entry.internal_address(), "GET /booking/a", &[], "", &["content-type"]);
+    assert!(seen.starts_with("400 content-type=application/x-mangorouter-frame"), "{seen}");
+    entry.shut_down();
+    control.shut_down();
+    agent.shut_down();
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -170,8 +170,9 @@
     let mut stream = TcpStream::connect(entry.0).unwrap();
     stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
     stream.write_all(format!("{request}\r\n{body}").as_bytes()).unwrap();
-    let mut response = String::new();
-    stream.read_to_string(&mut response).unwrap();
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).unwrap();
+    let response = String::from_utf8_lossy(&response);
     let (head, body) = response.split_once("\r\n\r\n").unwrap();
     let mut lines = head.lines();
     let mut text = lines.next().unwrap().split(' ').nth(1).unwrap().to_owned();
