--- a/crates/routing/benches/routing/simulation.rs
+++ b/crates/routing/benches/routing/simulation.rs
@@ -7,7 +7,7 @@
             TABLE_LAG,
         },
         report::Tally,
-        variant::{draw_rule, Variant, VariantKind, VariantStep},
+        variant::{draw_rule, Variant, VariantKind, VariantStep, POLICY},
     },
     base::{
         ConnectionCount, DataCentreName, EndpointId, IncarnationNumber, PeerAddress, RequestId,
@@ -35,6 +35,9 @@
 /// Requests that arrive earlier are not counted: the entries still learn.
 const WARM_UP: Duration = Duration::from_secs(5);
 
+/// Retries that a budget grants at once after a quiet time; a second adds one.
+const BUDGET_RESERVE: u64 = 10;
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Call {
     entry: usize,
@@ -88,6 +91,7 @@
     events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
     entries: Vec<Box<dyn Variant>>,
     wakes: Vec<Option<Duration>>,
+    arrivals: Vec<u64>,
     executors: Vec<Executor>,
     open: BTreeMap<(usize, RequestNumber), OpenRequest>,
     deadlines: BTreeMap<(usize, RequestNumber), Duration>,
@@ -122,6 +126,7 @@
             next_request: 0,
             events: BinaryHeap::new(),
             wakes: vec![None; entries.len()],
+            arrivals: vec![0; entries.len()],
             entries,
             executors,
             open: BTreeMap::new(),
@@ -176,12 +181,16 @@
             self.now = time;
             self.handle(event);
         }
-        for entry in &self.entries {
+        for (entry, arrivals) in self.entries.iter().zip(&self.arrivals) {
             let (retries, hedges) = entry.extra();
+            let budget = arrivals * u64::from(POLICY.retry_percent) / 100;
+            let allowance = BUDGET_RESERVE + self.now.as_secs() + 1;
+            assert!(!self.kind.is_guarded() || retries <= budget + allowance);
             self.tally.retries += retries;
             self.tally.hedges += hedges;
         }
         self.tally.all_requests = self.next_request;
+        assert_eq!(self.tally.overcommits, 0);
         self.tally
     }
 
@@ -223,6 +232,7 @@
         let entry = self.random.below(self.entries.len());
         let number = RequestNumber(self.next_request);
         self.next_request += 1;
+        self.arrivals[entry] += 1;
         let deadline = self.now + self.experiment.deadline;
         let rule = draw_rule(&mut self.random);
         self.open.insert((entry, number), OpenRequest { arrived: self.now, priority });
