--- a/crates/sched/benches/decision_cost/main.rs
+++ b/crates/sched/benches/decision_cost/main.rs
@@ -23,6 +23,8 @@
 const WAITING: u32 = 500;
 /// The time between two starts at 97 a second.
 const START_GAP: Duration = Duration::from_micros(10_309);
+/// After this time an eviction that was not committed counts as given up.
+const GIVEN_UP: Duration = Duration::from_secs(4);
 const WAVE: u32 = 1_000;
 
 fn policy() -> SchedPolicy {
@@ -152,6 +154,19 @@
         self.samples.push(WorkerSample { worker, taken_at, tasks, services });
     }
 
+    /// Submits urgent work for which there is no room, decides whom to evict, and gives up.
+    fn preempt(&mut self) -> usize {
+        self.next += 1;
+        self.now += GIVEN_UP;
+        let task = waiting("urgent", self.next, TaskPriority::Urgent, 4_000);
+        self.model.enqueue(self.now, task.clone());
+        let decisions = self.model.decide(self.now);
+        self.model.withdraw(&task.task);
+        let evictions =
+            decisions.iter().filter(|decision| matches!(decision, SchedDecision::Evict { .. }));
+        evictions.count()
+    }
+
     /// One second's report of the next worker.
     fn report(&mut self) {
         let index = self.next_report % self.workers;
@@ -224,6 +239,11 @@
         });
     }
     let mut fleet = LargeFleet::new(FLEETS[2]);
+    assert!(fleet.preempt() > 0, "urgent work evicts nobody");
+    group.bench_function(BenchmarkId::new("urgent without room", FLEETS[2]), |bencher| {
+        bencher.iter(|| fleet.preempt());
+    });
+    let mut fleet = LargeFleet::new(FLEETS[2]);
     let wave: Vec<WaitingTask> =
         (0..WAVE).map(|index| waiting("wave", index, TaskPriority::Batch, 500)).collect();
     group.throughput(Throughput::Elements(u64::from(WAVE)));
