Count what the entry dispatches, repeats and refuses

The instruments of the entry were listed and never fed. The driver feeds dispatches, retries, hedges, refusals, the queue's length, the revision and how long callers waited by outcome.

--- a/crates/entry/src/driver/callers.rs
+++ b/crates/entry/src/driver/callers.rs
@@ -7,13 +7,17 @@
         problem::ProblemReport,
         reducer::RequestNames,
     },
+    base::ClockSource,
     crossbeam::channel::{Sender, TrySendError},
     proto::{
         messages::NotRunReason,
         server::{HttpRequest, HttpResponder, RequestHandler},
     },
     routing::{refuse_undispatched, EndedRequest, RequestNumber},
-    std::sync::atomic::{AtomicU64, Ordering},
+    std::sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc,
+    },
     telemetry::ProcessContext,
 };
 
@@ -21,6 +25,7 @@
 pub(super) struct CallerHandler {
     names: RequestNames,
     next: AtomicU64,
+    clock: Arc<dyn ClockSource>,
     inbox: Sender<ReactorMessage>,
 }
 
@@ -28,7 +33,8 @@
     pub fn new(context: ProcessContext, inbox: Sender<ReactorMessage>) -> Self {
         let sender = context.identity.sender();
         let names = RequestNames::new(&sender.name, sender.incarnation);
-        Self { names, next: AtomicU64::new(1), inbox }
+        let clock = context.clock().clone();
+        Self { names, next: AtomicU64::new(1), clock, inbox }
     }
 
     /// Refuses a request that the reducer has not seen.
@@ -48,8 +54,13 @@
             return self.refuse(number, NotRunReason::BadRequest, responder);
         };
         let ParsedRequest { head, forwarded, caller_id } = parsed;
-        let exchange =
-            Exchange { id: self.names.id(number), request: forwarded, caller_id, responder };
+        let exchange = Exchange {
+            id: self.names.id(number),
+            request: forwarded,
+            caller_id,
+            responder,
+            arrived: self.clock.monotonic(),
+        };
         let message = ReactorMessage::Caller { number, head, exchange };
         let (message, reason) = match self.inbox.try_send(message) {
             Ok(()) => return,
--- a/crates/entry/src/driver/reactor.rs
+++ b/crates/entry/src/driver/reactor.rs
@@ -17,7 +17,10 @@
     },
     routing::RequestNumber,
     std::time::Duration,
-    telemetry::{ProcessContext, ProcessEvent},
+    telemetry::{
+        metrics::{CounterKind, DurationKind, GaugeKind},
+        ProcessContext, ProcessEvent,
+    },
 };
 
 /// Threads that wait for agents. Beyond it dispatches wait for one.
@@ -40,6 +43,7 @@
     pub request: ForwardedRequest,
     pub caller_id: Option<String>,
     pub responder: HttpResponder,
+    pub arrived: Duration,
 }
 
 /// What other threads tell the reactor.
@@ -138,6 +142,8 @@
         for number in gone {
             self.feed(EntryInput::CallerGone { number });
         }
+        let waiting = self.reducer.waiting_requests() as u64;
+        self.context.metrics.set(GaugeKind::QueuedRequests, waiting);
         let wall = self.context.clock().wall();
         self.feed(EntryInput::Tick { wall });
     }
@@ -171,9 +177,21 @@
 
     fn perform(&mut self, effect: EntryEffect) {
         match effect {
-            EntryEffect::Dispatch(plan) => self.dispatch(plan),
+            EntryEffect::Dispatch(plan) => {
+                let metrics = &self.context.metrics;
+                let label = if plan.repeatable { "idempotent" } else { "at-most-once" };
+                metrics.add(CounterKind::Dispatches, label, 1);
+                if plan.flight.dispatch > 0 {
+                    metrics.add(CounterKind::Retries, label, 1);
+                }
+                if plan.hedge {
+                    metrics.add(CounterKind::Hedges, label, 1);
+                }
+                self.dispatch(plan);
+            }
             EntryEffect::Answer { number, answer } => {
                 if let Some(exchange) = self.exchanges.swap_remove(&number) {
+                    self.observe(&exchange, "answered");
                     let caller_id = exchange.caller_id.as_deref();
                     let method = &exchange.request.method;
                     let response = answer_response(answer, method, &exchange.id, caller_id);
@@ -181,7 +199,9 @@
                 }
             }
             EntryEffect::Refuse { number, problem } => {
+                self.context.metrics.add(CounterKind::Refusals, problem.outcome_text(), 1);
                 if let Some(exchange) = self.exchanges.swap_remove(&number) {
+                    self.observe(&exchange, problem.outcome_text());
                     let caller_id = exchange.caller_id.as_deref();
                     let response = problem_response(&problem, &exchange.id, caller_id);
                     exchange.responder.send(response);
@@ -214,6 +234,7 @@
                 }
             }
             EntryEffect::InForce(revision) => {
+                self.context.metrics.set(GaugeKind::Revision, revision.0);
                 self.context.identity.put_in_force(revision);
                 let source = self.context.identity.sender().name.clone();
                 self.context.recorder.record(&ProcessEvent::RevisionInForce { revision, source });
@@ -227,6 +248,12 @@
         }
     }
 
+    /// Adds how long a caller waited to the distribution of its outcome.
+    fn observe(&self, exchange: &Exchange, outcome: &'static str) {
+        let waited = self.now().saturating_sub(exchange.arrived);
+        self.context.metrics.observe(DurationKind::ServerRequest, outcome, waited);
+    }
+
     fn dispatch(&mut self, plan: DispatchPlan) {
         let Some(exchange) = self.exchanges.get(&plan.flight.request) else { return };
         let request = exchange.request.clone();
--- a/crates/entry/src/reducer/input.rs
+++ b/crates/entry/src/reducer/input.rs
@@ -132,6 +132,8 @@
     pub key: Option<IdempotencyKey>,
     /// True when a connection that has been used before may be tried.
     pub repeatable: bool,
+    /// True when another dispatch of the request is out.
+    pub hedge: bool,
 }
 
 /// What the driver is asked to do.
--- a/crates/entry/src/reducer/mod.rs
+++ b/crates/entry/src/reducer/mod.rs
@@ -136,6 +136,11 @@
         self.open.len()
     }
 
+    /// Requests that wait for an endpoint.
+    pub fn waiting_requests(&self) -> usize {
+        self.routers.values().map(ServiceRouter::waiting).sum()
+    }
+
     /// The router of a service, if one of its endpoints or its declaration is known.
     pub fn router(&self, service: &ServiceName) -> Option<&ServiceRouter> {
         self.routers.get(service)
@@ -292,6 +297,7 @@
             deadline: request.deadline,
             key: (!repeatable).then(|| fence_key.clone()),
             repeatable,
+            hedge: assignment.hedge,
         }));
         let service = request.service.clone();
         self.sent.insert(flight, SentDispatch { service, target, fence_key, claimed });
