Let exceptions for a service reach placement

Cause: sched resolves values for single services, and control never told it of them, so that an exception changed explanations and nothing else.

Change: the leader resolves the policy of each declared service, at its election and with each change, and gives it to the model.

Measured: control's tests pass as before. The rule itself is shown by the scenarios of sched; no scenario of control shows the wiring yet.

--- a/crates/control/src/leader/feed.rs
+++ b/crates/control/src/leader/feed.rs
@@ -25,6 +25,7 @@
     /// leader gave it in its last moment.
     pub(super) fn rebuild(&mut self, now: Duration, wall: SystemTime, state: &FleetState) {
         self.model.set_quotas(planner::team_quotas(state));
+        self.model.set_service_policies(planner::service_policies(state, wall));
         let bound = state.declarations().lease_bound();
         for (worker, record) in state.workers().iter() {
             self.sync_worker(worker, record);
@@ -113,6 +114,7 @@
                 self.terms.clear();
                 self.model.set_policy(planner::sched_policy(state));
                 self.model.set_quotas(planner::team_quotas(state));
+                self.model.set_service_policies(planner::service_policies(state, wall));
             }
             FleetFact::WorkerChanged(worker) => self.worker_changed(now, wall, state, worker),
             FleetFact::WorkerLost(worker) => {
--- a/crates/control/src/leader/planner.rs
+++ b/crates/control/src/leader/planner.rs
@@ -6,13 +6,13 @@
         FleetCommand, FleetState, JobRecord, PlaceCommand, RuleNote, StopPurpose, TaskLife,
         WorkerRecord,
     },
-    base::{JobId, TaskId, WorkerId},
+    base::{JobId, ServiceName, TaskId, WorkerId},
     proto::messages::{JobSpec, PriorityClass, TaskAssignment, TaskCommand, ThrottleLevel},
     sched::{
         HeldTask, SchedDecision, SchedPolicy, SpreadRule, TaskPriority, TeamQuota, WaitingTask,
         WorkerView,
     },
-    settings::{PolicySubject, RuleSource},
+    settings::{FleetPolicy, PolicySubject, RuleSource},
     std::time::{Duration, SystemTime},
 };
 
@@ -121,7 +121,23 @@
 
 /// The declared values that the model decides by.
 pub(super) fn sched_policy(state: &FleetState) -> SchedPolicy {
-    let policy = state.declarations().defaults();
+    from_declared(state.declarations().defaults())
+}
+
+/// The declared values that hold for each service, which exceptions may change.
+pub(super) fn service_policies(
+    state: &FleetState,
+    wall: SystemTime,
+) -> Vec<(ServiceName, SchedPolicy)> {
+    let fleet = state.declarations().fleet();
+    let resolve = |service: &ServiceName| {
+        let subject = PolicySubject { service: Some(service.clone()), ..PolicySubject::default() };
+        from_declared(&fleet.policy_for(&subject, wall).policy)
+    };
+    fleet.services.keys().map(|service| (service.clone(), resolve(service))).collect()
+}
+
+fn from_declared(policy: &FleetPolicy) -> SchedPolicy {
     SchedPolicy {
         tail_latency_weight: policy.weights.tail_latency,
         eviction_weight: policy.weights.evictions,
