Apply a batch to a log in one place

Cause: what a disk holds after a batch was written out three times, in the fake disks of the quorum's, control's and the whole system's schedules. A change of the order of a batch's parts would have had to be made in all three.

Change: `RecoveredLog::apply` does it, with its order documented beside the type it follows. The three fake disks call it.

The quorum's fake disk is still compared with real files wherever these are written beside it.

--- a/crates/control/tests/fleet/mod.rs
+++ b/crates/control/tests/fleet/mod.rs
@@ -166,7 +166,7 @@
         let Some(found) = self.replicas.get_mut(&replica) else { return };
         found.node = None;
         if let Some(batch) = found.writing.take().filter(|_| written) {
-            write_batch(&mut found.disk, &batch);
+            found.disk.apply(&batch);
         }
         self.waiting.retain(|(holder, _), _| *holder != replica);
     }
@@ -357,7 +357,7 @@
         if replica.disk_full {
             return self.event(at, NodeEvent::PersistFailed { number });
         }
-        write_batch(&mut replica.disk, &batch);
+        replica.disk.apply(&batch);
         self.event(at, NodeEvent::Persisted { number });
     }
 
@@ -433,17 +433,3 @@
         }
     }
 }
-
-fn write_batch(disk: &mut RecoveredLog, batch: &PersistBatch) {
-    if let Some(snapshot) = &batch.snapshot {
-        disk.entries.retain(|entry| entry.index > snapshot.index);
-        disk.snapshot = Some(snapshot.clone());
-    }
-    if let Some(from) = batch.truncate_from {
-        disk.entries.retain(|entry| entry.index < from);
-    }
-    disk.entries.extend(batch.entries.iter().cloned());
-    if let Some(hard_state) = batch.hard_state {
-        disk.hard_state = hard_state;
-    }
-}
--- a/crates/quorum/src/interface/mod.rs
+++ b/crates/quorum/src/interface/mod.rs
@@ -103,6 +103,23 @@
     pub entries: Vec<LogEntry>,
 }
 
+impl RecoveredLog {
+    /// Does what writing and syncing a batch does to a disk, in the order of the batch's fields.
+    /// Drivers that keep the log in memory call it when a batch is synced, so that they hold what
+    /// [`LogStorage`](crate::LogStorage) would find after a crash.
+    pub fn apply(&mut self, batch: &PersistBatch) {
+        if let Some(snapshot) = &batch.snapshot {
+            self.entries.retain(|entry| entry.index > snapshot.index);
+            self.snapshot = Some(snapshot.clone());
+        }
+        if let Some(from) = batch.truncate_from {
+            self.entries.retain(|entry| entry.index < from);
+        }
+        self.entries.extend(batch.entries.iter().cloned());
+        self.hard_state = batch.hard_state.unwrap_or(self.hard_state);
+    }
+}
+
 /// Bounds and delays of a replica.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuorumSettings {
--- a/crates/quorum/tests/cluster/disk.rs
+++ b/crates/quorum/tests/cluster/disk.rs
@@ -3,21 +3,19 @@
 #![allow(dead_code)]
 
 use {
-    base::{ClusterName, ReplicaId},
-    quorum::{FileLayer, HardState, LogEntry, LogSnapshot, LogStorage, PersistBatch, RecoveredLog},
+    base::{ClusterName, ReplicaId, TermNumber},
+    quorum::{FileLayer, HardState, LogStorage, PersistBatch, RecoveredLog},
     std::{
         fs::File,
         io::{self, Write},
-        path::Path,
+        path::{Path, PathBuf},
     },
     tempfile::TempDir,
 };
 
 #[derive(Debug, Default)]
 pub struct FakeDisk {
-    hard_state: HardState,
-    snapshot: Option<LogSnapshot>,
-    entries: Vec<LogEntry>,
+    log: RecoveredLog,
     files: Option<ShadowFiles>,
 }
 
@@ -27,28 +25,21 @@
         Self { files: Some(ShadowFiles::new()), ..Self::default() }
     }
 
-    /// Applies a batch in the order of its fields.
+    /// Writes and syncs a batch.
     pub fn write(&mut self, batch: &PersistBatch) {
-        if let Some(snapshot) = &batch.snapshot {
-            self.entries.retain(|entry| entry.index > snapshot.index);
-            self.snapshot = Some(snapshot.clone());
-        }
-        if let Some(from) = batch.truncate_from {
-            self.entries.retain(|entry| entry.index < from);
-        }
-        self.entries.extend(batch.entries.iter().cloned());
-        self.hard_state = batch.hard_state.unwrap_or(self.hard_state);
+        self.log.apply(batch);
         if let Some(files) = &mut self.files {
             files.write(batch);
         }
     }
 
+    /// Ends the files in the middle of a record, as a crash while it was written does.
+    pub fn tear(&mut self) {
+        self.files.as_mut().expect("real files").tear();
+    }
+
     pub fn recover(&mut self) -> RecoveredLog {
-        let recovered = RecoveredLog {
-            hard_state: self.hard_state,
-            snapshot: self.snapshot.clone(),
-            entries: self.entries.clone(),
-        };
+        let recovered = self.log.clone();
         if let Some(files) = &mut self.files {
             assert_eq!(files.recover(), recovered, "the files hold what was synced");
         }
@@ -75,6 +66,30 @@
         self.storage.as_mut().unwrap().persist(batch).unwrap();
     }
 
+    /// Writes a batch that the model does not hold, and cuts its second half off.
+    fn tear(&mut self) {
+        let before = self.last_segment();
+        let batch = PersistBatch {
+            hard_state: Some(HardState { term: TermNumber(1_000_000), voted_for: None }),
+            ..PersistBatch::default()
+        };
+        self.write(&batch);
+        self.storage = None;
+        let (path, end) = self.last_segment();
+        assert_eq!(before.0, path, "the batch went to the segment before it");
+        let file = File::options().write(true).open(path).unwrap();
+        file.set_len(before.1 + (end - before.1) / 2).unwrap();
+    }
+
+    /// The newest segment and its length in bytes.
+    fn last_segment(&self) -> (PathBuf, u64) {
+        let paths = std::fs::read_dir(self.folder.path()).unwrap().map(|item| item.unwrap().path());
+        let last = paths.filter(|path| path.extension().is_some_and(|end| end == "log")).max();
+        let path = last.expect("a segment");
+        let length = path.metadata().unwrap().len();
+        (path, length)
+    }
+
     fn recover(&mut self) -> RecoveredLog {
         self.storage = None;
         let cluster = ClusterName::new("umoja").unwrap();
--- a/crates/testkit/tests/whole_system/world.rs
+++ b/crates/testkit/tests/whole_system/world.rs
@@ -278,7 +278,7 @@
                 let found = self.controls.get_mut(&number).expect("a replica");
                 found.node = None;
                 if let Some(batch) = found.writing.take().filter(|_| written) {
-                    write_batch(&mut found.disk, &batch);
+                    found.disk.apply(&batch);
                 }
             }
             Place::Entry(number) => {
@@ -437,7 +437,7 @@
                 let merged = match found.writing.take() {
                     None => batch,
                     Some(earlier) => {
-                        write_batch(&mut found.disk, &earlier);
+                        found.disk.apply(&earlier);
                         batch
                     }
                 };
@@ -892,7 +892,7 @@
             return;
         }
         if let Some(batch) = found.writing.take_if(|batch| batch.number <= number) {
-            write_batch(&mut found.disk, &batch);
+            found.disk.apply(&batch);
         }
         self.control(at, NodeEvent::Persisted { number });
     }
@@ -927,17 +927,3 @@
         _ => None,
     }
 }
-
-fn write_batch(disk: &mut RecoveredLog, batch: &PersistBatch) {
-    if let Some(snapshot) = &batch.snapshot {
-        disk.entries.retain(|entry| entry.index > snapshot.index);
-        disk.snapshot = Some(snapshot.clone());
-    }
-    if let Some(from) = batch.truncate_from {
-        disk.entries.retain(|entry| entry.index < from);
-    }
-    disk.entries.extend(batch.entries.iter().cloned());
-    if let Some(hard_state) = batch.hard_state {
-        disk.hard_state = hard_state;
-    }
-}
