Show pairs of failures that come together

Cause: no scenario showed a restart after hundreds of changes with every log torn, a second instance lost in the middle of a repair or right after one while work runs, an isolated leader while a worker is lost, or operators who race with equal numbers and resend across changes of leader.

The quorum's language gets `torn` for a crash, `propose-many` and `quiet`.

--- a/crates/quorum/tests/cluster/mod.rs
+++ b/crates/quorum/tests/cluster/mod.rs
@@ -167,6 +167,11 @@
         self.witness.forget_tickets(replica);
     }
 
+    /// Leaves half a record at the end of a crashed replica's files.
+    pub fn tear(&mut self, replica: ReplicaId) {
+        self.nodes.get_mut(&replica).unwrap().disk.tear();
+    }
+
     pub fn event(&mut self, replica: ReplicaId, event: QuorumEvent<QuorumMessage>) {
         let Some(node) = self.nodes.get_mut(&replica) else { return };
         let now = self.now * node.clock_percent / 100;
--- a/crates/quorum/tests/scenarios.rs
+++ b/crates/quorum/tests/scenarios.rs
@@ -33,6 +33,9 @@
     let cluster = cluster.as_mut().expect("a scenario begins with `group`");
     command(cluster, case);
     let mut lines = std::mem::take(&mut cluster.lines);
+    if case.args.contains_key("quiet") {
+        lines.clear();
+    }
     if case.directive == "status" {
         lines = status(cluster);
     }
@@ -54,7 +57,9 @@
         }
         "crash" => {
             let keep = case.args.contains_key("unsynced-survives");
-            ids.into_iter().for_each(|id| cluster.crash(id, keep));
+            let torn = case.args.contains_key("torn");
+            ids.iter().for_each(|id| cluster.crash(*id, keep));
+            ids.iter().filter(|_| torn).for_each(|id| cluster.tear(*id));
         }
         "lose-disk" => {
             cluster.crash(first, false);
@@ -83,6 +88,10 @@
                 cluster.propose(first, data);
             }
         }
+        "propose-many" => (1..=number(case, "count", 1)).for_each(|number| {
+            cluster.propose(first, &format!("change {number}"));
+            cluster.settle();
+        }),
         "read" => cluster.read(first),
         "add-learner" => {
             let replica = replicas(case, "learner")[0];
