Keep one type for what decided a value

Cause: control held a copy of the settings' `RuleSource`, variant by variant and with the same words in `Display`, only because its log serializes it. A new kind of rule would have had to be added twice. The fresh lease of a worker was written out twice, too.

Change: `RuleSource` can be serialized, and control uses it; the log's form is the same, since the variants and fields have the same names. `WorkerLease::new` makes a lease of which nothing was heard.

Left as they are, although they look alike: `MemberRequest` (what operators send) and `MemberChange` (what the log keeps), whose forms must be free to differ; `PolicySubject` and `ExceptionSelector`, which mean opposite things by an empty field; the lookup of a follower's progress in two handlers of the quorum, which the borrow of the log beside it prevents from being a method.

Check: settings' and control's tests pass.

--- a/crates/control/src/leader/leases.rs
+++ b/crates/control/src/leader/leases.rs
@@ -50,6 +50,20 @@
     complete_at: Option<Duration>,
 }
 
+impl WorkerLease {
+    /// A lease of which nothing was heard here yet.
+    fn new(incarnation: IncarnationNumber, expires_at: Duration) -> Self {
+        Self {
+            incarnation,
+            sequence: 0,
+            expires_at,
+            renewed: false,
+            ending: false,
+            complete_at: None,
+        }
+    }
+}
+
 /// What is to become of a heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeartbeatVerdict {
@@ -77,14 +91,7 @@
         incarnation: IncarnationNumber,
         expires_at: Duration,
     ) {
-        self.leases.entry(worker).or_insert(WorkerLease {
-            incarnation,
-            sequence: 0,
-            expires_at,
-            renewed: false,
-            ending: false,
-            complete_at: None,
-        });
+        self.leases.entry(worker).or_insert(WorkerLease::new(incarnation, expires_at));
     }
 
     /// Forgets a worker.
@@ -128,14 +135,8 @@
         terms: LeaseTerms,
     ) -> Option<bool> {
         let expires_at = received_at + terms.wait_for(terms.length);
-        let lease = self.leases.entry(worker.clone()).or_insert(WorkerLease {
-            incarnation,
-            sequence: 0,
-            expires_at,
-            renewed: false,
-            ending: false,
-            complete_at: None,
-        });
+        let fresh = WorkerLease::new(incarnation, expires_at);
+        let lease = self.leases.entry(worker.clone()).or_insert(fresh);
         if lease.ending || incarnation != lease.incarnation {
             return None;
         }
--- a/crates/control/src/leader/planner.rs
+++ b/crates/control/src/leader/planner.rs
@@ -3,8 +3,7 @@
 use {
     super::LeaderState,
     crate::state::{
-        FleetCommand, FleetState, JobRecord, PlaceCommand, RuleNote, StopPurpose, TaskLife,
-        WorkerRecord,
+        FleetCommand, FleetState, JobRecord, PlaceCommand, StopPurpose, TaskLife, WorkerRecord,
     },
     base::{JobId, TaskId, WorkerId},
     proto::messages::{JobSpec, PriorityClass, TaskAssignment, TaskCommand, ThrottleLevel},
@@ -94,16 +93,16 @@
 }
 
 /// What decided the values of a section for a job: an exception before the default.
-fn rule_for(state: &FleetState, wall: SystemTime, job: &JobId, section: &str) -> RuleNote {
-    let Some(record) = state.jobs().get(job) else { return RuleNote::BuiltIn };
+fn rule_for(state: &FleetState, wall: SystemTime, job: &JobId, section: &str) -> RuleSource {
+    let Some(record) = state.jobs().get(job) else { return RuleSource::BuiltIn };
     let resolved = state.declarations().fleet().policy_for(&job_subject(&record.spec), wall);
     let in_section =
         |key: &str| key.strip_prefix(section).is_some_and(|rest| rest.starts_with('.'));
-    let mut found = RuleNote::BuiltIn;
+    let mut found = RuleSource::BuiltIn;
     for (_, source) in resolved.sources.iter().filter(|(key, _)| in_section(key)) {
         match source {
-            RuleSource::Exception { .. } => return source.clone().into(),
-            RuleSource::Default => found = RuleNote::Default,
+            RuleSource::Exception { .. } => return source.clone(),
+            RuleSource::Default => found = RuleSource::Default,
             RuleSource::BuiltIn => {}
         }
     }
--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -1,7 +1,6 @@
 //! What the log carries: commands that change the applied state, and what became of each.
 
 use {
-    super::reason::RuleNote,
     base::{
         AttemptNumber, IncarnationNumber, JobId, ResourceVector, RevisionNumber, SubmissionId,
         TaskId, WorkerId,
@@ -13,6 +12,7 @@
     },
     sched::{ParkReason, PlacementReason, ReliefReason},
     serde::{Deserialize, Serialize},
+    settings::RuleSource,
 };
 
 /// One entry of the log.
@@ -52,7 +52,7 @@
         /// Why.
         reason: ParkReason,
         /// What decided.
-        rule: RuleNote,
+        rule: RuleSource,
     },
     /// Lets a parked job be tried again.
     UnparkJob {
@@ -111,7 +111,7 @@
         /// Why.
         reason: ReliefReason,
         /// What decided.
-        rule: RuleNote,
+        rule: RuleSource,
     },
     /// Asks for an attempt to be checkpointed and stopped.
     Evict {
@@ -122,7 +122,7 @@
         /// Why.
         reason: ReliefReason,
         /// What decided.
-        rule: RuleNote,
+        rule: RuleSource,
     },
     /// A worker has said where an attempt stands.
     Report {
@@ -188,7 +188,7 @@
     /// Why there.
     pub reason: PlacementReason,
     /// What decided.
-    pub rule: RuleNote,
+    pub rule: RuleSource,
 }
 
 /// Why a command changed nothing. Every replica refuses the same commands.
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -24,7 +24,7 @@
     fact::FleetFact,
     jobs::{JobRecord, JobTable, StepRecord, TaskRecord, TASKS_PER_JOB_LIMIT},
     ledger::LedgerTable,
-    reason::{RuleNote, StepReason},
+    reason::StepReason,
     submissions::{ContentDigest, SubmissionLog, SubmissionMatch},
     task::{
         EndPhase, Ended, Parked, Placed, Running, SeatedPhase, StopPurpose, Stopping, Task,
--- a/crates/control/src/state/operate.rs
+++ b/crates/control/src/state/operate.rs
@@ -5,7 +5,7 @@
         command::{CommandOutcome, CommandRefusal, DeclarationChange},
         fact::FleetFact,
         jobs::{JobRecord, TaskRecord, TASKS_PER_JOB_LIMIT},
-        reason::{RuleNote, StepReason},
+        reason::StepReason,
         submissions::{ContentDigest, SubmissionMatch},
         task::{EndPhase, StopPurpose, Task, TaskLife},
         ApplyScope,
@@ -16,6 +16,7 @@
         EndpointAnnouncement, JobSpec, WorkerAnnouncement,
     },
     sched::ParkReason,
+    settings::RuleSource,
     std::collections::VecDeque,
 };
 
@@ -114,7 +115,7 @@
         &mut self,
         job: &JobId,
         reason: ParkReason,
-        rule: RuleNote,
+        rule: RuleSource,
     ) -> CommandOutcome {
         let Some(record) = self.state.jobs.get_mut(job) else {
             return CommandOutcome::Refused(CommandRefusal::Unknown);
--- a/crates/control/src/state/reason.rs
+++ b/crates/control/src/state/reason.rs
@@ -7,51 +7,6 @@
     std::fmt,
 };
 
-/// The default or exception that decided. The log keeps it, because the declarations may have
-/// changed by the time somebody asks.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub enum RuleNote {
-    /// No file set the value.
-    #[default]
-    BuiltIn,
-    /// The fleet's default.
-    Default,
-    /// An exception.
-    Exception {
-        /// Its name.
-        name: String,
-        /// Its written reason.
-        reason: String,
-        /// Who answers for it.
-        owner: String,
-    },
-}
-
-impl From<RuleSource> for RuleNote {
-    fn from(source: RuleSource) -> Self {
-        match source {
-            RuleSource::BuiltIn => Self::BuiltIn,
-            RuleSource::Default => Self::Default,
-            RuleSource::Exception { name, reason, owner } => {
-                Self::Exception { name, reason, owner }
-            }
-        }
-    }
-}
-
-impl fmt::Display for RuleNote {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::BuiltIn => f.write_str("built-in value"),
-            Self::Default => f.write_str("fleet default"),
-            Self::Exception { name, reason, owner } => {
-                write!(f, "exception {name:?} of {owner}: {reason}")
-            }
-        }
-    }
-}
-
 /// Why a step was taken.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -59,7 +14,7 @@
     /// The job was submitted.
     Submitted,
     /// The model chose a worker.
-    Chosen(PlacementReason, RuleNote),
+    Chosen(PlacementReason, RuleSource),
     /// The worker reports that the task runs.
     Started,
     /// The worker or its platform would not start the task.
@@ -69,9 +24,9 @@
     /// The task ended with failure.
     Failed(String),
     /// The task is being relieved of its place.
-    Relieved(ReliefReason, RuleNote),
+    Relieved(ReliefReason, RuleSource),
     /// The task may use another share of its reservation.
-    Throttled(u8, ReliefReason, RuleNote),
+    Throttled(u8, ReliefReason, RuleSource),
     /// The worker confirms that the task has stopped.
     Stopped,
     /// The worker's lease has expired.
@@ -81,14 +36,14 @@
     /// An operator cancelled the job.
     Cancelled,
     /// The job is kept back.
-    Parked(ParkReason, RuleNote),
+    Parked(ParkReason, RuleSource),
     /// An operator let the job be tried again.
     Unparked,
 }
 
 impl StepReason {
     /// What decided, for the reasons that rest on a declared value.
-    pub fn rule(&self) -> Option<&RuleNote> {
+    pub fn rule(&self) -> Option<&RuleSource> {
         match self {
             Self::Chosen(_, rule)
             | Self::Relieved(_, rule)
--- a/crates/settings/src/declaration/mod.rs
+++ b/crates/settings/src/declaration/mod.rs
@@ -131,10 +131,13 @@
     pub values: toml::Table,
 }
 
-/// What decided a value.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// What decided a value. The log of control keeps it beside each decision, because the declarations
+/// may have changed by the time somebody asks.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RuleSource {
     /// The value that is built in, because no file sets it.
+    #[default]
     BuiltIn,
     /// The fleet's defaults.
     Default,
