--- a/crates/control/benches/state.rs
+++ b/crates/control/benches/state.rs
@@ -10,7 +10,7 @@
     control::{
         leader::ProcessNote,
         node::{ControlNode, NodeEffect, NodeEvent, NodeSettings},
-        state::{CommandBatch, FleetCommand, FleetState, PlaceCommand, RuleNote},
+        state::{CommandBatch, FleetCommand, FleetState, PlaceCommand},
     },
     criterion::{criterion_group, criterion_main, BatchSize, Criterion},
     proto::{
@@ -23,6 +23,7 @@
     },
     quorum::{GroupMember, QuorumSettings, RecoveredLog},
     sched::PlacementReason,
+    settings::RuleSource,
     std::{hint::black_box, time::Duration},
 };
 
@@ -123,7 +124,7 @@
                     service_slowdown_percent: 0.0,
                     corrected: false,
                 },
-                rule: RuleNote::Default,
+                rule: RuleSource::Default,
             })
         })
         .collect()
