--- a/crates/control/tests/fleet/mod.rs
+++ b/crates/control/tests/fleet/mod.rs
@@ -182,7 +182,7 @@
         let Some(found) = self.replicas.get_mut(&replica) else { return };
         found.node = None;
         if let Some(batch) = found.writing.take().filter(|_| written) {
-            write_batch(&mut found.disk, &batch);
+            found.disk.apply(&batch);
         }
         self.waiting.retain(|(holder, _), _| *holder != replica);
     }
@@ -374,7 +374,7 @@
             return self.event(at, NodeEvent::PersistFailed { number });
         }
         if self.breakage != Some(Breakage::DiskForgets) {
-            write_batch(&mut replica.disk, &batch);
+            replica.disk.apply(&batch);
         }
         self.event(at, NodeEvent::Persisted { number });
     }
@@ -453,17 +453,3 @@
         }
     }
 }
-
-fn write_batch(disk: &mut RecoveredLog, batch: &PersistBatch) {
-    if let Some(snapshot) = &batch.snapshot {
-        disk.entries.retain(|entry| entry.index > snapshot.index);
-        disk.snapshot = Some(snapshot.clone());
-    }
-    if let Some(from) = batch.truncate_from {
-        disk.entries.retain(|entry| entry.index < from);
-    }
-    disk.entries.extend(batch.entries.iter().cloned());
-    if let Some(hard_state) = batch.hard_state {
-        disk.hard_state = hard_state;
-    }
-}
