Claim a complete report only when every attempt is named

Cause: review of the contract between agent and control: a heartbeat called its reports complete while attempts that wait or start can't be named, and control may take what is not named for ended. Control now never gives up on that silence alone, so nothing broke, but the agent broke the contract.

Change: reports are complete only when every known attempt has one.

--- a/crates/agent/src/reducer/on_heartbeat.rs
+++ b/crates/agent/src/reducer/on_heartbeat.rs
@@ -77,10 +77,12 @@
     }
 
     /// What is known of attempts, and whether that is all. Before the platform has been listed,
-    /// attempts of an earlier life may run of which this life does not know yet.
+    /// attempts of an earlier life may run of which this life does not know yet; and an attempt that
+    /// is about to start can't be named, while control would take its absence for its end.
     fn reports(&self) -> (bool, Vec<AttemptReport>) {
-        let complete = self.report_all && self.platform.is_listed();
         let attempts = self.attempts.attempts.values();
+        let all_named = attempts.clone().all(|attempt| attempt.report().is_some());
+        let complete = self.report_all && self.platform.is_listed() && all_named;
         let due = attempts.filter(|attempt| complete || !attempt.told_running);
         (complete, due.filter_map(|attempt| attempt.report()).collect())
     }
