Let a draining agent end unheard after three heartbeats

Cause: stopping a desk of 27 processes at once left its agents waiting for a leader that had stopped too, for the whole drain limit of 30 s.

Change: an agent with nothing in progress ends once a leader has heard that it leaves, or three heartbeats after it began to drain. Without a leader nobody would learn it before the lease ends anyway.

--- a/crates/agent/src/process/core.rs
+++ b/crates/agent/src/process/core.rs
@@ -137,7 +137,8 @@
     pub(super) fn wait_for_drain(&self) -> bool {
         let limit = self.lock().reducer.drain_limit();
         let busy = |state: &mut CoreState| {
-            state.reducer.in_progress() > 0 || !state.reducer.drain_is_told()
+            let now = self.context.clock().monotonic();
+            state.reducer.in_progress() > 0 || !state.reducer.drain_is_told(now)
         };
         let waited = self.changed.wait_timeout_while(self.lock(), limit, busy);
         let (state, _) = waited.expect("a core holder never panics");
--- a/crates/agent/src/reducer/mod.rs
+++ b/crates/agent/src/reducer/mod.rs
@@ -38,6 +38,9 @@
     telemetry::{AgentEvent, ProcessEvent},
 };
 
+/// Heartbeats within which a draining agent must be heard by a leader, or ends unheard.
+const TELL_HEARTBEATS: u32 = 3;
+
 /// The agent's state. See the module's documentation.
 #[derive(Debug)]
 pub struct AgentReducer {
@@ -57,6 +60,8 @@
     told_endpoints: u64,
     report_all: bool,
     draining: bool,
+    /// Until when a draining agent waits to be heard by a leader.
+    tell_until: Duration,
     superseded: bool,
     effects: Vec<AgentEffect>,
 }
@@ -87,6 +92,7 @@
             told_endpoints: 0,
             report_all: true,
             draining: false,
+            tell_until: Duration::ZERO,
             superseded: false,
             effects: Vec::new(),
         }
@@ -111,12 +117,12 @@
         self.calls.len()
     }
 
-    /// True when the leader has been told that the agent is leaving.
-    pub fn drain_is_told(&self) -> bool {
-        self.superseded
-            || (self.draining
-                && self.told_announcement == self.announcement_version
-                && self.told_endpoints == self.endpoints_version())
+    /// True when the leader has been told that the agent is leaving, or could not be told within a
+    /// few heartbeats: without a leader nobody learns it before the lease ends anyway.
+    pub fn drain_is_told(&self, now: Duration) -> bool {
+        let told = self.told_announcement == self.announcement_version
+            && self.told_endpoints == self.endpoints_version();
+        self.superseded || (self.draining && (told || now >= self.tell_until))
     }
 
     /// True when the worker's lease holds.
@@ -160,11 +166,12 @@
         self.send_heartbeat_when_due(now);
     }
 
-    fn begin_drain(&mut self) {
+    fn begin_drain(&mut self, now: Duration) {
         if self.draining {
             return;
         }
         self.draining = true;
+        self.tell_until = now + self.policy.lease().heartbeat * TELL_HEARTBEATS;
         self.announcement_version += 1;
         self.record(AgentEvent::DrainBegan { worker: self.config.worker.clone() });
         self.hurry();
@@ -241,7 +248,7 @@
             AgentInput::RevisionHeard { peer, revision } => {
                 self.hear_revision(now, peer, revision);
             }
-            AgentInput::DrainRequested => self.begin_drain(),
+            AgentInput::DrainRequested => self.begin_drain(now),
         }
         self.tick(now);
         std::mem::take(&mut self.effects)
--- a/crates/agent/tests/scenarios/world.rs
+++ b/crates/agent/tests/scenarios/world.rs
@@ -162,6 +162,10 @@
                 self.feed(AgentInput::DrainRequested);
                 self.observed.push(Observation::Drained);
             }
+            ["may-end"] => {
+                let told = self.agent.drain_is_told(self.now());
+                self.say(if told { "may end" } else { "waits to be heard" });
+            }
             ["dispatch", name, rest @ ..] => self.dispatch(name, &rest.join(" ")),
             ["fence", name, rest @ ..] => self.fence(name, &rest.join(" ")),
             ["executor", name, how] => self.executor(name, how),
