Give the placement policy its built-in values once

Cause: the same ten values stood in two tests and a bench.

Change: SchedPolicy has a default.

Measured: sched's scenarios and schedules pass unchanged.

--- a/crates/sched/benches/decision_cost/main.rs
+++ b/crates/sched/benches/decision_cost/main.rs
@@ -27,21 +27,6 @@
 const GIVEN_UP: Duration = Duration::from_secs(4);
 const WAVE: u32 = 1_000;
 
-fn policy() -> SchedPolicy {
-    SchedPolicy {
-        tail_latency_weight: 1.0,
-        eviction_weight: 100.0,
-        throughput_weight: 1.0,
-        relief_above_percent: 25,
-        throttle_floor_percent: 20,
-        patience: Duration::from_secs(15),
-        retry_pairing_after: Duration::from_secs(600),
-        job_workers: 3,
-        worker_jobs: 3,
-        probe_after: Duration::from_secs(300),
-    }
-}
-
 fn size(cpu: u64) -> ResourceVector {
     ResourceVector { cpu: CpuMillis(cpu), memory: ByteSize(cpu), ..ResourceVector::ZERO }
 }
@@ -84,7 +69,7 @@
 impl LargeFleet {
     fn new(workers: usize) -> Self {
         let mut fleet = Self {
-            model: FleetModel::new(policy(), 1),
+            model: FleetModel::new(SchedPolicy::default(), 1),
             now: Duration::from_secs(1),
             workers,
             next: TASKS,
--- a/crates/sched/src/interface/mod.rs
+++ b/crates/sched/src/interface/mod.rs
@@ -45,6 +45,24 @@
     pub probe_after: Duration,
 }
 
+/// The values that hold when no file declares others; `docs/CONFIGURATION.md` lists them.
+impl Default for SchedPolicy {
+    fn default() -> Self {
+        Self {
+            tail_latency_weight: 1.0,
+            eviction_weight: 100.0,
+            throughput_weight: 1.0,
+            relief_above_percent: 25,
+            throttle_floor_percent: 20,
+            patience: Duration::from_secs(15),
+            retry_pairing_after: Duration::from_secs(600),
+            job_workers: 3,
+            worker_jobs: 3,
+            probe_after: Duration::from_secs(300),
+        }
+    }
+}
+
 /// A worker as the model sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerView {
--- a/crates/sched/tests/first_fit.rs
+++ b/crates/sched/tests/first_fit.rs
@@ -10,21 +10,6 @@
     std::time::Duration,
 };
 
-fn policy() -> SchedPolicy {
-    SchedPolicy {
-        tail_latency_weight: 1.0,
-        eviction_weight: 100.0,
-        throughput_weight: 1.0,
-        relief_above_percent: 25,
-        throttle_floor_percent: 20,
-        patience: Duration::from_secs(15),
-        retry_pairing_after: Duration::from_secs(600),
-        job_workers: 3,
-        worker_jobs: 3,
-        probe_after: Duration::from_secs(300),
-    }
-}
-
 fn cores(count: u64) -> ResourceVector {
     ResourceVector { cpu: CpuMillis(count * 1000), memory: ByteSize(count), ..ResourceVector::ZERO }
 }
@@ -55,7 +40,7 @@
 
 #[test]
 fn room_is_held_from_proposal_to_release() {
-    let mut model = FleetModel::new(policy(), 1);
+    let mut model = FleetModel::new(SchedPolicy::default(), 1);
     model.set_worker(WorkerView {
         worker: "w1".parse().unwrap(),
         data_centre: "arusha".parse().unwrap(),
--- a/crates/sched/tests/support/mod.rs
+++ b/crates/sched/tests/support/mod.rs
@@ -12,21 +12,6 @@
     std::{collections::BTreeMap, fmt::Write, time::Duration},
 };
 
-pub fn policy() -> SchedPolicy {
-    SchedPolicy {
-        tail_latency_weight: 1.0,
-        eviction_weight: 100.0,
-        throughput_weight: 1.0,
-        relief_above_percent: 25,
-        throttle_floor_percent: 20,
-        patience: Duration::from_secs(15),
-        retry_pairing_after: Duration::from_secs(600),
-        job_workers: 3,
-        worker_jobs: 3,
-        probe_after: Duration::from_secs(300),
-    }
-}
-
 /// One command: words, some of them `key=value`.
 struct Words<'a>(Vec<&'a str>);
 
@@ -92,8 +77,8 @@
 impl ModelDriver {
     pub fn new(seed: u64) -> Self {
         Self {
-            model: FleetModel::new(policy(), seed),
-            policy: policy(),
+            model: FleetModel::new(SchedPolicy::default(), seed),
+            policy: SchedPolicy::default(),
             now: Duration::ZERO,
             workers: BTreeMap::new(),
             held: BTreeMap::new(),
