Tell since which revision a rule decides

Cause: explanations named the rule and not its age; the revision that they printed was the newest one, whatever it had changed.

Change: the applied state dates each default, service, team and exception by the revision that gave it its present text. Explanations of policies print it, and mangoctl shows those of control unless a folder is named.

--- a/crates/control/src/node/explain.rs
+++ b/crates/control/src/node/explain.rs
@@ -84,11 +84,16 @@
         }
         let decisions = values
             .into_iter()
-            .map(|(key, value)| ExplainedDecision {
-                at_ms: self.wall_ms(),
-                decision: format!("{key} = {value}"),
-                reason: format!("revision {}", self.state.declarations().revision()),
-                rule: resolved.source(&key).to_string(),
+            .map(|(key, value)| {
+                let source = resolved.source(&key);
+                let rule = source.rule_name(&key);
+                let since = self.state.declarations().rule_since(rule.as_deref());
+                ExplainedDecision {
+                    at_ms: self.wall_ms(),
+                    decision: format!("{key} = {value}"),
+                    reason: format!("since revision {since}"),
+                    rule: source.to_string(),
+                }
             })
             .collect();
         OperatorAnswer::Explained(ExplainReply { subject: describe(subject), decisions })
--- a/crates/control/src/state/declarations.rs
+++ b/crates/control/src/state/declarations.rs
@@ -6,6 +6,7 @@
         submissions::{ContentDigest, SubmissionLog, SubmissionMatch},
     },
     base::RevisionNumber,
+    indexmap::IndexMap,
     proto::messages::{operator::ApplyReply, DeclarationBundle, DeclarationFile},
     serde::{Deserialize, Serialize},
     settings::{declaration::RetentionPolicy, FleetDeclaration, FleetPolicy, PolicySubject},
@@ -24,6 +25,8 @@
     submissions: SubmissionLog<ApplyReply>,
     /// The longest lease that a worker may hold under this or an earlier revision.
     lease_bound: Duration,
+    /// The revision that gave each rule its present text.
+    rules_since: IndexMap<String, RevisionNumber>,
     #[serde(skip)]
     store: DeclarationStore,
     #[serde(skip)]
@@ -74,6 +77,11 @@
         &self.defaults
     }
 
+    /// Since which revision a rule has its present text; zero when no file sets it.
+    pub fn rule_since(&self, rule: Option<&str>) -> RevisionNumber {
+        rule.and_then(|rule| self.rules_since.get(rule)).copied().unwrap_or_default()
+    }
+
     /// The longest lease that any worker may hold.
     pub fn lease_bound(&self) -> Duration {
         self.lease_bound
@@ -113,9 +121,11 @@
             return ApplyReply::Conflict { current };
         }
         let bundle = DeclarationBundle { revision: current.next(), files };
+        let before = self.store.fleet().clone();
         match self.store.offer(bundle.clone()) {
             OfferOutcome::InForce(revision) => {
                 self.bundle = bundle;
+                self.date_rules(&before, revision);
                 self.defaults = fleet_defaults(self.store.fleet());
                 self.lease_bound = self.lease_bound.max(self.declared_lease());
                 ApplyReply::Accepted { revision }
@@ -126,6 +136,17 @@
             }
         }
     }
+
+    /// Dates the rules that a revision has added or changed.
+    fn date_rules(&mut self, before: &FleetDeclaration, revision: RevisionNumber) {
+        let before = before.rules();
+        let dated = self.store.fleet().rules().into_iter().map(|(rule, text)| {
+            let kept = (before.get(&rule) == Some(&text)).then(|| self.rules_since.get(&rule));
+            let since = kept.flatten().copied().unwrap_or(revision);
+            (rule, since)
+        });
+        self.rules_since = dated.collect();
+    }
 }
 
 fn fleet_defaults(fleet: &FleetDeclaration) -> FleetPolicy {
--- a/crates/mangoctl/src/commands/explain.rs
+++ b/crates/mangoctl/src/commands/explain.rs
@@ -9,9 +9,10 @@
         output::{show, table, time_of_day},
     },
     base::{TaskId, WorkerId},
-    proto::messages::{operator::ExplainReply, DeclarationBundle},
+    proto::messages::operator::{ExplainReply, ExplainedDecision},
     serde::Serialize,
-    std::time::SystemTime,
+    settings::PolicySubject,
+    std::{path::Path, time::SystemTime},
 };
 
 /// Explains a task.
@@ -47,28 +48,64 @@
     key: String,
     value: String,
     decided_by: String,
+    /// Since which revision; empty for a folder that is not in force.
+    since: String,
 }
 
 /// Shows every value that holds for a subject and what decided it.
 pub(super) fn policy(call: &CommandCall) -> Result<(), CommandFailure> {
-    let files = match &call.folder {
-        Some(folder) => read_folder(folder)?,
-        None => FleetClient::new(call)?.get::<DeclarationBundle>("/v1/declarations")?.files,
+    let values = match &call.folder {
+        Some(folder) => explain_folder(call, folder)?,
+        None => explain_in_force(call)?,
     };
-    let resolved = check_files(&files)?.policy_for(&call.subject, SystemTime::now());
-    let values: Vec<ExplainedValue> = resolved
-        .values()
-        .into_iter()
-        .map(|(key, value)| {
-            let decided_by = resolved.source(&key).to_string();
-            ExplainedValue { key, value, decided_by }
-        })
-        .collect();
     show(call, &values, |values| {
         let rows: Vec<_> = values
             .iter()
-            .map(|value| vec![value.key.clone(), value.value.clone(), value.decided_by.clone()])
+            .map(|value| {
+                let cells = [&value.key, &value.value, &value.since, &value.decided_by];
+                cells.map(String::clone).to_vec()
+            })
             .collect();
-        table(&["value", "is", "decided by"], &rows)
+        table(&["value", "is", "since", "decided by"], &rows)
     })
 }
+
+fn explain_folder(
+    call: &CommandCall,
+    folder: &Path,
+) -> Result<Vec<ExplainedValue>, CommandFailure> {
+    let fleet = check_files(&read_folder(folder)?)?;
+    let resolved = fleet.policy_for(&call.subject, SystemTime::now());
+    let explain = |(key, value): (String, String)| {
+        let decided_by = resolved.source(&key).to_string();
+        ExplainedValue { key, value, decided_by, since: String::new() }
+    };
+    Ok(resolved.values().into_iter().map(explain).collect())
+}
+
+fn explain_in_force(call: &CommandCall) -> Result<Vec<ExplainedValue>, CommandFailure> {
+    let path = format!("/v1/explain/policy?{}", query(&call.subject));
+    let reply: ExplainReply = FleetClient::new(call)?.get(&path)?;
+    let explain = |decision: ExplainedDecision| {
+        let (key, value) = decision.decision.split_once(" = ").unwrap_or_default();
+        ExplainedValue {
+            key: key.to_owned(),
+            value: value.to_owned(),
+            decided_by: decision.rule,
+            since: decision.reason,
+        }
+    };
+    Ok(reply.decisions.into_iter().map(explain).collect())
+}
+
+fn query(subject: &PolicySubject) -> String {
+    let fields = [
+        subject.service.as_ref().map(|name| format!("service={name}")),
+        subject.team.as_ref().map(|name| format!("team={name}")),
+        subject.class.as_ref().map(|name| format!("class={name}")),
+        subject.data_centre.as_ref().map(|name| format!("data_centre={name}")),
+        subject.rack.as_ref().map(|name| format!("rack={name}")),
+        subject.worker.as_ref().map(|name| format!("worker={name}")),
+    ];
+    fields.into_iter().flatten().collect::<Vec<_>>().join("&")
+}
--- a/crates/mangoctl/tests/fleet.rs
+++ b/crates/mangoctl/tests/fleet.rs
@@ -91,7 +91,12 @@
     check(
         "explain policy --service demo --data-centre here-1",
         0,
-        &["request.deadline", "\"4s\"", "the yard's link is slow until it is replaced"],
+        &[
+            "request.deadline",
+            "\"4s\"",
+            "since revision 1",
+            "the yard's link is slow until it is replaced",
+        ],
     );
     check("status", 0, &["revision 1, led by replica", "control-1", "entry-1", "worker-3"]);
     check("status --json", 0, &["\"revision\": 1"]);
--- a/crates/settings/src/declaration/mod.rs
+++ b/crates/settings/src/declaration/mod.rs
@@ -152,6 +152,18 @@
     },
 }
 
+impl RuleSource {
+    /// The rule that set the value at `key`, by the name that [`FleetDeclaration::rules`] gives it;
+    /// `None` when no file sets it.
+    pub fn rule_name(&self, key: &str) -> Option<String> {
+        match self {
+            Self::BuiltIn => None,
+            Self::Default => Some(format!("defaults.{key}")),
+            Self::Exception { name, .. } => Some(format!("exceptions.{name}")),
+        }
+    }
+}
+
 impl fmt::Display for RuleSource {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
