Filter the time line by time

Cause: the time line could be filtered by any field and not by time.

Measured: mangoctl's commands on a running fleet pass, this one among them.

--- a/crates/mangoctl/src/arguments/help.rs
+++ b/crates/mangoctl/src/arguments/help.rs
@@ -29,8 +29,8 @@
     worker undrain WORKER      give a worker tasks again
     explain worker WORKER      why a worker gets tasks, or gets none
     timeline                   what happened in all processes, causes first
-                               (--where FIELD=TEXT, --follow, --from FILE, --save FILE,
-                               --html FILE)
+                               (--where FIELD=TEXT, --last DURATION, --follow, --from FILE,
+                               --save FILE, --html FILE)
 
 CONTROL GROUP
     member add REPLICA ADDRESS add a replica without a vote, under an id never used before
--- a/crates/mangoctl/src/arguments/mod.rs
+++ b/crates/mangoctl/src/arguments/mod.rs
@@ -65,6 +65,8 @@
 pub(crate) struct EventOptions {
     /// Fields that an event must have.
     pub(crate) fields: Vec<(String, String)>,
+    /// How far back to go; to the beginning of what is kept when `None`.
+    pub(crate) last: Option<Duration>,
     /// Files to read besides, or instead of, processes.
     pub(crate) files: Vec<PathBuf>,
     /// A file for the events, one a line.
@@ -147,6 +149,7 @@
             Long("from") => call.events.files.push(parser.value()?.into()),
             Long("save") => call.events.save = Some(parser.value()?.into()),
             Long("html") => call.events.html = Some(parser.value()?.into()),
+            Long("last") => call.events.last = Some(duration(&parser.value()?.string()?)?),
             Long("follow") => call.events.follow = true,
             Long("where") => call.events.fields.push(field(&parser.value()?.string()?)?),
             Long("service") => call.subject.service = Some(parser.value()?.parse()?),
--- a/crates/mangoctl/src/commands/timeline.rs
+++ b/crates/mangoctl/src/commands/timeline.rs
@@ -10,7 +10,11 @@
     base::{HybridStamp, PeerAddress, ProcessName},
     proto::messages::operator::FleetStatus,
     snafu::ResultExt,
-    std::{collections::BTreeMap, fs, thread, time::Duration},
+    std::{
+        collections::BTreeMap,
+        fs, thread,
+        time::{Duration, SystemTime},
+    },
     telemetry::{
         timeline::{format_line, merge, read_json_lines, write_page, EventFilter},
         EventRecord,
@@ -21,7 +25,7 @@
 
 /// Shows what happened in all processes.
 pub(super) fn show_events(call: &CommandCall) -> Result<(), CommandFailure> {
-    let filter = EventFilter { fields: call.events.fields.clone(), ..EventFilter::default() };
+    let filter = filter(call);
     let mut records = read_files(call)?;
     let mut reader = match call.events.files.is_empty() || !call.peers.is_empty() {
         true => Some(FleetReader::find(FleetClient::new(call)?)?),
@@ -39,6 +43,14 @@
     }
 }
 
+fn filter(call: &CommandCall) -> EventFilter {
+    let fields = call.events.fields.clone();
+    let from = call.events.last.and_then(|last| SystemTime::now().checked_sub(last));
+    let from = from.and_then(|from| from.duration_since(SystemTime::UNIX_EPOCH).ok());
+    let from_micros = from.and_then(|from| u64::try_from(from.as_micros()).ok());
+    EventFilter { fields, from_micros, ..EventFilter::default() }
+}
+
 fn follow(
     call: &CommandCall,
     reader: &mut FleetReader,
--- a/crates/mangoctl/tests/fleet.rs
+++ b/crates/mangoctl/tests/fleet.rs
@@ -114,6 +114,7 @@
     check("member promote 9", 1, &["mangoctl: "]);
     check("member remove 9 --yes", 1, &["mangoctl: "]);
     check("timeline --html page.html --save events.jsonl", 0, &["RevisionInForce revision=1"]);
+    check("timeline --last 5m", 0, &["RevisionInForce revision=1"]);
     check("timeline --from events.jsonl --where revision=1", 0, &["RevisionInForce revision=1"]);
     let page = fs::read_to_string(operator.folder.path().join("page.html"));
     assert!(page.is_ok_and(|page| page.contains("control-1") && page.contains("agent-1")));
