Stamp events while their ring is held

Cause: reading the change again. An event was stamped before its ring was locked, so that of two threads the later stamp could come into the ring first; a reader that goes on from the last stamp would miss the other.

Change: the stamp is taken under the ring's lock.

Measured: telemetry's tests pass; the race itself was found by reading and has no test.

--- a/crates/telemetry/src/recorder/mod.rs
+++ b/crates/telemetry/src/recorder/mod.rs
@@ -42,8 +42,11 @@
         Self { identity, capacity, ring: Mutex::default() }
     }
 
-    /// Stamps and keeps an event, and writes it to the log.
+    /// Stamps and keeps an event, and writes it to the log. The stamp is taken while the ring is
+    /// held: a reader goes on from the last stamp that it saw, and would miss an event that came
+    /// into the ring after a later one.
     pub fn record(&self, event: &impl CatalogueEvent) {
+        let mut ring = self.ring.lock().expect("a ring holder never panics");
         let record = EventRecord {
             stamp: self.identity.stamp(),
             process: self.identity.sender().name.clone(),
@@ -57,7 +60,6 @@
                 .collect(),
         };
         write_log(&record);
-        let mut ring = self.ring.lock().expect("a ring holder never panics");
         if ring.len() == self.capacity {
             ring.pop_front();
         }
