Read all kept events of a process for the time line

Cause: reading the change again. An answer of /events holds 2,000 events at most, and mangoctl timeline asked once: of a busy process it showed the oldest of what is kept and left the rest out without a word.

Change: it asks again from the last stamp until nothing comes, 64 answers at the most.

Measured: a test that sends 701 requests and looks for the answer of one of the last failed before and passes now.

--- a/crates/mangoctl/src/commands/timeline.rs
+++ b/crates/mangoctl/src/commands/timeline.rs
@@ -8,19 +8,22 @@
         output::show,
     },
     base::{HybridStamp, PeerAddress, ProcessName},
-    proto::messages::operator::FleetStatus,
-    snafu::ResultExt,
+    proto::{messages::operator::FleetStatus, operator_client::OperatorError},
+    snafu::{ResultExt, Snafu},
     std::{
         collections::BTreeMap,
         fs, thread,
         time::{Duration, SystemTime},
     },
     telemetry::{
-        timeline::{format_line, merge, read_json_lines, write_page, EventFilter},
+        timeline::{format_line, merge, read_json_lines, write_page, EventFilter, TimelineError},
         EventRecord,
     },
 };
 
+/// Answers that are read of one process in a row. A process that records faster than it is read
+/// must not keep the reader for ever.
+const ANSWERS_AT_MOST: usize = 64;
 const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
 
 /// Shows what happened in all processes.
@@ -114,21 +117,41 @@
     fn read_new(&mut self) -> Vec<EventRecord> {
         let mut records = Vec::new();
         for (name, (address, last)) in &mut self.processes {
-            let read = self.client.text(*address, &format!("/events?after={last}"));
-            let parsed = match read.map(|text| read_json_lines(&text)) {
-                Ok(Ok(parsed)) => parsed,
-                Ok(Err(error)) => {
-                    eprintln!("mangoctl: {name}: {error}");
-                    continue;
+            for _ in 0..ANSWERS_AT_MOST {
+                match read_answer(&self.client, *address, *last) {
+                    Ok(answer) if answer.is_empty() => break,
+                    Ok(answer) => {
+                        *last = answer.iter().map(|record| record.stamp).fold(*last, Ord::max);
+                        records.extend(answer);
+                    }
+                    Err(error) => {
+                        eprintln!("mangoctl: events of {name} are missing: {error}");
+                        break;
+                    }
                 }
-                Err(error) => {
-                    eprintln!("mangoctl: events of {name} are missing: {error}");
-                    continue;
-                }
-            };
-            *last = parsed.iter().map(|record| record.stamp).max().unwrap_or(*last).max(*last);
-            records.extend(parsed);
+            }
         }
         records
     }
 }
+
+/// Why the events of a process are missing.
+#[derive(Debug, Snafu)]
+enum AnswerError {
+    /// It does not answer.
+    #[snafu(display("{source}"), context(false))]
+    Call { source: OperatorError },
+    /// It answers with something else.
+    #[snafu(display("{source}"), context(false))]
+    Events { source: TimelineError },
+}
+
+/// The next events of a process. One answer holds a bounded number of them.
+fn read_answer(
+    client: &FleetClient,
+    address: PeerAddress,
+    after: HybridStamp,
+) -> Result<Vec<EventRecord>, AnswerError> {
+    let text = client.text(address, &format!("/events?after={after}"))?;
+    Ok(read_json_lines(&text)?)
+}
--- a/crates/mangoctl/tests/fleet.rs
+++ b/crates/mangoctl/tests/fleet.rs
@@ -4,6 +4,8 @@
     mangorouter::DevFleet,
     std::{
         fs,
+        io::{Read, Write},
+        net::TcpStream,
         path::Path,
         process::{Command, Stdio},
     },
@@ -65,6 +67,17 @@
     }
 }
 
+/// Why: an answer of `/events` holds 2,000 events at most, and what followed them was not asked for.
+fn send_requests(fleet: &DevFleet, count: u32) {
+    for _ in 0..count {
+        let mut stream = TcpStream::connect(fleet.callers().0).expect("the entry listens");
+        let request = "GET /demo/x HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n";
+        stream.write_all(request.as_bytes()).expect("the request is sent");
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).expect("the answer comes");
+    }
+}
+
 #[test]
 fn the_commands_work_on_a_running_fleet() {
     let folder = tempfile::tempdir().expect("a temporary folder");
@@ -114,6 +127,8 @@
     check("member promote 9", 1, &["mangoctl: "]);
     check("member remove 9 --yes", 1, &["mangoctl: "]);
     check("timeline --html page.html --save events.jsonl", 0, &["RevisionInForce revision=1"]);
+    send_requests(&fleet, 701);
+    check("timeline", 0, &["RequestAnswered", ":700 status=200"]);
     check("timeline --last 5m", 0, &["RevisionInForce revision=1"]);
     check("timeline --from events.jsonl --where revision=1", 0, &["RevisionInForce revision=1"]);
     let page = fs::read_to_string(operator.folder.path().join("page.html"));
