--- /dev/null
+++ b/crates/link/src/frame.rs
@@ -0,0 +1,67 @@
+//! The frames of a stream: four bytes of length, then the message.
+
+use {
+    serde::{de::DeserializeOwned, Serialize},
+    snafu::{ensure, ResultExt, Snafu},
+};
+
+/// The largest message, in bytes. A chunk of a snapshot or the largest configuration fits several
+/// times over.
+pub const FRAME_LIMIT: usize = 8 * 1024 * 1024;
+/// The bytes of a frame's length.
+const LENGTH_BYTES: usize = 4;
+
+/// Why a frame can't be written or read.
+#[derive(Debug, Snafu)]
+pub enum FrameError {
+    /// The message can't be encoded.
+    #[snafu(display("the message can't be encoded: {source}"))]
+    Encode {
+        /// What the codec reported.
+        source: rmp_serde::encode::Error,
+    },
+    /// The bytes are no message of this version.
+    #[snafu(display("the message can't be decoded: {source}"))]
+    Decode {
+        /// What the codec reported.
+        source: rmp_serde::decode::Error,
+    },
+    /// The message exceeds [`FRAME_LIMIT`].
+    #[snafu(display("a message of {length} bytes exceeds the limit of {FRAME_LIMIT}"))]
+    TooLong {
+        /// Its length in bytes.
+        length: usize,
+    },
+}
+
+/// Appends a message as a frame.
+pub(crate) fn write_frame<T: Serialize>(
+    message: &T,
+    buffer: &mut Vec<u8>,
+) -> Result<(), FrameError> {
+    let body = rmp_serde::to_vec(message).context(EncodeSnafu)?;
+    ensure!(body.len() <= FRAME_LIMIT, TooLongSnafu { length: body.len() });
+    buffer.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    buffer.extend_from_slice(&body);
+    Ok(())
+}
+
+/// Takes the first whole frame off the front of a buffer, if there is one.
+pub(crate) fn take_frame<T: DeserializeOwned>(
+    buffer: &mut Vec<u8>,
+) -> Result<Option<T>, FrameError> {
+    let Some(prefix) = buffer.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*prefix) as usize;
+    ensure!(length <= FRAME_LIMIT, TooLongSnafu { length });
+    let end = LENGTH_BYTES + length;
+    if buffer.len() < end {
+        return Ok(None);
+    }
+    let message = rmp_serde::from_slice(&buffer[LENGTH_BYTES..end]).context(DecodeSnafu)?;
+    buffer.drain(..end);
+    Ok(Some(message))
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/frame.rs"]
+mod tests;
--- a/crates/mangorouter/src/arguments/mod.rs
+++ b/crates/mangorouter/src/arguments/mod.rs
@@ -20,6 +20,8 @@
     mangorouter dev [--once] [--data FOLDER]
                                        run every role on loopback with stand-ins, and show a
                                        request, a job and a configuration change
+    mangorouter deployed ROLE          run an entry, agent or control process on the users'
+                                       platform, which names the settings in the environment
 
 ROLES
     control     a member of the control group; needs a disk
@@ -52,6 +54,8 @@
     Run { role: String, config: PathBuf },
     /// Run everything on loopback.
     Dev(DevOptions),
+    /// Run a role on the users' platform.
+    Deployed { role: String },
 }
 
 /// The options of `dev`.
@@ -68,6 +72,7 @@
     let mut role = None;
     let mut config = None;
     let mut check = false;
+    let mut deployed = None;
     let mut dev = DevOptions::default();
     while let Some(argument) = parser.next()? {
         match argument {
@@ -77,6 +82,9 @@
             Long("check") => check = true,
             Long("once") => dev.once = true,
             Long("data") => dev.data = Some(parser.value()?.into()),
+            Value(word) if role.as_deref() == Some("deployed") && deployed.is_none() => {
+                deployed = Some(word.string()?);
+            }
             Value(word) if role.is_none() => role = Some(word.string()?),
             _ => return Err(argument.unexpected().into()),
         }
@@ -84,6 +92,11 @@
     let role = match role {
         None => return Ok(ParsedLine::Help),
         Some(role) if role == "dev" => return Ok(ParsedLine::Dev(dev)),
+        Some(role) if role == "deployed" => {
+            let detail = "deployed needs a role: entry, agent or control".to_owned();
+            let role = deployed.ok_or(DaemonFailure::Usage { detail })?;
+            return Ok(ParsedLine::Deployed { role });
+        }
         Some(role) => role,
     };
     let Some(config) = config else {
--- a/crates/mangorouter/src/lib.rs
+++ b/crates/mangorouter/src/lib.rs
@@ -28,5 +28,13 @@
         ParsedLine::Check { role, config } => daemon::check(&role, &config),
         ParsedLine::Run { role, config } => daemon::run(&role, &config),
         ParsedLine::Dev(options) => dev::run(&options),
+        ParsedLine::Deployed { role } => run_deployed(&role),
     }
 }
+
+fn run_deployed(role: &str) -> Result<(), DaemonFailure> {
+    let role: platform::DeployedRole = role.parse().map_err(|error: platform::DeployedError| {
+        DaemonFailure::Usage { detail: error.to_string() }
+    })?;
+    platform::run(role).map_err(|error| DaemonFailure::start("the deployed process", error))
+}
--- /dev/null
+++ b/crates/node/src/control/member.rs
@@ -0,0 +1,94 @@
+//! A member of the group: the reducer and its log on disk.
+
+use {
+    super::{
+        storage::start_storage, ControlError, ControlInput, ControlSetup, CoreSnafu, StorageSnafu,
+    },
+    crate::logging::LineLog,
+    base::{EventReducer, PeerAddress, ReplicaId},
+    crossbeam::channel::Sender,
+    quorum::{GroupMember, LogStorage, PersistBatch, QuorumSettings},
+    snafu::ResultExt,
+    std::{
+        collections::hash_map::DefaultHasher,
+        hash::{Hash, Hasher},
+        net::SocketAddr,
+        path::Path,
+        time::Duration,
+    },
+    tokio::sync::mpsc::UnboundedSender,
+    workflow::control::{ControlEffect, ControlEvent, ControlNode, ControlSettings},
+};
+
+/// Several disk syncs and round trips between data centres; a lost leader is replaced in one to
+/// two of these.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
+const LEADER_HEARTBEAT: Duration = Duration::from_millis(100);
+const BATCH_BYTES: usize = 256 * 1024;
+const MESSAGES_IN_FLIGHT: usize = 16;
+const PENDING_PROPOSALS: usize = 4096;
+const SNAPSHOT_CHUNK: usize = 128 * 1024;
+/// A log of this many entries stays well below the smallest disk.
+const SNAPSHOT_EVERY: u64 = 4000;
+
+pub(super) struct MemberState {
+    node: ControlNode,
+    batches: Sender<PersistBatch>,
+}
+
+impl MemberState {
+    pub(super) fn open(
+        setup: &ControlSetup,
+        replica: ReplicaId,
+        founders: &[SocketAddr],
+        folder: &Path,
+        now: Duration,
+        inputs: UnboundedSender<ControlInput>,
+        log: &LineLog,
+    ) -> Result<Self, ControlError> {
+        let opened = LogStorage::open(folder, &setup.cluster, replica);
+        let (storage, recovered) = opened.context(StorageSnafu)?;
+        let founder = |address: &SocketAddr| GroupMember {
+            replica: super::replica_at(*address),
+            address: PeerAddress(*address),
+            voter: true,
+        };
+        let quorum = QuorumSettings {
+            replica,
+            founders: founders.iter().map(founder).collect(),
+            election_timeout: ELECTION_TIMEOUT,
+            heartbeat: LEADER_HEARTBEAT,
+            batch_bytes: BATCH_BYTES,
+            in_flight: MESSAGES_IN_FLIGHT,
+            pending: PENDING_PROPOSALS,
+            snapshot_chunk: SNAPSHOT_CHUNK,
+            snapshot_every: SNAPSHOT_EVERY,
+        };
+        let settings = ControlSettings { quorum, lease: setup.lease, retention: setup.retention };
+        let seed = seed_of(&setup.name);
+        let node = ControlNode::new(settings, recovered, now, seed).context(CoreSnafu)?;
+        let batches = start_storage(storage, inputs, log.clone())?;
+        Ok(Self { node, batches })
+    }
+
+    pub(super) fn replica(&self) -> ReplicaId {
+        self.node.replica()
+    }
+
+    pub(super) fn step(&mut self, now: Duration, event: ControlEvent) -> Vec<ControlEffect> {
+        self.node.reduce(now, event)
+    }
+
+    pub(super) fn persist(&self, batch: PersistBatch) {
+        // The thread ends only after its member, or with the process.
+        let _ = self.batches.send(batch);
+    }
+}
+
+/// Differs between processes and lives, so that replicas that once tied in an election do not tie
+/// again.
+fn seed_of(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (name, crate::logging::wall_ms()).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/node/src/logging/mod.rs
@@ -0,0 +1,118 @@
+//! Log lines: one JSON object each on standard output, in bounded volume, never in the way.
+
+use {
+    crossbeam::channel::{bounded, Sender, TrySendError},
+    serde::Serialize,
+    std::{
+        cell::RefCell,
+        io::{self, Write},
+        rc::Rc,
+        thread,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    workflow::event::FlowEvent,
+};
+
+/// Lines of one process in a second. A process of the largest deployment writes about half of it
+/// at its busiest.
+const LINES_PER_SECOND: u32 = 400;
+/// How often gathered lines are handed to the writer.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(200);
+/// Blocks that may wait for a reader of the output that has fallen behind.
+const QUEUED_BLOCKS: usize = 16;
+
+#[derive(Serialize)]
+struct LogLine<'a> {
+    at_ms: u64,
+    process: &'a str,
+    number: u16,
+    #[serde(flatten)]
+    event: &'a FlowEvent,
+}
+
+#[derive(Debug)]
+struct LogBuffer {
+    lines: Vec<u8>,
+    /// The second that is counted, and its lines.
+    second: u64,
+    count: u32,
+    dropped: u64,
+}
+
+/// Writes the log lines of a process.
+#[derive(Debug, Clone)]
+pub struct LineLog {
+    process: Rc<str>,
+    buffer: Rc<RefCell<LogBuffer>>,
+    blocks: Sender<Vec<u8>>,
+}
+
+impl LineLog {
+    /// Starts the writer. Has to be called on a `LocalSet`.
+    pub fn start(process: &str) -> io::Result<Self> {
+        let (blocks, queued) = bounded::<Vec<u8>>(QUEUED_BLOCKS);
+        thread::Builder::new().name("log".to_owned()).spawn(move || {
+            let mut output = io::stdout();
+            for block in queued {
+                // Without a reader of the output there is nobody to tell.
+                let _ = output.write_all(&block).and_then(|()| output.flush());
+            }
+        })?;
+        let buffer = LogBuffer { lines: Vec::new(), second: 0, count: 0, dropped: 0 };
+        let buffer = Rc::new(RefCell::new(buffer));
+        let log = Self { process: process.into(), buffer, blocks };
+        let flushing = log.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                tokio::time::sleep(FLUSH_INTERVAL).await;
+                flushing.flush();
+            }
+        });
+        Ok(log)
+    }
+
+    /// Writes an event, unless too many were written in this second.
+    pub fn record(&self, event: &FlowEvent) {
+        let at_ms = wall_ms();
+        let mut buffer = self.buffer.borrow_mut();
+        if buffer.second != at_ms / 1000 {
+            buffer.second = at_ms / 1000;
+            buffer.count = 0;
+            let dropped = std::mem::take(&mut buffer.dropped);
+            if dropped > 0 {
+                self.write(&mut buffer, at_ms, &FlowEvent::LinesDropped { count: dropped });
+            }
+        }
+        buffer.count += 1;
+        if buffer.count > LINES_PER_SECOND {
+            buffer.dropped += 1;
+            return;
+        }
+        self.write(&mut buffer, at_ms, event);
+    }
+
+    fn write(&self, buffer: &mut LogBuffer, at_ms: u64, event: &FlowEvent) {
+        let line = LogLine { at_ms, process: &self.process, number: event.number(), event };
+        if serde_json::to_writer(&mut buffer.lines, &line).is_ok() {
+            buffer.lines.push(b'\n');
+        }
+    }
+
+    /// Hands what has gathered to the writer.
+    pub fn flush(&self) {
+        let mut buffer = self.buffer.borrow_mut();
+        if buffer.lines.is_empty() {
+            return;
+        }
+        let lines = std::mem::take(&mut buffer.lines);
+        if let Err(TrySendError::Full(lines)) = self.blocks.try_send(lines) {
+            buffer.dropped += lines.iter().filter(|byte| **byte == b'\n').count() as u64;
+        }
+    }
+}
+
+/// Milliseconds since the Unix epoch, for people and schedules.
+pub(crate) fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
--- a/crates/quorum/src/core/mod.rs
+++ b/crates/quorum/src/core/mod.rs
@@ -129,6 +129,11 @@
         self.log.last_index()
     }
 
+    /// Whether the committed log says that a replica was removed for good.
+    pub fn is_retired(&self, replica: ReplicaId) -> bool {
+        self.group.at(self.committed).is_retired(replica)
+    }
+
     /// True from a failed write until a retried one is synced.
     pub fn storage_failed(&self) -> bool {
         self.writes.failed()
--- /dev/null
+++ b/crates/workflow/src/agent/holding.rs
@@ -0,0 +1,187 @@
+//! The long poll of the executor, and the lease that travels with it.
+
+use {
+    super::{
+        types::{AgentEffect, CallFailure, HoldView},
+        AgentNode, REPORT_INTERVAL,
+    },
+    crate::{
+        event::FlowEvent,
+        job::WorkerLife,
+        message::{EndReport, LinkMessage},
+    },
+    std::time::Duration,
+};
+
+/// How far the executor's clock may be behind ours, as a share of the time that passes.
+const CLOCK_DRIFT: f64 = 0.02;
+/// Added to the end of a lease before its runs are taken for ended.
+const LAPSE_SLACK: Duration = Duration::from_millis(150);
+/// How long the executor may wait for an end before it answers a poll.
+const POLL_WAIT: Duration = Duration::from_millis(900);
+/// The same while latencies are watched: their figures cover half a second.
+const WATCHING_WAIT: Duration = Duration::from_millis(400);
+/// The pause before the next poll while control has not noted all ends, since the executor then
+/// answers at once.
+const UNNOTED_PAUSE: Duration = Duration::from_millis(100);
+/// The pause after a poll that brought nothing.
+const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+/// How long an executor may be silent and still be granted more time. Afterwards it is only asked,
+/// so that its lease comes to an end.
+const GRANT_PATIENCE: Duration = Duration::from_millis(1500);
+
+/// The executor's clock at a moment of ours.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LeaseClock {
+    executor_ms: u64,
+    at: Duration,
+}
+
+impl LeaseClock {
+    /// The executor's time at `until`, at the most conservative: its clock may be slow, so that a
+    /// deadline computed at full speed could lie beyond the lease.
+    fn deadline_ms(&self, until: Duration) -> u64 {
+        let left = until.saturating_sub(self.at).mul_f64(1.0 - CLOCK_DRIFT);
+        self.executor_ms + left.as_millis() as u64
+    }
+}
+
+impl AgentNode {
+    /// Polls the executor unless a poll is under way.
+    pub(super) fn poll_executor(&mut self) {
+        let (now, lease_end, term) = (self.now, self.lease_end, self.term);
+        let watching = self.pacer.is_watching();
+        let Some(executor) = &mut self.executor else { return };
+        if executor.hold_sent.is_some() || now < executor.next_hold || term == 0 {
+            return;
+        }
+        let silent = executor.silent_since.map(|since| now.saturating_sub(since));
+        let grant = lease_end > now && silent.is_none_or(|silent| silent < GRANT_PATIENCE);
+        let deadline_ms =
+            executor.clock.filter(|_| grant).map(|clock| clock.deadline_ms(lease_end));
+        if deadline_ms.is_some() {
+            let drifted = lease_end + (lease_end - now).mul_f64(CLOCK_DRIFT) + LAPSE_SLACK;
+            executor.lapse_at = executor.lapse_at.max(drifted);
+        }
+        let wait = match (executor.clock.is_some() && silent.is_none(), watching) {
+            _ if !executor.ends.is_empty() => Duration::ZERO,
+            (false, _) => Duration::ZERO,
+            (true, true) => WATCHING_WAIT,
+            (true, false) => POLL_WAIT,
+        };
+        executor.hold_sent = Some(now);
+        let (worker, noted) = (executor.report.worker.clone(), executor.noted);
+        self.effects.push(AgentEffect::Hold { worker, fence: term, noted, deadline_ms, wait });
+    }
+
+    /// The deadline that a start carries, if the lease allows one.
+    pub(super) fn start_deadline(&mut self) -> Option<u64> {
+        let (now, lease_end) = (self.now, self.lease_end);
+        let executor = self.executor.as_mut()?;
+        let clock = executor.clock.filter(|_| lease_end > now)?;
+        let drifted = lease_end + (lease_end - now).mul_f64(CLOCK_DRIFT) + LAPSE_SLACK;
+        executor.lapse_at = executor.lapse_at.max(drifted);
+        Some(clock.deadline_ms(lease_end))
+    }
+
+    pub(super) fn take_hold(
+        &mut self,
+        worker: &WorkerLife,
+        asked: Duration,
+        result: Result<HoldView, CallFailure>,
+    ) {
+        if self.life().as_ref() != Some(worker) {
+            return;
+        }
+        if let Some(executor) = &mut self.executor {
+            executor.hold_sent = None;
+        }
+        match result {
+            Ok(view) if view.born != worker.born => self.meet_other_life(worker),
+            Ok(view) => self.take_view(worker, asked, view),
+            Err(CallFailure::OtherLife) => self.meet_other_life(worker),
+            Err(CallFailure::Fenced) => self.miss_answer("a higher fence was seen"),
+            Err(CallFailure::Unanswered(reason)) => self.miss_answer(&reason),
+        }
+        self.poll_executor();
+    }
+
+    /// Another life answers at the executor's address: what ran in this one is gone.
+    fn meet_other_life(&mut self, worker: &WorkerLife) {
+        self.executor = None;
+        self.runs = super::orders::RunTable::default();
+        self.send(LinkMessage::WorkerGone { worker: worker.clone() });
+    }
+
+    fn miss_answer(&mut self, reason: &str) {
+        let now = self.now;
+        let Some(executor) = &mut self.executor else { return };
+        executor.next_hold = now + FAILURE_PAUSE;
+        if executor.silent_since.is_none() {
+            executor.silent_since = Some(now);
+            let (worker, reason) = (executor.report.worker.clone(), reason.to_owned());
+            self.record(FlowEvent::ExecutorSilent { worker, reason });
+        }
+    }
+
+    /// Tells control when everything on a silent executor has certainly lapsed.
+    pub(super) fn watch_executor(&mut self) {
+        let now = self.now;
+        let Some(executor) = &mut self.executor else { return };
+        let lapsed = executor.silent_since.is_some() && now > executor.lapse_at;
+        if lapsed && !executor.given_up && executor.reached {
+            executor.given_up = true;
+            executor.reached = false;
+            let worker = executor.report.worker.clone();
+            self.runs = super::orders::RunTable::default();
+            self.send(LinkMessage::WorkerGone { worker });
+        }
+    }
+
+    fn take_view(&mut self, worker: &WorkerLife, asked: Duration, view: HoldView) {
+        let now = self.now;
+        let Some(executor) = &mut self.executor else { return };
+        executor.clock = Some(LeaseClock { executor_ms: view.clock_ms, at: now });
+        executor.silent_since = None;
+        executor.given_up = false;
+        let first = !std::mem::replace(&mut executor.reached, true);
+        let noted = executor.noted;
+        let fresh: Vec<EndReport> = view
+            .finished
+            .into_iter()
+            .filter(|end| end.number > noted && !executor.ends.contains_key(&end.number))
+            .collect();
+        executor.ends.extend(fresh.iter().map(|end| (end.number, end.clone())));
+        let same_runs = executor.rows.len() == view.running.len()
+            && executor.rows.iter().zip(&view.running).all(|(old, new)| {
+                old.task == new.task && old.run == new.run && old.checkpoint == new.checkpoint
+            });
+        executor.rows = view.running;
+        let due = now.saturating_sub(executor.reported) >= REPORT_INTERVAL;
+        executor.next_hold = if executor.ends.is_empty() { now } else { now + UNNOTED_PAUSE };
+        if first {
+            self.record(FlowEvent::ExecutorReached { worker: worker.clone() });
+            self.introduce();
+        } else {
+            self.send_ends(worker.clone(), fresh);
+        }
+        self.settle_runs(asked);
+        if due || !same_runs {
+            self.report_runs();
+        }
+        self.pace_fillers();
+    }
+
+    /// Control has these ends in its log: the executor may forget them.
+    pub(super) fn note_ends(&mut self, worker: &WorkerLife, up_to: u64) {
+        let now = self.now;
+        let Some(executor) = &mut self.executor else { return };
+        if executor.report.worker != *worker {
+            return;
+        }
+        executor.noted = executor.noted.max(up_to);
+        executor.ends.retain(|number, _| *number > up_to);
+        executor.next_hold = executor.next_hold.min(now);
+        self.poll_executor();
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/agent/mod.rs
@@ -0,0 +1,277 @@
+//! The agent's reducer: one executor's lease, its runs and its pacing.
+//!
+//! The executor is the authority on what runs there. The agent reads both of its lists by long
+//! poll, passes ends on at once, and lets the executor forget them only when control has them in
+//! its log. Orders are idempotent by run number and are repeated until they are answered.
+
+mod holding;
+mod orders;
+mod pacing;
+mod types;
+
+pub use types::{
+    AgentEffect, AgentEvent, AgentSettings, CallFailure, HoldView, RunRow, StartRefusal,
+    StartVerdict,
+};
+
+use {
+    self::{holding::LeaseClock, orders::RunTable, pacing::Pacer},
+    crate::{
+        event::FlowEvent,
+        job::WorkerLife,
+        message::{EndReport, LinkMessage, RunReport, WorkerReport},
+    },
+    base::EventReducer,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// How often the leader is asked whether it still leads, which renews the lease.
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+/// How often all runs are reported while nothing changes.
+const REPORT_INTERVAL: Duration = Duration::from_millis(800);
+/// Unanswered pings that are remembered.
+const PINGS_KEPT: usize = 16;
+
+/// The executor beside the agent.
+#[derive(Debug)]
+struct ExecutorState {
+    report: WorkerReport,
+    /// Numbers its own messages, so that a late one is known.
+    sequence: u64,
+    clock: Option<LeaseClock>,
+    /// Whether it has answered since it was last found silent.
+    reached: bool,
+    /// Since when it does not answer.
+    silent_since: Option<Duration>,
+    /// When everything that runs there has certainly ended, unless it is renewed.
+    lapse_at: Duration,
+    /// Whether control was told that nothing runs there.
+    given_up: bool,
+    /// The last end that control has in its log.
+    noted: u64,
+    /// Ends that control has not noted.
+    ends: BTreeMap<u64, EndReport>,
+    rows: Vec<RunRow>,
+    hold_sent: Option<Duration>,
+    next_hold: Duration,
+    reported: Duration,
+}
+
+/// The agent of one executor.
+#[derive(Debug)]
+pub struct AgentNode {
+    settings: AgentSettings,
+    now: Duration,
+    /// The highest term of a lead that was heard of; orders of lower ones are refused.
+    term: u64,
+    connected: bool,
+    lease_end: Duration,
+    pings: BTreeMap<u64, Duration>,
+    last_ping: u64,
+    next_ping: Duration,
+    executor: Option<ExecutorState>,
+    runs: RunTable,
+    pacer: Pacer,
+    effects: Vec<AgentEffect>,
+}
+
+impl AgentNode {
+    /// An agent that knows neither its executor nor a leader.
+    pub fn new(settings: AgentSettings, now: Duration) -> Self {
+        Self {
+            settings,
+            now,
+            term: 0,
+            connected: false,
+            lease_end: Duration::ZERO,
+            pings: BTreeMap::new(),
+            last_ping: 0,
+            next_ping: now,
+            executor: None,
+            runs: RunTable::default(),
+            pacer: Pacer::default(),
+            effects: Vec::new(),
+        }
+    }
+
+    fn record(&mut self, event: FlowEvent) {
+        self.effects.push(AgentEffect::Record(event));
+    }
+
+    /// Sends to the leader. What can't be sent is said again when it is reached.
+    fn send(&mut self, message: LinkMessage) {
+        if self.connected {
+            self.effects.push(AgentEffect::Send(message));
+        }
+    }
+
+    fn life(&self) -> Option<WorkerLife> {
+        self.executor.as_ref().map(|executor| executor.report.worker.clone())
+    }
+
+    fn tick(&mut self) {
+        if self.connected && self.now >= self.next_ping {
+            self.ping();
+        }
+        self.watch_executor();
+        self.repeat_orders();
+        self.poll_executor();
+    }
+
+    fn ping(&mut self) {
+        self.last_ping += 1;
+        self.pings.insert(self.last_ping, self.now);
+        while self.pings.len() > PINGS_KEPT {
+            self.pings.pop_first();
+        }
+        self.next_ping = self.now + PING_INTERVAL;
+        self.send(LinkMessage::Ping { sequence: self.last_ping });
+    }
+
+    fn take_message(&mut self, message: LinkMessage) {
+        match message {
+            LinkMessage::Welcome { term, .. } => self.meet_leader(term),
+            LinkMessage::Pong { sequence, term } => {
+                self.term = self.term.max(term);
+                if let Some(asked) = self.pings.remove(&sequence) {
+                    self.lease_end = self.lease_end.max(asked + self.settings.lease);
+                }
+            }
+            LinkMessage::EndsNoted { worker, up_to } => self.note_ends(&worker, up_to),
+            LinkMessage::Start(order) => self.take_start(order),
+            LinkMessage::Stop { worker, task, run } => self.take_stop(&worker, task, run),
+            other => {
+                let reason = format!("{other:?}").chars().take(80).collect();
+                self.record(FlowEvent::MessageRefused { from: "the leader".to_owned(), reason });
+            }
+        }
+    }
+
+    /// Tells a leader everything: it may be a new one, or have missed what was sent meanwhile.
+    fn meet_leader(&mut self, term: u64) {
+        self.term = self.term.max(term);
+        self.connected = true;
+        self.pings.clear();
+        self.ping();
+        self.introduce();
+    }
+
+    fn introduce(&mut self) {
+        let Some(executor) = &self.executor else { return };
+        if !executor.reached {
+            return;
+        }
+        let report = executor.report.clone();
+        let (worker, ends) = (report.worker.clone(), executor.ends.values().cloned().collect());
+        self.send(LinkMessage::Worker(report));
+        self.send_ends(worker, ends);
+        self.report_runs();
+    }
+
+    fn send_ends(&mut self, worker: WorkerLife, ends: Vec<EndReport>) {
+        if !ends.is_empty() {
+            self.send(LinkMessage::Ends { worker, ends });
+        }
+    }
+
+    /// Names every run that is there or about to be.
+    fn report_runs(&mut self) {
+        let now = self.now;
+        let Some(executor) = &mut self.executor else { return };
+        executor.reported = now;
+        let worker = executor.report.worker.clone();
+        let listed = executor.rows.iter().map(|row| RunReport {
+            task: row.task,
+            run: row.run,
+            checkpoint: row.checkpoint.clone(),
+            percent: row.percent,
+        });
+        let mut runs: Vec<RunReport> = listed.collect();
+        for (task, run) in self.runs.pending() {
+            if !runs.iter().any(|report| report.task == task && report.run == run) {
+                runs.push(RunReport { task, run, checkpoint: String::new(), percent: 0 });
+            }
+        }
+        self.send(LinkMessage::Runs { worker, runs });
+    }
+
+    /// Takes what the executor says of itself. A message of an earlier life, or one that was
+    /// overtaken by a later one, changes nothing.
+    fn take_beat(&mut self, report: WorkerReport, sequence: u64) {
+        let known =
+            self.executor.as_ref().map(|executor| (&executor.report.worker, executor.sequence));
+        match known {
+            Some((life, _)) if report.worker.born < life.born => return,
+            Some((life, seen)) if *life == report.worker => {
+                if sequence > seen {
+                    self.update_report(report, sequence);
+                }
+                return;
+            }
+            Some((life, _)) => {
+                let worker = life.clone();
+                self.send(LinkMessage::WorkerGone { worker });
+            }
+            None => {}
+        }
+        self.runs = RunTable::default();
+        self.pacer = Pacer::default();
+        self.executor = Some(ExecutorState {
+            report,
+            sequence,
+            clock: None,
+            reached: false,
+            silent_since: None,
+            lapse_at: self.now,
+            given_up: false,
+            noted: 0,
+            ends: BTreeMap::new(),
+            rows: Vec::new(),
+            hold_sent: None,
+            next_hold: self.now,
+            reported: self.now,
+        });
+        self.poll_executor();
+    }
+
+    fn update_report(&mut self, report: WorkerReport, sequence: u64) {
+        let Some(executor) = &mut self.executor else { return };
+        executor.sequence = sequence;
+        let was_draining = executor.report.drain_left_ms.is_some();
+        let same = WorkerReport { drain_left_ms: None, ..report.clone() }
+            == WorkerReport { drain_left_ms: None, ..executor.report.clone() };
+        let changed = !same || was_draining != report.drain_left_ms.is_some();
+        executor.report = report.clone();
+        if changed && executor.reached {
+            self.send(LinkMessage::Worker(report));
+        }
+    }
+}
+
+impl EventReducer for AgentNode {
+    type Event = AgentEvent;
+    type Effect = AgentEffect;
+
+    fn reduce(&mut self, now: Duration, event: AgentEvent) -> Vec<AgentEffect> {
+        self.now = self.now.max(now);
+        match event {
+            AgentEvent::Tick => self.tick(),
+            AgentEvent::LeaderMessage(message) => self.take_message(message),
+            AgentEvent::LeaderLost => {
+                self.connected = false;
+                self.pings.clear();
+            }
+            AgentEvent::Beat { report, sequence } => self.take_beat(report, sequence),
+            AgentEvent::HoldAnswered { worker, asked, result } => {
+                self.take_hold(&worker, asked, result);
+            }
+            AgentEvent::StartAnswered { worker, task, run, verdict } => {
+                self.take_verdict(&worker, task, run, verdict);
+            }
+            AgentEvent::StopAnswered { worker, task, run, stopped } => {
+                self.take_stop_answer(&worker, task, run, stopped);
+            }
+        }
+        std::mem::take(&mut self.effects)
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/agent/orders.rs
@@ -0,0 +1,264 @@
+//! Orders to start and stop runs, repeated until the executor has answered them.
+
+use {
+    super::{
+        types::{AgentEffect, CallFailure, StartRefusal, StartVerdict},
+        AgentNode,
+    },
+    crate::{
+        event::FlowEvent,
+        job::{RunNumber, TaskKey, WorkerLife},
+        message::{EndReport, LinkMessage, StartOrder},
+        state::EndKind,
+    },
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// The pause before an unanswered order is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(200);
+/// The pause before a confirmed stop is repeated for a run that is still listed.
+const STOP_AGAIN: Duration = Duration::from_millis(1000);
+
+/// Where an order stands.
+#[derive(Debug, Clone, PartialEq)]
+enum OrderPhase {
+    /// A start is on its way to the executor.
+    Starting,
+    /// A start was not answered, and is repeated at this time.
+    StartAgain(Duration),
+    /// The executor has the run; its lists tell the rest.
+    Started,
+    /// The executor's lists, asked after this time, decide what became of the run.
+    Unclear(Duration),
+    /// A stop is on its way.
+    Stopping,
+    /// A stop was not answered, or not followed; it is repeated at this time.
+    StopAgain(Duration),
+    /// A stop was confirmed at this time.
+    Stopped(Duration),
+}
+
+/// An order.
+#[derive(Debug, Clone)]
+struct RunOrder {
+    phase: OrderPhase,
+    /// For starts.
+    order: Option<StartOrder>,
+}
+
+/// The orders that are not settled, by task and run.
+#[derive(Debug, Default)]
+pub(super) struct RunTable {
+    orders: BTreeMap<(TaskKey, RunNumber), RunOrder>,
+}
+
+impl RunTable {
+    /// Runs that the executor may not list yet.
+    pub(super) fn pending(&self) -> impl Iterator<Item = (TaskKey, RunNumber)> + '_ {
+        self.orders.keys().copied()
+    }
+
+    /// What is known of a started run: whether it fills, and its latency target.
+    pub(super) fn traits_of(&self, task: TaskKey, run: RunNumber) -> Option<(bool, Option<u64>)> {
+        let order = self.orders.get(&(task, run))?.order.as_ref()?;
+        Some((order.filler, order.latency_target_ms))
+    }
+
+    fn set(&mut self, key: (TaskKey, RunNumber), phase: OrderPhase) {
+        if let Some(order) = self.orders.get_mut(&key) {
+            order.phase = phase;
+        }
+    }
+}
+
+impl AgentNode {
+    pub(super) fn take_start(&mut self, order: StartOrder) {
+        let (task, run) = (order.task, order.run);
+        let Some(executor) = &self.executor else { return };
+        if executor.report.worker != order.worker {
+            return;
+        }
+        if executor.report.drain_left_ms.is_some() {
+            self.refuse_run(task, run, "the executor is draining");
+            return;
+        }
+        if executor.ends.values().any(|end| end.task == task && end.run == run) {
+            return;
+        }
+        let known = self.runs.orders.get(&(task, run)).map(|known| known.phase.clone());
+        let listed = executor.rows.iter().any(|row| row.task == task && row.run == run);
+        if known.is_some() {
+            return;
+        }
+        let phase = if listed { OrderPhase::Started } else { OrderPhase::StartAgain(self.now) };
+        self.runs.orders.insert((task, run), RunOrder { phase, order: Some(order) });
+        self.repeat_orders();
+    }
+
+    pub(super) fn take_stop(&mut self, worker: &WorkerLife, task: TaskKey, run: RunNumber) {
+        if self.life().as_ref() != Some(worker) {
+            return;
+        }
+        let entry = self.runs.orders.entry((task, run));
+        let order = entry.or_insert(RunOrder { phase: OrderPhase::Started, order: None });
+        let stopping = matches!(
+            order.phase,
+            OrderPhase::Stopping | OrderPhase::StopAgain(_) | OrderPhase::Stopped(_)
+        );
+        if !stopping {
+            order.phase = OrderPhase::StopAgain(self.now);
+        }
+        self.repeat_orders();
+    }
+
+    /// Sends every order that is due.
+    pub(super) fn repeat_orders(&mut self) {
+        let now = self.now;
+        let Some(worker) = self.life() else { return };
+        let due: Vec<((TaskKey, RunNumber), OrderPhase)> = self
+            .runs
+            .orders
+            .iter()
+            .filter(|(_, order)| match order.phase {
+                OrderPhase::StartAgain(at) | OrderPhase::StopAgain(at) => at <= now,
+                _ => false,
+            })
+            .map(|(key, order)| (*key, order.phase.clone()))
+            .collect();
+        for (key, phase) in due {
+            match phase {
+                OrderPhase::StartAgain(_) => self.send_start(key),
+                _ => self.send_stop(&worker, key),
+            }
+        }
+    }
+
+    fn send_start(&mut self, key: (TaskKey, RunNumber)) {
+        let Some(deadline_ms) = self.start_deadline() else { return };
+        let order = self.runs.orders.get(&key).and_then(|order| order.order.clone());
+        let Some(order) = order else { return };
+        self.runs.set(key, OrderPhase::Starting);
+        self.effects.push(AgentEffect::Start { order, fence: self.term, deadline_ms });
+    }
+
+    fn send_stop(&mut self, worker: &WorkerLife, key: (TaskKey, RunNumber)) {
+        self.runs.set(key, OrderPhase::Stopping);
+        let (task, run) = key;
+        let (worker, fence) = (worker.clone(), self.term);
+        self.effects.push(AgentEffect::Stop { worker, task, run, fence });
+    }
+
+    pub(super) fn take_verdict(
+        &mut self,
+        worker: &WorkerLife,
+        task: TaskKey,
+        run: RunNumber,
+        verdict: StartVerdict,
+    ) {
+        let key = (task, run);
+        let starting = self.runs.orders.get(&key).is_some_and(|o| o.phase == OrderPhase::Starting);
+        if self.life().as_ref() != Some(worker) || !starting {
+            return;
+        }
+        match verdict {
+            StartVerdict::Started => self.runs.set(key, OrderPhase::Started),
+            StartVerdict::Refused(refusal) => {
+                self.runs.orders.remove(&key);
+                self.refuse_run(task, run, refusal_text(refusal));
+            }
+            StartVerdict::Old => self.runs.set(key, OrderPhase::Unclear(self.now)),
+            StartVerdict::Failed(CallFailure::Unanswered(_) | CallFailure::Fenced) => {
+                self.runs.set(key, OrderPhase::StartAgain(self.now + REPEAT_PAUSE));
+            }
+            StartVerdict::Failed(CallFailure::OtherLife) => {
+                self.runs.orders.remove(&key);
+            }
+        }
+    }
+
+    pub(super) fn take_stop_answer(
+        &mut self,
+        worker: &WorkerLife,
+        task: TaskKey,
+        run: RunNumber,
+        stopped: bool,
+    ) {
+        let key = (task, run);
+        let stopping = self.runs.orders.get(&key).is_some_and(|o| o.phase == OrderPhase::Stopping);
+        if self.life().as_ref() != Some(worker) || !stopping {
+            return;
+        }
+        let phase = if stopped {
+            OrderPhase::Stopped(self.now)
+        } else {
+            OrderPhase::StopAgain(self.now + REPEAT_PAUSE)
+        };
+        self.runs.set(key, phase);
+    }
+
+    /// Tells control that a run never began here.
+    fn refuse_run(&mut self, task: TaskKey, run: RunNumber, reason: &str) {
+        self.record(FlowEvent::StartRefused { task, run, reason: reason.to_owned() });
+        self.report_never_began(task, run, EndKind::Refused);
+    }
+
+    fn report_never_began(&mut self, task: TaskKey, run: RunNumber, end: EndKind) {
+        let Some(worker) = self.life() else { return };
+        let end = EndReport { number: 0, task, run, end, checkpoint: String::new() };
+        self.send(LinkMessage::Ends { worker, ends: vec![end] });
+    }
+
+    /// Settles orders by the executor's lists, which were asked for at `asked`.
+    pub(super) fn settle_runs(&mut self, asked: Duration) {
+        let now = self.now;
+        let Some(executor) = &self.executor else { return };
+        let running =
+            |task, run| executor.rows.iter().any(|row| row.task == task && row.run == run);
+        let ended =
+            |task, run| executor.ends.values().any(|end| end.task == task && end.run == run);
+        let mut settled = Vec::new();
+        let mut never_began = Vec::new();
+        let mut again = Vec::new();
+        for ((task, run), order) in &self.runs.orders {
+            let key = (*task, *run);
+            if ended(*task, *run) {
+                settled.push(key);
+                continue;
+            }
+            let listed = running(*task, *run);
+            match order.phase {
+                OrderPhase::Unclear(since) if listed && since < asked => again.push((key, false)),
+                OrderPhase::Unclear(since) if since < asked => {
+                    never_began.push((key, EndKind::Refused));
+                }
+                OrderPhase::Stopped(since) if !listed && since < asked => {
+                    never_began.push((key, EndKind::Stopped));
+                }
+                OrderPhase::Stopped(since) if now.saturating_sub(since) >= STOP_AGAIN => {
+                    again.push((key, true));
+                }
+                _ => {}
+            }
+        }
+        for key in settled {
+            self.runs.orders.remove(&key);
+        }
+        for (key, stop) in again {
+            let phase = if stop { OrderPhase::StopAgain(now) } else { OrderPhase::Started };
+            self.runs.set(key, phase);
+        }
+        for ((task, run), end) in never_began {
+            self.runs.orders.remove(&(task, run));
+            self.report_never_began(task, run, end);
+        }
+    }
+}
+
+fn refusal_text(refusal: StartRefusal) -> &'static str {
+    match refusal {
+        StartRefusal::Room => "the executor has no room",
+        StartRefusal::Late => "the lease was over when the order came",
+        StartRefusal::Unhealthy => "the executor is unhealthy",
+        StartRefusal::Invalid => "the executor can't make sense of the order",
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/control/calls.rs
@@ -0,0 +1,130 @@
+//! Callers' requests, passed on by entries.
+
+use {
+    super::{
+        types::{ControlEffect, SessionId},
+        ControlNode,
+    },
+    crate::{
+        event::FlowEvent,
+        job::{JobKey, JobSpec, QueueRule},
+        message::{CallerAnswer, CallerCall, LinkMessage},
+        state::{FlowCommand, Submission},
+    },
+    std::sync::Arc,
+};
+
+impl ControlNode {
+    pub(super) fn take_call(
+        &mut self,
+        session: SessionId,
+        sequence: u64,
+        host: &str,
+        path: &str,
+        call: CallerCall,
+    ) {
+        if let Some(answer) = self.handle_call(session, sequence, host, path, call) {
+            self.effects.push(answer_effect(session, sequence, answer));
+        }
+    }
+
+    /// The answer, unless it has to wait for the log.
+    fn handle_call(
+        &mut self,
+        session: SessionId,
+        sequence: u64,
+        host: &str,
+        path: &str,
+        call: CallerCall,
+    ) -> Option<CallerAnswer> {
+        let Some(lead) = &self.lead else { return Some(CallerAnswer::NotLeading) };
+        let Some(config) = lead.ahead.config() else { return Some(CallerAnswer::Refused) };
+        let version = config.version;
+        let Some(rule) = config.queue_at(host, path).cloned() else {
+            return Some(CallerAnswer::NoQueue);
+        };
+        let rest = &path[rule.path_prefix.len()..];
+        if rest.is_empty() {
+            return Some(self.count_pending(&rule));
+        }
+        let Ok(key) = rest.parse::<JobKey>() else {
+            return Some(CallerAnswer::NoJob);
+        };
+        match call {
+            CallerCall::Show => Some(self.show(key)),
+            CallerCall::Submit(spec) => self.accept(session, sequence, key, &rule, spec, version),
+            CallerCall::Cancel => self.cancel(session, sequence, key),
+        }
+    }
+
+    fn count_pending(&self, rule: &QueueRule) -> CallerAnswer {
+        let Some(lead) = &self.lead else { return CallerAnswer::NotLeading };
+        let waiting = lead
+            .ahead
+            .active_jobs()
+            .filter(|(_, job)| job.queue == rule.name && job.outcome.is_none() && !job.begun);
+        CallerAnswer::Pending(waiting.count() as u64)
+    }
+
+    /// Shows only what is committed: what is proposed may yet come to nothing.
+    fn show(&self, key: JobKey) -> CallerAnswer {
+        match self.applied.job(key) {
+            Some(job) => CallerAnswer::Phase(job.phase()),
+            None if self.lead.as_ref().is_some_and(|lead| lead.ahead.job(key).is_some()) => {
+                CallerAnswer::Phase(crate::state::JobPhase::Queued)
+            }
+            None => CallerAnswer::NoJob,
+        }
+    }
+
+    fn accept(
+        &mut self,
+        session: SessionId,
+        sequence: u64,
+        key: JobKey,
+        rule: &QueueRule,
+        spec: JobSpec,
+        config: u64,
+    ) -> Option<CallerAnswer> {
+        if let Err(problem) = spec.check() {
+            let reason = problem.to_string();
+            self.record(FlowEvent::JobRefused { job: key, reason: reason.clone() });
+            return Some(CallerAnswer::Invalid(reason));
+        }
+        if self.applied.job(key).is_some() {
+            return Some(CallerAnswer::Accepted);
+        }
+        let tasks = spec.steps.iter().map(|step| u32::from(step.count)).sum();
+        let queue = rule.name.clone();
+        let event = FlowEvent::JobAccepted { job: key, queue: queue.clone(), tasks, config };
+        let submission = Submission {
+            job: key,
+            queue,
+            service: rule.service.clone(),
+            priority: rule.priority,
+            attempt_limit: rule.attempt_limit,
+            spec: Arc::new(spec),
+        };
+        let answer = answer_effect(session, sequence, CallerAnswer::Accepted);
+        let held = vec![ControlEffect::Record(event), answer];
+        self.propose(FlowCommand::Submit(submission), held);
+        None
+    }
+
+    fn cancel(&mut self, session: SessionId, sequence: u64, key: JobKey) -> Option<CallerAnswer> {
+        let lead = self.lead.as_ref()?;
+        let proposed = lead.pending.commands.iter().any(
+            |command| matches!(command, FlowCommand::Submit(submission) if submission.job == key),
+        );
+        if lead.ahead.job(key).is_none() && !proposed {
+            return Some(CallerAnswer::NoJob);
+        }
+        let answer = answer_effect(session, sequence, CallerAnswer::Cancelled);
+        self.propose(FlowCommand::Cancel { job: key }, vec![answer]);
+        None
+    }
+}
+
+fn answer_effect(session: SessionId, sequence: u64, answer: CallerAnswer) -> ControlEffect {
+    ControlEffect::Send { session, message: LinkMessage::Answer { sequence, answer } }
+}
--- /dev/null
+++ b/crates/workflow/src/control/lead.rs
@@ -0,0 +1,141 @@
+//! What only a leader keeps.
+
+use {
+    super::{
+        types::{ControlEffect, SessionId},
+        ControlNode,
+    },
+    crate::{
+        event::FlowEvent,
+        job::{RunNumber, TaskKey, WorkerLife},
+        plan::WorkerTable,
+        state::{FlowCommand, FlowState},
+    },
+    base::{ReplicaId, ReplyTicket},
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// A command that waits for the next entry of the log, and what follows once it is committed.
+#[derive(Debug, Default)]
+pub(super) struct PendingBatch {
+    pub(super) commands: Vec<FlowCommand>,
+    pub(super) held: Vec<ControlEffect>,
+}
+
+/// What an agent last said of a run.
+#[derive(Debug, Clone)]
+pub(super) struct RunProgress {
+    pub(super) run: RunNumber,
+    pub(super) checkpoint: String,
+    pub(super) percent: u8,
+    /// When the percentage last changed.
+    pub(super) moved: Duration,
+}
+
+/// The soft state of a lead. A new leader learns it again.
+#[derive(Debug)]
+pub(super) struct LeadState {
+    pub(super) term: u64,
+    pub(super) since: Duration,
+    /// Up to when the log's clock counts the time of this lead.
+    pub(super) counted: Duration,
+    /// The applied state plus everything proposed.
+    pub(super) ahead: FlowState,
+    pub(super) pending: PendingBatch,
+    /// Effects that wait for their entry.
+    pub(super) in_flight: BTreeMap<ReplyTicket, Vec<ControlEffect>>,
+    /// Whether something has changed that may let a task start.
+    pub(super) replan: bool,
+    pub(super) planned: Duration,
+    pub(super) workers: WorkerTable,
+    /// The stream to the agent of each executor.
+    pub(super) sessions: HashMap<Arc<str>, SessionId>,
+    /// When the lease of each life ends at the latest.
+    pub(super) leases: HashMap<WorkerLife, Duration>,
+    /// When a start was last ordered.
+    pub(super) ordered: HashMap<TaskKey, (RunNumber, Duration)>,
+    pub(super) progress: HashMap<TaskKey, RunProgress>,
+    /// Runs that were told to stop, and when.
+    pub(super) stopping: HashMap<TaskKey, (RunNumber, Duration)>,
+    /// Entries and agents that were told who leads.
+    pub(super) clients: BTreeSet<SessionId>,
+    /// When the group is looked at next.
+    pub(super) tend_at: Duration,
+    /// Since when a voter does not answer.
+    pub(super) silent: BTreeMap<ReplicaId, Duration>,
+    /// Membership changes in progress, with the stream that waits for an admission.
+    pub(super) admissions: BTreeMap<ReplyTicket, (SessionId, ReplicaId)>,
+}
+
+impl ControlNode {
+    /// Starts to lead from the applied state, which holds every entry of earlier terms.
+    pub(super) fn take_lead(&mut self, term: u64) {
+        if self.lead.as_ref().is_some_and(|lead| lead.term == term) {
+            return;
+        }
+        let ahead = self.applied.clone();
+        let active_jobs = ahead.active_jobs().count();
+        self.record(FlowEvent::LeadTaken { term, active_jobs });
+        let retention_ms = self.settings.retention.as_millis() as u64;
+        let commands = vec![FlowCommand::RetainFor { retention_ms }];
+        self.lead = Some(LeadState {
+            term,
+            since: self.now,
+            counted: self.now,
+            ahead,
+            pending: PendingBatch { commands, held: Vec::new() },
+            in_flight: BTreeMap::new(),
+            replan: true,
+            planned: self.now,
+            workers: WorkerTable::new(),
+            sessions: HashMap::new(),
+            leases: HashMap::new(),
+            ordered: HashMap::new(),
+            progress: HashMap::new(),
+            stopping: HashMap::new(),
+            clients: BTreeSet::new(),
+            tend_at: self.now,
+            silent: BTreeMap::new(),
+            admissions: BTreeMap::new(),
+        });
+    }
+
+    /// Lets go of everything that rested on the lead. Whoever waited learns that nobody knows.
+    pub(super) fn lose_lead(&mut self) {
+        let Some(lead) = self.lead.take() else { return };
+        let unresolved = lead.in_flight.len();
+        self.record(FlowEvent::LeadLost { term: lead.term, unresolved });
+        let waiting = lead.in_flight.into_values().flatten().chain(lead.pending.held);
+        for effect in waiting {
+            if let Some(unresolved) = unresolved_of(effect) {
+                self.effects.push(unresolved);
+            }
+        }
+        for session in lead.clients {
+            self.welcome(session);
+        }
+    }
+}
+
+/// What is said in place of an effect whose entry may or may not be committed.
+fn unresolved_of(effect: ControlEffect) -> Option<ControlEffect> {
+    use {
+        super::types::OperatorAnswer,
+        crate::message::{CallerAnswer, LinkMessage},
+    };
+    match effect {
+        ControlEffect::Answer { ticket, .. } => {
+            Some(ControlEffect::Answer { ticket, answer: OperatorAnswer::Unsure })
+        }
+        ControlEffect::Send { session, message: LinkMessage::Answer { sequence, .. } } => {
+            let answer = CallerAnswer::Unresolved;
+            let message = LinkMessage::Answer { sequence, answer };
+            Some(ControlEffect::Send { session, message })
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/control/members.rs
@@ -0,0 +1,135 @@
+//! The control group: empty disks join under new ids, lost voters are replaced.
+
+use {
+    super::{
+        types::{ControlEffect, SessionId},
+        ControlNode,
+    },
+    crate::{event::FlowEvent, message::LinkMessage},
+    base::{PeerAddress, ReplicaId, ReplyTicket},
+    quorum::{GroupMember, MemberChange, MemberProgress, QuorumEvent},
+    std::time::Duration,
+};
+
+/// Ids of replicas that join later lie above those of founders, which are made from addresses.
+const LATER_REPLICAS: u64 = 1 << 40;
+/// How long a voter may be silent before a learner takes its place. Shorter than the time in which
+/// a lost machine has to be replaced, longer than a restart.
+const VOTER_PATIENCE: Duration = Duration::from_millis(2500);
+/// How often the group is looked at; a change of it takes a commit or two.
+const TEND_INTERVAL: Duration = Duration::from_millis(200);
+
+impl ControlNode {
+    /// What a leader does from time to time.
+    pub(super) fn keep_house(&mut self) {
+        if self.lead.is_none() {
+            return;
+        }
+        self.expire_leases();
+        let due = self.lead.as_ref().is_some_and(|lead| self.now >= lead.tend_at);
+        if due {
+            self.tend_group();
+        }
+    }
+
+    /// A process without data asks for an id. Whatever the group has at its address is gone.
+    pub(super) fn take_join(&mut self, session: SessionId, address: PeerAddress) {
+        if self.lead.is_none() {
+            self.welcome(session);
+            return;
+        }
+        let members = self.core.members();
+        let earlier = members.iter().find(|progress| progress.member.address == address);
+        match earlier {
+            Some(progress) if is_untouched(progress) => {
+                let replica = progress.member.replica;
+                let message = LinkMessage::Admitted { replica };
+                self.effects.push(ControlEffect::Send { session, message });
+            }
+            Some(progress) => {
+                let member = progress.member;
+                self.change_group(MemberChange::Remove { replica: member.replica }, member);
+            }
+            None => {
+                let replica = ReplicaId(LATER_REPLICAS + self.core.last_index().0);
+                let member = GroupMember { replica, address, voter: false };
+                let change = MemberChange::AddLearner { replica, address };
+                let ticket = self.change_group(change, member);
+                if let Some(lead) = &mut self.lead {
+                    lead.admissions.insert(ticket, (session, replica));
+                }
+            }
+        }
+    }
+
+    pub(super) fn finish_admission(&mut self, ticket: ReplyTicket) {
+        let Some(lead) = &mut self.lead else { return };
+        if let Some((session, replica)) = lead.admissions.remove(&ticket) {
+            let message = LinkMessage::Admitted { replica };
+            self.effects.push(ControlEffect::Send { session, message });
+        }
+    }
+
+    /// A replica that was removed for good can't learn that from the log.
+    pub(super) fn tell_removed(&mut self, session: SessionId, from: ReplicaId) {
+        if self.lead.is_some() && self.core.is_retired(from) {
+            let message = LinkMessage::Removed { replica: from };
+            self.effects.push(ControlEffect::Send { session, message });
+        }
+    }
+
+    /// Replaces voters that are silent for long, and keeps their number odd: an even one bears no
+    /// more losses.
+    fn tend_group(&mut self) {
+        let now = self.now;
+        let members = self.core.members();
+        let Some(lead) = &mut self.lead else { return };
+        lead.tend_at = now + TEND_INTERVAL;
+        for progress in &members {
+            let replica = progress.member.replica;
+            if progress.active {
+                lead.silent.remove(&replica);
+            } else {
+                lead.silent.entry(replica).or_insert(now);
+            }
+        }
+        let voters: Vec<&MemberProgress> =
+            members.iter().filter(|progress| progress.member.voter).collect();
+        let ready = members.iter().find(|progress| !progress.member.voter && is_ready(progress));
+        let Some(learner) = ready.map(|progress| progress.member) else { return };
+        let lost = voters.iter().find(|progress| {
+            let since = lead.silent.get(&progress.member.replica);
+            since.is_some_and(|since| now.saturating_sub(*since) >= VOTER_PATIENCE)
+        });
+        if let Some(lost) = lost.map(|progress| progress.member) {
+            self.change_group(MemberChange::Remove { replica: lost.replica }, lost);
+        } else if voters.len().is_multiple_of(2) {
+            self.change_group(MemberChange::Promote { replica: learner.replica }, learner);
+        }
+    }
+
+    /// The log refuses a change while another is in progress; whoever wants it asks again.
+    fn change_group(&mut self, change: MemberChange, member: GroupMember) -> ReplyTicket {
+        let name = match change {
+            MemberChange::AddLearner { .. } => "learner added",
+            MemberChange::Promote { .. } => "promoted",
+            MemberChange::Remove { .. } => "removed",
+        };
+        let address = member.address.to_string();
+        self.record(FlowEvent::MemberChange { replica: member.replica.0, address, change: name });
+        let ticket = self.next_ticket();
+        self.queue.push_back(QuorumEvent::ChangeMembers { ticket, change });
+        self.drain_queue();
+        ticket
+    }
+}
+
+/// A learner that has stored nothing yet may be given its id once more.
+fn is_untouched(progress: &MemberProgress) -> bool {
+    let stored = progress.matched.is_some_and(|matched| matched.0 > 0);
+    !progress.member.voter && !stored
+}
+
+fn is_ready(progress: &MemberProgress) -> bool {
+    progress.active && progress.matched.is_some_and(|matched| matched.0 > 0)
+}
--- /dev/null
+++ b/crates/workflow/src/control/mod.rs
@@ -0,0 +1,214 @@
+//! The control reducer: the replicated log, the state applied from it, and what a leader decides.
+//!
+//! A leader works on an *ahead* state: the applied state plus everything that it has proposed. It
+//! plans on that and holds back every effect of a proposal until the log has committed it. The
+//! ahead state goes with the lead.
+
+mod calls;
+mod lead;
+mod members;
+mod operator;
+mod proposals;
+mod sessions;
+mod types;
+mod workers;
+
+pub use types::{ControlEffect, ControlEvent, ControlSettings, OperatorAnswer, SessionId};
+
+use {
+    self::lead::LeadState,
+    crate::{
+        event::FlowEvent,
+        state::{CommandBatch, FlowState, StateError},
+    },
+    base::{EventReducer, PeerAddress, ReplicaId, ReplyTicket},
+    quorum::{
+        CoreError, EntryPayload, LogEntry, ProposalError, QuorumCore, QuorumEffect, QuorumEvent,
+        QuorumMessage, RecoveredLog, ReplicaRole,
+    },
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::Duration,
+    },
+};
+
+/// A member of the control group.
+#[derive(Debug)]
+pub struct ControlNode {
+    settings: ControlSettings,
+    core: QuorumCore,
+    applied: FlowState,
+    lead: Option<LeadState>,
+    /// Reads of the configuration that wait for the lead to be confirmed.
+    reads: BTreeMap<ReplyTicket, ReplyTicket>,
+    last_ticket: ReplyTicket,
+    now: Duration,
+    ticked: Duration,
+    wall_ms: u64,
+    queue: VecDeque<QuorumEvent<QuorumMessage>>,
+    effects: Vec<ControlEffect>,
+}
+
+impl ControlNode {
+    /// A replica that starts from what its disk holds.
+    pub fn new(
+        settings: ControlSettings,
+        recovered: RecoveredLog,
+        now: Duration,
+        seed: u64,
+    ) -> Result<Self, CoreError> {
+        let core = QuorumCore::new(settings.quorum.clone(), recovered, now, seed)?;
+        Ok(Self {
+            settings,
+            core,
+            applied: FlowState::default(),
+            lead: None,
+            reads: BTreeMap::new(),
+            last_ticket: ReplyTicket(0),
+            now,
+            ticked: now,
+            wall_ms: 0,
+            queue: VecDeque::new(),
+            effects: Vec::new(),
+        })
+    }
+
+    /// The applied state.
+    pub fn applied(&self) -> &FlowState {
+        &self.applied
+    }
+
+    /// True when this replica leads.
+    pub fn is_leader(&self) -> bool {
+        self.lead.is_some()
+    }
+
+    /// This replica's id.
+    pub fn replica(&self) -> ReplicaId {
+        self.core.replica()
+    }
+
+    /// Where the leader listens, as far as it is known.
+    pub fn leader_address(&self) -> Option<PeerAddress> {
+        let leader = self.core.leader()?;
+        let members = self.core.members();
+        let found = members.iter().find(|progress| progress.member.replica == leader)?;
+        Some(found.member.address)
+    }
+
+    /// Where every member listens.
+    pub fn member_addresses(&self) -> Vec<PeerAddress> {
+        self.core.members().iter().map(|progress| progress.member.address).collect()
+    }
+
+    fn record(&mut self, event: FlowEvent) {
+        self.effects.push(ControlEffect::Record(event));
+    }
+
+    fn next_ticket(&mut self) -> ReplyTicket {
+        self.last_ticket = self.last_ticket.next();
+        self.last_ticket
+    }
+
+    /// Lets the log see the time before anything is decided: after a pause of the process, its
+    /// lead may be long over.
+    fn keep_time(&mut self) {
+        if self.now.saturating_sub(self.ticked) >= self.settings.quorum.heartbeat / 2 {
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        self.ticked = self.now;
+        self.queue.push_back(QuorumEvent::Tick);
+        self.drain_queue();
+    }
+
+    fn drain_queue(&mut self) {
+        while let Some(event) = self.queue.pop_front() {
+            for effect in self.core.reduce(self.now, event) {
+                self.take_effect(effect);
+            }
+        }
+    }
+
+    fn take_effect(&mut self, effect: QuorumEffect<QuorumMessage>) {
+        match effect {
+            QuorumEffect::Send { to, address, message } => {
+                let from = self.core.replica();
+                self.effects.push(ControlEffect::SendPeer { from, to, address, message });
+            }
+            QuorumEffect::Persist(batch) => self.effects.push(ControlEffect::Persist(batch)),
+            QuorumEffect::InstallSnapshot(snapshot) => {
+                let state = FlowState::from_snapshot(&snapshot.data);
+                self.replace_state(state);
+            }
+            QuorumEffect::Apply(entry) => self.apply(&entry),
+            QuorumEffect::Committed { ticket, .. } => self.release(ticket),
+            QuorumEffect::ReadConfirmed { ticket } => self.finish_read(ticket, true),
+            QuorumEffect::Rejected { ticket, error } => self.reject(ticket, &error),
+            QuorumEffect::RoleChanged { role, term, .. } => match role {
+                ReplicaRole::Leader => self.take_lead(term.0),
+                ReplicaRole::Follower | ReplicaRole::Candidate => self.lose_lead(),
+            },
+            QuorumEffect::TakeSnapshot => {
+                let (index, data) = (self.core.applied(), self.applied.to_snapshot());
+                self.queue.push_back(QuorumEvent::SnapshotTaken { index, data });
+            }
+        }
+    }
+
+    fn replace_state(&mut self, state: Result<FlowState, StateError>) {
+        match state {
+            Ok(state) => self.applied = state,
+            Err(error) => self.effects.push(ControlEffect::Halt(error)),
+        }
+    }
+
+    fn apply(&mut self, entry: &LogEntry) {
+        let EntryPayload::Data(data) = &entry.payload else { return };
+        match CommandBatch::from_bytes(data) {
+            Ok(batch) => {
+                self.applied.apply(&batch);
+            }
+            Err(error) => self.effects.push(ControlEffect::Halt(error)),
+        }
+    }
+
+    fn reject(&mut self, ticket: ReplyTicket, error: &ProposalError) {
+        if self.reads.contains_key(&ticket) {
+            self.finish_read(ticket, false);
+            return;
+        }
+        self.drop_proposal(ticket, error);
+    }
+}
+
+impl EventReducer for ControlNode {
+    type Event = ControlEvent;
+    type Effect = ControlEffect;
+
+    fn reduce(&mut self, now: Duration, event: ControlEvent) -> Vec<ControlEffect> {
+        self.now = self.now.max(now);
+        self.keep_time();
+        match event {
+            ControlEvent::Tick { wall_ms } => {
+                self.wall_ms = wall_ms;
+                self.keep_house();
+            }
+            ControlEvent::Persisted { number } => {
+                self.queue.push_back(QuorumEvent::Persisted { number });
+            }
+            ControlEvent::PersistFailed { number } => {
+                self.queue.push_back(QuorumEvent::PersistFailed { number });
+            }
+            ControlEvent::Message { session, message } => self.take_message(session, message),
+            ControlEvent::Closed { session } => self.close_session(session),
+            ControlEvent::Configure { ticket, config } => self.take_config(ticket, config),
+            ControlEvent::ReadConfig { ticket } => self.read_config(ticket),
+            ControlEvent::Settle => self.settle(),
+        }
+        self.drain_queue();
+        std::mem::take(&mut self.effects)
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/control/operator.rs
@@ -0,0 +1,42 @@
+//! Operators' calls.
+
+use {
+    super::{
+        types::{ControlEffect, OperatorAnswer},
+        ControlNode,
+    },
+    crate::{event::FlowEvent, job::FleetConfig, state::FlowCommand},
+    base::ReplyTicket,
+    quorum::QuorumEvent,
+};
+
+impl ControlNode {
+    /// Accepts a configuration; one that is not newer than what is held changes nothing.
+    pub(super) fn take_config(&mut self, ticket: ReplyTicket, config: FleetConfig) {
+        if self.lead.is_none() {
+            self.redirect(ticket);
+            return;
+        }
+        let (version, queues) = (config.version, config.queues.len());
+        let event = FlowEvent::ConfigAccepted { version, queues };
+        let answer = ControlEffect::Answer { ticket, answer: OperatorAnswer::Accepted };
+        let held = vec![ControlEffect::Record(event), answer];
+        self.propose(FlowCommand::Configure(config), held);
+    }
+
+    pub(super) fn read_config(&mut self, caller: ReplyTicket) {
+        if self.lead.is_none() {
+            self.redirect(caller);
+            return;
+        }
+        let ticket = self.next_ticket();
+        self.reads.insert(ticket, caller);
+        self.queue.push_back(QuorumEvent::ConfirmRead { ticket });
+    }
+
+    fn redirect(&mut self, ticket: ReplyTicket) {
+        let leader = self.leader_address();
+        let answer = OperatorAnswer::NotLeading { leader };
+        self.effects.push(ControlEffect::Answer { ticket, answer });
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/control/proposals.rs
@@ -0,0 +1,212 @@
+//! From commands to entries of the log, and from committed entries to effects.
+
+use {
+    super::{
+        lead::PendingBatch,
+        types::{ControlEffect, OperatorAnswer},
+        ControlNode,
+    },
+    crate::{
+        event::FlowEvent,
+        job::JobKey,
+        message::{LinkMessage, StartOrder},
+        plan::{plan, Placement, PlanTime},
+        state::{CommandBatch, CommandOutcome, FlowCommand, TaskPhase},
+    },
+    base::ReplyTicket,
+    quorum::{ProposalError, QuorumEvent},
+    std::{collections::BTreeSet, time::Duration},
+};
+
+/// How often waiting tasks are looked at when nothing has changed: schedules come due, and
+/// suspicion of workers ends.
+const REPLAN_INTERVAL: Duration = Duration::from_millis(100);
+
+impl ControlNode {
+    /// Proposes everything that has gathered, together with the placements that it makes
+    /// possible.
+    pub(super) fn settle(&mut self) {
+        let (now, wall_ms) = (self.now, self.wall_ms);
+        let Some(lead) = &mut self.lead else { return };
+        let due = now.saturating_sub(lead.planned) >= REPLAN_INTERVAL;
+        if lead.pending.commands.is_empty() && !lead.replan && !due {
+            return;
+        }
+        let PendingBatch { mut commands, mut held } = std::mem::take(&mut lead.pending);
+        let elapsed_ms = now.saturating_sub(lead.counted).as_millis() as u64;
+        let batch = CommandBatch { elapsed_ms, commands };
+        let mut ended = touched_jobs(&batch.commands);
+        ended.retain(|key| lead.ahead.job(*key).is_some_and(|job| job.outcome.is_none()));
+        lead.ahead.apply(&batch);
+        commands = batch.commands;
+        lead.planned = now;
+        lead.replan = false;
+        let placements = plan(&lead.ahead, &lead.workers, PlanTime { now, wall_ms });
+        for placement in placements {
+            self.place(placement, &mut commands, &mut held);
+        }
+        for job in ended {
+            self.conclude(job, &mut held);
+        }
+        if commands.is_empty() {
+            self.effects.append(&mut held);
+            return;
+        }
+        let Some(lead) = &mut self.lead else { return };
+        lead.counted += Duration::from_millis(elapsed_ms);
+        let data = CommandBatch { elapsed_ms, commands }.to_bytes();
+        let ticket = self.next_ticket();
+        if let Some(lead) = &mut self.lead {
+            lead.in_flight.insert(ticket, held);
+        }
+        self.queue.push_back(QuorumEvent::Propose { ticket, data });
+    }
+
+    fn place(
+        &mut self,
+        placement: Placement,
+        commands: &mut Vec<FlowCommand>,
+        held: &mut Vec<ControlEffect>,
+    ) {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return };
+        let Placement { task, run, worker } = placement;
+        let command = FlowCommand::Place { task, run, worker: worker.clone() };
+        let batch = CommandBatch { elapsed_ms: 0, commands: vec![command] };
+        if lead.ahead.apply(&batch) != [CommandOutcome::Done] {
+            return;
+        }
+        commands.extend(batch.commands);
+        lead.ordered.insert(task, (run, now));
+        lead.stopping.remove(&task);
+        let Some(session) = lead.sessions.get(&worker.executor).copied() else { return };
+        let Some(job) = lead.ahead.job(task.job) else { return };
+        let failures = job.task(&task).map_or(0, |record| record.failures);
+        let after_ms = lead.ahead.clock_ms().saturating_sub(job.accepted_ms);
+        let event = FlowEvent::TaskPlaced { task, run, worker: worker.clone(), after_ms, failures };
+        held.push(ControlEffect::Record(event));
+        if let Some(order) = self.start_order(&placement_of(task, run, worker)) {
+            held.push(ControlEffect::Send { session, message: LinkMessage::Start(order) });
+        }
+    }
+
+    /// The order that starts a placed task.
+    pub(super) fn start_order(&self, placement: &Placement) -> Option<StartOrder> {
+        let lead = self.lead.as_ref()?;
+        let job = lead.ahead.job(placement.task.job)?;
+        let spec = job.step_spec(&placement.task)?;
+        let checkpoint = if spec.gang {
+            gang_checkpoint(job, placement)
+        } else {
+            job.task(&placement.task)?.checkpoint.clone()
+        };
+        Some(StartOrder {
+            worker: placement.worker.clone(),
+            task: placement.task,
+            run: placement.run,
+            payload: job.spec.payload.clone(),
+            checkpoint,
+            latency_target_ms: spec.latency_target_ms,
+            filler: spec.filler,
+        })
+    }
+
+    /// Logs the end of a job and stops what it still runs.
+    fn conclude(&mut self, key: JobKey, held: &mut Vec<ControlEffect>) {
+        let Some(lead) = &self.lead else { return };
+        let Some(job) = lead.ahead.job(key) else { return };
+        let Some(outcome) = job.outcome else { return };
+        let after_ms = lead.ahead.clock_ms().saturating_sub(job.accepted_ms);
+        held.push(ControlEffect::Record(FlowEvent::JobEnded { job: key, outcome, after_ms }));
+        let runs: Vec<_> = job
+            .placed_tasks(key)
+            .map(|(task, run, worker)| placement_of(task, run, worker.clone()))
+            .collect();
+        for placement in runs {
+            let reason = crate::event::StopReason::JobEnded;
+            held.extend(self.stop_run(&placement, reason));
+        }
+    }
+
+    /// Lets the effects of a committed entry go.
+    pub(super) fn release(&mut self, ticket: ReplyTicket) {
+        let Some(lead) = &mut self.lead else { return };
+        for effect in lead.in_flight.remove(&ticket).into_iter().flatten() {
+            if self.is_backed(&effect) {
+                self.effects.push(effect);
+            }
+        }
+        self.finish_admission(ticket);
+    }
+
+    /// A start goes out only for a placement that the log holds.
+    pub(super) fn is_backed(&self, effect: &ControlEffect) -> bool {
+        let ControlEffect::Send { message: LinkMessage::Start(order), .. } = effect else {
+            return true;
+        };
+        self.applied.task(&order.task).is_some_and(|task| {
+            let placed = matches!(&task.phase, TaskPhase::Placed(at) if *at == order.worker);
+            placed && task.run == order.run
+        })
+    }
+
+    /// A proposal that came to nothing leaves the ahead state wrong. It is made anew from the
+    /// applied state, as at the start of a lead.
+    pub(super) fn drop_proposal(&mut self, ticket: ReplyTicket, error: &ProposalError) {
+        let Some(lead) = &mut self.lead else { return };
+        if lead.admissions.remove(&ticket).is_some() || !lead.in_flight.contains_key(&ticket) {
+            return;
+        }
+        let still_leading = !matches!(error, ProposalError::NotLeader { .. });
+        let term = lead.term;
+        self.lose_lead();
+        if still_leading && self.core.role() == quorum::ReplicaRole::Leader {
+            self.take_lead(term);
+        }
+    }
+
+    /// Adds a command, and what follows once it is committed, to the next entry.
+    pub(super) fn propose(&mut self, command: FlowCommand, held: Vec<ControlEffect>) {
+        let Some(lead) = &mut self.lead else { return };
+        lead.pending.commands.push(command);
+        lead.pending.held.extend(held);
+        lead.replan = true;
+    }
+
+    pub(super) fn finish_read(&mut self, ticket: ReplyTicket, confirmed: bool) {
+        let Some(caller) = self.reads.remove(&ticket) else { return };
+        let answer = if confirmed {
+            let document = self.applied.config().map(|config| config.document.clone());
+            OperatorAnswer::Config(document)
+        } else {
+            OperatorAnswer::Unsure
+        };
+        self.effects.push(ControlEffect::Answer { ticket: caller, answer });
+    }
+}
+
+fn placement_of(
+    task: crate::job::TaskKey,
+    run: crate::job::RunNumber,
+    worker: crate::job::WorkerLife,
+) -> Placement {
+    Placement { task, run, worker }
+}
+
+/// Any member's checkpoint is valid for the whole gang, and all members carry the same.
+fn gang_checkpoint(job: &crate::state::JobRecord, placement: &Placement) -> String {
+    let step = &job.occurrences[placement.task.occurrence as usize].steps
+        [usize::from(placement.task.step)];
+    let known = step.tasks.iter().map(|task| &task.checkpoint);
+    known.filter(|checkpoint| !checkpoint.is_empty()).max().cloned().unwrap_or_default()
+}
+
+/// The jobs that commands may end.
+fn touched_jobs(commands: &[FlowCommand]) -> BTreeSet<JobKey> {
+    let ended = commands.iter().filter_map(|command| match command {
+        FlowCommand::Cancel { job } => Some(*job),
+        FlowCommand::End { task, .. } => Some(task.job),
+        _ => None,
+    });
+    ended.collect()
+}
--- /dev/null
+++ b/crates/workflow/src/control/workers.rs
@@ -0,0 +1,347 @@
+//! Workers: what their agents say, their leases, and what runs there that should not, or does not
+//! run that should.
+
+use {
+    super::{
+        lead::RunProgress,
+        types::{ControlEffect, SessionId},
+        ControlNode,
+    },
+    crate::{
+        event::{FlowEvent, LossReason, StopReason},
+        job::{RunNumber, TaskKey, WorkerLife},
+        message::{EndReport, LinkMessage, RunReport, WorkerReport},
+        plan::{Placement, WorkerView},
+        state::{EndKind, FlowCommand, TaskPhase},
+    },
+    std::time::Duration,
+};
+
+/// How much longer than its length a lease may last on a worker's clock.
+const CLOCK_DRIFT: f64 = 0.025;
+/// What a lease's end is waited for beyond that: the granularity of the clocks and of our ticks.
+const LEASE_SLACK: Duration = Duration::from_millis(150);
+/// How long an order may be on its way before a report without its run means that it was lost.
+const ORDER_PATIENCE: Duration = Duration::from_millis(1200);
+/// How often a stop is repeated while the run is still listed.
+const STOP_REPEAT: Duration = Duration::from_millis(500);
+
+impl ControlNode {
+    pub(super) fn see_worker(&mut self, session: SessionId, report: WorkerReport) {
+        let worker = report.worker.clone();
+        let event = FlowEvent::WorkerSeen {
+            worker: worker.clone(),
+            service: report.service.clone(),
+            drain_left_ms: report.drain_left_ms,
+        };
+        let Some(lead) = &mut self.lead else { return };
+        let executor = worker.executor.clone();
+        let known = lead.sessions.insert(executor.clone(), session) == Some(session);
+        let draining = report.drain_left_ms.is_some();
+        match lead.workers.get_mut(&executor).filter(|view| *view.life() == worker) {
+            Some(view) => view.report = report,
+            None => {
+                lead.workers.insert(executor, WorkerView::new(report));
+            }
+        }
+        lead.replan = true;
+        self.record(event);
+        self.renew_lease(session);
+        self.end_earlier_lives(&worker);
+        if !known {
+            self.repeat_orders(session, &worker);
+        }
+        if draining {
+            self.leave_worker(&worker);
+        }
+    }
+
+    /// Orders everything again that is placed on a worker: its agent may have begun anew and know
+    /// nothing of what runs there.
+    fn repeat_orders(&mut self, session: SessionId, worker: &WorkerLife) {
+        let Some(lead) = &self.lead else { return };
+        let placed = lead.ahead.placed_tasks().filter(|(_, _, at)| *at == worker);
+        let placed: Vec<Placement> =
+            placed.map(|(task, run, at)| Placement { task, run, worker: at.clone() }).collect();
+        for placement in placed {
+            self.repeat_order(session, placement);
+        }
+    }
+
+    fn repeat_order(&mut self, session: SessionId, placement: Placement) {
+        let now = self.now;
+        let Placement { task, run, .. } = placement;
+        let ended = self.ahead_job_ended(&task);
+        if let Some(lead) = &mut self.lead {
+            lead.ordered.insert(task, (run, now));
+        }
+        if ended {
+            self.stop_unwanted(session, &placement.worker, task, run);
+        } else if let Some(order) = self.start_order(&placement) {
+            let message = LinkMessage::Start(order);
+            let effect = ControlEffect::Send { session, message };
+            if self.is_backed(&effect) {
+                self.effects.push(effect);
+            }
+        }
+    }
+
+    /// Whatever an executor was given before its present life has ended with that.
+    fn end_earlier_lives(&mut self, worker: &WorkerLife) {
+        let Some(lead) = &self.lead else { return };
+        let placed = lead.ahead.placed_tasks().map(|(_, _, at)| at);
+        let earlier = placed.filter(|at| at.executor == worker.executor && at.born < worker.born);
+        let mut lives: Vec<WorkerLife> = earlier.cloned().collect();
+        lives.dedup();
+        for life in lives {
+            self.lose_worker(&life, LossReason::NewLife);
+        }
+    }
+
+    /// Moves what can't end before a worker leaves.
+    fn leave_worker(&mut self, worker: &WorkerLife) {
+        let Some(lead) = &self.lead else { return };
+        let Some(view) = lead.workers.get(&worker.executor) else { return };
+        let left_ms = view.report.drain_left_ms.unwrap_or(0);
+        let mut leaving = Vec::new();
+        for (task, run, at) in lead.ahead.placed_tasks() {
+            let spec = lead.ahead.job(task.job).and_then(|job| job.step_spec(&task));
+            let Some(spec) = spec.filter(|_| at == worker) else { continue };
+            let percent = lead.progress.get(&task).map_or(0, |progress| progress.percent);
+            let left = spec.estimate_ms * u64::from(100 - percent.min(100)) / 100;
+            if spec.lasting || left > left_ms {
+                leaving.push(Placement { task, run, worker: at.clone() });
+            }
+        }
+        for placement in leaving {
+            let stop = self.stop_run(&placement, StopReason::WorkerDraining);
+            self.effects.extend(stop);
+        }
+    }
+
+    /// An agent that was answered may let its executor run on for the length of a lease.
+    pub(super) fn renew_lease(&mut self, session: SessionId) {
+        let span = self.lease_span();
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return };
+        let executor = lead.sessions.iter().find(|(_, held)| **held == session);
+        let Some(executor) = executor.map(|(executor, _)| executor.clone()) else { return };
+        if let Some(view) = lead.workers.get(&executor) {
+            lead.leases.insert(view.life().clone(), now + span);
+        }
+    }
+
+    /// The longest time for which a worker may run on after control has renewed its lease.
+    fn lease_span(&self) -> Duration {
+        self.settings.lease.mul_f64(1.0 + CLOCK_DRIFT) + LEASE_SLACK
+    }
+
+    /// Ends the runs of workers whose lease is over. What an earlier leader granted is unknown, so
+    /// that a lead begins by waiting one lease out.
+    pub(super) fn expire_leases(&mut self) {
+        let span = self.lease_span() + self.settings.quorum.election_timeout;
+        let now = self.now;
+        let Some(lead) = &self.lead else { return };
+        let inherited = lead.since + span;
+        let mut expired: Vec<WorkerLife> = Vec::new();
+        for (_, _, worker) in lead.ahead.placed_tasks() {
+            let until = lead.leases.get(worker).copied().unwrap_or(inherited);
+            if until < now && !expired.contains(worker) {
+                expired.push(worker.clone());
+            }
+        }
+        for worker in expired {
+            self.lose_worker(&worker, LossReason::LeaseExpired);
+        }
+        if let Some(lead) = &mut self.lead {
+            lead.leases.retain(|_, until| *until >= now);
+        }
+    }
+
+    /// Ends every run of a life that is certainly over.
+    pub(super) fn lose_worker(&mut self, worker: &WorkerLife, reason: LossReason) {
+        let Some(lead) = &mut self.lead else { return };
+        let runs: Vec<(TaskKey, RunNumber)> = lead
+            .ahead
+            .placed_tasks()
+            .filter(|(_, _, at)| *at == worker)
+            .map(|(task, run, _)| (task, run))
+            .collect();
+        lead.leases.remove(worker);
+        if reason != LossReason::LeaseExpired {
+            let current =
+                lead.workers.get(&worker.executor).is_some_and(|view| view.life() == worker);
+            if current {
+                lead.workers.shift_remove(&worker.executor);
+            }
+        }
+        let lost = FlowEvent::WorkerLost { worker: worker.clone(), reason, runs: runs.len() };
+        if !runs.is_empty() {
+            self.record(lost);
+        }
+        for (task, run) in runs {
+            self.end_run(worker, task, run, EndKind::Lapsed, String::new());
+        }
+    }
+
+    pub(super) fn take_ends(
+        &mut self,
+        session: SessionId,
+        worker: &WorkerLife,
+        ends: Vec<EndReport>,
+    ) {
+        if self.lead.is_none() {
+            return;
+        }
+        let up_to = ends.iter().map(|end| end.number).max().unwrap_or(0);
+        for EndReport { task, run, end, checkpoint, .. } in ends {
+            self.note_health(worker, task, end);
+            self.end_run(worker, task, run, end, checkpoint);
+        }
+        let message = LinkMessage::EndsNoted { worker: worker.clone(), up_to };
+        if let Some(lead) = &mut self.lead {
+            lead.pending.held.push(ControlEffect::Send { session, message });
+            lead.replan = true;
+        }
+    }
+
+    fn note_health(&mut self, worker: &WorkerLife, task: TaskKey, end: EndKind) {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return };
+        let failed_elsewhere = lead.ahead.task(&task).is_some_and(|task| task.failures > 0);
+        let Some(view) = lead.workers.get_mut(&worker.executor) else { return };
+        let before = view.is_suspect(now);
+        match end {
+            EndKind::Done => view.note_done(),
+            EndKind::Failed => view.note_failure(now, task, failed_elsewhere),
+            EndKind::Refused => view.note_refusal(now),
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+        }
+        if end == EndKind::Failed && !before && view.is_suspect(now) {
+            self.record(FlowEvent::WorkerSuspect { worker: worker.clone() });
+        }
+    }
+
+    /// Proposes the end of a run, with the newest checkpoint that is known of it.
+    fn end_run(
+        &mut self,
+        worker: &WorkerLife,
+        task: TaskKey,
+        run: RunNumber,
+        end: EndKind,
+        checkpoint: String,
+    ) {
+        let Some(lead) = &mut self.lead else { return };
+        let progress = lead.progress.get(&task).filter(|progress| progress.run == run);
+        let known = progress.map(|progress| progress.checkpoint.clone()).unwrap_or_default();
+        let checkpoint = if checkpoint.is_empty() { known } else { checkpoint };
+        lead.progress.remove(&task);
+        lead.ordered.remove(&task);
+        lead.stopping.remove(&task);
+        let worker = worker.clone();
+        let event = FlowEvent::RunEnded { task, run, worker: worker.clone(), end };
+        let command = FlowCommand::End { task, run, worker, end, checkpoint };
+        self.propose(command, vec![ControlEffect::Record(event)]);
+    }
+
+    /// Compares what an executor runs with what the log says that it should run.
+    pub(super) fn see_runs(
+        &mut self,
+        session: SessionId,
+        worker: &WorkerLife,
+        runs: Vec<RunReport>,
+    ) {
+        let current = self.lead.as_ref().and_then(|lead| lead.workers.get(&worker.executor));
+        if current.is_none_or(|view| view.life() != worker) {
+            return;
+        }
+        for report in &runs {
+            self.see_run(session, worker, report);
+        }
+        self.repeat_lost_orders(session, worker, &runs);
+    }
+
+    fn see_run(&mut self, session: SessionId, worker: &WorkerLife, report: &RunReport) {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return };
+        let (task, run) = (report.task, report.run);
+        let wanted = lead.ahead.job(task.job).filter(|job| job.outcome.is_none());
+        let held = wanted.and_then(|job| job.task(&task)).is_some_and(|record| {
+            let here = matches!(&record.phase, TaskPhase::Placed(at) if at == worker);
+            here && record.run == run
+        });
+        if !held {
+            self.stop_unwanted(session, worker, task, run);
+            return;
+        }
+        let known = lead.progress.get(&task).filter(|known| known.run == run);
+        let still = known.filter(|known| known.percent == report.percent);
+        let moved = still.map_or(now, |known| known.moved);
+        let checkpoint = report.checkpoint.clone();
+        let progress = RunProgress { run, checkpoint, percent: report.percent, moved };
+        lead.progress.insert(task, progress);
+    }
+
+    fn stop_unwanted(
+        &mut self,
+        session: SessionId,
+        worker: &WorkerLife,
+        task: TaskKey,
+        run: RunNumber,
+    ) {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return };
+        let told = lead.stopping.get(&task).filter(|(stopped, _)| *stopped == run);
+        if told.is_some_and(|(_, at)| now.saturating_sub(*at) < STOP_REPEAT) {
+            return;
+        }
+        lead.stopping.insert(task, (run, now));
+        let reason = StopReason::Superseded;
+        self.record(FlowEvent::RunStopped { task, run, worker: worker.clone(), reason });
+        let message = LinkMessage::Stop { worker: worker.clone(), task, run };
+        self.effects.push(ControlEffect::Send { session, message });
+    }
+
+    /// Sends the orders for placed tasks again that a worker does not list.
+    fn repeat_lost_orders(&mut self, session: SessionId, worker: &WorkerLife, runs: &[RunReport]) {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return };
+        let mut missing = Vec::new();
+        for (task, run, at) in lead.ahead.placed_tasks().filter(|(_, _, at)| *at == worker) {
+            let listed = runs.iter().any(|report| report.task == task && report.run == run);
+            let ordered = lead.ordered.get(&task).filter(|(ordered, _)| *ordered == run);
+            let patient =
+                ordered.is_some_and(|(_, sent)| now.saturating_sub(*sent) < ORDER_PATIENCE);
+            if !listed && !patient {
+                missing.push(Placement { task, run, worker: at.clone() });
+            }
+        }
+        for placement in missing {
+            self.repeat_order(session, placement);
+        }
+    }
+
+    fn ahead_job_ended(&self, task: &TaskKey) -> bool {
+        let job = self.lead.as_ref().and_then(|lead| lead.ahead.job(task.job));
+        job.is_none_or(|job| job.outcome.is_some())
+    }
+
+    /// The order that stops a placed run, if its worker can be reached. Its room stays reserved
+    /// until the end is in the log.
+    pub(super) fn stop_run(
+        &mut self,
+        placement: &Placement,
+        reason: StopReason,
+    ) -> Vec<ControlEffect> {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return Vec::new() };
+        let Placement { task, run, worker } = placement.clone();
+        let Some(session) = lead.sessions.get(&worker.executor).copied() else {
+            return Vec::new();
+        };
+        lead.stopping.insert(task, (run, now));
+        let event = FlowEvent::RunStopped { task, run, worker: worker.clone(), reason };
+        let message = LinkMessage::Stop { worker, task, run };
+        vec![ControlEffect::Record(event), ControlEffect::Send { session, message }]
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/job/ids.rs
@@ -0,0 +1,105 @@
+//! Identifiers of jobs, tasks, runs and lives of workers.
+
+use {
+    serde::{Deserialize, Serialize},
+    snafu::{OptionExt, Snafu},
+    std::{fmt, str::FromStr, sync::Arc},
+};
+
+/// The caller's id of a job, unique over all queues.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct JobKey(pub u64);
+
+/// A text that names no job or task.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{text:?} names no job or task"))]
+pub struct KeyError {
+    text: String,
+}
+
+/// The number of hexadecimal digits of a job key.
+const KEY_DIGITS: usize = 16;
+
+impl fmt::Display for JobKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for JobKey {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = text.len() == KEY_DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let number = u64::from_str_radix(text, 16).ok().filter(|_| digits);
+        number.map(Self).context(KeySnafu { text })
+    }
+}
+
+/// A task: one of the equal parts of a step, in one occurrence of its job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct TaskKey {
+    /// The job.
+    pub job: JobKey,
+    /// The occurrence, 0 for a job without a schedule.
+    pub occurrence: u32,
+    /// The step's position in the job.
+    pub step: u16,
+    /// The task's position in the step.
+    pub index: u16,
+}
+
+impl fmt::Display for TaskKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
+    }
+}
+
+impl FromStr for TaskKey {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut parts = text.split('.');
+        let parsed = (|| {
+            let key = Self {
+                job: parts.next()?.parse().ok()?,
+                occurrence: parts.next()?.parse().ok()?,
+                step: parts.next()?.parse().ok()?,
+                index: parts.next()?.parse().ok()?,
+            };
+            parts.next().is_none().then_some(key)
+        })();
+        parsed.context(KeySnafu { text })
+    }
+}
+
+/// Numbers the starts of one task, from 1.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RunNumber(pub u32);
+
+impl fmt::Display for RunNumber {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+/// One life of an executor: it runs nothing of an earlier one.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct WorkerLife {
+    /// The executor.
+    pub executor: Arc<str>,
+    /// The Unix millisecond at which this life began.
+    pub born: u64,
+}
+
+impl fmt::Display for WorkerLife {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.executor, self.born)
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/job/mod.rs
@@ -0,0 +1,11 @@
+//! What callers hand in and what operators configure.
+
+mod config;
+mod ids;
+mod spec;
+
+pub use {
+    config::{ConfigProblem, FleetConfig, QueueRule, ServiceRule},
+    ids::{JobKey, RunNumber, TaskKey, WorkerLife},
+    spec::{JobSchedule, JobSpec, SpecProblem, StepSpec, TaskDemand},
+};
--- /dev/null
+++ b/crates/workflow/src/job/spec.rs
@@ -0,0 +1,137 @@
+//! The content of a job.
+
+use {
+    serde::{Deserialize, Serialize},
+    snafu::{ensure, Snafu},
+};
+
+/// The largest number of steps of a job; it bounds what one submission makes control keep.
+pub const STEPS_LIMIT: usize = 256;
+/// The largest number of tasks of a job, over all its occurrences, for the same reason.
+pub const TASKS_LIMIT: u64 = 20_000;
+
+/// What one task reserves on its worker.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TaskDemand {
+    /// Thousandths of a processor core.
+    pub cpu_milli: u64,
+    /// Megabytes of memory.
+    pub memory_mb: u64,
+    /// Whole accelerators.
+    pub accelerators: u64,
+}
+
+/// A step: equal tasks that may run at the same time.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct StepSpec {
+    /// The number of tasks.
+    pub count: u16,
+    /// What each task reserves.
+    pub demand: TaskDemand,
+    /// The caller's estimate of a task's duration, in milliseconds.
+    pub estimate_ms: u64,
+    /// Positions of the steps that have to be done before.
+    pub depends_on: Vec<u16>,
+    /// Whether tasks produce checkpoints from which another run can resume.
+    pub checkpointing: bool,
+    /// Whether the tasks only work together.
+    pub gang: bool,
+    /// Whether the tasks run slower on more than one rack.
+    pub same_rack: bool,
+    /// A label that the worker must have.
+    pub required_label: Option<String>,
+    /// The rack where the data is.
+    pub preferred_rack: Option<String>,
+    /// The most tasks of the step on one worker.
+    pub per_worker_limit: Option<u32>,
+    /// Whether the tasks run until the job is cancelled.
+    pub lasting: bool,
+    /// What the tasks run: tasks of one image interfere alike.
+    pub image: Option<String>,
+    /// The tail latency that a serving task must stay below, in milliseconds.
+    pub latency_target_ms: Option<u64>,
+    /// Whether the tasks only use the processors that others leave idle.
+    pub filler: bool,
+    /// How many tasks may be unavailable at once by our own doing.
+    pub disruption_budget: Option<u32>,
+}
+
+/// When a job's steps run, if they run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct JobSchedule {
+    /// The number of occurrences.
+    pub count: u32,
+    /// When the first is due, in milliseconds since the Unix epoch.
+    pub first_ms: u64,
+    /// The time between two, in milliseconds.
+    pub every_ms: u64,
+}
+
+/// A job as handed in.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct JobSpec {
+    /// What executors are given, opaque to the system.
+    pub payload: String,
+    /// The steps, each after those it depends on.
+    pub steps: Vec<StepSpec>,
+    /// When the steps run; `None` for once, at once.
+    pub schedule: Option<JobSchedule>,
+}
+
+/// Why a job can't be accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum SpecProblem {
+    /// There is nothing to run.
+    #[snafu(display("the job has no steps"))]
+    NoSteps,
+    /// A bound is exceeded.
+    #[snafu(display("the job has more than {STEPS_LIMIT} steps or {TASKS_LIMIT} tasks"))]
+    TooLarge,
+    /// A step has no tasks.
+    #[snafu(display("step {step} has no tasks"))]
+    EmptyStep {
+        /// The step.
+        step: usize,
+    },
+    /// A step depends on itself or a later one.
+    #[snafu(display("step {step} depends on step {on}, which is not an earlier one"))]
+    LaterStep {
+        /// The step.
+        step: usize,
+        /// What it depends on.
+        on: u16,
+    },
+}
+
+impl JobSpec {
+    /// Checks bounds and the order of the steps.
+    pub fn check(&self) -> Result<(), SpecProblem> {
+        ensure!(!self.steps.is_empty(), NoStepsSnafu);
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        let total = tasks.saturating_mul(u64::from(self.occurrences()));
+        ensure!(self.steps.len() <= STEPS_LIMIT && total <= TASKS_LIMIT, TooLargeSnafu);
+        for (position, step) in self.steps.iter().enumerate() {
+            ensure!(step.count > 0, EmptyStepSnafu { step: position });
+            let later = step.depends_on.iter().find(|on| usize::from(**on) >= position);
+            if let Some(on) = later {
+                return LaterStepSnafu { step: position, on: *on }.fail();
+            }
+        }
+        Ok(())
+    }
+
+    /// How often the steps run.
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.count)
+    }
+
+    /// When an occurrence is due, in milliseconds since the Unix epoch; `None` for at once.
+    pub fn due_ms(&self, occurrence: u32) -> Option<u64> {
+        let schedule = self.schedule?;
+        Some(schedule.first_ms + u64::from(occurrence) * schedule.every_ms)
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/plan/mod.rs
@@ -0,0 +1,163 @@
+//! Placement: which waiting task starts where.
+//!
+//! One pass serves the tasks of every open step in the order of priority and age. A placement
+//! holds its room until its end is in the log, so that a pass over the ahead state never counts
+//! room twice.
+
+mod room;
+mod score;
+mod worker;
+
+pub use worker::{WorkerTable, WorkerView};
+
+use {
+    self::{
+        room::RoomTable,
+        score::{best_worker, Wish},
+    },
+    crate::{
+        job::{JobKey, RunNumber, TaskKey, WorkerLife},
+        state::{FlowState, JobRecord, StepRecord, TaskPhase},
+    },
+    std::time::Duration,
+};
+
+/// A decision to start a task.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// The task.
+    pub task: TaskKey,
+    /// The run.
+    pub run: RunNumber,
+    /// Where.
+    pub worker: WorkerLife,
+}
+
+/// When a pass takes place.
+#[derive(Debug, Clone, Copy)]
+pub struct PlanTime {
+    /// The leader's clock.
+    pub now: Duration,
+    /// Milliseconds since the Unix epoch, for jobs with a schedule.
+    pub wall_ms: u64,
+}
+
+/// The tasks of one step that wait.
+struct OpenStep<'a> {
+    job: JobKey,
+    record: &'a JobRecord,
+    occurrence: u32,
+    step: u16,
+}
+
+impl OpenStep<'_> {
+    fn tasks(&self) -> &StepRecord {
+        &self.record.occurrences[self.occurrence as usize].steps[usize::from(self.step)]
+    }
+
+    fn key(&self, index: usize) -> TaskKey {
+        let (job, occurrence, step) = (self.job, self.occurrence, self.step);
+        TaskKey { job, occurrence, step, index: index as u16 }
+    }
+
+    fn waiting(&self) -> impl Iterator<Item = usize> + '_ {
+        let tasks = self.tasks().tasks.iter().enumerate();
+        tasks.filter(|(_, task)| task.phase == TaskPhase::Waiting).map(|(index, _)| index)
+    }
+}
+
+/// Chooses a worker for every waiting task that may start now and finds room.
+pub fn plan(state: &FlowState, workers: &WorkerTable, time: PlanTime) -> Vec<Placement> {
+    let mut steps = open_steps(state, time);
+    if steps.is_empty() {
+        return Vec::new();
+    }
+    steps.sort_by_key(|step| (step.record.priority, step.record.accepted_ms, step.job));
+    let mut room = RoomTable::new(state, workers);
+    let mut placements = Vec::new();
+    for step in &steps {
+        place_step(step, state, workers, &mut room, time, &mut placements);
+    }
+    placements
+}
+
+fn open_steps(state: &FlowState, time: PlanTime) -> Vec<OpenStep<'_>> {
+    let mut open = Vec::new();
+    for (job, record) in state.active_jobs() {
+        if record.outcome.is_some() || record.unfinished == record.placed {
+            continue;
+        }
+        for (occurrence, steps) in record.occurrences.iter().enumerate() {
+            let due = record.spec.due_ms(occurrence as u32);
+            if due.is_some_and(|due| due > time.wall_ms) {
+                continue;
+            }
+            for (step, spec) in record.spec.steps.iter().enumerate() {
+                let tasks = &steps.steps[step];
+                if !tasks.is_done() && steps.is_open(spec) {
+                    let (occurrence, step) = (occurrence as u32, step as u16);
+                    open.push(OpenStep { job, record, occurrence, step });
+                }
+            }
+        }
+    }
+    open
+}
+
+fn place_step(
+    step: &OpenStep<'_>,
+    state: &FlowState,
+    workers: &WorkerTable,
+    room: &mut RoomTable,
+    time: PlanTime,
+    placements: &mut Vec<Placement>,
+) {
+    let spec = &step.record.spec.steps[usize::from(step.step)];
+    let rule = state.config().and_then(|config| config.queue(&step.record.queue));
+    let service = rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
+    let rack = room.rack_for(step.tasks(), spec, service, workers, time.now);
+    let wish = Wish { spec, service, rack: rack.as_deref() };
+    if spec.gang {
+        place_gang(step, &wish, workers, room, time, placements);
+        return;
+    }
+    for index in step.waiting() {
+        let key = step.key(index);
+        let Some(worker) = best_worker(&key, &wish, workers, room, time.now) else {
+            // All tasks of a step ask for the same; what does not fit one fits none.
+            return;
+        };
+        let run = RunNumber(step.tasks().tasks[index].run.0 + 1);
+        room.take(&worker, &key, spec);
+        placements.push(Placement { task: key, run, worker });
+    }
+}
+
+/// The members of a gang start together or not at all, under one run number.
+fn place_gang(
+    step: &OpenStep<'_>,
+    wish: &Wish<'_>,
+    workers: &WorkerTable,
+    room: &mut RoomTable,
+    time: PlanTime,
+    placements: &mut Vec<Placement>,
+) {
+    let tasks = &step.tasks().tasks;
+    if step.waiting().count() != tasks.len() {
+        return;
+    }
+    let run = RunNumber(tasks.iter().map(|task| task.run.0).max().unwrap_or(0) + 1);
+    let mut members = Vec::new();
+    for index in 0..tasks.len() {
+        let key = step.key(index);
+        let Some(worker) = best_worker(&key, wish, workers, room, time.now) else {
+            for Placement { task, worker, .. } in &members {
+                room.give_back(worker, task, wish.spec);
+            }
+            return;
+        };
+        room.take(&worker, &key, wish.spec);
+        members.push(Placement { task: key, run, worker });
+    }
+    placements.extend(members);
+}
--- /dev/null
+++ b/crates/workflow/src/plan/room.rs
@@ -0,0 +1,173 @@
+//! Room on the workers, as reserved by placements.
+
+use {
+    super::worker::{WorkerTable, WorkerView},
+    crate::{
+        job::{StepSpec, TaskDemand, TaskKey, WorkerLife},
+        state::{FlowState, StepRecord, TaskPhase},
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// The share of its reservation that a lasting task is presumed to use. What it leaves goes to
+/// filling tasks.
+const LASTING_USE: f64 = 0.6;
+
+/// What is reserved on one worker.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Reserved {
+    /// By tasks that are counted against the worker's capacity.
+    pub(super) demand: TaskDemand,
+    /// Processors that counted tasks are presumed to use, in thousandths of a core.
+    pub(super) used_milli: f64,
+    /// Processors that filling tasks could use, in thousandths of a core.
+    pub(super) filler_milli: u64,
+    /// The number of tasks with a latency target.
+    pub(super) serving: u32,
+    /// Tasks by occurrence and step.
+    steps: HashMap<(crate::job::JobKey, u32, u16), u32>,
+}
+
+impl Reserved {
+    /// The number of tasks of a task's step.
+    pub(super) fn of_step(&self, key: &TaskKey) -> u32 {
+        self.steps.get(&(key.job, key.occurrence, key.step)).copied().unwrap_or(0)
+    }
+
+    fn add(&mut self, key: &TaskKey, spec: &StepSpec) {
+        let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand;
+        self.demand.memory_mb += memory_mb;
+        self.demand.accelerators += accelerators;
+        if spec.filler {
+            self.filler_milli += cpu_milli;
+        } else {
+            self.demand.cpu_milli += cpu_milli;
+            self.used_milli += presumed_use(spec);
+        }
+        self.serving += u32::from(spec.latency_target_ms.is_some());
+        *self.steps.entry((key.job, key.occurrence, key.step)).or_default() += 1;
+    }
+
+    fn remove(&mut self, key: &TaskKey, spec: &StepSpec) {
+        let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand;
+        self.demand.memory_mb -= memory_mb;
+        self.demand.accelerators -= accelerators;
+        if spec.filler {
+            self.filler_milli -= cpu_milli;
+        } else {
+            self.demand.cpu_milli -= cpu_milli;
+            self.used_milli -= presumed_use(spec);
+        }
+        self.serving -= u32::from(spec.latency_target_ms.is_some());
+        if let Some(count) = self.steps.get_mut(&(key.job, key.occurrence, key.step)) {
+            *count -= 1;
+        }
+    }
+}
+
+fn presumed_use(spec: &StepSpec) -> f64 {
+    let share = if spec.lasting { LASTING_USE } else { 1.0 };
+    spec.demand.cpu_milli as f64 * share
+}
+
+/// What is reserved, by executor.
+pub(super) struct RoomTable {
+    reserved: HashMap<Arc<str>, Reserved>,
+}
+
+impl RoomTable {
+    /// What the placements of the state hold.
+    pub(super) fn new(state: &FlowState, workers: &WorkerTable) -> Self {
+        let entries = workers.keys().map(|executor| (executor.clone(), Reserved::default()));
+        let mut table = Self { reserved: entries.collect() };
+        for (key, record) in state.active_jobs() {
+            for (task, _, worker) in record.placed_tasks(key) {
+                if let Some(spec) = record.step_spec(&task) {
+                    table.take(worker, &task, spec);
+                }
+            }
+        }
+        table
+    }
+
+    pub(super) fn of(&self, executor: &str) -> Option<&Reserved> {
+        self.reserved.get(executor)
+    }
+
+    pub(super) fn take(&mut self, worker: &WorkerLife, key: &TaskKey, spec: &StepSpec) {
+        if let Some(reserved) = self.reserved.get_mut(&worker.executor) {
+            reserved.add(key, spec);
+        }
+    }
+
+    pub(super) fn give_back(&mut self, worker: &WorkerLife, key: &TaskKey, spec: &StepSpec) {
+        if let Some(reserved) = self.reserved.get_mut(&worker.executor) {
+            reserved.remove(key, spec);
+        }
+    }
+
+    /// Where the tasks of a step should go: to their data, or to each other.
+    pub(super) fn rack_for(
+        &self,
+        step: &StepRecord,
+        spec: &StepSpec,
+        service: &str,
+        workers: &WorkerTable,
+        now: Duration,
+    ) -> Option<String> {
+        if spec.preferred_rack.is_some() {
+            return spec.preferred_rack.clone();
+        }
+        if !spec.same_rack {
+            return None;
+        }
+        let placed = step.tasks.iter().find_map(|task| match &task.phase {
+            TaskPhase::Placed(worker) => workers.get(&worker.executor)?.rack(),
+            _ => None,
+        });
+        let roomiest = || self.roomiest_rack(spec, service, workers, now);
+        placed.map(str::to_owned).or_else(roomiest)
+    }
+
+    fn roomiest_rack(
+        &self,
+        spec: &StepSpec,
+        service: &str,
+        workers: &WorkerTable,
+        now: Duration,
+    ) -> Option<String> {
+        let mut fits: BTreeMap<&str, u64> = BTreeMap::new();
+        let usable = |worker: &&WorkerView| worker.accepts(service) && !worker.is_suspect(now);
+        for worker in workers.values().filter(usable) {
+            let (Some(rack), Some(reserved)) = (worker.rack(), self.of(&worker.life().executor))
+            else {
+                continue;
+            };
+            *fits.entry(rack).or_default() += fitting(worker, reserved, spec);
+        }
+        fits.into_iter().max_by_key(|(_, count)| *count).map(|(rack, _)| rack.to_owned())
+    }
+}
+
+/// How many tasks of a step fit on a worker.
+pub(super) fn fitting(worker: &WorkerView, reserved: &Reserved, spec: &StepSpec) -> u64 {
+    let free = free_room(worker, reserved);
+    let share = |free: u64, asked: u64| free.checked_div(asked).unwrap_or(u64::MAX);
+    let cpu = if spec.filler { u64::MAX } else { share(free.cpu_milli, spec.demand.cpu_milli) };
+    cpu.min(share(free.memory_mb, spec.demand.memory_mb))
+        .min(share(free.accelerators, spec.demand.accelerators))
+}
+
+/// What a worker could still be given.
+fn free_room(worker: &WorkerView, reserved: &Reserved) -> TaskDemand {
+    let (capacity, taken) = (worker.report.capacity, reserved.demand);
+    TaskDemand {
+        cpu_milli: capacity.cpu_milli.saturating_sub(taken.cpu_milli),
+        memory_mb: capacity.memory_mb.saturating_sub(taken.memory_mb),
+        accelerators: capacity.accelerators.saturating_sub(taken.accelerators),
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/state/mod.rs
@@ -0,0 +1,127 @@
+//! The applied state: what every replica derives from the log alone.
+//!
+//! Applying is a pure function of the state and the batch. A command that no longer fits changes
+//! nothing, on every replica alike, so that a leader may propose on top of what it has proposed.
+
+mod command;
+mod record;
+mod transition;
+
+pub use {
+    command::{CommandBatch, CommandOutcome, EndKind, FlowCommand, Submission},
+    record::{
+        JobOutcome, JobPhase, JobRecord, OccurrenceRecord, StepRecord, TaskPhase, TaskRecord,
+    },
+};
+
+use {
+    crate::job::{FleetConfig, JobKey, RunNumber, TaskKey, WorkerLife},
+    serde::{Deserialize, Serialize},
+    snafu::{ResultExt, Snafu},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Why a snapshot or an entry can't be used: it is of another format or program.
+#[derive(Debug, Snafu)]
+#[snafu(display("the replicated state can't be decoded: {source}"))]
+pub struct StateError {
+    source: rmp_serde::decode::Error,
+}
+
+/// Everything that is replicated.
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct FlowState {
+    /// Milliseconds that leaders have seen pass, summed over all leads.
+    clock_ms: u64,
+    /// How long a job is known after its end, in milliseconds.
+    retention_ms: u64,
+    config: Option<FleetConfig>,
+    jobs: BTreeMap<JobKey, JobRecord>,
+    /// Jobs that may still start or stop something.
+    active: BTreeSet<JobKey>,
+    /// Ended jobs in the order of their end.
+    ended: BTreeSet<(u64, JobKey)>,
+}
+
+impl FlowState {
+    /// Reads a snapshot.
+    pub fn from_snapshot(data: &[u8]) -> Result<Self, StateError> {
+        rmp_serde::from_slice(data).context(StateSnafu)
+    }
+
+    /// Writes a snapshot.
+    pub fn to_snapshot(&self) -> Vec<u8> {
+        rmp_serde::to_vec(self).unwrap_or_default()
+    }
+
+    /// Milliseconds that leaders have seen pass, the log's clock.
+    pub fn clock_ms(&self) -> u64 {
+        self.clock_ms
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<&FleetConfig> {
+        self.config.as_ref()
+    }
+
+    /// A job that is known.
+    pub fn job(&self, key: JobKey) -> Option<&JobRecord> {
+        self.jobs.get(&key)
+    }
+
+    /// Every job that is known.
+    pub fn jobs(&self) -> impl Iterator<Item = (JobKey, &JobRecord)> {
+        self.jobs.iter().map(|(key, job)| (*key, job))
+    }
+
+    /// The jobs that may still start or stop something.
+    pub fn active_jobs(&self) -> impl Iterator<Item = (JobKey, &JobRecord)> {
+        self.active.iter().filter_map(|key| Some((*key, self.jobs.get(key)?)))
+    }
+
+    /// A task that is known.
+    pub fn task(&self, key: &TaskKey) -> Option<&TaskRecord> {
+        self.jobs.get(&key.job)?.task(key)
+    }
+
+    /// Every task that holds room on a worker, with its run.
+    pub fn placed_tasks(&self) -> impl Iterator<Item = (TaskKey, RunNumber, &WorkerLife)> {
+        self.active_jobs().flat_map(|(key, job)| job.placed_tasks(key))
+    }
+
+    /// Applies one entry of the log.
+    pub fn apply(&mut self, batch: &CommandBatch) -> Vec<CommandOutcome> {
+        self.clock_ms += batch.elapsed_ms;
+        let outcomes = batch.commands.iter().map(|command| self.apply_one(command)).collect();
+        self.forget_ended();
+        outcomes
+    }
+
+    fn apply_one(&mut self, command: &FlowCommand) -> CommandOutcome {
+        match command {
+            FlowCommand::Configure(config) => self.configure(config),
+            FlowCommand::RetainFor { retention_ms } => {
+                self.retention_ms = *retention_ms;
+                CommandOutcome::Done
+            }
+            FlowCommand::Submit(submission) => self.submit(submission),
+            FlowCommand::Cancel { job } => self.cancel(*job),
+            FlowCommand::Place { task, run, worker } => self.place(task, *run, worker),
+            FlowCommand::End { task, run, worker, end, checkpoint } => {
+                self.end(task, *run, worker, *end, checkpoint)
+            }
+        }
+    }
+
+    fn forget_ended(&mut self) {
+        let horizon = self.clock_ms.saturating_sub(self.retention_ms);
+        while let Some((at, key)) = self.ended.first().copied() {
+            if at >= horizon || self.active.contains(&key) {
+                break;
+            }
+            self.ended.remove(&(at, key));
+            self.jobs.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/state/transition.rs
@@ -0,0 +1,181 @@
+//! How each command changes the state.
+
+use {
+    super::{
+        command::{CommandOutcome, EndKind, Submission},
+        record::{JobOutcome, JobRecord, TaskPhase},
+        FlowState,
+    },
+    crate::job::{FleetConfig, JobKey, RunNumber, TaskKey, WorkerLife},
+};
+
+impl FlowState {
+    pub(super) fn configure(&mut self, config: &FleetConfig) -> CommandOutcome {
+        let newer = self.config.as_ref().is_none_or(|held| config.version > held.version);
+        if !newer {
+            return CommandOutcome::Stale;
+        }
+        self.config = Some(config.clone());
+        CommandOutcome::Done
+    }
+
+    pub(super) fn submit(&mut self, submission: &Submission) -> CommandOutcome {
+        let key = submission.job;
+        if !self.jobs.contains_key(&key) {
+            self.jobs.insert(key, JobRecord::new(submission, self.clock_ms));
+            self.active.insert(key);
+        }
+        CommandOutcome::Done
+    }
+
+    pub(super) fn cancel(&mut self, key: JobKey) -> CommandOutcome {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return CommandOutcome::UnknownJob;
+        };
+        if job.outcome.is_none() {
+            job.outcome = Some(JobOutcome::Cancelled);
+            self.note_end(key);
+        }
+        CommandOutcome::Done
+    }
+
+    pub(super) fn place(
+        &mut self,
+        key: &TaskKey,
+        run: RunNumber,
+        worker: &WorkerLife,
+    ) -> CommandOutcome {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return CommandOutcome::UnknownJob;
+        };
+        if job.outcome.is_some() || !may_start(job, key, run) {
+            return CommandOutcome::Stale;
+        }
+        let Some(task) = job.task_mut(key) else {
+            return CommandOutcome::Stale;
+        };
+        task.run = run;
+        task.phase = TaskPhase::Placed(worker.clone());
+        job.placed += 1;
+        job.begun = true;
+        CommandOutcome::Done
+    }
+
+    pub(super) fn end(
+        &mut self,
+        key: &TaskKey,
+        run: RunNumber,
+        worker: &WorkerLife,
+        end: EndKind,
+        checkpoint: &str,
+    ) -> CommandOutcome {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return CommandOutcome::UnknownJob;
+        };
+        let current = job.task(key).is_some_and(|task| {
+            task.run == run && matches!(&task.phase, TaskPhase::Placed(at) if at == worker)
+        });
+        if !current {
+            return CommandOutcome::Stale;
+        }
+        end_current(job, key, end, checkpoint);
+        self.settle(key.job);
+        CommandOutcome::Done
+    }
+
+    /// Notes an outcome that the last end has brought, and lets go of jobs that hold nothing.
+    fn settle(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let ended_now = job.outcome.is_none() && job.unfinished == 0;
+        if ended_now {
+            job.outcome = Some(JobOutcome::Succeeded);
+        }
+        let exhausted = job.outcome.is_none() && is_exhausted(job, key);
+        if exhausted {
+            job.outcome = Some(JobOutcome::Failed);
+        }
+        if ended_now || exhausted {
+            self.note_end(key);
+        } else if job.outcome.is_some() && job.placed == 0 {
+            self.active.remove(&key);
+        }
+    }
+
+    fn note_end(&mut self, key: JobKey) {
+        self.ended.insert((self.clock_ms, key));
+        if self.jobs.get(&key).is_some_and(|job| job.placed == 0) {
+            self.active.remove(&key);
+        }
+    }
+}
+
+/// Whether a task may be placed as this run: it waits, its step is open, and the run is a later
+/// one. The members of a gang may all carry the same run.
+fn may_start(job: &JobRecord, key: &TaskKey, run: RunNumber) -> bool {
+    let (Some(task), Some(spec)) = (job.task(key), job.step_spec(key)) else {
+        return false;
+    };
+    let occurrence = &job.occurrences[key.occurrence as usize];
+    task.phase == TaskPhase::Waiting && run > task.run && occurrence.is_open(spec)
+}
+
+fn is_exhausted(job: &JobRecord, key: JobKey) -> bool {
+    job.tasks(key).any(|(task_key, task)| {
+        let lasting = job.step_spec(&task_key).is_some_and(|step| step.lasting);
+        !lasting && task.failures >= job.attempt_limit
+    })
+}
+
+fn end_current(job: &mut JobRecord, key: &TaskKey, end: EndKind, checkpoint: &str) {
+    let Some(spec) = job.step_spec(key) else { return };
+    let (lasting, gang) = (spec.lasting, spec.gang);
+    job.placed -= 1;
+    let Some(task) = job.task_mut(key) else { return };
+    task.phase = TaskPhase::Waiting;
+    if !checkpoint.is_empty() {
+        task.checkpoint = checkpoint.to_owned();
+    }
+    if end == EndKind::Failed {
+        count_failure(job, key, gang);
+    }
+    if end != EndKind::Done || lasting {
+        return;
+    }
+    if gang {
+        finish_gang(job, key);
+    } else {
+        finish_task(job, key);
+    }
+}
+
+/// A gang fails as a whole, whichever member failed.
+fn count_failure(job: &mut JobRecord, key: &TaskKey, gang: bool) {
+    let step = &mut job.occurrences[key.occurrence as usize].steps[usize::from(key.step)];
+    if gang {
+        step.tasks.iter_mut().for_each(|task| task.failures += 1);
+    } else {
+        step.tasks[usize::from(key.index)].failures += 1;
+    }
+}
+
+fn finish_task(job: &mut JobRecord, key: &TaskKey) {
+    let step = &mut job.occurrences[key.occurrence as usize].steps[usize::from(key.step)];
+    let task = &mut step.tasks[usize::from(key.index)];
+    if task.phase == TaskPhase::Done {
+        return;
+    }
+    if matches!(task.phase, TaskPhase::Placed(_)) {
+        job.placed -= 1;
+    }
+    task.phase = TaskPhase::Done;
+    step.done += 1;
+    job.unfinished -= 1;
+}
+
+/// The members of a gang are done together, so that one end stands for all.
+fn finish_gang(job: &mut JobRecord, key: &TaskKey) {
+    let count = job.step_spec(key).map_or(0, |step| step.count);
+    for index in 0..count {
+        finish_task(job, &TaskKey { index, ..*key });
+    }
+}
