--- a/crates/node/src/control/folder.rs
+++ b/crates/node/src/control/folder.rs
@@ -1,13 +1,21 @@
-//! The data folder: one folder for the log of each replica id that this disk has had.
+//! The data folder: one folder for the log of each replica id that this disk has had, and on a
+//! founder's disk the founders, which no entry of the log names.
 
 use {
     super::{ControlError, FolderSnafu},
     base::ReplicaId,
     snafu::ResultExt,
-    std::{fs, path::PathBuf},
+    std::{
+        fs::{self, File},
+        io::{self, Write},
+        net::SocketAddr,
+        path::PathBuf,
+    },
 };
 
 const LOG_PREFIX: &str = "replica-";
+const FOUNDERS_NAME: &str = "founders";
+const UNFINISHED_NAME: &str = "founders.new";
 
 #[derive(Debug)]
 pub(super) struct LogFolder {
@@ -42,12 +50,48 @@
         Ok(replicas)
     }
 
+    /// Notes the founders for good, before there is a log that could outlive them.
+    pub(super) fn found(&self, founders: &[SocketAddr]) -> Result<(), ControlError> {
+        let path = &self.path;
+        self.write_founders(founders).context(FolderSnafu { path })
+    }
+
+    fn write_founders(&self, founders: &[SocketAddr]) -> io::Result<()> {
+        fs::create_dir_all(&self.path)?;
+        let lines: Vec<String> = founders.iter().map(|founder| format!("{founder}\n")).collect();
+        let unfinished = self.path.join(UNFINISHED_NAME);
+        let mut file = File::create(&unfinished)?;
+        file.write_all(lines.concat().as_bytes())?;
+        file.sync_all()?;
+        fs::rename(unfinished, self.path.join(FOUNDERS_NAME))?;
+        File::open(&self.path)?.sync_all()
+    }
+
+    /// The founders, if this disk is one's. A line that can't be read is no founder's: the file
+    /// was synced before it got its name.
+    pub(super) fn founders(&self) -> Result<Vec<SocketAddr>, ControlError> {
+        let path = self.path.join(FOUNDERS_NAME);
+        if !path.exists() {
+            return Ok(Vec::new());
+        }
+        let text = fs::read_to_string(&path).context(FolderSnafu { path })?;
+        Ok(text.lines().filter_map(|line| line.parse().ok()).collect())
+    }
+
     /// Removes every log. Only for a process that the group has let go of.
     pub(super) fn clear(&self) -> Result<(), ControlError> {
         for replica in self.replicas()? {
             let path = self.of(replica);
             fs::remove_dir_all(&path).context(FolderSnafu { path })?;
         }
+        let path = self.path.join(FOUNDERS_NAME);
+        if path.exists() {
+            fs::remove_file(&path).context(FolderSnafu { path })?;
+        }
         Ok(())
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/folder.rs"]
+mod tests;
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -192,10 +192,10 @@
         setup,
     };
     match found {
-        Some(replica) => running.become_member(replica, &[])?,
+        Some(replica) => running.become_member(replica)?,
         None if founds => {
-            let founders = running.setup.seeds.clone();
-            running.become_member(replica_at(address), &founders)?;
+            running.folder.found(&running.setup.seeds)?;
+            running.become_member(replica_at(address))?;
         }
         None => running.search_leader(),
     }
@@ -353,15 +353,12 @@
         Ok(())
     }
 
-    fn become_member(
-        &mut self,
-        replica: ReplicaId,
-        founders: &[SocketAddr],
-    ) -> Result<(), ControlError> {
+    fn become_member(&mut self, replica: ReplicaId) -> Result<(), ControlError> {
+        let founders = self.folder.founders()?;
         let now = self.clock.monotonic();
         let (setup, inputs) = (&self.setup, self.inputs.clone());
         let folder = self.folder.of(replica);
-        match MemberState::open(setup, replica, founders, &folder, now, inputs, &self.log) {
+        match MemberState::open(setup, replica, &founders, &folder, now, inputs, &self.log) {
             Err(ControlError::Core { source: CoreError::Retired { .. } }) => {
                 self.folder.clear()?;
                 self.search_leader();
@@ -400,7 +397,7 @@
                 if let Some(search) = search.take() {
                     search.abort();
                 }
-                self.become_member(replica, &[])
+                self.become_member(replica)
             }
             LeaderEvent::Message(_) => Ok(()),
         }
--- a/crates/workflow/src/control/lead.rs
+++ b/crates/workflow/src/control/lead.rs
@@ -54,6 +54,8 @@
     pub(super) workers: WorkerTable,
     /// The stream to the agent of each executor.
     pub(super) sessions: HashMap<Arc<str>, SessionId>,
+    /// The executor that the agent on a stream speaks for.
+    pub(super) agents: HashMap<SessionId, WorkerLife>,
     /// When the lease of each life ends at the latest.
     pub(super) leases: HashMap<WorkerLife, Duration>,
     /// When a start was last ordered.
@@ -93,6 +95,7 @@
             planned: self.now,
             workers: WorkerTable::new(),
             sessions: HashMap::new(),
+            agents: HashMap::new(),
             leases: HashMap::new(),
             ordered: HashMap::new(),
             progress: HashMap::new(),
--- a/crates/workflow/src/control/sessions.rs
+++ b/crates/workflow/src/control/sessions.rs
@@ -43,15 +43,15 @@
     pub(super) fn close_session(&mut self, session: SessionId) {
         let Some(lead) = &mut self.lead else { return };
         lead.clients.remove(&session);
-        let executor = lead.sessions.iter().find(|(_, held)| **held == session);
-        let Some(executor) = executor.map(|(executor, _)| executor.clone()) else { return };
-        lead.sessions.remove(&executor);
-        if let Some(view) = lead.workers.shift_remove(&executor) {
-            let worker = view.life().clone();
-            let lease = lead.leases.get(&worker).copied().unwrap_or_default();
-            let lease_left_ms = lease.saturating_sub(self.now).as_millis() as u64;
-            self.record(FlowEvent::WorkerUnreachable { worker, lease_left_ms });
+        let Some(worker) = lead.agents.remove(&session) else { return };
+        if lead.sessions.get(&worker.executor) != Some(&session) {
+            return;
         }
+        lead.sessions.remove(&worker.executor);
+        lead.workers.shift_remove(&worker.executor);
+        let lease = lead.leases.get(&worker).copied().unwrap_or_default();
+        let lease_left_ms = lease.saturating_sub(self.now).as_millis() as u64;
+        self.record(FlowEvent::WorkerUnreachable { worker, lease_left_ms });
     }
 
     /// Says who leads. Whoever is told of another leader goes there.
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -36,6 +36,11 @@
         };
         let Some(lead) = &mut self.lead else { return };
         let executor = worker.executor.clone();
+        let before = lead.agents.insert(session, worker.clone());
+        if let Some(earlier) = before.filter(|earlier| earlier.executor != executor) {
+            lead.sessions.remove(&earlier.executor);
+            lead.workers.shift_remove(&earlier.executor);
+        }
         let known = lead.sessions.insert(executor.clone(), session) == Some(session);
         let draining = report.drain_left_ms.is_some();
         match lead.workers.get_mut(&executor).filter(|view| *view.life() == worker) {
@@ -124,10 +129,8 @@
         let span = self.lease_span();
         let now = self.now;
         let Some(lead) = &mut self.lead else { return };
-        let executor = lead.sessions.iter().find(|(_, held)| **held == session);
-        let Some(executor) = executor.map(|(executor, _)| executor.clone()) else { return };
-        if let Some(view) = lead.workers.get(&executor) {
-            lead.leases.insert(view.life().clone(), now + span);
+        if let Some(worker) = lead.agents.get(&session) {
+            lead.leases.insert(worker.clone(), now + span);
         }
     }
 
--- /dev/null
+++ b/crates/workflow/tests/control.rs
@@ -0,0 +1,158 @@
+//! Control alone on a disk that syncs at once, with agents and entries played by the test.
+
+mod support;
+
+use {
+    support::{job, ControlDesk, StepDraft},
+    workflow::{message::LinkMessage, state::EndKind},
+};
+
+// An agent whose executor was replaced by one of another id kept renewing the lease of the first,
+// so that the second's runs were taken for ended while they ran.
+#[test]
+fn an_executor_that_replaces_another_beside_the_same_agent_holds_a_lease() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.worker(1, "e2", 200);
+    desk.submit(0xa, job(&[StepDraft::tasks(1)]));
+    for _ in 0..20 {
+        desk.advance(300);
+        desk.send(1, LinkMessage::Ping { sequence: 1 });
+    }
+    assert_eq!(desk.starts(), ["000000000000000a.0.0.0 run 1 on e2@200"]);
+}
+
+#[test]
+fn a_task_whose_worker_falls_silent_starts_again_after_the_lease() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(1)]));
+    desk.close(1);
+    desk.worker(2, "e2", 100);
+    desk.keep_alive(2, 3000);
+    assert_eq!(desk.starts().len(), 1, "the lease is not over");
+    desk.keep_alive(2, 2000);
+    assert_eq!(
+        desk.starts(),
+        ["000000000000000a.0.0.0 run 1 on e1@100", "000000000000000a.0.0.0 run 2 on e2@100"]
+    );
+}
+
+#[test]
+fn a_later_step_starts_when_the_one_before_is_done() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(2), StepDraft::tasks(1).after(0)]));
+    assert_eq!(desk.starts().len(), 2);
+    desk.end(1, "e1@100", 1, "000000000000000a.0.0.0", 1, EndKind::Done);
+    assert_eq!(desk.starts().len(), 2);
+    desk.end(1, "e1@100", 2, "000000000000000a.0.0.1", 1, EndKind::Done);
+    assert_eq!(desk.starts().last().unwrap(), "000000000000000a.0.1.0 run 1 on e1@100");
+}
+
+#[test]
+fn a_job_fails_when_a_task_has_used_its_attempts() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(1)]));
+    desk.end(1, "e1@100", 1, "000000000000000a.0.0.0", 1, EndKind::Failed);
+    desk.end(1, "e1@100", 2, "000000000000000a.0.0.0", 2, EndKind::Stopped);
+    assert_eq!(desk.phase(0xa), "Running");
+    desk.end(1, "e1@100", 3, "000000000000000a.0.0.0", 3, EndKind::Failed);
+    assert_eq!(desk.phase(0xa), "Ended(Failed)");
+}
+
+#[test]
+fn ends_are_noted_only_once_they_are_in_the_log() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(1)]));
+    desk.hold_syncs(true);
+    desk.end(1, "e1@100", 1, "000000000000000a.0.0.0", 1, EndKind::Done);
+    assert_eq!(desk.noted(), 0);
+    desk.hold_syncs(false);
+    assert_eq!(desk.noted(), 1);
+}
+
+#[test]
+fn a_gang_starts_as_a_whole_and_under_one_run() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(5).cores(4).gang()]));
+    assert!(desk.starts().is_empty(), "one worker has room for four members");
+    desk.worker(2, "e2", 100);
+    assert_eq!(desk.starts().len(), 5);
+    assert!(desk.starts().iter().all(|start| start.contains("run 1")));
+}
+
+#[test]
+fn a_cancelled_job_stops_what_it_runs_and_starts_no_more() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(1), StepDraft::tasks(1).after(0)]));
+    desk.cancel(0xa);
+    assert_eq!(desk.stops(), ["000000000000000a.0.0.0 run 1"]);
+    desk.end(1, "e1@100", 1, "000000000000000a.0.0.0", 1, EndKind::Done);
+    assert_eq!(desk.starts().len(), 1);
+    assert_eq!(desk.phase(0xa), "Ended(Cancelled)");
+}
+
+#[test]
+fn a_resend_of_an_accepted_job_is_the_same_job() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(1)]));
+    desk.submit(0xa, job(&[StepDraft::tasks(1)]));
+    assert_eq!(desk.accepted(), 2);
+    assert_eq!(desk.starts().len(), 1);
+}
+
+#[test]
+fn an_order_that_a_worker_does_not_list_is_repeated_with_its_run() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(1)]));
+    desk.advance(2000);
+    desk.runs(1, "e1@100", &[]);
+    assert_eq!(
+        desk.starts(),
+        ["000000000000000a.0.0.0 run 1 on e1@100", "000000000000000a.0.0.0 run 1 on e1@100"]
+    );
+}
+
+#[test]
+fn a_run_that_nobody_placed_is_stopped() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.runs(1, "e1@100", &[("000000000000000b.0.0.0", 3)]);
+    assert_eq!(desk.stops(), ["000000000000000b.0.0.0 run 3"]);
+}
+
+#[test]
+fn a_new_life_ends_the_runs_of_the_one_before() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(1)]));
+    desk.worker(1, "e1", 200);
+    assert_eq!(desk.starts().last().unwrap(), "000000000000000a.0.0.0 run 2 on e1@200");
+}
+
+#[test]
+fn a_draining_worker_is_given_nothing_and_loses_what_lasts() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(1).lasting()]));
+    desk.worker(2, "e2", 100);
+    desk.drain(1, "e1", 100);
+    assert_eq!(desk.stops(), ["000000000000000a.0.0.0 run 1"]);
+    desk.end(1, "e1@100", 1, "000000000000000a.0.0.0", 1, EndKind::Stopped);
+    assert_eq!(desk.starts().last().unwrap(), "000000000000000a.0.0.0 run 2 on e2@100");
+}
+
+#[test]
+fn the_highest_configuration_wins_and_lower_ones_change_nothing() {
+    let mut desk = ControlDesk::start();
+    desk.configure(9);
+    desk.configure(8);
+    assert_eq!(desk.read_config(), "document 9");
+}
