Keep filling tasks away from serving ones

Change: counted tasks fill up the workers that have serving tasks; filling tasks go to the others as long as there are such, and start only where nine tenths of their processors are idle.

--- a/crates/workflow/src/plan/room.rs
+++ b/crates/workflow/src/plan/room.rs
@@ -110,6 +110,13 @@
         }
     }
 
+    /// Whether a service has workers without serving tasks.
+    pub(super) fn has_unshared(&self, service: &str, workers: &WorkerTable) -> bool {
+        workers.iter().any(|(executor, worker)| {
+            worker.accepts(service) && self.of(executor).is_some_and(|held| held.serving == 0)
+        })
+    }
+
     /// Where the tasks of a step should go: to their data, or to each other.
     pub(super) fn rack_for(
         &self,
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -11,13 +11,15 @@
 
 /// The least share of its processors that a filling task must find idle to be started: below it,
 /// it would only slow those that run.
-const FILLER_SHARE: f64 = 0.5;
+const FILLER_SHARE: f64 = 0.9;
 /// Penalties in units of a worker's load: an empty worker scores 0, a full one 1.
 const OTHER_RACK_PENALTY: f64 = 4.0;
 const SUSPECT_PENALTY: f64 = 16.0;
 const FAILED_HERE_PENALTY: f64 = 8.0;
-/// For a filling task beside one that serves, and the other way round.
-const NEIGHBOUR_PENALTY: f64 = 0.4;
+/// For a filling task beside one that serves: its neighbour would have it paced down.
+const NEIGHBOUR_PENALTY: f64 = 2.0;
+/// For a counted task on a worker without serving ones: that room is worth more to filling tasks.
+const UNSHARED_PENALTY: f64 = 1.0;
 
 /// What the tasks of a step ask for.
 pub(super) struct Wish<'a> {
@@ -36,9 +38,11 @@
     now: Duration,
 ) -> Option<WorkerLife> {
     let mut best: Option<(f64, &WorkerView)> = None;
+    let apart = wish.spec.filler && room.has_unshared(wish.service, workers);
     for (executor, worker) in workers {
         let Some(reserved) = room.of(executor) else { continue };
-        if !may_run(key, wish, worker, reserved) {
+        let shared = apart && reserved.serving > 0;
+        if shared || !may_run(key, wish, worker, reserved) {
             continue;
         }
         let score = score_of(key, wish, worker, reserved, now);
@@ -72,14 +76,34 @@
     reserved: &Reserved,
     now: Duration,
 ) -> f64 {
-    let capacity = (worker.report.capacity.cpu_milli as f64).max(1.0);
-    let mut score = (reserved.used_milli + reserved.filler_milli as f64) / capacity;
     let elsewhere = wish.rack.is_some_and(|rack| worker.rack() != Some(rack));
-    let beside_serving = wish.spec.filler && reserved.serving > 0;
-    let beside_filling = wish.spec.latency_target_ms.is_some() && reserved.filler_milli > 0;
+    let mut score = if wish.spec.filler {
+        spread_score(worker, reserved)
+    } else {
+        packing_score(worker, reserved)
+    };
     score += if elsewhere { OTHER_RACK_PENALTY } else { 0.0 };
-    score += if beside_serving || beside_filling { NEIGHBOUR_PENALTY } else { 0.0 };
     score += if worker.is_suspect(now) { SUSPECT_PENALTY } else { 0.0 };
     score += if worker.has_failed(key) { FAILED_HERE_PENALTY } else { 0.0 };
     score
 }
+
+/// Filling tasks go where most processors are idle, away from serving ones.
+fn spread_score(worker: &WorkerView, reserved: &Reserved) -> f64 {
+    let neighbour = if reserved.serving > 0 { NEIGHBOUR_PENALTY } else { 0.0 };
+    let taken = reserved.used_milli + reserved.filler_milli as f64;
+    taken / capacity_of(worker) + neighbour
+}
+
+/// Counted tasks fill up the workers that have serving tasks already, so that the others are left
+/// to filling tasks.
+fn packing_score(worker: &WorkerView, reserved: &Reserved) -> f64 {
+    let unshared = if reserved.serving == 0 { UNSHARED_PENALTY } else { 0.0 };
+    let counted = reserved.demand.cpu_milli as f64 / capacity_of(worker);
+    let filling = reserved.filler_milli as f64 / capacity_of(worker);
+    1.0 - counted + unshared + filling
+}
+
+fn capacity_of(worker: &WorkerView) -> f64 {
+    (worker.report.capacity.cpu_milli as f64).max(1.0)
+}
