Learn which filling tasks serving ones bear

Change: a table learned from the figures of every worker predicts the tail latency of a serving image beside filling ones, by pair of images; a filling task goes where every serving image bears it, and one that keeps a neighbour above its target is stopped at its checkpoint and placed elsewhere.

--- a/crates/workflow/src/agent/holding.rs
+++ b/crates/workflow/src/agent/holding.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         types::{AgentEffect, CallFailure, HoldView},
-        AgentNode, REPORT_INTERVAL,
+        AgentNode, REPORT_INTERVAL, WATCHING_INTERVAL,
     },
     crate::{
         event::FlowEvent,
@@ -157,7 +157,8 @@
                 old.task == new.task && old.run == new.run && old.checkpoint == new.checkpoint
             });
         executor.rows = view.running;
-        let due = now.saturating_sub(executor.reported) >= REPORT_INTERVAL;
+        let interval = if self.pacer.is_watching() { WATCHING_INTERVAL } else { REPORT_INTERVAL };
+        let due = now.saturating_sub(executor.reported) >= interval;
         executor.next_hold = if executor.ends.is_empty() { now } else { now + UNNOTED_PAUSE };
         if first {
             self.record(FlowEvent::ExecutorReached { worker: worker.clone() });
--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -29,6 +29,8 @@
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 /// How often all runs are reported while nothing changes.
 const REPORT_INTERVAL: Duration = Duration::from_millis(800);
+/// The same while latencies are watched, which control learns from.
+const WATCHING_INTERVAL: Duration = Duration::from_millis(350);
 /// Unanswered pings that are remembered.
 const PINGS_KEPT: usize = 16;
 
@@ -185,11 +187,13 @@
             run: row.run,
             checkpoint: row.checkpoint.clone(),
             percent: row.percent,
+            figure: row.figure,
         });
         let mut runs: Vec<RunReport> = listed.collect();
         for (task, run) in self.runs.pending() {
             if !runs.iter().any(|report| report.task == task && report.run == run) {
-                runs.push(RunReport { task, run, checkpoint: String::new(), percent: 0 });
+                let (checkpoint, percent, figure) = (String::new(), 0, 0);
+                runs.push(RunReport { task, run, checkpoint, percent, figure });
             }
         }
         self.send(LinkMessage::Runs { worker, runs });
--- a/crates/workflow/src/agent/types.rs
+++ b/crates/workflow/src/agent/types.rs
@@ -27,8 +27,7 @@
     pub checkpoint: String,
     /// How far it is; for a lasting task 100 while it is at work.
     pub percent: u8,
-    /// For a serving task its tail latency in milliseconds, for others processors in use; both
-    /// over the last half second.
+    /// See [`RunReport::figure`](crate::message::RunReport::figure).
     pub figure: u64,
 }
 
--- a/crates/workflow/src/control/lead.rs
+++ b/crates/workflow/src/control/lead.rs
@@ -8,7 +8,7 @@
     crate::{
         event::FlowEvent,
         job::{RunNumber, TaskKey, WorkerLife},
-        plan::WorkerTable,
+        plan::{InterferenceTable, WorkerTable},
         state::{FlowCommand, FlowState},
     },
     base::{ReplicaId, ReplyTicket},
@@ -52,6 +52,7 @@
     pub(super) replan: bool,
     pub(super) planned: Duration,
     pub(super) workers: WorkerTable,
+    pub(super) learned: InterferenceTable,
     /// The stream to the agent of each executor.
     pub(super) sessions: HashMap<Arc<str>, SessionId>,
     /// The executor that the agent on a stream speaks for.
@@ -61,6 +62,8 @@
     /// When a start was last ordered.
     pub(super) ordered: HashMap<TaskKey, (RunNumber, Duration)>,
     pub(super) progress: HashMap<TaskKey, RunProgress>,
+    /// When a worker's serving tasks were last relieved of a filling one.
+    pub(super) relieved: HashMap<Arc<str>, Duration>,
     /// Runs that were told to stop, and when.
     pub(super) stopping: HashMap<TaskKey, (RunNumber, Duration)>,
     /// Entries and agents that were told who leads.
@@ -94,11 +97,13 @@
             replan: true,
             planned: self.now,
             workers: WorkerTable::new(),
+            learned: InterferenceTable::default(),
             sessions: HashMap::new(),
             agents: HashMap::new(),
             leases: HashMap::new(),
             ordered: HashMap::new(),
             progress: HashMap::new(),
+            relieved: HashMap::new(),
             stopping: HashMap::new(),
             clients: BTreeSet::new(),
             tend_at: self.now,
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! ahead state goes with the lead.
 
 mod calls;
+mod interference;
 mod lead;
 mod members;
 mod operator;
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -41,7 +41,7 @@
         commands = batch.commands;
         lead.planned = now;
         lead.replan = false;
-        let placements = plan(&lead.ahead, &lead.workers, PlanTime { now, wall_ms });
+        let placements = plan(&lead.ahead, &lead.workers, &lead.learned, PlanTime { now, wall_ms });
         for placement in placements {
             self.place(placement, &mut commands, &mut held);
         }
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -262,6 +262,7 @@
             self.see_run(session, worker, report);
         }
         self.repeat_lost_orders(session, worker, &runs);
+        self.learn_interference(worker, &runs);
     }
 
     fn see_run(&mut self, session: SessionId, worker: &WorkerLife, report: &RunReport) {
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -33,8 +33,8 @@
     Superseded,
     /// Its worker is leaving.
     WorkerDraining,
-    /// It makes no progress.
-    Stalled,
+    /// It keeps a serving task beside it above its target.
+    Interferes,
 }
 
 /// An event with the inputs that decided it.
--- a/crates/workflow/src/job/spec.rs
+++ b/crates/workflow/src/job/spec.rs
@@ -3,6 +3,7 @@
 use {
     serde::{Deserialize, Serialize},
     snafu::{ensure, Snafu},
+    std::sync::Arc,
 };
 
 /// The largest number of steps of a job; it bounds what one submission makes control keep.
@@ -49,7 +50,7 @@
     /// Whether the tasks run until the job is cancelled.
     pub lasting: bool,
     /// What the tasks run: tasks of one image interfere alike.
-    pub image: Option<String>,
+    pub image: Option<Arc<str>>,
     /// The tail latency that a serving task must stay below, in milliseconds.
     pub latency_target_ms: Option<u64>,
     /// Whether the tasks only use the processors that others leave idle.
--- a/crates/workflow/src/message/mod.rs
+++ b/crates/workflow/src/message/mod.rs
@@ -193,6 +193,9 @@
     pub checkpoint: String,
     /// How far it is; for a lasting task 100 while it is at work.
     pub percent: u8,
+    /// For a serving task its tail latency in milliseconds, for others processors in use, in
+    /// thousandths of a core; both over the last half second.
+    pub figure: u64,
 }
 
 /// The end of a run.
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -4,11 +4,15 @@
 //! holds its room until its end is in the log, so that a pass over the ahead state never counts
 //! room twice.
 
+mod interference;
 mod room;
 mod score;
 mod worker;
 
-pub use worker::{WorkerTable, WorkerView};
+pub use {
+    interference::{ImageName, InterferenceTable},
+    worker::{WorkerTable, WorkerView},
+};
 
 use {
     self::{
@@ -42,6 +46,19 @@
     pub wall_ms: u64,
 }
 
+/// How long a job may have nothing running before latencies at risk hold it back no longer, in
+/// milliseconds; pacing protects them then.
+const STARVATION_MS: u64 = 1500;
+
+/// What one pass works on.
+struct PlanPass<'a> {
+    state: &'a FlowState,
+    workers: &'a WorkerTable,
+    learned: &'a InterferenceTable,
+    time: PlanTime,
+    room: &'a mut RoomTable,
+}
+
 /// The tasks of one step that wait.
 struct OpenStep<'a> {
     job: JobKey,
@@ -67,16 +84,22 @@
 }
 
 /// Chooses a worker for every waiting task that may start now and finds room.
-pub fn plan(state: &FlowState, workers: &WorkerTable, time: PlanTime) -> Vec<Placement> {
+pub fn plan(
+    state: &FlowState,
+    workers: &WorkerTable,
+    learned: &InterferenceTable,
+    time: PlanTime,
+) -> Vec<Placement> {
     let mut steps = open_steps(state, time);
     if steps.is_empty() {
         return Vec::new();
     }
     steps.sort_by_key(|step| (step.record.priority, step.record.accepted_ms, step.job));
     let mut room = RoomTable::new(state, workers);
+    let mut pass = PlanPass { state, workers, learned, time, room: &mut room };
     let mut placements = Vec::new();
     for step in &steps {
-        place_step(step, state, workers, &mut room, time, &mut placements);
+        place_step(step, &mut pass, &mut placements);
     }
     placements
 }
@@ -104,31 +127,26 @@
     open
 }
 
-fn place_step(
-    step: &OpenStep<'_>,
-    state: &FlowState,
-    workers: &WorkerTable,
-    room: &mut RoomTable,
-    time: PlanTime,
-    placements: &mut Vec<Placement>,
-) {
+fn place_step(step: &OpenStep<'_>, pass: &mut PlanPass<'_>, placements: &mut Vec<Placement>) {
     let spec = &step.record.spec.steps[usize::from(step.step)];
-    let rule = state.config().and_then(|config| config.queue(&step.record.queue));
+    let rule = pass.state.config().and_then(|config| config.queue(&step.record.queue));
     let service = rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
-    let rack = room.rack_for(step.tasks(), spec, service, workers, time.now);
-    let wish = Wish { spec, service, rack: rack.as_deref() };
+    let rack = pass.room.rack_for(step.tasks(), spec, service, pass.workers, pass.time.now);
+    let waited = pass.state.clock_ms().saturating_sub(step.record.accepted_ms);
+    let starving = step.record.placed == 0 && waited > STARVATION_MS;
+    let wish = Wish { spec, service, rack: rack.as_deref(), starving };
     if spec.gang {
-        place_gang(step, &wish, workers, room, time, placements);
+        place_gang(step, &wish, pass, placements);
         return;
     }
     for index in step.waiting() {
         let key = step.key(index);
-        let Some(worker) = best_worker(&key, &wish, workers, room, time.now) else {
+        let Some(worker) = best_worker(&key, &wish, pass) else {
             // All tasks of a step ask for the same; what does not fit one fits none.
             return;
         };
         let run = RunNumber(step.tasks().tasks[index].run.0 + 1);
-        room.take(&worker, &key, spec);
+        pass.room.take(&worker, &key, spec);
         placements.push(Placement { task: key, run, worker });
     }
 }
@@ -137,9 +155,7 @@
 fn place_gang(
     step: &OpenStep<'_>,
     wish: &Wish<'_>,
-    workers: &WorkerTable,
-    room: &mut RoomTable,
-    time: PlanTime,
+    pass: &mut PlanPass<'_>,
     placements: &mut Vec<Placement>,
 ) {
     let tasks = &step.tasks().tasks;
@@ -150,13 +166,13 @@
     let mut members = Vec::new();
     for index in 0..tasks.len() {
         let key = step.key(index);
-        let Some(worker) = best_worker(&key, wish, workers, room, time.now) else {
+        let Some(worker) = best_worker(&key, wish, pass) else {
             for Placement { task, worker, .. } in &members {
-                room.give_back(worker, task, wish.spec);
+                pass.room.give_back(worker, task, wish.spec);
             }
             return;
         };
-        room.take(&worker, &key, wish.spec);
+        pass.room.take(&worker, &key, wish.spec);
         members.push(Placement { task: key, run, worker });
     }
     placements.extend(members);
--- a/crates/workflow/src/plan/room.rs
+++ b/crates/workflow/src/plan/room.rs
@@ -1,7 +1,10 @@
 //! Room on the workers, as reserved by placements.
 
 use {
-    super::worker::{WorkerTable, WorkerView},
+    super::{
+        interference::ImageName,
+        worker::{WorkerTable, WorkerView},
+    },
     crate::{
         job::{StepSpec, TaskDemand, TaskKey, WorkerLife},
         state::{FlowState, StepRecord, TaskPhase},
@@ -24,10 +27,10 @@
     pub(super) demand: TaskDemand,
     /// Processors that counted tasks are presumed to use, in thousandths of a core.
     pub(super) used_milli: f64,
-    /// Processors that filling tasks could use, in thousandths of a core.
-    pub(super) filler_milli: u64,
-    /// The number of tasks with a latency target.
-    pub(super) serving: u32,
+    /// Processors that filling tasks could use, by image, in thousandths of a core.
+    fillers: BTreeMap<ImageName, u64>,
+    /// The number of tasks with a latency target, by image.
+    pub(super) serving: BTreeMap<ImageName, u32>,
     /// Tasks by occurrence and step.
     steps: HashMap<(crate::job::JobKey, u32, u16), u32>,
 }
@@ -38,17 +41,32 @@
         self.steps.get(&(key.job, key.occurrence, key.step)).copied().unwrap_or(0)
     }
 
+    /// Processors that all filling tasks could use, in thousandths of a core.
+    pub(super) fn filler_milli(&self) -> f64 {
+        self.fillers.values().sum::<u64>() as f64
+    }
+
+    /// The share of a machine that filling tasks could use, by image.
+    pub(super) fn filler_shares(&self, capacity_milli: f64) -> Vec<(ImageName, f64)> {
+        let share =
+            |(image, milli): (&ImageName, &u64)| (image.clone(), *milli as f64 / capacity_milli);
+        self.fillers.iter().map(share).collect()
+    }
+
     fn add(&mut self, key: &TaskKey, spec: &StepSpec) {
         let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand;
         self.demand.memory_mb += memory_mb;
         self.demand.accelerators += accelerators;
+        let image = spec.image.clone().unwrap_or_else(|| ImageName::from(""));
         if spec.filler {
-            self.filler_milli += cpu_milli;
+            *self.fillers.entry(image.clone()).or_default() += cpu_milli;
         } else {
             self.demand.cpu_milli += cpu_milli;
             self.used_milli += presumed_use(spec);
         }
-        self.serving += u32::from(spec.latency_target_ms.is_some());
+        if spec.latency_target_ms.is_some() {
+            *self.serving.entry(image).or_default() += 1;
+        }
         *self.steps.entry((key.job, key.occurrence, key.step)).or_default() += 1;
     }
 
@@ -56,13 +74,17 @@
         let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand;
         self.demand.memory_mb -= memory_mb;
         self.demand.accelerators -= accelerators;
+        let image = spec.image.clone().unwrap_or_else(|| ImageName::from(""));
         if spec.filler {
-            self.filler_milli -= cpu_milli;
+            self.fillers.entry(image.clone()).and_modify(|milli| *milli -= cpu_milli);
         } else {
             self.demand.cpu_milli -= cpu_milli;
             self.used_milli -= presumed_use(spec);
         }
-        self.serving -= u32::from(spec.latency_target_ms.is_some());
+        if spec.latency_target_ms.is_some() {
+            self.serving.entry(image).and_modify(|count| *count -= 1);
+            self.serving.retain(|_, count| *count > 0);
+        }
         if let Some(count) = self.steps.get_mut(&(key.job, key.occurrence, key.step)) {
             *count -= 1;
         }
@@ -110,13 +132,6 @@
         }
     }
 
-    /// Whether a service has workers without serving tasks.
-    pub(super) fn has_unshared(&self, service: &str, workers: &WorkerTable) -> bool {
-        workers.iter().any(|(executor, worker)| {
-            worker.accepts(service) && self.of(executor).is_some_and(|held| held.serving == 0)
-        })
-    }
-
     /// Where the tasks of a step should go: to their data, or to each other.
     pub(super) fn rack_for(
         &self,
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -2,8 +2,10 @@
 
 use {
     super::{
-        room::{fitting, Reserved, RoomTable},
-        worker::{WorkerTable, WorkerView},
+        interference::InterferenceTable,
+        room::{fitting, Reserved},
+        worker::WorkerView,
+        PlanPass,
     },
     crate::job::{StepSpec, TaskKey, WorkerLife},
     std::time::Duration,
@@ -16,10 +18,14 @@
 const OTHER_RACK_PENALTY: f64 = 4.0;
 const SUSPECT_PENALTY: f64 = 16.0;
 const FAILED_HERE_PENALTY: f64 = 8.0;
-/// For a filling task beside one that serves: its neighbour would have it paced down.
-const NEIGHBOUR_PENALTY: f64 = 2.0;
-/// For a counted task on a worker without serving ones: that room is worth more to filling tasks.
-const UNSHARED_PENALTY: f64 = 1.0;
+/// For a task that could as well run on a worker with serving tasks.
+const UNSHARED_PENALTY: f64 = 0.5;
+/// For a serving task beside those of other images: each bears fewer filling tasks.
+const MIXED_PENALTY: f64 = 0.4;
+/// For a filling task beside serving ones that may not bear it.
+const STARVING_PENALTY: f64 = 2.0;
+/// The share of its target up to which a serving task is loaded by plan.
+const TOLERATED_SHARE: f64 = 0.85;
 
 /// What the tasks of a step ask for.
 pub(super) struct Wish<'a> {
@@ -27,25 +33,23 @@
     pub(super) service: &'a str,
     /// The rack on which they run faster.
     pub(super) rack: Option<&'a str>,
+    /// Whether the job has waited too long with nothing running.
+    pub(super) starving: bool,
 }
 
 /// The worker with the lowest score among those that may run the task and have room.
 pub(super) fn best_worker(
     key: &TaskKey,
     wish: &Wish<'_>,
-    workers: &WorkerTable,
-    room: &RoomTable,
-    now: Duration,
+    pass: &PlanPass<'_>,
 ) -> Option<WorkerLife> {
     let mut best: Option<(f64, &WorkerView)> = None;
-    let apart = wish.spec.filler && room.has_unshared(wish.service, workers);
-    for (executor, worker) in workers {
-        let Some(reserved) = room.of(executor) else { continue };
-        let shared = apart && reserved.serving > 0;
-        if shared || !may_run(key, wish, worker, reserved) {
+    for (executor, worker) in pass.workers {
+        let Some(reserved) = pass.room.of(executor) else { continue };
+        if !may_run(key, wish, worker, reserved) || !bears(wish, worker, reserved, pass.learned) {
             continue;
         }
-        let score = score_of(key, wish, worker, reserved, now);
+        let score = score_of(key, wish, worker, reserved, pass.time.now);
         if best.is_none_or(|(lowest, _)| score < lowest) {
             best = Some((score, worker));
         }
@@ -62,9 +66,29 @@
     worker.accepts(wish.service) && labelled && below && idle && fitting(worker, reserved, spec) > 0
 }
 
+/// Whether the serving tasks of a worker would stay below their targets beside one more filling
+/// task.
+fn bears(
+    wish: &Wish<'_>,
+    worker: &WorkerView,
+    reserved: &Reserved,
+    learned: &InterferenceTable,
+) -> bool {
+    if !wish.spec.filler || reserved.serving.is_empty() || wish.starving {
+        return true;
+    }
+    let mut fillers = reserved.filler_shares(capacity_of(worker));
+    if let Some(image) = &wish.spec.image {
+        let share = wish.spec.demand.cpu_milli as f64 / capacity_of(worker);
+        fillers.push((image.clone(), share));
+    }
+    let serving = reserved.serving.keys();
+    serving.into_iter().all(|image| learned.predict(image, &fillers) <= TOLERATED_SHARE)
+}
+
 /// The share of a filling task's processors that a worker leaves idle.
 fn idle_share(worker: &WorkerView, reserved: &Reserved, spec: &StepSpec) -> f64 {
-    let taken = reserved.used_milli + reserved.filler_milli as f64;
+    let taken = reserved.used_milli + reserved.filler_milli();
     let idle = worker.report.capacity.cpu_milli as f64 - taken;
     idle / (spec.demand.cpu_milli as f64).max(1.0)
 }
@@ -78,9 +102,9 @@
 ) -> f64 {
     let elsewhere = wish.rack.is_some_and(|rack| worker.rack() != Some(rack));
     let mut score = if wish.spec.filler {
-        spread_score(worker, reserved)
+        spread_score(wish, worker, reserved)
     } else {
-        packing_score(worker, reserved)
+        packing_score(wish, worker, reserved)
     };
     score += if elsewhere { OTHER_RACK_PENALTY } else { 0.0 };
     score += if worker.is_suspect(now) { SUSPECT_PENALTY } else { 0.0 };
@@ -88,20 +112,28 @@
     score
 }
 
-/// Filling tasks go where most processors are idle, away from serving ones.
-fn spread_score(worker: &WorkerView, reserved: &Reserved) -> f64 {
-    let neighbour = if reserved.serving > 0 { NEIGHBOUR_PENALTY } else { 0.0 };
-    let taken = reserved.used_milli + reserved.filler_milli as f64;
-    taken / capacity_of(worker) + neighbour
+/// Filling tasks go where most processors are idle, and rather beside serving tasks that bear them
+/// than where any filling task could run. One that starves goes where it harms nobody, if it can.
+fn spread_score(wish: &Wish<'_>, worker: &WorkerView, reserved: &Reserved) -> f64 {
+    let taken = reserved.used_milli + reserved.filler_milli();
+    let load = taken / capacity_of(worker);
+    match (reserved.serving.is_empty(), wish.starving) {
+        (true, false) => load + UNSHARED_PENALTY,
+        (false, true) => load + STARVING_PENALTY,
+        _ => load,
+    }
 }
 
-/// Counted tasks fill up the workers that have serving tasks already, so that the others are left
-/// to filling tasks.
-fn packing_score(worker: &WorkerView, reserved: &Reserved) -> f64 {
-    let unshared = if reserved.serving == 0 { UNSHARED_PENALTY } else { 0.0 };
+/// Counted tasks fill up the workers that have serving tasks already, most of all those of the
+/// same image, so that the others are left to filling tasks.
+fn packing_score(wish: &Wish<'_>, worker: &WorkerView, reserved: &Reserved) -> f64 {
+    let unshared = if reserved.serving.is_empty() { UNSHARED_PENALTY } else { 0.0 };
+    let serves = wish.spec.latency_target_ms.is_some();
+    let others = reserved.serving.keys().filter(|image| wish.spec.image.as_ref() != Some(image));
+    let mixed = if serves && others.count() > 0 { MIXED_PENALTY } else { 0.0 };
     let counted = reserved.demand.cpu_milli as f64 / capacity_of(worker);
-    let filling = reserved.filler_milli as f64 / capacity_of(worker);
-    1.0 - counted + unshared + filling
+    let filling = reserved.filler_milli() / capacity_of(worker);
+    1.0 - counted + unshared + mixed + filling
 }
 
 fn capacity_of(worker: &WorkerView) -> f64 {
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -249,6 +249,7 @@
             run: RunNumber(*run),
             checkpoint: String::new(),
             percent: 50,
+            figure: 0,
         };
         let runs = runs.iter().map(report).collect();
         self.send(session, LinkMessage::Runs { worker: Self::life(worker), runs });
