Never refuse what runs, nor start what may be placed elsewhere

Change: an order for a run that is known or listed is never refused; starts that are not answered turn into stops when the lease ends or the executor begins to drain.

--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -78,10 +78,6 @@
         if executor.report.worker != order.worker {
             return;
         }
-        if executor.report.drain_left_ms.is_some() {
-            self.refuse_run(task, run, "the executor is draining");
-            return;
-        }
         if executor.ends.values().any(|end| end.task == task && end.run == run) {
             return;
         }
@@ -90,6 +86,10 @@
         if known.is_some() {
             return;
         }
+        if !listed && executor.report.drain_left_ms.is_some() {
+            self.refuse_run(task, run, "the executor is draining");
+            return;
+        }
         let phase = if listed { OrderPhase::Started } else { OrderPhase::StartAgain(self.now) };
         self.runs.orders.insert((task, run), RunOrder { phase, order: Some(order) });
         self.repeat_orders();
@@ -115,6 +115,7 @@
     pub(super) fn repeat_orders(&mut self) {
         let now = self.now;
         let Some(worker) = self.life() else { return };
+        self.give_up_starts();
         let due: Vec<((TaskKey, RunNumber), OrderPhase)> = self
             .runs
             .orders
@@ -133,6 +134,22 @@
         }
     }
 
+    /// Starts that were not answered must not be tried any more once the executor leaves, or once
+    /// control may have placed their tasks elsewhere. A stop settles what became of them.
+    fn give_up_starts(&mut self) {
+        let (now, lapsed) = (self.now, self.lease_end <= self.now);
+        let draining = self.executor.as_ref().is_some_and(|e| e.report.drain_left_ms.is_some());
+        if !lapsed && !draining {
+            return;
+        }
+        for order in self.runs.orders.values_mut() {
+            let on_its_way = lapsed && order.phase == OrderPhase::Starting;
+            if on_its_way || matches!(order.phase, OrderPhase::StartAgain(_)) {
+                order.phase = OrderPhase::StopAgain(now);
+            }
+        }
+    }
+
     fn send_start(&mut self, key: (TaskKey, RunNumber)) {
         let Some(deadline_ms) = self.start_deadline() else { return };
         let order = self.runs.orders.get(&key).and_then(|order| order.order.clone());
