--- a/crates/workflow/src/agent/pacing.rs
+++ b/crates/workflow/src/agent/pacing.rs
@@ -7,13 +7,13 @@
 };
 
 /// The share of a target above which filling tasks are slowed: figures are half a second old.
-const SLOW_ABOVE: f64 = 0.85;
+const SLOW_ABOVE: f64 = 0.95;
 /// The share of every target below which they are given more again.
-const EASE_BELOW: f64 = 0.6;
+const EASE_BELOW: f64 = 0.8;
 /// What the share of filling tasks is multiplied by when it falls.
 const SLOW_FACTOR: f64 = 0.5;
 /// Percent by which it rises.
-const EASE_STEP: f64 = 15.0;
+const EASE_STEP: f64 = 25.0;
 /// The time that a change of pace and the figures about it need to show.
 const PACE_INTERVAL: Duration = Duration::from_millis(600);
 /// The least share that differs from a stop, in percent.
--- a/crates/workflow/src/control/interference.rs
+++ b/crates/workflow/src/control/interference.rs
@@ -13,12 +13,12 @@
 
 /// The percentage at which a lasting task is at work.
 const AT_WORK: u8 = 100;
-/// The share of its target at which a serving task is relieved of a filling one.
+/// The share of its target at which a serving task is relieved of filling ones.
 const RELIEVED_SHARE: f64 = 1.0;
-/// What a filling task must add to that share to be the one that goes.
+/// What a filling task must add to that share to be one of those that go.
 const BLAMED_SHARE: f64 = 0.15;
 /// How often a worker is relieved: the figures have to show what the last time has brought.
-const RELIEF_INTERVAL: Duration = Duration::from_millis(1000);
+const RELIEF_INTERVAL: Duration = Duration::from_millis(800);
 
 /// The figures of one worker.
 #[derive(Default)]
@@ -31,8 +31,8 @@
 }
 
 impl ControlNode {
-    /// Learns from a worker's figures, and stops a filling task that keeps a serving one above its
-    /// target. It resumes from its checkpoint where it is borne.
+    /// Learns from a worker's figures, and stops the filling tasks that keep a serving one above its
+    /// target. They resume from their checkpoints where they are borne.
     pub(super) fn learn_interference(&mut self, worker: &WorkerLife, runs: &[RunReport]) {
         let now = self.now;
         let figures = self.figures_of(worker, runs);
@@ -56,17 +56,18 @@
         if now.saturating_sub(last) < RELIEF_INTERVAL {
             return;
         }
-        let alone = lead.learned.predict(serving, &[]);
-        let added = |image: &ImageName, share: f64| {
-            lead.learned.predict(serving, &[(image.clone(), share)]) - alone
-        };
         let movable = figures.fillers.iter().filter(|(_, _, _, _, saves)| *saves);
-        let blamed = movable
-            .map(|(task, run, image, share, _)| (*task, *run, added(image, *share)))
+        let blamed: Vec<(TaskKey, RunNumber)> = movable
+            .map(|(task, run, image, share, _)| {
+                (*task, *run, lead.learned.added(serving, image, *share))
+            })
             .filter(|(_, _, added)| *added >= BLAMED_SHARE)
-            .max_by(|a, b| a.2.total_cmp(&b.2));
-        if let Some((task, run, _)) = blamed {
+            .map(|(task, run, _)| (task, run))
+            .collect();
+        if !blamed.is_empty() {
             lead.relieved.insert(worker.executor.clone(), now);
+        }
+        for (task, run) in blamed {
             let placement = Placement { task, run, worker: worker.clone() };
             let stop = self.stop_run(&placement, StopReason::Interferes);
             self.effects.extend(stop);
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -7,6 +7,7 @@
 mod interference;
 mod room;
 mod score;
+mod urgency;
 mod worker;
 
 pub use {
@@ -18,6 +19,7 @@
     self::{
         room::RoomTable,
         score::{best_worker, Wish},
+        urgency::{prospect_of, JobProspect},
     },
     crate::{
         job::{JobKey, RunNumber, TaskKey, WorkerLife},
@@ -65,6 +67,7 @@
     record: &'a JobRecord,
     occurrence: u32,
     step: u16,
+    prospect: JobProspect,
 }
 
 impl OpenStep<'_> {
@@ -94,7 +97,9 @@
     if steps.is_empty() {
         return Vec::new();
     }
-    steps.sort_by_key(|step| (step.record.priority, step.record.accepted_ms, step.job));
+    steps.sort_by_key(|step| {
+        (step.record.priority, step.prospect, step.record.accepted_ms, step.job)
+    });
     let mut room = RoomTable::new(state, workers);
     let mut pass = PlanPass { state, workers, learned, time, room: &mut room };
     let mut placements = Vec::new();
@@ -115,11 +120,17 @@
             if due.is_some_and(|due| due > time.wall_ms) {
                 continue;
             }
+            let rule = state.config().and_then(|config| config.queue(&record.queue));
+            let age_ms = match due {
+                Some(due) => time.wall_ms.saturating_sub(due),
+                None => state.clock_ms().saturating_sub(record.accepted_ms),
+            };
+            let prospect = prospect_of(record, steps, rule, age_ms);
             for (step, spec) in record.spec.steps.iter().enumerate() {
                 let tasks = &steps.steps[step];
                 if !tasks.is_done() && steps.is_open(spec) {
                     let (occurrence, step) = (occurrence as u32, step as u16);
-                    open.push(OpenStep { job, record, occurrence, step });
+                    open.push(OpenStep { job, record, occurrence, step, prospect });
                 }
             }
         }
--- /dev/null
+++ b/crates/workflow/src/plan/urgency.rs
@@ -0,0 +1,55 @@
+//! What a job can still earn, which decides whose tasks come first.
+
+use crate::{
+    job::{JobSpec, QueueRule},
+    state::{JobRecord, OccurrenceRecord},
+};
+
+/// Up to this multiple of its objective a job still counts, as late.
+const LATE_FACTOR: f64 = 3.0;
+
+/// What a job can still reach. The order is that in which tasks are placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum JobProspect {
+    /// Its objective, if nothing holds it up.
+    InTime,
+    /// An end that counts as late.
+    Late,
+    /// Neither.
+    Missed,
+}
+
+/// Judges an occurrence by its age and the longest chain of work that it has left.
+pub(super) fn prospect_of(
+    record: &JobRecord,
+    occurrence: &OccurrenceRecord,
+    rule: Option<&QueueRule>,
+    age_ms: u64,
+) -> JobProspect {
+    let Some(rule) = rule else { return JobProspect::InTime };
+    if record.spec.steps.iter().any(|step| step.lasting) {
+        return JobProspect::InTime;
+    }
+    let whole = longest_chain(&record.spec, |_| true) as f64;
+    let left = longest_chain(&record.spec, |step| !occurrence.steps[step].is_done()) as f64;
+    let objective = rule.stretch * whole + rule.latency_allowance_ms as f64;
+    let end = age_ms as f64 + left;
+    if end <= objective {
+        JobProspect::InTime
+    } else if end <= objective * LATE_FACTOR {
+        JobProspect::Late
+    } else {
+        JobProspect::Missed
+    }
+}
+
+/// The estimate of the longest chain of those steps that count, in milliseconds.
+fn longest_chain(spec: &JobSpec, counts: impl Fn(usize) -> bool) -> u64 {
+    let mut chains: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for (position, step) in spec.steps.iter().enumerate() {
+        let before = step.depends_on.iter().map(|on| chains[usize::from(*on)]).max().unwrap_or(0);
+        let own = if counts(position) { step.estimate_ms } else { 0 };
+        chains.push(before + own);
+    }
+    chains.into_iter().max().unwrap_or(0)
+}
