--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -51,6 +51,9 @@
 /// How long a job may have nothing running before latencies at risk hold it back no longer, in
 /// milliseconds; pacing protects them then.
 const STARVATION_MS: u64 = 1500;
+/// The share of a service's processors below which a job may count as starving: above it, others
+/// hold what it waits for.
+const STARVATION_LOAD: f64 = 0.6;
 
 /// What one pass works on.
 struct PlanPass<'a> {
@@ -144,7 +147,8 @@
     let service = rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
     let rack = pass.room.rack_for(step.tasks(), spec, service, pass.workers, pass.time.now);
     let waited = pass.state.clock_ms().saturating_sub(step.record.accepted_ms);
-    let starving = step.record.placed == 0 && waited > STARVATION_MS;
+    let idle = || pass.room.load_of(service, pass.workers) < STARVATION_LOAD;
+    let starving = step.record.placed == 0 && waited > STARVATION_MS && idle();
     let wish = Wish { spec, service, rack: rack.as_deref(), starving };
     if spec.gang {
         place_gang(step, &wish, pass, placements);
--- a/crates/workflow/src/plan/room.rs
+++ b/crates/workflow/src/plan/room.rs
@@ -132,6 +132,17 @@
         }
     }
 
+    /// The share of a service's processors that placed tasks ask for.
+    pub(super) fn load_of(&self, service: &str, workers: &WorkerTable) -> f64 {
+        let (mut taken, mut capacity) = (0.0, 0.0);
+        for (executor, worker) in workers.iter().filter(|(_, worker)| worker.accepts(service)) {
+            let Some(reserved) = self.of(executor) else { continue };
+            taken += reserved.demand.cpu_milli as f64 + reserved.filler_milli();
+            capacity += worker.report.capacity.cpu_milli as f64;
+        }
+        taken / f64::max(capacity, 1.0)
+    }
+
     /// Where the tasks of a step should go: to their data, or to each other.
     pub(super) fn rack_for(
         &self,
