Give up a silent executor although starts wait for it

Starts carry the lease, and as long as an unanswered one was repeated, a crashed executor counted as granted more time; control went on placing tasks there.

Change: nothing that carries a lease goes to an executor that was silent for 1.5 s; after 0.4 s its agent says so, and control places nothing there.

--- a/crates/workflow/src/agent/holding.rs
+++ b/crates/workflow/src/agent/holding.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         types::{AgentEffect, CallFailure, HoldView},
-        AgentNode, REPORT_INTERVAL, WATCHING_INTERVAL,
+        AgentNode, ExecutorState, REPORT_INTERVAL, WATCHING_INTERVAL,
     },
     crate::{
         event::FlowEvent,
@@ -29,6 +29,8 @@
 /// How long an executor may be silent and still be granted more time. Afterwards it is only asked,
 /// so that its lease comes to an end.
 const GRANT_PATIENCE: Duration = Duration::from_millis(1500);
+/// How long it may be silent before control is told to place nothing more there.
+const SILENCE_PATIENCE: Duration = Duration::from_millis(400);
 
 /// The executor's clock at a moment of ours.
 #[derive(Debug, Clone, Copy)]
@@ -46,6 +48,13 @@
     }
 }
 
+impl ExecutorState {
+    /// Whether the executor may be granted more time: a silent one has to come to its end.
+    fn may_be_granted(&self, now: Duration) -> bool {
+        self.silent_since.is_none_or(|since| now.saturating_sub(since) < GRANT_PATIENCE)
+    }
+}
+
 impl AgentNode {
     /// Polls the executor unless a poll is under way.
     pub(super) fn poll_executor(&mut self) {
@@ -56,7 +65,7 @@
             return;
         }
         let silent = executor.silent_since.map(|since| now.saturating_sub(since));
-        let grant = lease_end > now && silent.is_none_or(|silent| silent < GRANT_PATIENCE);
+        let grant = lease_end > now && executor.may_be_granted(now);
         let deadline_ms =
             executor.clock.filter(|_| grant).map(|clock| clock.deadline_ms(lease_end));
         if deadline_ms.is_some() {
@@ -78,6 +87,9 @@
     pub(super) fn start_deadline(&mut self) -> Option<u64> {
         let (now, lease_end) = (self.now, self.lease_end);
         let executor = self.executor.as_mut()?;
+        if !executor.may_be_granted(now) {
+            return None;
+        }
         let clock = executor.clock.filter(|_| lease_end > now)?;
         let drifted = lease_end + (lease_end - now).mul_f64(CLOCK_DRIFT) + LAPSE_SLACK;
         executor.lapse_at = executor.lapse_at.max(drifted);
@@ -128,6 +140,13 @@
     pub(super) fn watch_executor(&mut self) {
         let now = self.now;
         let Some(executor) = &mut self.executor else { return };
+        let silent = executor.silent_since.is_some_and(|since| now - since >= SILENCE_PATIENCE);
+        if silent && executor.report.responsive && executor.reached {
+            executor.report.responsive = false;
+            let report = executor.report.clone();
+            self.send(LinkMessage::Worker(report));
+        }
+        let Some(executor) = &mut self.executor else { return };
         let lapsed = executor.silent_since.is_some() && now > executor.lapse_at;
         if lapsed && !executor.given_up && executor.reached {
             executor.given_up = true;
@@ -144,7 +163,8 @@
         executor.clock = Some(LeaseClock { executor_ms: view.clock_ms, at: now });
         executor.silent_since = None;
         executor.given_up = false;
-        let first = !std::mem::replace(&mut executor.reached, true);
+        let responsive = std::mem::replace(&mut executor.report.responsive, true);
+        let first = !std::mem::replace(&mut executor.reached, true) || !responsive;
         let noted = executor.noted;
         let fresh: Vec<EndReport> = view
             .finished
--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -241,6 +241,7 @@
     fn update_report(&mut self, report: WorkerReport, sequence: u64) {
         let Some(executor) = &mut self.executor else { return };
         executor.sequence = sequence;
+        let report = WorkerReport { responsive: executor.report.responsive, ..report };
         let was_draining = executor.report.drain_left_ms.is_some();
         let same = WorkerReport { drain_left_ms: None, ..report.clone() }
             == WorkerReport { drain_left_ms: None, ..executor.report.clone() };
--- a/crates/workflow/src/message/mod.rs
+++ b/crates/workflow/src/message/mod.rs
@@ -179,6 +179,8 @@
     pub labels: Vec<String>,
     /// While it drains, the least time that is left, in milliseconds.
     pub drain_left_ms: Option<u64>,
+    /// Whether it has answered its agent lately.
+    pub responsive: bool,
 }
 
 /// A run on an executor.
--- a/crates/workflow/src/plan/worker.rs
+++ b/crates/workflow/src/plan/worker.rs
@@ -49,7 +49,8 @@
 
     /// Whether it may be given tasks of a service.
     pub fn accepts(&self, service: &str) -> bool {
-        self.report.service == service && self.report.drain_left_ms.is_none()
+        let able = self.report.responsive && self.report.drain_left_ms.is_none();
+        able && self.report.service == service
     }
 
     /// Whether it has lately failed what others did not.
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -108,6 +108,7 @@
             capacity: TaskDemand { cpu_milli: 16_000, memory_mb: 64_000, accelerators: 0 },
             labels: Vec::new(),
             drain_left_ms,
+            responsive: true,
         };
         self.step(AgentEvent::Beat { report, sequence });
     }
@@ -311,3 +312,22 @@
     desk.advance(250);
     assert_eq!(desk.calls, ["start 1", "stop 1"]);
 }
+
+// Starts carry the lease too: as long as one was repeated every 200 ms, a crashed executor was
+// never given up, and its tasks never started elsewhere.
+#[test]
+fn repeated_starts_do_not_keep_a_silent_executor_alive() {
+    let mut desk = AgentDesk::start();
+    desk.order(1);
+    for _ in 0..80 {
+        desk.advance(100);
+        let sequence = desk.last_ping();
+        let pong = LinkMessage::Pong { sequence, term: 1 };
+        desk.step(AgentEvent::LeaderMessage(pong));
+        desk.verdict(1, StartVerdict::Failed(CallFailure::Unanswered("silence".to_owned())));
+        if !desk.holds.is_empty() {
+            desk.miss_poll();
+        }
+    }
+    assert_eq!(desk.reports(), ["gone"]);
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -191,6 +191,7 @@
             capacity: TaskDemand { cpu_milli: 16_000, memory_mb: 64_000, accelerators: 0 },
             labels: vec!["a".to_owned(), "r1".to_owned()],
             drain_left_ms,
+            responsive: true,
         }
     }
 
