--- a/crates/node/src/control/member.rs
+++ b/crates/node/src/control/member.rs
@@ -64,7 +64,12 @@
             snapshot_chunk: SNAPSHOT_CHUNK,
             snapshot_every: SNAPSHOT_EVERY,
         };
-        let settings = ControlSettings { quorum, lease: setup.lease, retention: setup.retention };
+        let settings = ControlSettings {
+            quorum,
+            lease: setup.lease,
+            retention: setup.retention,
+            tolerated_losses: setup.tolerated_losses,
+        };
         let seed = seed_of(&setup.name);
         let node = ControlNode::new(settings, recovered, now, seed).context(CoreSnafu)?;
         let batches = start_storage(storage, inputs, log.clone())?;
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -111,6 +111,8 @@
     pub lease: Duration,
     /// How long ended jobs are known.
     pub retention: Duration,
+    /// How many members may be lost at once.
+    pub tolerated_losses: usize,
 }
 
 enum ControlInput {
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -78,8 +78,8 @@
         }
     }
 
-    /// Replaces voters that are silent for long, and keeps their number odd: an even one bears no
-    /// more losses.
+    /// Replaces voters that are silent for long, and has as many as the losses ask for that have to
+    /// be borne.
     fn tend_group(&mut self) {
         let now = self.now;
         let members = self.core.members();
@@ -93,6 +93,7 @@
                 lead.silent.entry(replica).or_insert(now);
             }
         }
+        let wanted = 2 * self.settings.tolerated_losses + 1;
         let voters: Vec<&MemberProgress> =
             members.iter().filter(|progress| progress.member.voter).collect();
         let ready = members.iter().find(|progress| !progress.member.voter && is_ready(progress));
@@ -103,7 +104,7 @@
         });
         if let Some(lost) = lost.map(|progress| progress.member) {
             self.change_group(MemberChange::Remove { replica: lost.replica }, lost);
-        } else if voters.len().is_multiple_of(2) {
+        } else if voters.len() < wanted {
             self.change_group(MemberChange::Promote { replica: learner.replica }, learner);
         }
     }
--- a/crates/workflow/src/control/types.rs
+++ b/crates/workflow/src/control/types.rs
@@ -20,6 +20,8 @@
     pub lease: Duration,
     /// How long ended jobs are known.
     pub retention: Duration,
+    /// How many members may be lost at once while the group goes on.
+    pub tolerated_losses: usize,
 }
 
 /// Something that happens to a control process.
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -88,7 +88,7 @@
             snapshot_every: 10_000,
         };
         let retention = Duration::from_secs(60);
-        let settings = ControlSettings { quorum, lease: LEASE, retention };
+        let settings = ControlSettings { quorum, lease: LEASE, retention, tolerated_losses: 0 };
         let node = ControlNode::new(settings, RecoveredLog::default(), Duration::ZERO, 1).unwrap();
         let mut desk = Self {
             node,
