--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -10,7 +10,10 @@
     link::LinkSender,
     std::{future::Future, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
-        sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender},
+        sync::{
+            mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender},
+            Notify,
+        },
         time::{interval, MissedTickBehavior},
     },
     workflow::{
@@ -112,6 +115,7 @@
     clock: BootClock,
     port: Rc<P>,
     leader: Option<LinkSender<LinkMessage>>,
+    reconnect: Rc<Notify>,
     inputs: UnboundedSender<AgentInput>,
     log: LineLog,
 }
@@ -120,7 +124,9 @@
 pub fn start_agent<P: ExecutorPort>(setup: AgentSetup, port: P, log: LineLog) -> AgentHandle {
     let (inputs, queue) = unbounded_channel();
     let clock = BootClock::new();
-    let search = LeaderSearch { name: setup.name, seeds: setup.seeds, log: log.clone() };
+    let reconnect: Rc<Notify> = Rc::default();
+    let (name, seeds) = (setup.name, setup.seeds);
+    let search = LeaderSearch { name, seeds, log: log.clone(), reconnect: reconnect.clone() };
     tokio::task::spawn_local(search.run(inputs.clone(), AgentInput::Leader));
     let settings = AgentSettings { lease: setup.lease };
     let running = AgentLoop {
@@ -128,6 +134,7 @@
         clock,
         port: Rc::new(port),
         leader: None,
+        reconnect,
         inputs: inputs.clone(),
         log,
     };
@@ -210,6 +217,10 @@
                     leader.send(message);
                 }
             }
+            AgentEffect::Reconnect => {
+                self.leader = None;
+                self.reconnect.notify_one();
+            }
             AgentEffect::Record(event) => self.log.record(&event),
         }
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -21,7 +21,7 @@
     link::LinkSender,
     quorum::{CoreError, StorageError},
     snafu::{ResultExt, Snafu},
-    std::{collections::BTreeMap, io, net::SocketAddr, path::PathBuf, time::Duration},
+    std::{collections::BTreeMap, io, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration},
     tokio::{
         net::TcpListener,
         sync::{
@@ -377,7 +377,8 @@
     fn search_leader(&mut self) {
         let own = self.setup.address;
         let seeds = self.setup.seeds.iter().copied().filter(|seed| *seed != own).collect();
-        let search = LeaderSearch { name: self.setup.name.clone(), seeds, log: self.log.clone() };
+        let (name, log, reconnect) = (self.setup.name.clone(), self.log.clone(), Rc::default());
+        let search = LeaderSearch { name, seeds, log, reconnect };
         let running = search.run(self.inputs.clone(), ControlInput::Leader);
         let search = Some(tokio::task::spawn_local(running));
         self.membership = Membership::Joining { leader: None, search };
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -104,7 +104,8 @@
     let (inputs, queue) = unbounded_channel();
     let ready = Rc::new(Cell::new(false));
     let clock = BootClock::new();
-    let search = LeaderSearch { name: setup.name, seeds: setup.seeds, log };
+    let (name, seeds, reconnect) = (setup.name, setup.seeds, Rc::default());
+    let search = LeaderSearch { name, seeds, log, reconnect };
     tokio::task::spawn_local(search.run(inputs.clone(), EntryInput::Leader));
     let running = EntryLoop {
         clock,
--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -3,9 +3,9 @@
 use {
     crate::logging::LineLog,
     link::{connect, LinkReader, LinkSender},
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
-        sync::mpsc::UnboundedSender,
+        sync::{mpsc::UnboundedSender, Notify},
         time::{sleep, timeout},
     },
     workflow::{event::FlowEvent, message::LinkMessage},
@@ -44,6 +44,8 @@
     pub(crate) name: String,
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) log: LineLog,
+    /// Ends the present stream and makes a new one.
+    pub(crate) reconnect: Rc<Notify>,
 }
 
 impl LeaderSearch {
@@ -91,10 +93,13 @@
         self.log.record(&FlowEvent::LeaderReached { address: text.clone(), term: *term });
         let up = LeaderEvent::Up { sender, term: *term };
         inputs.send(wrap(up)).ok()?;
-        let (reason, hint) = follow(&mut reader, inputs, &wrap).await;
+        let (reason, hint) = tokio::select! {
+            end = follow(&mut reader, inputs, &wrap) => end,
+            () = self.reconnect.notified() => ("a new stream is wanted".to_owned(), Some(address)),
+        };
         self.log.record(&FlowEvent::LeaderLost { address: text, reason });
         inputs.send(wrap(LeaderEvent::Down)).ok()?;
-        hint.filter(|leader| *leader != address)
+        hint
     }
 
     /// Seeds stay known: they are where others join.
--- a/crates/workflow/src/agent/holding.rs
+++ b/crates/workflow/src/agent/holding.rs
@@ -154,6 +154,7 @@
             let worker = executor.report.worker.clone();
             self.runs = super::orders::RunTable::default();
             self.send(LinkMessage::WorkerGone { worker });
+            self.effects.push(AgentEffect::Reconnect);
         }
     }
 
--- a/crates/workflow/src/agent/types.rs
+++ b/crates/workflow/src/agent/types.rs
@@ -181,6 +181,9 @@
     },
     /// Send to the leader.
     Send(LinkMessage),
+    /// End the stream to the leader after what was sent, and make a new one: orders that are on
+    /// their way must not arrive.
+    Reconnect,
     /// Write a log line.
     Record(FlowEvent),
 }
