Wait out the lease that an agent's process before may have granted

Cause: schedules, seed 1068: an agent that had just started took its silent executor for lapsed at once, while the runs there held the lease that the process before had granted.

Change: a new process gives its executor up only after a whole lease.

--- a/crates/workflow/src/agent/holding.rs
+++ b/crates/workflow/src/agent/holding.rs
@@ -32,6 +32,11 @@
 /// How long it may be silent before control is told to place nothing more there.
 const SILENCE_PATIENCE: Duration = Duration::from_millis(400);
 
+/// When a lease that is granted now up to `lease_end` is over on the executor's clock as well.
+pub(super) fn lapse_of(now: Duration, lease_end: Duration) -> Duration {
+    lease_end + lease_end.saturating_sub(now).mul_f64(CLOCK_DRIFT) + LAPSE_SLACK
+}
+
 /// The executor's clock at a moment of ours.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct LeaseClock {
@@ -69,8 +74,7 @@
         let deadline_ms =
             executor.clock.filter(|_| grant).map(|clock| clock.deadline_ms(lease_end));
         if deadline_ms.is_some() {
-            let drifted = lease_end + (lease_end - now).mul_f64(CLOCK_DRIFT) + LAPSE_SLACK;
-            executor.lapse_at = executor.lapse_at.max(drifted);
+            executor.lapse_at = executor.lapse_at.max(lapse_of(now, lease_end));
         }
         let wait = match (executor.clock.is_some() && silent.is_none(), watching) {
             _ if !executor.ends.is_empty() => Duration::ZERO,
@@ -91,8 +95,7 @@
             return None;
         }
         let clock = executor.clock.filter(|_| lease_end > now)?;
-        let drifted = lease_end + (lease_end - now).mul_f64(CLOCK_DRIFT) + LAPSE_SLACK;
-        executor.lapse_at = executor.lapse_at.max(drifted);
+        executor.lapse_at = executor.lapse_at.max(lapse_of(now, lease_end));
         Some(clock.deadline_ms(lease_end))
     }
 
--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -45,7 +45,8 @@
     reached: bool,
     /// Since when it does not answer.
     silent_since: Option<Duration>,
-    /// When everything that runs there has certainly ended, unless it is renewed.
+    /// When everything that runs there has certainly ended, unless it is renewed. A process of
+    /// this agent before this one may have granted a whole lease just now.
     lapse_at: Duration,
     /// Whether control was told that nothing runs there.
     given_up: bool,
@@ -226,7 +227,7 @@
             clock: None,
             reached: false,
             silent_since: None,
-            lapse_at: self.now,
+            lapse_at: holding::lapse_of(self.now, self.now + self.settings.lease),
             given_up: false,
             noted: 0,
             ends: BTreeMap::new(),
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -362,3 +362,16 @@
     assert_eq!(desk.calls, ["start 1"]);
     assert_eq!(desk.reports(), ["1 Refused", "1 Refused"]);
 }
+
+// Found by the schedules, seed 1068: the process before had granted a lease.
+#[test]
+fn a_new_process_waits_a_lease_out_before_it_gives_its_executor_up() {
+    let mut desk = AgentDesk::start();
+    for _ in 0..30 {
+        desk.advance(100);
+        if !desk.holds.is_empty() {
+            desk.miss_poll();
+        }
+    }
+    assert!(desk.reports().is_empty(), "{:?}", desk.reports());
+}
--- a/crates/workflow/tests/schedules.rs
+++ b/crates/workflow/tests/schedules.rs
@@ -31,6 +31,7 @@
 #[case::order_repeated_before_its_refusal(0)]
 #[case::done_under_a_lapsed_lease(6)]
 #[case::order_on_its_way_to_a_worker_given_up(9)]
+#[case::lease_granted_by_the_process_before(1068)]
 fn seeds_that_failed_once_hold(#[case] seed: u64) {
     check(seed);
 }
--- a/crates/workflow/tests/world/mod.rs
+++ b/crates/workflow/tests/world/mod.rs
@@ -578,6 +578,13 @@
     fn execute(&mut self, agent: usize, call: ExecutorCall) {
         let now = self.now;
         let executor = &mut self.agents[agent].executor;
+        if std::env::var_os(TRACE_VARIABLE).is_some() {
+            match &call {
+                ExecutorCall::Start { task, run, deadline_ms, answered, .. } => eprintln!("{now:?} executor {agent} start {task} {run} until {deadline_ms}, answered {answered}"),
+                ExecutorCall::Stop { task, run, answered, .. } => eprintln!("{now:?} executor {agent} stop {task} {run}, answered {answered}"),
+                ExecutorCall::Hold { .. } => {}
+            }
+        }
         let silence = || CallFailure::Unanswered("silence".to_owned());
         let event = match call {
             ExecutorCall::Hold { worker, noted, deadline_ms, asked, answered } => {
