Grant a lease only for the life that the leader counts it for

Change: the answer to a ping names the life whose lease was renewed; an agent takes it for no other, and asks again after it has introduced its executor.

--- a/crates/workflow/src/agent/holding.rs
+++ b/crates/workflow/src/agent/holding.rs
@@ -124,6 +124,7 @@
     /// Another life answers at the executor's address: what ran in this one is gone.
     fn meet_other_life(&mut self, worker: &WorkerLife) {
         self.executor = None;
+        self.end_lease();
         self.runs = super::orders::RunTable::default();
         self.send(LinkMessage::WorkerGone { worker: worker.clone() });
     }
@@ -158,6 +159,7 @@
             self.runs = super::orders::RunTable::default();
             self.send(LinkMessage::WorkerGone { worker });
             self.effects.push(AgentEffect::Reconnect);
+            self.end_lease();
         }
     }
 
@@ -187,6 +189,7 @@
         if first {
             self.record(FlowEvent::ExecutorReached { worker: worker.clone() });
             self.introduce();
+            self.ping();
         } else {
             self.send_ends(worker.clone(), fresh);
         }
--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -134,9 +134,11 @@
     fn take_message(&mut self, message: LinkMessage) {
         match message {
             LinkMessage::Welcome { term, .. } => self.meet_leader(term),
-            LinkMessage::Pong { sequence, term } => {
+            LinkMessage::Pong { sequence, term, leased } => {
                 self.term = self.term.max(term);
-                if let Some(asked) = self.pings.remove(&sequence) {
+                let asked = self.pings.remove(&sequence);
+                let own = leased.is_some() && leased == self.life();
+                if let Some(asked) = asked.filter(|_| own) {
                     self.lease_end = self.lease_end.max(asked + self.settings.lease);
                 }
             }
@@ -155,8 +157,15 @@
         self.term = self.term.max(term);
         self.connected = true;
         self.pings.clear();
-        self.ping();
         self.introduce();
+        self.ping();
+    }
+
+    /// The next lease is that of another life, or of this one once control knows it again. What
+    /// was asked before doesn't count for it.
+    fn end_lease(&mut self) {
+        self.lease_end = Duration::ZERO;
+        self.pings.clear();
     }
 
     fn introduce(&mut self) {
@@ -221,6 +230,7 @@
         }
         self.runs = RunTable::default();
         self.pacer = Pacer::default();
+        self.end_lease();
         self.executor = Some(ExecutorState {
             report,
             sequence,
--- a/crates/workflow/src/control/sessions.rs
+++ b/crates/workflow/src/control/sessions.rs
@@ -68,7 +68,8 @@
             self.welcome(session);
             return;
         };
-        let message = LinkMessage::Pong { sequence, term: lead.term };
+        let leased = lead.agents.get(&session).cloned();
+        let message = LinkMessage::Pong { sequence, term: lead.term, leased };
         self.effects.push(ControlEffect::Send { session, message });
         self.renew_lease(session);
     }
--- a/crates/workflow/src/message/mod.rs
+++ b/crates/workflow/src/message/mod.rs
@@ -41,6 +41,8 @@
         sequence: u64,
         /// The term of the lead.
         term: u64,
+        /// The executor whose lease the leader has renewed, if the sender speaks for one.
+        leased: Option<WorkerLife>,
     },
     /// An entry passes a caller's request on.
     Call {
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -56,6 +56,7 @@
         desk.welcome(1);
         desk.step(AgentEvent::Tick);
         desk.lists(&[], &[]);
+        desk.renew();
         desk
     }
 
@@ -92,8 +93,22 @@
         let (leader, members) = (None, Vec::new());
         let welcome = LinkMessage::Welcome { leading: true, leader, members, term };
         self.step(AgentEvent::LeaderMessage(welcome));
-        let sequence = self.last_ping();
-        self.step(AgentEvent::LeaderMessage(LinkMessage::Pong { sequence, term }));
+        self.renew();
+    }
+
+    fn welcome_without_lease(&mut self) {
+        let (leader, members) = (None, Vec::new());
+        let welcome = LinkMessage::Welcome { leading: true, leader, members, term: 2 };
+        self.step(AgentEvent::LeaderMessage(welcome));
+        let pong = LinkMessage::Pong { sequence: self.last_ping(), term: 2, leased: None };
+        self.step(AgentEvent::LeaderMessage(pong));
+    }
+
+    /// Answers the newest ping.
+    fn renew(&mut self) {
+        let (sequence, leased) = (self.last_ping(), Some(life()));
+        let pong = LinkMessage::Pong { sequence, term: 1, leased };
+        self.step(AgentEvent::LeaderMessage(pong));
     }
 
     fn last_ping(&self) -> u64 {
@@ -278,9 +293,7 @@
     let mut desk = AgentDesk::start();
     for step in 1..=60 {
         desk.advance(100);
-        let sequence = desk.last_ping();
-        let pong = LinkMessage::Pong { sequence, term: 1 };
-        desk.step(AgentEvent::LeaderMessage(pong));
+        desk.renew();
         if !desk.holds.is_empty() {
             desk.miss_poll();
         }
@@ -322,9 +335,7 @@
     desk.order(1);
     for _ in 0..80 {
         desk.advance(100);
-        let sequence = desk.last_ping();
-        let pong = LinkMessage::Pong { sequence, term: 1 };
-        desk.step(AgentEvent::LeaderMessage(pong));
+        desk.renew();
         desk.verdict(1, StartVerdict::Failed(CallFailure::Unanswered("silence".to_owned())));
         if !desk.holds.is_empty() {
             desk.miss_poll();
@@ -375,3 +386,16 @@
     }
     assert!(desk.reports().is_empty(), "{:?}", desk.reports());
 }
+
+// Found by the schedules, seed 1522: the leader answered an agent that had not said yet for which
+// executor it speaks, and counted no lease.
+#[test]
+fn an_answer_without_a_lease_grants_none() {
+    let mut desk = AgentDesk::start();
+    desk.step(AgentEvent::LeaderLost);
+    desk.advance(4000);
+    desk.welcome_without_lease();
+    desk.order(1);
+    desk.advance(500);
+    assert!(desk.calls.iter().all(|call| !call.starts_with("start")), "{:?}", desk.calls);
+}
