Order only what nothing proposed since has ended

Cause: schedules, seed 1446: a placement's entry was committed after the lease of its worker had run out; the end and the next placement were proposed by then, and the first order still went out, to a worker that had renewed its lease.

Change: a start has to be held by the log and by the ahead state; a worker whose lease begins anew lets the leader plan at once.

Measured: a test that failed before.

--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -11,7 +11,7 @@
         job::JobKey,
         message::{LinkMessage, StartOrder},
         plan::{plan, Placement, PlanTime},
-        state::{CommandBatch, CommandOutcome, FlowCommand, TaskPhase},
+        state::{CommandBatch, CommandOutcome, FlowCommand, FlowState, TaskPhase},
     },
     base::ReplyTicket,
     quorum::{ProposalError, QuorumEvent},
@@ -139,15 +139,19 @@
         self.finish_admission(ticket);
     }
 
-    /// A start goes out only for a placement that the log holds.
+    /// A start goes out only for a placement that the log holds and that nothing proposed since
+    /// has ended: while its entry was on its way, the worker's lease may have run out.
     pub(super) fn is_backed(&self, effect: &ControlEffect) -> bool {
         let ControlEffect::Send { message: LinkMessage::Start(order), .. } = effect else {
             return true;
         };
-        self.applied.task(&order.task).is_some_and(|task| {
-            let placed = matches!(&task.phase, TaskPhase::Placed(at) if *at == order.worker);
-            placed && task.run == order.run
-        })
+        let holds = |state: &FlowState| {
+            state.task(&order.task).is_some_and(|task| {
+                let placed = matches!(&task.phase, TaskPhase::Placed(at) if *at == order.worker);
+                placed && task.run == order.run
+            })
+        };
+        holds(&self.applied) && self.lead.as_ref().is_some_and(|lead| holds(&lead.ahead))
     }
 
     /// A proposal that came to nothing leaves the ahead state wrong. It is made anew from the
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -132,6 +132,7 @@
         let Some(worker) = lead.agents.get(&session) else { return };
         lead.leases.insert(worker.clone(), now + span);
         if let Some(view) = lead.workers.get_mut(&worker.executor) {
+            lead.replan |= view.lease_until <= now;
             view.lease_until = now + span;
         }
     }
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -169,3 +169,17 @@
     desk.submit(0xb, job(&[StepDraft::tasks(1).filler()]));
     assert_eq!(desk.starts().last().unwrap(), "000000000000000b.0.0.0 run 1 on e1@100");
 }
+
+// Found by the schedules, seed 1446: the order went out when its entry was committed, after the
+// worker's lease had run out and been renewed, and the task was placed elsewhere as well.
+#[test]
+fn an_order_does_not_go_out_when_the_lease_ended_before_its_entry_was_committed() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.hold_syncs(true);
+    desk.submit(0xa, job(&[StepDraft::tasks(1)]));
+    desk.advance(4500);
+    desk.send(1, LinkMessage::Ping { sequence: 1 });
+    desk.hold_syncs(false);
+    assert_eq!(desk.starts(), ["000000000000000a.0.0.0 run 2 on e1@100"]);
+}
--- a/crates/workflow/tests/schedules.rs
+++ b/crates/workflow/tests/schedules.rs
@@ -33,6 +33,7 @@
 #[case::order_on_its_way_to_a_worker_given_up(9)]
 #[case::lease_granted_by_the_process_before(1068)]
 #[case::lease_that_the_leader_did_not_count(1522)]
+#[case::lease_over_before_the_order_was_committed(1446)]
 fn seeds_that_failed_once_hold(#[case] seed: u64) {
     check(seed);
 }
