--- a/crates/node/src/logging/mod.rs
+++ b/crates/node/src/logging/mod.rs
@@ -1,4 +1,5 @@
-//! Log lines: one JSON object each on standard output, in bounded volume, never in the way.
+//! Log lines: one JSON object each on standard output, in bounded volume, never in the way. Every
+//! event is counted as well, also one whose line is left out.
 
 use {
     crossbeam::channel::{bounded, Sender, TrySendError},
@@ -10,7 +11,8 @@
         thread,
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
-    workflow::event::FlowEvent,
+    telemetry::metrics::{CounterKind, DurationKind, MetricsError, ProcessMetrics},
+    workflow::{event::FlowEvent, job::RunNumber, state::JobOutcome},
 };
 
 /// Lines of one process in a second. A process of the largest deployment writes about half of it
@@ -39,10 +41,11 @@
     dropped: u64,
 }
 
-/// Writes the log lines of a process.
-#[derive(Debug, Clone)]
+/// Writes the log lines of a process and keeps its metrics.
+#[derive(Clone)]
 pub struct LineLog {
     process: Rc<str>,
+    metrics: Rc<ProcessMetrics>,
     buffer: Rc<RefCell<LogBuffer>>,
     blocks: Sender<Vec<u8>>,
 }
@@ -60,7 +63,8 @@
         })?;
         let buffer = LogBuffer { lines: Vec::new(), second: 0, count: 0, dropped: 0 };
         let buffer = Rc::new(RefCell::new(buffer));
-        let log = Self { process: process.into(), buffer, blocks };
+        let metrics = Rc::new(ProcessMetrics::new());
+        let log = Self { process: process.into(), metrics, buffer, blocks };
         let flushing = log.clone();
         tokio::task::spawn_local(async move {
             loop {
@@ -73,6 +77,7 @@
 
     /// Writes an event, unless too many were written in this second.
     pub fn record(&self, event: &FlowEvent) {
+        self.count(event);
         let at_ms = wall_ms();
         let mut buffer = self.buffer.borrow_mut();
         if buffer.second != at_ms / 1000 {
@@ -91,6 +96,35 @@
         self.write(&mut buffer, at_ms, event);
     }
 
+    fn count(&self, event: &FlowEvent) {
+        self.metrics.add(CounterKind::FlowEvents, event.name(), 1);
+        match event {
+            FlowEvent::TaskPlaced { run, after_ms, .. } => {
+                let case = if *run == RunNumber(1) { "first" } else { "later" };
+                self.observe(DurationKind::FlowStart, case, Duration::from_millis(*after_ms));
+            }
+            FlowEvent::JobEnded { outcome, after_ms, .. } => {
+                let case = match outcome {
+                    JobOutcome::Succeeded => "succeeded",
+                    JobOutcome::Failed => "failed",
+                    JobOutcome::Cancelled => "cancelled",
+                };
+                self.observe(DurationKind::FlowJob, case, Duration::from_millis(*after_ms));
+            }
+            _ => {}
+        }
+    }
+
+    /// Adds a duration to a distribution. `case` must come from a small fixed set.
+    pub fn observe(&self, kind: DurationKind, case: &'static str, value: Duration) {
+        self.metrics.observe(kind, case, value);
+    }
+
+    /// All metrics of the process in the text format of Prometheus.
+    pub fn export_metrics(&self) -> Result<String, MetricsError> {
+        self.metrics.export()
+    }
+
     fn write(&self, buffer: &mut LogBuffer, at_ms: u64, event: &FlowEvent) {
         let line = LogLine { at_ms, process: &self.process, number: event.number(), event };
         if serde_json::to_writer(&mut buffer.lines, &line).is_ok() {
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -11,6 +11,7 @@
         TaskStarts "mangorouter.agent.task.starts" "{task}" "Tasks that the agent started or refused to start.";
         Commits "mangorouter.control.commits" "{entry}" "Entries of the replicated log that were applied.";
         Placements "mangorouter.control.placements" "{task}" "Decisions on tasks, by kind.";
+        FlowEvents "mangorouter.flow.events" "{event}" "Events of the deployed processes, by name, also those whose line was left out.";
         RefusedMessages "mangorouter.rpc.refusals" "{message}" "Messages on the internal port that were refused, by reason.";
     }
 }
@@ -35,6 +36,8 @@
         ClientRequest "http.client.request.duration" "s" "How long executors took, as the agent saw it, by outcome.";
         CommitWait "mangorouter.control.commit.duration" "s" "How long proposals waited for commitment.";
         DiskSync "mangorouter.control.sync.duration" "s" "How long writing and syncing a batch took.";
+        FlowStart "mangorouter.flow.start.duration" "s" "How long tasks waited from the acceptance of their job to a run, by first run or a later one.";
+        FlowJob "mangorouter.flow.job.duration" "s" "How long jobs took from their acceptance to their end, by outcome.";
         PlacementWait "mangorouter.control.placement.duration" "s" "How long tasks waited for a place, by priority.";
     }
 }
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -1,6 +1,6 @@
 //! The log lines of the deployed processes: one for each decision and each change of belief.
 //!
-//! The catalogue is in `docs/EVENTS.md`. Numbers are never used again for another event.
+//! The catalogue is in `docs/EVENTS-DEPLOYED.md`. Numbers are never used again for another event.
 
 use {
     crate::{
@@ -281,35 +281,44 @@
 impl FlowEvent {
     /// The event's number in the catalogue.
     pub fn number(&self) -> u16 {
+        self.line().0
+    }
+
+    /// The event's name in the catalogue.
+    pub fn name(&self) -> &'static str {
+        self.line().1
+    }
+
+    fn line(&self) -> (u16, &'static str) {
         match self {
-            Self::Started { .. } => 500,
-            Self::Stopping { .. } => 501,
-            Self::Reloaded { .. } => 502,
-            Self::LeaderReached { .. } => 503,
-            Self::LeaderLost { .. } => 504,
-            Self::LeadTaken { .. } => 505,
-            Self::LeadLost { .. } => 506,
-            Self::ConfigAccepted { .. } => 507,
-            Self::ConfigRefused { .. } => 508,
-            Self::JobAccepted { .. } => 510,
-            Self::JobRefused { .. } => 511,
-            Self::JobEnded { .. } => 512,
-            Self::TaskPlaced { .. } => 520,
-            Self::RunEnded { .. } => 521,
-            Self::RunStopped { .. } => 522,
-            Self::StartRefused { .. } => 523,
-            Self::WorkerSeen { .. } => 530,
-            Self::WorkerUnreachable { .. } => 531,
-            Self::WorkerLost { .. } => 532,
-            Self::WorkerSuspect { .. } => 533,
-            Self::ExecutorReached { .. } => 534,
-            Self::ExecutorSilent { .. } => 535,
-            Self::FillersPaced { .. } => 536,
-            Self::MemberChange { .. } => 540,
-            Self::StorageFailed { .. } => 541,
-            Self::CallFailed { .. } => 550,
-            Self::MessageRefused { .. } => 551,
-            Self::LinesDropped { .. } => 552,
+            Self::Started { .. } => (5000, "Started"),
+            Self::Stopping { .. } => (5001, "Stopping"),
+            Self::Reloaded { .. } => (5002, "Reloaded"),
+            Self::LeaderReached { .. } => (5003, "LeaderReached"),
+            Self::LeaderLost { .. } => (5004, "LeaderLost"),
+            Self::LeadTaken { .. } => (5005, "LeadTaken"),
+            Self::LeadLost { .. } => (5006, "LeadLost"),
+            Self::ConfigAccepted { .. } => (5007, "ConfigAccepted"),
+            Self::ConfigRefused { .. } => (5008, "ConfigRefused"),
+            Self::JobAccepted { .. } => (5010, "JobAccepted"),
+            Self::JobRefused { .. } => (5011, "JobRefused"),
+            Self::JobEnded { .. } => (5012, "JobEnded"),
+            Self::TaskPlaced { .. } => (5020, "TaskPlaced"),
+            Self::RunEnded { .. } => (5021, "RunEnded"),
+            Self::RunStopped { .. } => (5022, "RunStopped"),
+            Self::StartRefused { .. } => (5023, "StartRefused"),
+            Self::WorkerSeen { .. } => (5030, "WorkerSeen"),
+            Self::WorkerUnreachable { .. } => (5031, "WorkerUnreachable"),
+            Self::WorkerLost { .. } => (5032, "WorkerLost"),
+            Self::WorkerSuspect { .. } => (5033, "WorkerSuspect"),
+            Self::ExecutorReached { .. } => (5034, "ExecutorReached"),
+            Self::ExecutorSilent { .. } => (5035, "ExecutorSilent"),
+            Self::FillersPaced { .. } => (5036, "FillersPaced"),
+            Self::MemberChange { .. } => (5040, "MemberChange"),
+            Self::StorageFailed { .. } => (5041, "StorageFailed"),
+            Self::CallFailed { .. } => (5050, "CallFailed"),
+            Self::MessageRefused { .. } => (5051, "MessageRefused"),
+            Self::LinesDropped { .. } => (5052, "LinesDropped"),
         }
     }
 }
