--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -33,7 +33,7 @@
 pub struct HoldRequest {
     /// The life that is meant.
     pub worker: WorkerLife,
-    /// The term of the lead.
+    /// Orders with a lower one than the executor has seen do nothing.
     pub fence: u64,
     /// The last end that may be forgotten.
     pub noted: u64,
@@ -52,7 +52,7 @@
     pub task: TaskKey,
     /// The run.
     pub run: RunNumber,
-    /// The term of the lead.
+    /// Orders with a lower one than the executor has seen do nothing.
     pub fence: u64,
 }
 
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -97,8 +97,10 @@
 pub struct ControlSetup {
     /// Its name.
     pub name: String,
-    /// Where it listens for other processes.
+    /// Where other processes reach it.
     pub address: SocketAddr,
+    /// Where it listens for them: the same, unless something forwards to it.
+    pub bind: SocketAddr,
     /// Where control processes may listen.
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole system starts for the first time: the seeds found the group.
@@ -175,8 +177,8 @@
     log: LineLog,
 ) -> Result<(ControlHandle, oneshot::Receiver<ControlError>), ControlError> {
     let (inputs, queue) = unbounded_channel();
-    let address = setup.address;
-    let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let (address, bind) = (setup.address, setup.bind);
+    let listener = TcpListener::bind(bind).await.context(ListenSnafu { address: bind })?;
     let folder = LogFolder::new(setup.data_folder.clone());
     let found = folder.find()?;
     let founds = found.is_none() && setup.founding && setup.seeds.contains(&address);
--- a/crates/workflow/src/agent/holding.rs
+++ b/crates/workflow/src/agent/holding.rs
@@ -63,10 +63,10 @@
 impl AgentNode {
     /// Polls the executor unless a poll is under way.
     pub(super) fn poll_executor(&mut self) {
-        let (now, lease_end, term) = (self.now, self.lease_end, self.term);
+        let (now, lease_end, fence) = (self.now, self.lease_end, self.fence());
         let watching = self.pacer.is_watching();
         let Some(executor) = &mut self.executor else { return };
-        if executor.hold_sent.is_some() || now < executor.next_hold || term == 0 {
+        if executor.hold_sent.is_some() || now < executor.next_hold || self.term == 0 {
             return;
         }
         let silent = executor.silent_since.map(|since| now.saturating_sub(since));
@@ -84,7 +84,7 @@
         };
         executor.hold_sent = Some(now);
         let (worker, noted) = (executor.report.worker.clone(), executor.noted);
-        self.effects.push(AgentEffect::Hold { worker, fence: term, noted, deadline_ms, wait });
+        self.effects.push(AgentEffect::Hold { worker, fence, noted, deadline_ms, wait });
     }
 
     /// The deadline that a start carries, if the lease allows one.
--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -31,6 +31,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(800);
 /// The same while latencies are watched, which control learns from.
 const WATCHING_INTERVAL: Duration = Duration::from_millis(350);
+/// The bits of a fence that hold the millisecond at which a life began: enough until 2039, and
+/// few enough for 4,096 terms in the integers that every JSON reader takes.
+const BORN_BITS: u32 = 41;
 /// Unanswered pings that are remembered.
 const PINGS_KEPT: usize = 16;
 
@@ -108,6 +111,14 @@
         }
     }
 
+    /// The fence of every order: the term of the lead, then the life of the executor. An order for
+    /// an earlier life that is carried out late meets a higher fence in the next one, which has
+    /// forgotten everything else.
+    fn fence(&self) -> u64 {
+        let born = self.executor.as_ref().map_or(0, |executor| executor.report.worker.born);
+        (self.term << BORN_BITS) | (born & ((1 << BORN_BITS) - 1))
+    }
+
     fn life(&self) -> Option<WorkerLife> {
         self.executor.as_ref().map(|executor| executor.report.worker.clone())
     }
--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -177,13 +177,13 @@
         let order = self.runs.orders.get(&key).and_then(|order| order.order.clone());
         let Some(order) = order else { return };
         self.runs.set(key, OrderPhase::Starting);
-        self.effects.push(AgentEffect::Start { order, fence: self.term, deadline_ms });
+        self.effects.push(AgentEffect::Start { order, fence: self.fence(), deadline_ms });
     }
 
     fn send_stop(&mut self, worker: &WorkerLife, key: (TaskKey, RunNumber)) {
         self.runs.set(key, OrderPhase::Stopping);
         let (task, run) = key;
-        let (worker, fence) = (worker.clone(), self.term);
+        let (worker, fence) = (worker.clone(), self.fence());
         self.effects.push(AgentEffect::Stop { worker, task, run, fence });
     }
 
--- a/crates/workflow/src/agent/pacing.rs
+++ b/crates/workflow/src/agent/pacing.rs
@@ -97,7 +97,7 @@
             let known = self.pacer.told.iter().find(|(at, of, _)| (*at, *of) == (task, run));
             let current = known.map_or(100, |(_, _, percent)| *percent);
             if current != percent {
-                let (worker, fence) = (worker.clone(), self.term);
+                let (worker, fence) = (worker.clone(), self.fence());
                 self.effects.push(AgentEffect::Pace { worker, task, run, percent, fence });
             }
             told.push((task, run, percent));
--- a/crates/workflow/src/agent/types.rs
+++ b/crates/workflow/src/agent/types.rs
@@ -137,7 +137,7 @@
     Hold {
         /// The life that is meant.
         worker: WorkerLife,
-        /// The term of the lead.
+        /// Orders with a lower one than the executor has seen do nothing.
         fence: u64,
         /// The last end that may be forgotten.
         noted: u64,
@@ -150,7 +150,7 @@
     Start {
         /// The order.
         order: StartOrder,
-        /// The term of the lead.
+        /// Orders with a lower one than the executor has seen do nothing.
         fence: u64,
         /// See [`AgentEffect::Hold`].
         deadline_ms: u64,
@@ -163,7 +163,7 @@
         task: TaskKey,
         /// The run.
         run: RunNumber,
-        /// The term of the lead.
+        /// Orders with a lower one than the executor has seen do nothing.
         fence: u64,
     },
     /// Let a run work at a share of its speed.
@@ -176,7 +176,7 @@
         run: RunNumber,
         /// The share, in percent.
         percent: u8,
-        /// The term of the lead.
+        /// Orders with a lower one than the executor has seen do nothing.
         fence: u64,
     },
     /// Send to the leader.
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -23,6 +23,7 @@
     /// The executor's calls in progress.
     holds: Vec<Duration>,
     deadlines: Vec<Option<u64>>,
+    fences: Vec<u64>,
     calls: Vec<String>,
     sent: Vec<String>,
 }
@@ -50,8 +51,8 @@
     fn start() -> Self {
         let now = Duration::from_secs(10);
         let node = AgentNode::new(AgentSettings { lease: LEASE }, now);
-        let (holds, deadlines, calls, sent) = Default::default();
-        let mut desk = Self { node, now, holds, deadlines, calls, sent };
+        let (holds, deadlines, fences, calls, sent) = Default::default();
+        let mut desk = Self { node, now, holds, deadlines, fences, calls, sent };
         desk.beat(1, None);
         desk.welcome(1);
         desk.step(AgentEvent::Tick);
@@ -63,7 +64,8 @@
     fn step(&mut self, event: AgentEvent) {
         for effect in self.node.reduce(self.now, event) {
             match effect {
-                AgentEffect::Hold { deadline_ms, .. } => {
+                AgentEffect::Hold { deadline_ms, fence, .. } => {
+                    self.fences.push(fence);
                     self.holds.push(self.now);
                     self.deadlines.push(deadline_ms);
                 }
@@ -117,8 +119,12 @@
     }
 
     fn beat(&mut self, sequence: u64, drain_left_ms: Option<u64>) {
+        self.beat_of(life(), sequence, drain_left_ms);
+    }
+
+    fn beat_of(&mut self, worker: WorkerLife, sequence: u64, drain_left_ms: Option<u64>) {
         let report = WorkerReport {
-            worker: life(),
+            worker,
             service: "s".to_owned(),
             data_centre: "north".to_owned(),
             capacity: TaskDemand { cpu_milli: 16_000, memory_mb: 64_000, accelerators: 0 },
@@ -399,3 +405,20 @@
     desk.advance(500);
     assert!(desk.calls.iter().all(|call| !call.starts_with("start")), "{:?}", desk.calls);
 }
+
+// Found by reading the logs of the soak, seed 1: orders for an executor that had begun a new life
+// under its old id were carried out in the new one.
+#[test]
+fn the_fence_rises_with_each_life_and_each_term() {
+    let mut desk = AgentDesk::start();
+    desk.beat_of(WorkerLife { born: 200, ..life() }, 1, None);
+    desk.advance(100);
+    desk.welcome(2);
+    desk.advance(1000);
+    desk.beat_of(WorkerLife { born: 300, ..life() }, 1, None);
+    desk.advance(100);
+    assert!(desk.fences.is_sorted(), "{:?}", desk.fences);
+    let mut different = desk.fences.clone();
+    different.dedup();
+    assert!(different.len() >= 3, "{:?}", desk.fences);
+}
