Leave a worker alone that has refused a start

Change: a worker that has refused is given nothing for half a second. In the soak a crash breaks the executor's connections, and its room is what its capacity says: the stand-in refused at half of it.

--- a/crates/workflow/src/plan/worker.rs
+++ b/crates/workflow/src/plan/worker.rs
@@ -15,7 +15,8 @@
 const REPEATED_FAILURE_WEIGHT: f64 = 0.25;
 /// How long a suspect worker is avoided before it is tried again.
 const SUSPECT_PERIOD: Duration = Duration::from_secs(4);
-/// How long a worker is avoided that has refused a start as unhealthy or for want of room.
+/// How long a worker is given nothing that has refused a start, as unhealthy or for want of room:
+/// what it refused would come back at once.
 const REFUSAL_PERIOD: Duration = Duration::from_millis(500);
 
 /// A worker.
@@ -28,6 +29,7 @@
     /// Failures in a row, weighted.
     failures: f64,
     avoid_until: Duration,
+    refuses_until: Duration,
     /// Tasks that failed here.
     failed_tasks: BTreeMap<TaskKey, Duration>,
 }
@@ -40,6 +42,7 @@
             lease_until: Duration::ZERO,
             failures: 0.0,
             avoid_until: Duration::ZERO,
+            refuses_until: Duration::ZERO,
             failed_tasks: BTreeMap::new(),
         }
     }
@@ -57,7 +60,8 @@
     /// Whether it may be given tasks of a service.
     pub fn accepts(&self, service: &str, now: Duration) -> bool {
         let able = self.report.responsive && self.report.drain_left_ms.is_none();
-        able && self.lease_until > now && self.report.service == service
+        let open = self.lease_until > now && self.refuses_until <= now;
+        able && open && self.report.service == service
     }
 
     /// Whether it has lately failed what others did not.
@@ -90,7 +94,7 @@
 
     /// Notes a start that was refused.
     pub fn note_refusal(&mut self, now: Duration) {
-        self.avoid_until = self.avoid_until.max(now + REFUSAL_PERIOD);
+        self.refuses_until = now + REFUSAL_PERIOD;
     }
 }
 
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -183,3 +183,18 @@
     desk.hold_syncs(false);
     assert_eq!(desk.starts(), ["000000000000000a.0.0.0 run 2 on e1@100"]);
 }
+
+// Found by the soak, seed 114: a worker that refused for want of room was given the same task again
+// hundreds of times a second.
+#[test]
+fn a_worker_that_refuses_is_left_alone_for_a_moment() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(1)]));
+    for run in 1..=5 {
+        desk.end(1, "e1@100", 0, "000000000000000a.0.0.0", run, EndKind::Refused);
+    }
+    assert_eq!(desk.starts().len(), 1);
+    desk.advance(700);
+    assert_eq!(desk.starts().len(), 2);
+}
