Adopt runs that an executor's next life carries out

Change: a new life is not used before its agent has listed its runs; what is among them with the run number of a placement is adopted, ends count in the same way, and only the rest is lost. Schedules: calls name the executor, not its life, and fences tell lives apart.

--- a/crates/workflow/src/agent/holding.rs
+++ b/crates/workflow/src/agent/holding.rs
@@ -121,12 +121,12 @@
         self.poll_executor();
     }
 
-    /// Another life answers at the executor's address: what ran in this one is gone.
+    /// Another life answers at the executor's address. It will describe itself.
     fn meet_other_life(&mut self, worker: &WorkerLife) {
         self.executor = None;
         self.end_lease();
         self.runs = super::orders::RunTable::default();
-        self.send(LinkMessage::WorkerGone { worker: worker.clone() });
+        self.former = Some(worker.clone());
     }
 
     fn miss_answer(&mut self, reason: &str) {
--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -76,6 +76,8 @@
     last_ping: u64,
     next_ping: Duration,
     executor: Option<ExecutorState>,
+    /// The last life that was seen, while the executor has not described the next one.
+    former: Option<WorkerLife>,
     runs: RunTable,
     pacer: Pacer,
     effects: Vec<AgentEffect>,
@@ -94,6 +96,7 @@
             last_ping: 0,
             next_ping: now,
             executor: None,
+            former: None,
             runs: RunTable::default(),
             pacer: Pacer::default(),
             effects: Vec::new(),
@@ -233,12 +236,10 @@
                 }
                 return;
             }
-            Some((life, _)) => {
-                let worker = life.clone();
-                self.send(LinkMessage::WorkerGone { worker });
-            }
+            Some((life, _)) => self.former = Some(life.clone()),
             None => {}
         }
+        self.leave_former(&report.worker);
         self.runs = RunTable::default();
         self.pacer = Pacer::default();
         self.end_lease();
@@ -260,6 +261,15 @@
         self.poll_executor();
     }
 
+    /// Control learns of a new life under the same id by its lists: an order for the life before
+    /// may have been carried out in it. Under another id that is not possible.
+    fn leave_former(&mut self, worker: &WorkerLife) {
+        let former = self.former.take();
+        if let Some(worker) = former.filter(|former| former.executor != worker.executor) {
+            self.send(LinkMessage::WorkerGone { worker });
+        }
+    }
+
     fn update_report(&mut self, report: WorkerReport, sequence: u64) {
         let Some(executor) = &mut self.executor else { return };
         executor.sequence = sequence;
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -52,7 +52,6 @@
         lead.replan = true;
         self.record(event);
         self.renew_lease(session);
-        self.end_earlier_lives(&worker);
         if !known {
             self.repeat_orders(session, &worker);
         }
@@ -91,12 +90,23 @@
         }
     }
 
-    /// Whatever an executor was given before its present life has ended with that.
-    fn end_earlier_lives(&mut self, worker: &WorkerLife) {
+    /// Settles what was placed on earlier lives of an executor, once its present life has listed
+    /// its runs: what is among them was ordered before and carried out late, everything else has
+    /// ended with its life.
+    fn settle_earlier_lives(&mut self, worker: &WorkerLife, runs: &[RunReport]) {
         let Some(lead) = &self.lead else { return };
-        let placed = lead.ahead.placed_tasks().map(|(_, _, at)| at);
-        let earlier = placed.filter(|at| at.executor == worker.executor && at.born < worker.born);
-        let mut lives: Vec<WorkerLife> = earlier.cloned().collect();
+        let earlier = |at: &WorkerLife| at.executor == worker.executor && at.born < worker.born;
+        let placed = lead.ahead.placed_tasks().filter(|(_, _, at)| earlier(at));
+        let placed: Vec<Placement> =
+            placed.map(|(task, run, at)| Placement { task, run, worker: at.clone() }).collect();
+        let (listed, ended): (Vec<_>, Vec<_>) = placed.into_iter().partition(|placement| {
+            runs.iter().any(|row| row.task == placement.task && row.run == placement.run)
+        });
+        for Placement { task, run, .. } in listed {
+            let worker = worker.clone();
+            self.propose(FlowCommand::Adopt { task, run, worker }, Vec::new());
+        }
+        let mut lives: Vec<WorkerLife> = ended.into_iter().map(|ended| ended.worker).collect();
         lives.dedup();
         for life in lives {
             self.lose_worker(&life, LossReason::NewLife);
@@ -211,7 +221,8 @@
         let up_to = ends.iter().map(|end| end.number).max().unwrap_or(0);
         for EndReport { task, run, end, checkpoint, .. } in ends {
             self.note_health(worker, task, end);
-            self.end_run(worker, task, run, end, checkpoint);
+            let placed = self.placed_life(worker, &task, run);
+            self.end_run(&placed, task, run, end, checkpoint);
         }
         let message = LinkMessage::EndsNoted { worker: worker.clone(), up_to };
         if let Some(lead) = &mut self.lead {
@@ -220,6 +231,19 @@
         }
     }
 
+    /// The life that a run was placed on, if a later one of the same executor has carried it out.
+    fn placed_life(&self, worker: &WorkerLife, task: &TaskKey, run: RunNumber) -> WorkerLife {
+        let record = self.lead.as_ref().and_then(|lead| lead.ahead.task(task));
+        match record.filter(|record| record.run == run).map(|record| &record.phase) {
+            Some(TaskPhase::Placed(at))
+                if at.executor == worker.executor && at.born < worker.born =>
+            {
+                at.clone()
+            }
+            _ => worker.clone(),
+        }
+    }
+
     fn note_health(&mut self, worker: &WorkerLife, task: TaskKey, end: EndKind) {
         let now = self.now;
         let Some(lead) = &mut self.lead else { return };
@@ -277,6 +301,12 @@
         if !self.speaks_for(session, worker) {
             return;
         }
+        self.settle_earlier_lives(worker, &runs);
+        if let Some(lead) = &mut self.lead {
+            if let Some(view) = lead.workers.get_mut(&worker.executor) {
+                lead.replan |= !std::mem::replace(&mut view.listed, true);
+            }
+        }
         for report in &runs {
             self.see_run(session, worker, report);
         }
@@ -290,7 +320,8 @@
         let (task, run) = (report.task, report.run);
         let wanted = lead.ahead.job(task.job).filter(|job| job.outcome.is_none());
         let held = wanted.and_then(|job| job.task(&task)).is_some_and(|record| {
-            let here = matches!(&record.phase, TaskPhase::Placed(at) if at == worker);
+            let here = matches!(&record.phase, TaskPhase::Placed(at)
+                if at.executor == worker.executor && at.born <= worker.born);
             here && record.run == run
         });
         if !held {
--- a/crates/workflow/src/plan/worker.rs
+++ b/crates/workflow/src/plan/worker.rs
@@ -24,6 +24,8 @@
 pub struct WorkerView {
     /// What its agent says of it.
     pub report: WorkerReport,
+    /// Whether its agent has listed what runs there.
+    pub listed: bool,
     /// Until when it may run what it is given.
     pub lease_until: Duration,
     /// Failures in a row, weighted.
@@ -39,6 +41,7 @@
     pub fn new(report: WorkerReport) -> Self {
         Self {
             report,
+            listed: false,
             lease_until: Duration::ZERO,
             failures: 0.0,
             avoid_until: Duration::ZERO,
@@ -61,7 +64,7 @@
     pub fn accepts(&self, service: &str, now: Duration) -> bool {
         let able = self.report.responsive && self.report.drain_left_ms.is_none();
         let open = self.lease_until > now && self.refuses_until <= now;
-        able && open && self.report.service == service
+        self.listed && able && open && self.report.service == service
     }
 
     /// Whether it has lately failed what others did not.
--- a/crates/workflow/src/state/command.rs
+++ b/crates/workflow/src/state/command.rs
@@ -95,6 +95,16 @@
         /// Where.
         worker: WorkerLife,
     },
+    /// A placed run turned out to be at work in a later life of its executor, where its order was
+    /// carried out late.
+    Adopt {
+        /// The task.
+        task: TaskKey,
+        /// The run.
+        run: RunNumber,
+        /// The later life.
+        worker: WorkerLife,
+    },
     /// A run has ended, and its worker will forget it.
     End {
         /// The task.
--- a/crates/workflow/src/state/mod.rs
+++ b/crates/workflow/src/state/mod.rs
@@ -108,6 +108,7 @@
             FlowCommand::Submit(submission) => self.submit(submission),
             FlowCommand::Cancel { job } => self.cancel(*job),
             FlowCommand::Place { task, run, worker } => self.place(task, *run, worker),
+            FlowCommand::Adopt { task, run, worker } => self.adopt(task, *run, worker),
             FlowCommand::End { task, run, worker, end, checkpoint } => {
                 self.end(task, *run, worker, *end, checkpoint)
             }
--- a/crates/workflow/src/state/transition.rs
+++ b/crates/workflow/src/state/transition.rs
@@ -61,6 +61,27 @@
         CommandOutcome::Done
     }
 
+    pub(super) fn adopt(
+        &mut self,
+        key: &TaskKey,
+        run: RunNumber,
+        worker: &WorkerLife,
+    ) -> CommandOutcome {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return CommandOutcome::UnknownJob;
+        };
+        let Some(task) = job.task_mut(key).filter(|task| task.run == run) else {
+            return CommandOutcome::Stale;
+        };
+        match &mut task.phase {
+            TaskPhase::Placed(at) if at.executor == worker.executor && at.born < worker.born => {
+                *at = worker.clone();
+                CommandOutcome::Done
+            }
+            _ => CommandOutcome::Stale,
+        }
+    }
+
     pub(super) fn end(
         &mut self,
         key: &TaskKey,
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -198,3 +198,33 @@
     desk.advance(700);
     assert_eq!(desk.starts().len(), 2);
 }
+
+// Found by the soak, seeds 115 and 127: an order for an executor that crashed was carried out in
+// its next life, while control had placed the task elsewhere.
+#[test]
+fn a_run_that_began_in_the_next_life_of_its_executor_is_adopted() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(2)]));
+    desk.worker(2, "e2", 100);
+    desk.announce(1, "e1", 200);
+    desk.runs(1, "e1@200", &[("000000000000000a.0.0.0", 1)]);
+    assert_eq!(desk.starts().len(), 3, "{:?}", desk.starts());
+    assert!(desk.starts()[2].starts_with("000000000000000a.0.0.1 run 2"));
+    assert!(desk.stops().is_empty());
+    desk.end(1, "e1@200", 1, "000000000000000a.0.0.0", 1, EndKind::Done);
+    desk.advance(6000);
+    assert!(desk.starts().iter().all(|start| !start.starts_with("000000000000000a.0.0.0 run 2")));
+}
+
+#[test]
+fn a_run_that_ended_in_the_next_life_of_its_executor_counts() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(1)]));
+    desk.announce(1, "e1", 200);
+    desk.end(1, "e1@200", 1, "000000000000000a.0.0.0", 1, EndKind::Done);
+    desk.runs(1, "e1@200", &[]);
+    assert_eq!(desk.phase(0xa), "Ended(Succeeded)");
+    assert_eq!(desk.starts().len(), 1);
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -202,6 +202,12 @@
 
     pub fn worker(&mut self, session: u64, executor: &str, born: u64) {
         self.send(session, LinkMessage::Worker(Self::report(executor, born, None)));
+        self.runs(session, &format!("{executor}@{born}"), &[]);
+    }
+
+    /// A life of an executor, before its agent has listed its runs.
+    pub fn announce(&mut self, session: u64, executor: &str, born: u64) {
+        self.send(session, LinkMessage::Worker(Self::report(executor, born, None)));
     }
 
     pub fn drain(&mut self, session: u64, executor: &str, born: u64) {
--- a/crates/workflow/tests/world/executor.rs
+++ b/crates/workflow/tests/world/executor.rs
@@ -18,6 +18,7 @@
     born: u64,
     random: SeededRandom,
     deadline_ms: u64,
+    fence: u64,
     /// The run and when its work is complete.
     runs: BTreeMap<TaskKey, (u32, Duration)>,
     ends: Vec<EndReport>,
@@ -35,6 +36,7 @@
             born,
             random: SeededRandom::new(seed),
             deadline_ms: 0,
+            fence: 0,
             runs: BTreeMap::new(),
             ends: Vec::new(),
             last_end: 0,
@@ -53,6 +55,14 @@
         WorkerLife { executor: self.name.clone(), born: self.born }
     }
 
+    /// Calls name the executor, not its life: only the fence tells lives apart, once the next one
+    /// has seen its own.
+    pub fn is_meant(&mut self, worker: &WorkerLife, fence: u64) -> bool {
+        let meant = worker.executor == self.name && fence >= self.fence;
+        self.fence = self.fence.max(fence);
+        meant
+    }
+
     pub fn running(&self) -> impl Iterator<Item = (TaskKey, u32)> + '_ {
         self.runs.iter().map(|(task, (run, _))| (*task, *run))
     }
--- a/crates/workflow/tests/world/mod.rs
+++ b/crates/workflow/tests/world/mod.rs
@@ -54,6 +54,7 @@
         worker: WorkerLife,
         noted: u64,
         deadline_ms: Option<u64>,
+        fence: u64,
         asked: Duration,
         answered: bool,
     },
@@ -62,12 +63,14 @@
         task: TaskKey,
         run: u32,
         deadline_ms: u64,
+        fence: u64,
         answered: bool,
     },
     Stop {
         worker: WorkerLife,
         task: TaskKey,
         run: u32,
+        fence: u64,
         answered: bool,
     },
 }
@@ -537,19 +540,20 @@
     fn perform_agent(&mut self, agent: usize, effect: AgentEffect) {
         let answered = !(self.faults && self.random.chance(0.05));
         match effect {
-            AgentEffect::Hold { worker, noted, deadline_ms, wait, .. } => {
+            AgentEffect::Hold { worker, noted, deadline_ms, wait, fence } => {
                 let asked = self.now;
-                let call = ExecutorCall::Hold { worker, noted, deadline_ms, asked, answered };
+                let call =
+                    ExecutorCall::Hold { worker, noted, deadline_ms, fence, asked, answered };
                 let pause = POLL.min(wait) + Duration::from_millis(1);
                 self.arrive_in(pause, Arrival::Executor(agent, call));
             }
-            AgentEffect::Start { order, deadline_ms, .. } => {
+            AgentEffect::Start { order, deadline_ms, fence } => {
                 let (worker, task, run) = (order.worker, order.task, order.run.0);
-                let call = ExecutorCall::Start { worker, task, run, deadline_ms, answered };
+                let call = ExecutorCall::Start { worker, task, run, deadline_ms, fence, answered };
                 self.order(agent, call, answered);
             }
-            AgentEffect::Stop { worker, task, run, .. } => {
-                let call = ExecutorCall::Stop { worker, task, run: run.0, answered };
+            AgentEffect::Stop { worker, task, run, fence } => {
+                let call = ExecutorCall::Stop { worker, task, run: run.0, fence, answered };
                 self.order(agent, call, answered);
             }
             AgentEffect::Send(message) => {
@@ -590,33 +594,34 @@
         }
         let silence = || CallFailure::Unanswered("silence".to_owned());
         let event = match call {
-            ExecutorCall::Hold { worker, noted, deadline_ms, asked, answered } => {
-                let result = if worker == executor.life() {
+            ExecutorCall::Hold { worker, noted, deadline_ms, fence, asked, answered } => {
+                let result = if executor.is_meant(&worker, fence) {
                     let forgotten = executor.forget(noted);
                     self.noted_done.extend(forgotten);
                     Ok(executor.hold(now, deadline_ms))
                 } else {
-                    Err(CallFailure::OtherLife)
+                    Err(CallFailure::Fenced)
                 };
                 let result = if answered { result } else { Err(silence()) };
                 AgentEvent::HoldAnswered { worker, asked, result }
             }
-            ExecutorCall::Start { worker, task, run, deadline_ms, answered } => {
-                let verdict = if worker == executor.life() {
+            ExecutorCall::Start { worker, task, run, deadline_ms, fence, answered } => {
+                let verdict = if executor.is_meant(&worker, fence) {
                     executor.start(now, task, run, deadline_ms)
                 } else {
-                    StartVerdict::Failed(CallFailure::OtherLife)
+                    StartVerdict::Failed(CallFailure::Fenced)
                 };
                 let verdict = if answered { verdict } else { StartVerdict::Failed(silence()) };
                 let run = workflow::job::RunNumber(run);
                 AgentEvent::StartAnswered { worker, task, run, verdict }
             }
-            ExecutorCall::Stop { worker, task, run, answered } => {
-                if worker == executor.life() {
+            ExecutorCall::Stop { worker, task, run, fence, answered } => {
+                let meant = executor.is_meant(&worker, fence);
+                if meant {
                     executor.stop(task, run);
                 }
-                let run = workflow::job::RunNumber(run);
-                AgentEvent::StopAnswered { worker, task, run, stopped: answered }
+                let (run, stopped) = (workflow::job::RunNumber(run), answered && meant);
+                AgentEvent::StopAnswered { worker, task, run, stopped }
             }
         };
         self.arrive(Arrival::Agent(agent, event));
