--- a/crates/workflow/tests/schedules.rs
+++ b/crates/workflow/tests/schedules.rs
@@ -35,6 +35,7 @@
 #[case::lease_that_the_leader_did_not_count(1522)]
 #[case::lease_over_before_the_order_was_committed(1446)]
 #[case::two_pauses_of_an_agent(2377)]
+#[case::acknowledgement_for_the_life_before(2541)]
 fn seeds_that_failed_once_hold(#[case] seed: u64) {
     check(seed);
 }
--- a/crates/workflow/tests/world/executor.rs
+++ b/crates/workflow/tests/world/executor.rs
@@ -55,10 +55,9 @@
         WorkerLife { executor: self.name.clone(), born: self.born }
     }
 
-    /// Calls name the executor, not its life: only the fence tells lives apart, once the next one
-    /// has seen its own.
+    /// Calls travel on connections that end with a life, so that none reaches the next one.
     pub fn is_meant(&mut self, worker: &WorkerLife, fence: u64) -> bool {
-        let meant = worker.executor == self.name && fence >= self.fence;
+        let meant = *worker == self.life() && fence >= self.fence;
         self.fence = self.fence.max(fence);
         meant
     }
