--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -10,8 +10,7 @@
 mod types;
 
 pub use types::{
-    AgentEffect, AgentEvent, AgentSettings, CallFailure, HoldView, RunRow, StartRefusal,
-    StartVerdict,
+    AgentEffect, AgentEvent, AgentSettings, CallFailure, HoldView, StartRefusal, StartVerdict,
 };
 
 use {
@@ -57,7 +56,7 @@
     noted: u64,
     /// Ends that control has not noted.
     ends: BTreeMap<u64, EndReport>,
-    rows: Vec<RunRow>,
+    rows: Vec<RunReport>,
     hold_sent: Option<Duration>,
     next_hold: Duration,
     reported: Duration,
@@ -206,14 +205,7 @@
         let Some(executor) = &mut self.executor else { return };
         executor.reported = now;
         let worker = executor.report.worker.clone();
-        let listed = executor.rows.iter().map(|row| RunReport {
-            task: row.task,
-            run: row.run,
-            checkpoint: row.checkpoint.clone(),
-            percent: row.percent,
-            figure: row.figure,
-        });
-        let mut runs: Vec<RunReport> = listed.collect();
+        let mut runs = executor.rows.clone();
         for (task, run) in self.runs.pending() {
             if !runs.iter().any(|report| report.task == task && report.run == run) {
                 let (checkpoint, percent, figure) = (String::new(), 0, 0);
--- a/crates/workflow/src/agent/types.rs
+++ b/crates/workflow/src/agent/types.rs
@@ -4,7 +4,7 @@
     crate::{
         event::FlowEvent,
         job::{RunNumber, TaskKey, WorkerLife},
-        message::{EndReport, LinkMessage, StartOrder, WorkerReport},
+        message::{EndReport, LinkMessage, RunReport, StartOrder, WorkerReport},
     },
     std::time::Duration,
 };
@@ -16,21 +16,6 @@
     pub lease: Duration,
 }
 
-/// A run as the executor lists it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RunRow {
-    /// The task.
-    pub task: TaskKey,
-    /// The run.
-    pub run: RunNumber,
-    /// The newest checkpoint; empty for none.
-    pub checkpoint: String,
-    /// How far it is; for a lasting task 100 while it is at work.
-    pub percent: u8,
-    /// See [`RunReport::figure`](crate::message::RunReport::figure).
-    pub figure: u64,
-}
-
 /// What an executor says of its runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HoldView {
@@ -39,7 +24,7 @@
     /// The executor's clock, in milliseconds.
     pub clock_ms: u64,
     /// What runs.
-    pub running: Vec<RunRow>,
+    pub running: Vec<RunReport>,
     /// What has ended and is not noted.
     pub finished: Vec<EndReport>,
 }
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -7,7 +7,7 @@
         ControlNode,
     },
     crate::{
-        event::FlowEvent,
+        event::{FlowEvent, StopReason},
         job::JobKey,
         message::{LinkMessage, StartOrder},
         plan::{plan, Placement, PlanTime},
@@ -85,7 +85,7 @@
         let after_ms = lead.ahead.clock_ms().saturating_sub(job.accepted_ms);
         let event = FlowEvent::TaskPlaced { task, run, worker: worker.clone(), after_ms, failures };
         held.push(ControlEffect::Record(event));
-        if let Some(order) = self.start_order(&placement_of(task, run, worker)) {
+        if let Some(order) = self.start_order(&Placement { task, run, worker }) {
             held.push(ControlEffect::Send { session, message: LinkMessage::Start(order) });
         }
     }
@@ -120,11 +120,10 @@
         held.push(ControlEffect::Record(FlowEvent::JobEnded { job: key, outcome, after_ms }));
         let runs: Vec<_> = job
             .placed_tasks(key)
-            .map(|(task, run, worker)| placement_of(task, run, worker.clone()))
+            .map(|(task, run, worker)| Placement { task, run, worker: worker.clone() })
             .collect();
         for placement in runs {
-            let reason = crate::event::StopReason::JobEnded;
-            held.extend(self.stop_run(&placement, reason));
+            held.extend(self.stop_run(&placement, StopReason::JobEnded));
         }
     }
 
@@ -189,14 +188,6 @@
     }
 }
 
-fn placement_of(
-    task: crate::job::TaskKey,
-    run: crate::job::RunNumber,
-    worker: crate::job::WorkerLife,
-) -> Placement {
-    Placement { task, run, worker }
-}
-
 /// Any member's checkpoint is valid for the whole gang, and all members carry the same.
 fn gang_checkpoint(job: &crate::state::JobRecord, placement: &Placement) -> String {
     let step = &job.occurrences[placement.task.occurrence as usize].steps
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -5,11 +5,11 @@
     std::{sync::Arc, time::Duration},
     workflow::{
         agent::{
-            AgentEffect, AgentEvent, AgentNode, AgentSettings, CallFailure, HoldView, RunRow,
-            StartRefusal, StartVerdict,
+            AgentEffect, AgentEvent, AgentNode, AgentSettings, CallFailure, HoldView, StartRefusal,
+            StartVerdict,
         },
         job::{RunNumber, TaskDemand, TaskKey, WorkerLife},
-        message::{EndReport, LinkMessage, StartOrder, WorkerReport},
+        message::{EndReport, LinkMessage, RunReport, StartOrder, WorkerReport},
         state::EndKind,
     },
 };
@@ -36,9 +36,9 @@
     TASK.parse().unwrap()
 }
 
-fn row(run: u32) -> RunRow {
+fn row(run: u32) -> RunReport {
     let (task, run, checkpoint) = (task(), RunNumber(run), String::new());
-    RunRow { task, run, checkpoint, percent: 10, figure: 0 }
+    RunReport { task, run, checkpoint, percent: 10, figure: 0 }
 }
 
 fn end(number: u64, run: u32, end: EndKind) -> EndReport {
@@ -114,8 +114,8 @@
     }
 
     fn last_ping(&self) -> u64 {
-        let pings = self.sent.iter().filter_map(|sent| sent.strip_prefix("ping "));
-        pings.last().unwrap().parse().unwrap()
+        let mut pings = self.sent.iter().filter_map(|sent| sent.strip_prefix("ping "));
+        pings.next_back().unwrap().parse().unwrap()
     }
 
     fn beat(&mut self, sequence: u64, drain_left_ms: Option<u64>) {
@@ -136,7 +136,7 @@
     }
 
     /// Answers the poll in progress.
-    fn lists(&mut self, running: &[RunRow], finished: &[EndReport]) {
+    fn lists(&mut self, running: &[RunReport], finished: &[EndReport]) {
         let asked = self.holds.pop().expect("a poll is in progress");
         let view = HoldView {
             born: 100,
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -1,5 +1,6 @@
 //! Control alone on a disk that syncs at once, with agents and entries played by the test.
 
+mod fixtures;
 mod support;
 
 use {
--- a/crates/workflow/tests/schedules.rs
+++ b/crates/workflow/tests/schedules.rs
@@ -1,6 +1,7 @@
 //! Seeded schedules of faults over whole groups: control processes, agents and executors with a
 //! fake network, clock and disk, and the promises checked after every step.
 
+mod fixtures;
 mod world;
 
 use {rstest::rstest, world::FleetWorld};
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A control process of one voter, whose surroundings the test plays.
 
 use {
+    crate::fixtures::fleet_config,
     base::{EventReducer, PeerAddress, ReplicaId, ReplyTicket},
     quorum::{GroupMember, PersistBatch, QuorumSettings, RecoveredLog},
     std::{sync::Arc, time::Duration},
@@ -8,10 +9,7 @@
         control::{
             ControlEffect, ControlEvent, ControlNode, ControlSettings, OperatorAnswer, SessionId,
         },
-        job::{
-            FleetConfig, JobSpec, QueueRule, RunNumber, ServiceRule, StepSpec, TaskDemand,
-            WorkerLife,
-        },
+        job::{JobSpec, RunNumber, StepSpec, TaskDemand, WorkerLife},
         message::{CallerAnswer, CallerCall, EndReport, LinkMessage, RunReport, WorkerReport},
         state::EndKind,
     },
@@ -268,21 +266,8 @@
     }
 
     pub fn configure(&mut self, version: u64) {
-        let queue = QueueRule {
-            name: "q".to_owned(),
-            host: "h".to_owned(),
-            path_prefix: "/q/".to_owned(),
-            service: "s".to_owned(),
-            timeout_ms: 3000,
-            priority: 0,
-            attempt_limit: 2,
-            stretch: 1.5,
-            latency_allowance_ms: 250,
-        };
-        let services = vec![ServiceRule { name: "s".to_owned(), guarded: true }];
-        let document = format!("document {version}").into_bytes();
-        let config = FleetConfig { version, queues: vec![queue], services, document };
         let ticket = ReplyTicket(version);
+        let config = fleet_config(version, 2);
         self.step(ControlEvent::Configure { ticket, config });
     }
 
--- /dev/null
+++ b/crates/workflow/tests/world/agents.rs
@@ -0,0 +1,158 @@
+//! The drivers of the agents, and the calls of their executors.
+
+use {
+    super::{Arrival, ExecutorCall, FleetWorld, CONTROLS, POLL, TRACE_VARIABLE},
+    base::EventReducer,
+    std::time::Duration,
+    workflow::{
+        agent::{AgentEffect, AgentEvent, CallFailure, StartVerdict},
+        control::{ControlEvent, ControlNode, SessionId},
+        job::TaskDemand,
+        message::{LinkMessage, WorkerReport},
+    },
+};
+
+impl FleetWorld {
+    /// Finds the leader as an agent's driver does, less its patience.
+    pub(super) fn connect(&mut self, agent: usize) {
+        if let Some(control) = self.agents[agent].leader {
+            let leads = self.controls[control].node.as_ref().is_some_and(ControlNode::is_leader);
+            if !leads || self.is_cut(control, CONTROLS + agent) {
+                self.lose_leader(agent);
+            }
+            return;
+        }
+        let reachable = (0..CONTROLS).filter(|control| !self.is_cut(*control, CONTROLS + agent));
+        let leads = |control: &usize| {
+            self.controls[*control].node.as_ref().is_some_and(ControlNode::is_leader)
+        };
+        let leaders: Vec<usize> = reachable.filter(leads).collect();
+        if leaders.is_empty() || self.random.chance(0.8) {
+            return;
+        }
+        let control = leaders[self.random.below(leaders.len())];
+        self.last_stream += 1;
+        let stream = self.last_stream;
+        self.agents[agent].leader = Some(control);
+        self.agents[agent].stream = stream;
+        self.open.insert(stream);
+        let message = LinkMessage::Hello { name: format!("agent {agent}") };
+        self.arrive(Arrival::FromAgent(agent, stream, control, message));
+    }
+
+    pub(super) fn beat(&mut self, agent: usize) {
+        if !self.random.chance(0.03) {
+            return;
+        }
+        let host = &mut self.agents[agent];
+        host.sequence += 1;
+        let sequence = host.sequence;
+        let report = WorkerReport {
+            worker: host.executor.life(),
+            service: "s".to_owned(),
+            data_centre: "north".to_owned(),
+            capacity: TaskDemand { cpu_milli: 6000, memory_mb: 10_000, accelerators: 0 },
+            labels: Vec::new(),
+            drain_left_ms: None,
+            responsive: true,
+        };
+        self.arrive(Arrival::Agent(agent, AgentEvent::Beat { report, sequence }));
+    }
+
+    pub(super) fn step_agent(&mut self, agent: usize, event: AgentEvent) {
+        let now = self.now;
+        for effect in self.agents[agent].node.reduce(now, event) {
+            self.perform_agent(agent, effect);
+        }
+    }
+
+    pub(super) fn perform_agent(&mut self, agent: usize, effect: AgentEffect) {
+        let answered = !(self.faults && self.random.chance(0.05));
+        match effect {
+            AgentEffect::Hold { worker, noted, deadline_ms, wait, fence } => {
+                let asked = self.now;
+                let call =
+                    ExecutorCall::Hold { worker, noted, deadline_ms, fence, asked, answered };
+                let pause = POLL.min(wait) + Duration::from_millis(1);
+                self.arrive_in(pause, Arrival::Executor(agent, call));
+            }
+            AgentEffect::Start { order, deadline_ms, fence } => {
+                let (worker, task, run) = (order.worker, order.task, order.run.0);
+                let call = ExecutorCall::Start { worker, task, run, deadline_ms, fence, answered };
+                self.order(agent, call, answered);
+            }
+            AgentEffect::Stop { worker, task, run, fence } => {
+                let call = ExecutorCall::Stop { worker, task, run: run.0, fence, answered };
+                self.order(agent, call, answered);
+            }
+            AgentEffect::Send(message) => {
+                let host = &self.agents[agent];
+                let Some(control) = host.leader else { return };
+                let stream = host.stream;
+                let delay = Duration::from_millis(5);
+                self.arrive_in(delay, Arrival::FromAgent(agent, stream, control, message));
+            }
+            AgentEffect::Reconnect => {
+                let host = &mut self.agents[agent];
+                let (session, leader) = (SessionId(host.stream), host.leader.take());
+                if let Some(control) = leader {
+                    let closed = ControlEvent::Closed { session };
+                    self.arrive_in(Duration::from_millis(6), Arrival::Control(control, closed));
+                }
+            }
+            AgentEffect::Record(event) => self.trace(&format!("agent {agent}"), &event),
+            AgentEffect::Pace { .. } => {}
+        }
+    }
+
+    /// An order that gets no answer may be carried out much later.
+    pub(super) fn order(&mut self, agent: usize, call: ExecutorCall, answered: bool) {
+        let late = if answered { 1 } else { 1 + self.random.below(3000) as u64 };
+        self.arrive_in(Duration::from_millis(late), Arrival::Executor(agent, call));
+    }
+
+    pub(super) fn execute(&mut self, agent: usize, call: ExecutorCall) {
+        let now = self.now;
+        let executor = &mut self.agents[agent].executor;
+        if std::env::var_os(TRACE_VARIABLE).is_some() {
+            match &call {
+                ExecutorCall::Start { task, run, deadline_ms, answered, .. } => eprintln!("{now:?} executor {agent} start {task} {run} until {deadline_ms}, answered {answered}"),
+                ExecutorCall::Stop { task, run, answered, .. } => eprintln!("{now:?} executor {agent} stop {task} {run}, answered {answered}"),
+                ExecutorCall::Hold { .. } => {}
+            }
+        }
+        let silence = || CallFailure::Unanswered("silence".to_owned());
+        let event = match call {
+            ExecutorCall::Hold { worker, noted, deadline_ms, fence, asked, answered } => {
+                let result = if executor.is_meant(&worker, fence) {
+                    let forgotten = executor.forget(noted);
+                    self.noted_done.extend(forgotten);
+                    Ok(executor.hold(now, deadline_ms))
+                } else {
+                    Err(CallFailure::Fenced)
+                };
+                let result = if answered { result } else { Err(silence()) };
+                AgentEvent::HoldAnswered { worker, asked, result }
+            }
+            ExecutorCall::Start { worker, task, run, deadline_ms, fence, answered } => {
+                let verdict = if executor.is_meant(&worker, fence) {
+                    executor.start(now, task, run, deadline_ms)
+                } else {
+                    StartVerdict::Failed(CallFailure::Fenced)
+                };
+                let verdict = if answered { verdict } else { StartVerdict::Failed(silence()) };
+                let run = workflow::job::RunNumber(run);
+                AgentEvent::StartAnswered { worker, task, run, verdict }
+            }
+            ExecutorCall::Stop { worker, task, run, fence, answered } => {
+                let meant = executor.is_meant(&worker, fence);
+                if meant {
+                    executor.stop(task, run);
+                }
+                let (run, stopped) = (workflow::job::RunNumber(run), answered && meant);
+                AgentEvent::StopAnswered { worker, task, run, stopped }
+            }
+        };
+        self.arrive(Arrival::Agent(agent, event));
+    }
+}
--- /dev/null
+++ b/crates/workflow/tests/world/control.rs
@@ -0,0 +1,73 @@
+//! The drivers of the control processes.
+
+use {
+    super::{control_at, Arrival, FleetWorld, AGENTS, CONTROLS},
+    base::EventReducer,
+    quorum::PersistBatch,
+    std::time::Duration,
+    workflow::{
+        control::{ControlEffect, ControlEvent, SessionId},
+        message::{CallerAnswer, LinkMessage},
+    },
+};
+
+impl FleetWorld {
+    pub(super) fn step_control(&mut self, control: usize, event: ControlEvent) {
+        let host = &mut self.controls[control];
+        if host.paused_until > self.now {
+            let waits = !matches!(event, ControlEvent::Tick { .. } | ControlEvent::Settle);
+            let pause = host.paused_until - self.now;
+            if waits {
+                self.arrive_in(pause, Arrival::Control(control, event));
+            }
+            return;
+        }
+        let Some(node) = &mut host.node else { return };
+        for effect in node.reduce(self.now, event) {
+            self.perform_control(control, effect);
+        }
+    }
+
+    pub(super) fn perform_control(&mut self, control: usize, effect: ControlEffect) {
+        match effect {
+            ControlEffect::SendPeer { from, to, address, message } => {
+                let peer = control_at(address);
+                if self.is_cut(control, peer) || (self.faults && self.random.chance(0.01)) {
+                    return;
+                }
+                let message = LinkMessage::Quorum { from, to, message: Box::new(message) };
+                let session = SessionId(u64::MAX - 1);
+                self.arrive(Arrival::Control(peer, ControlEvent::Message { session, message }));
+            }
+            ControlEffect::Send { session, message } => self.send_from(control, session, message),
+            ControlEffect::Persist(batch) => self.persist(control, &batch),
+            ControlEffect::Halt(error) => panic!("seed {}: {error}", self.seed),
+            ControlEffect::Record(event) => self.trace(&format!("control {control}"), &event),
+            ControlEffect::Answer { .. } => {}
+        }
+    }
+
+    pub(super) fn persist(&mut self, control: usize, batch: &PersistBatch) {
+        let host = &mut self.controls[control];
+        host.disk.apply(batch);
+        let (life, number) = (host.life, batch.number);
+        self.arrive(Arrival::Persisted(control, life, number));
+    }
+
+    pub(super) fn send_from(&mut self, control: usize, session: SessionId, message: LinkMessage) {
+        if let LinkMessage::Answer { sequence, answer } = message {
+            if answer == CallerAnswer::Accepted {
+                self.accepted.insert(sequence);
+            }
+            self.answers.push((sequence, answer));
+            return;
+        }
+        let agent = (0..AGENTS).find(|at| self.agents[*at].stream == session.0);
+        let Some(agent) = agent else { return };
+        if !self.is_cut(control, CONTROLS + agent) {
+            // A stream keeps the order of its messages.
+            let delay = Duration::from_millis(5);
+            self.arrive_in(delay, Arrival::Leader(agent, session.0, message));
+        }
+    }
+}
--- a/crates/workflow/tests/world/executor.rs
+++ b/crates/workflow/tests/world/executor.rs
@@ -4,9 +4,9 @@
     base::SeededRandom,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     workflow::{
-        agent::{HoldView, RunRow, StartRefusal, StartVerdict},
+        agent::{HoldView, StartRefusal, StartVerdict},
         job::{RunNumber, TaskKey, WorkerLife},
-        message::EndReport,
+        message::{EndReport, RunReport},
         state::EndKind,
     },
 };
@@ -107,7 +107,7 @@
 
     pub fn hold(&mut self, now: Duration, deadline_ms: Option<u64>) -> HoldView {
         self.deadline_ms = self.deadline_ms.max(deadline_ms.unwrap_or(0));
-        let row = |(task, (run, _)): (&TaskKey, &(u32, Duration))| RunRow {
+        let row = |(task, (run, _)): (&TaskKey, &(u32, Duration))| RunReport {
             task: *task,
             run: RunNumber(*run),
             checkpoint: format!("{task} at {run}"),
--- /dev/null
+++ b/crates/workflow/tests/world/faults.rs
@@ -0,0 +1,87 @@
+//! What strikes the processes, and how they come back.
+
+use {
+    super::{
+        start_control, AgentNode, AgentSettings, Arrival, FleetWorld, AGENTS, CONTROLS, LEASE,
+        TRACE_VARIABLE,
+    },
+    std::time::Duration,
+    workflow::{
+        agent::AgentEvent,
+        control::{ControlEvent, SessionId},
+    },
+};
+
+impl FleetWorld {
+    pub(super) fn strike(&mut self) {
+        let control = self.random.below(CONTROLS);
+        let agent = self.random.below(AGENTS);
+        let kind = self.random.below(8);
+        if std::env::var_os(TRACE_VARIABLE).is_some() {
+            eprintln!("{:?} strike {kind} control {control} agent {agent}", self.now);
+        }
+        match kind {
+            0 if self.controls.iter().filter(|host| host.node.is_none()).count() < 2 => {
+                self.controls[control].node = None;
+                self.drop_streams_of(control);
+            }
+            0 | 1 => {
+                if let Some(down) = (0..CONTROLS).find(|at| self.controls[*at].node.is_none()) {
+                    self.restart_control(down);
+                }
+            }
+            2 => {
+                let (a, b) = (self.random.below(CONTROLS), self.random.below(CONTROLS + AGENTS));
+                self.cut.insert((a, b));
+                self.cut.insert((b, a));
+            }
+            3 => self.cut.clear(),
+            4 => {
+                let pause = Duration::from_millis(self.random.below(2500) as u64);
+                let host = &mut self.controls[control];
+                // A second pause never ends the first: what waits would be overtaken.
+                host.paused_until = host.paused_until.max(self.now + pause);
+            }
+            5 => {
+                let pause = Duration::from_millis(self.random.below(2500) as u64);
+                let host = &mut self.agents[agent];
+                host.paused_until = host.paused_until.max(self.now + pause);
+            }
+            6 => {
+                let now = self.now;
+                let host = &mut self.agents[agent];
+                host.node = AgentNode::new(AgentSettings { lease: LEASE }, now);
+                host.leader = None;
+            }
+            _ => {
+                let born = self.now.as_millis() as u64;
+                self.agents[agent].executor.restart(born);
+                self.agents[agent].sequence = 0;
+            }
+        }
+    }
+
+    pub(super) fn restart_control(&mut self, control: usize) {
+        let seed = self.random.next_u64();
+        let host = &mut self.controls[control];
+        host.life += 1;
+        host.node = Some(start_control(control, &host.disk, self.now, seed));
+        self.drop_streams_of(control);
+    }
+
+    pub(super) fn drop_streams_of(&mut self, control: usize) {
+        for agent in 0..AGENTS {
+            if self.agents[agent].leader == Some(control) {
+                self.lose_leader(agent);
+            }
+        }
+    }
+
+    pub(super) fn lose_leader(&mut self, agent: usize) {
+        let Some(control) = self.agents[agent].leader.take() else { return };
+        let session = SessionId(self.agents[agent].stream);
+        self.open.remove(&session.0);
+        self.arrive(Arrival::Control(control, ControlEvent::Closed { session }));
+        self.step_agent(agent, AgentEvent::LeaderLost);
+    }
+}
--- a/crates/workflow/tests/world/mod.rs
+++ b/crates/workflow/tests/world/mod.rs
@@ -1,25 +1,26 @@
 //! The world of a schedule: everything between the reducers, under one seed.
 
+mod agents;
+mod control;
 mod executor;
+mod faults;
 
 use {
-    base::{EventReducer, PeerAddress, ReplicaId, ReplyTicket, SeededRandom},
+    crate::fixtures::fleet_config,
+    base::{PeerAddress, ReplicaId, ReplyTicket, SeededRandom},
     executor::FakeExecutor,
-    quorum::{GroupMember, PersistBatch, QuorumSettings, RecoveredLog},
+    quorum::{GroupMember, QuorumSettings, RecoveredLog},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
         time::Duration,
     },
     workflow::{
-        agent::{AgentEffect, AgentEvent, AgentNode, AgentSettings, CallFailure, StartVerdict},
-        control::{ControlEffect, ControlEvent, ControlNode, ControlSettings, SessionId},
+        agent::{AgentEvent, AgentNode, AgentSettings},
+        control::{ControlEvent, ControlNode, ControlSettings, SessionId},
         event::FlowEvent,
-        job::{
-            FleetConfig, JobKey, JobSpec, QueueRule, ServiceRule, StepSpec, TaskDemand, TaskKey,
-            WorkerLife,
-        },
-        message::{CallerAnswer, CallerCall, LinkMessage, WorkerReport},
+        job::{JobKey, JobSpec, StepSpec, TaskDemand, TaskKey, WorkerLife},
+        message::{CallerAnswer, CallerCall, LinkMessage},
         state::JobPhase,
     },
 };
@@ -30,6 +31,8 @@
 const CONTROLS: usize = 3;
 const AGENTS: usize = 3;
 const JOBS: u64 = 12;
+/// More than any task needs: the executors fail a tenth of all runs.
+const ATTEMPTS: u32 = 1000;
 const FAULT_STEPS: usize = 1500;
 /// A generous bound for all jobs to end once nothing fails any more.
 const HEALED_STEPS: usize = 6000;
@@ -144,22 +147,6 @@
     ControlNode::new(settings, disk.clone(), now, seed).unwrap()
 }
 
-fn config() -> FleetConfig {
-    let queue = QueueRule {
-        name: "q".to_owned(),
-        host: "h".to_owned(),
-        path_prefix: "/q/".to_owned(),
-        service: "s".to_owned(),
-        timeout_ms: 3000,
-        priority: 0,
-        attempt_limit: 1000,
-        stretch: 1.5,
-        latency_allowance_ms: 250,
-    };
-    let services = vec![ServiceRule { name: "s".to_owned(), guarded: true }];
-    FleetConfig { version: 1, queues: vec![queue], services, document: b"one".to_vec() }
-}
-
 /// Two steps, the second of which is a gang or depends on the first.
 fn job(random: &mut SeededRandom) -> JobSpec {
     let demand = TaskDemand { cpu_milli: 1000, memory_mb: 100, accelerators: 0 };
@@ -256,78 +243,6 @@
         self.accepted.len() as u64 == JOBS && self.unfinished().is_empty()
     }
 
-    fn strike(&mut self) {
-        let control = self.random.below(CONTROLS);
-        let agent = self.random.below(AGENTS);
-        let kind = self.random.below(8);
-        if std::env::var_os(TRACE_VARIABLE).is_some() {
-            eprintln!("{:?} strike {kind} control {control} agent {agent}", self.now);
-        }
-        match kind {
-            0 if self.controls.iter().filter(|host| host.node.is_none()).count() < 2 => {
-                self.controls[control].node = None;
-                self.drop_streams_of(control);
-            }
-            0 | 1 => {
-                if let Some(down) = (0..CONTROLS).find(|at| self.controls[*at].node.is_none()) {
-                    self.restart_control(down);
-                }
-            }
-            2 => {
-                let (a, b) = (self.random.below(CONTROLS), self.random.below(CONTROLS + AGENTS));
-                self.cut.insert((a, b));
-                self.cut.insert((b, a));
-            }
-            3 => self.cut.clear(),
-            4 => {
-                let pause = Duration::from_millis(self.random.below(2500) as u64);
-                let host = &mut self.controls[control];
-                // A second pause never ends the first: what waits would be overtaken.
-                host.paused_until = host.paused_until.max(self.now + pause);
-            }
-            5 => {
-                let pause = Duration::from_millis(self.random.below(2500) as u64);
-                let host = &mut self.agents[agent];
-                host.paused_until = host.paused_until.max(self.now + pause);
-            }
-            6 => {
-                let now = self.now;
-                let host = &mut self.agents[agent];
-                host.node = AgentNode::new(AgentSettings { lease: LEASE }, now);
-                host.leader = None;
-            }
-            _ => {
-                let born = self.now.as_millis() as u64;
-                self.agents[agent].executor.restart(born);
-                self.agents[agent].sequence = 0;
-            }
-        }
-    }
-
-    fn restart_control(&mut self, control: usize) {
-        let seed = self.random.next_u64();
-        let host = &mut self.controls[control];
-        host.life += 1;
-        host.node = Some(start_control(control, &host.disk, self.now, seed));
-        self.drop_streams_of(control);
-    }
-
-    fn drop_streams_of(&mut self, control: usize) {
-        for agent in 0..AGENTS {
-            if self.agents[agent].leader == Some(control) {
-                self.lose_leader(agent);
-            }
-        }
-    }
-
-    fn lose_leader(&mut self, agent: usize) {
-        let Some(control) = self.agents[agent].leader.take() else { return };
-        let session = SessionId(self.agents[agent].stream);
-        self.open.remove(&session.0);
-        self.arrive(Arrival::Control(control, ControlEvent::Closed { session }));
-        self.step_agent(agent, AgentEvent::LeaderLost);
-    }
-
     fn arrive(&mut self, arrival: Arrival) {
         let spread = if self.faults && self.random.chance(0.05) { 400 } else { 15 };
         let delay = Duration::from_millis(1 + self.random.below(spread) as u64);
@@ -369,52 +284,6 @@
         self.check_promises();
     }
 
-    /// Finds the leader as an agent's driver does, less its patience.
-    fn connect(&mut self, agent: usize) {
-        if let Some(control) = self.agents[agent].leader {
-            let leads = self.controls[control].node.as_ref().is_some_and(ControlNode::is_leader);
-            if !leads || self.is_cut(control, CONTROLS + agent) {
-                self.lose_leader(agent);
-            }
-            return;
-        }
-        let reachable = (0..CONTROLS).filter(|control| !self.is_cut(*control, CONTROLS + agent));
-        let leads = |control: &usize| {
-            self.controls[*control].node.as_ref().is_some_and(ControlNode::is_leader)
-        };
-        let leaders: Vec<usize> = reachable.filter(leads).collect();
-        if leaders.is_empty() || self.random.chance(0.8) {
-            return;
-        }
-        let control = leaders[self.random.below(leaders.len())];
-        self.last_stream += 1;
-        let stream = self.last_stream;
-        self.agents[agent].leader = Some(control);
-        self.agents[agent].stream = stream;
-        self.open.insert(stream);
-        let message = LinkMessage::Hello { name: format!("agent {agent}") };
-        self.arrive(Arrival::FromAgent(agent, stream, control, message));
-    }
-
-    fn beat(&mut self, agent: usize) {
-        if !self.random.chance(0.03) {
-            return;
-        }
-        let host = &mut self.agents[agent];
-        host.sequence += 1;
-        let sequence = host.sequence;
-        let report = WorkerReport {
-            worker: host.executor.life(),
-            service: "s".to_owned(),
-            data_centre: "north".to_owned(),
-            capacity: TaskDemand { cpu_milli: 6000, memory_mb: 10_000, accelerators: 0 },
-            labels: Vec::new(),
-            drain_left_ms: None,
-            responsive: true,
-        };
-        self.arrive(Arrival::Agent(agent, AgentEvent::Beat { report, sequence }));
-    }
-
     /// Hands jobs in, again and again until each is accepted.
     fn call(&mut self) {
         if !self.random.chance(0.1) {
@@ -432,7 +301,7 @@
         let message = LinkMessage::Call { sequence, host, path, call };
         let session = SessionId(u64::MAX);
         let ticket = ReplyTicket(1);
-        let configure = ControlEvent::Configure { ticket, config: config() };
+        let configure = ControlEvent::Configure { ticket, config: fleet_config(1, ATTEMPTS) };
         self.arrive(Arrival::Control(control, configure));
         self.arrive(Arrival::Control(control, ControlEvent::Message { session, message }));
     }
@@ -471,162 +340,6 @@
         }
     }
 
-    fn step_control(&mut self, control: usize, event: ControlEvent) {
-        let host = &mut self.controls[control];
-        if host.paused_until > self.now {
-            let waits = !matches!(event, ControlEvent::Tick { .. } | ControlEvent::Settle);
-            let pause = host.paused_until - self.now;
-            if waits {
-                self.arrive_in(pause, Arrival::Control(control, event));
-            }
-            return;
-        }
-        let Some(node) = &mut host.node else { return };
-        for effect in node.reduce(self.now, event) {
-            self.perform_control(control, effect);
-        }
-    }
-
-    fn perform_control(&mut self, control: usize, effect: ControlEffect) {
-        match effect {
-            ControlEffect::SendPeer { from, to, address, message } => {
-                let peer = control_at(address);
-                if self.is_cut(control, peer) || (self.faults && self.random.chance(0.01)) {
-                    return;
-                }
-                let message = LinkMessage::Quorum { from, to, message: Box::new(message) };
-                let session = SessionId(u64::MAX - 1);
-                self.arrive(Arrival::Control(peer, ControlEvent::Message { session, message }));
-            }
-            ControlEffect::Send { session, message } => self.send_from(control, session, message),
-            ControlEffect::Persist(batch) => self.persist(control, &batch),
-            ControlEffect::Halt(error) => panic!("seed {}: {error}", self.seed),
-            ControlEffect::Record(event) => self.trace(&format!("control {control}"), &event),
-            ControlEffect::Answer { .. } => {}
-        }
-    }
-
-    fn persist(&mut self, control: usize, batch: &PersistBatch) {
-        let host = &mut self.controls[control];
-        host.disk.apply(batch);
-        let (life, number) = (host.life, batch.number);
-        self.arrive(Arrival::Persisted(control, life, number));
-    }
-
-    fn send_from(&mut self, control: usize, session: SessionId, message: LinkMessage) {
-        if let LinkMessage::Answer { sequence, answer } = message {
-            if answer == CallerAnswer::Accepted {
-                self.accepted.insert(sequence);
-            }
-            self.answers.push((sequence, answer));
-            return;
-        }
-        let agent = (0..AGENTS).find(|at| self.agents[*at].stream == session.0);
-        let Some(agent) = agent else { return };
-        if !self.is_cut(control, CONTROLS + agent) {
-            // A stream keeps the order of its messages.
-            let delay = Duration::from_millis(5);
-            self.arrive_in(delay, Arrival::Leader(agent, session.0, message));
-        }
-    }
-
-    fn step_agent(&mut self, agent: usize, event: AgentEvent) {
-        let now = self.now;
-        for effect in self.agents[agent].node.reduce(now, event) {
-            self.perform_agent(agent, effect);
-        }
-    }
-
-    fn perform_agent(&mut self, agent: usize, effect: AgentEffect) {
-        let answered = !(self.faults && self.random.chance(0.05));
-        match effect {
-            AgentEffect::Hold { worker, noted, deadline_ms, wait, fence } => {
-                let asked = self.now;
-                let call =
-                    ExecutorCall::Hold { worker, noted, deadline_ms, fence, asked, answered };
-                let pause = POLL.min(wait) + Duration::from_millis(1);
-                self.arrive_in(pause, Arrival::Executor(agent, call));
-            }
-            AgentEffect::Start { order, deadline_ms, fence } => {
-                let (worker, task, run) = (order.worker, order.task, order.run.0);
-                let call = ExecutorCall::Start { worker, task, run, deadline_ms, fence, answered };
-                self.order(agent, call, answered);
-            }
-            AgentEffect::Stop { worker, task, run, fence } => {
-                let call = ExecutorCall::Stop { worker, task, run: run.0, fence, answered };
-                self.order(agent, call, answered);
-            }
-            AgentEffect::Send(message) => {
-                let host = &self.agents[agent];
-                let Some(control) = host.leader else { return };
-                let stream = host.stream;
-                let delay = Duration::from_millis(5);
-                self.arrive_in(delay, Arrival::FromAgent(agent, stream, control, message));
-            }
-            AgentEffect::Reconnect => {
-                let host = &mut self.agents[agent];
-                let (session, leader) = (SessionId(host.stream), host.leader.take());
-                if let Some(control) = leader {
-                    let closed = ControlEvent::Closed { session };
-                    self.arrive_in(Duration::from_millis(6), Arrival::Control(control, closed));
-                }
-            }
-            AgentEffect::Record(event) => self.trace(&format!("agent {agent}"), &event),
-            AgentEffect::Pace { .. } => {}
-        }
-    }
-
-    /// An order that gets no answer may be carried out much later.
-    fn order(&mut self, agent: usize, call: ExecutorCall, answered: bool) {
-        let late = if answered { 1 } else { 1 + self.random.below(3000) as u64 };
-        self.arrive_in(Duration::from_millis(late), Arrival::Executor(agent, call));
-    }
-
-    fn execute(&mut self, agent: usize, call: ExecutorCall) {
-        let now = self.now;
-        let executor = &mut self.agents[agent].executor;
-        if std::env::var_os(TRACE_VARIABLE).is_some() {
-            match &call {
-                ExecutorCall::Start { task, run, deadline_ms, answered, .. } => eprintln!("{now:?} executor {agent} start {task} {run} until {deadline_ms}, answered {answered}"),
-                ExecutorCall::Stop { task, run, answered, .. } => eprintln!("{now:?} executor {agent} stop {task} {run}, answered {answered}"),
-                ExecutorCall::Hold { .. } => {}
-            }
-        }
-        let silence = || CallFailure::Unanswered("silence".to_owned());
-        let event = match call {
-            ExecutorCall::Hold { worker, noted, deadline_ms, fence, asked, answered } => {
-                let result = if executor.is_meant(&worker, fence) {
-                    let forgotten = executor.forget(noted);
-                    self.noted_done.extend(forgotten);
-                    Ok(executor.hold(now, deadline_ms))
-                } else {
-                    Err(CallFailure::Fenced)
-                };
-                let result = if answered { result } else { Err(silence()) };
-                AgentEvent::HoldAnswered { worker, asked, result }
-            }
-            ExecutorCall::Start { worker, task, run, deadline_ms, fence, answered } => {
-                let verdict = if executor.is_meant(&worker, fence) {
-                    executor.start(now, task, run, deadline_ms)
-                } else {
-                    StartVerdict::Failed(CallFailure::Fenced)
-                };
-                let verdict = if answered { verdict } else { StartVerdict::Failed(silence()) };
-                let run = workflow::job::RunNumber(run);
-                AgentEvent::StartAnswered { worker, task, run, verdict }
-            }
-            ExecutorCall::Stop { worker, task, run, fence, answered } => {
-                let meant = executor.is_meant(&worker, fence);
-                if meant {
-                    executor.stop(task, run);
-                }
-                let (run, stopped) = (workflow::job::RunNumber(run), answered && meant);
-                AgentEvent::StopAnswered { worker, task, run, stopped }
-            }
-        };
-        self.arrive(Arrival::Agent(agent, event));
-    }
-
     /// Shows what led to a failure when a seed is played again.
     fn trace(&self, process: &str, event: &FlowEvent) {
         if std::env::var_os(TRACE_VARIABLE).is_some() {
