Renew a lease only on the stream that speaks for the worker

An agent made a new stream, the last words of the old one reached the leader after the first of the new one, and the worker went with the old one's end; the pings of the new one still renewed its lease, so that its tasks were neither started nor lost. Beside it, a wish for a new stream that came without one was kept and ended the next.

Change: the answer to a ping names a life only if its stream speaks for it; an agent that is not named introduces itself again; a wish for a new stream counts only for the present one.

--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -219,7 +219,7 @@
             }
             AgentEffect::Reconnect => {
                 self.leader = None;
-                self.reconnect.notify_one();
+                self.reconnect.notify_waiters();
             }
             AgentEffect::Record(event) => self.log.record(&event),
         }
--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -154,6 +154,9 @@
                 if let Some(asked) = asked.filter(|_| own) {
                     self.lease_end = self.lease_end.max(asked + self.settings.lease);
                 }
+                if asked.is_some() && !own {
+                    self.introduce();
+                }
             }
             LinkMessage::EndsNoted { worker, up_to } => self.note_ends(&worker, up_to),
             LinkMessage::Start(order) => self.take_start(order),
--- a/crates/workflow/src/control/sessions.rs
+++ b/crates/workflow/src/control/sessions.rs
@@ -68,7 +68,8 @@
             self.welcome(session);
             return;
         };
-        let leased = lead.agents.get(&session).cloned();
+        let spoken = lead.agents.get(&session);
+        let leased = spoken.filter(|worker| self.speaks_for(session, worker)).cloned();
         let message = LinkMessage::Pong { sequence, term: lead.term, leased };
         self.effects.push(ControlEffect::Send { session, message });
         self.renew_lease(session);
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -140,6 +140,9 @@
         let now = self.now;
         let Some(lead) = &mut self.lead else { return };
         let Some(worker) = lead.agents.get(&session) else { return };
+        if lead.sessions.get(&worker.executor) != Some(&session) {
+            return;
+        }
         lead.leases.insert(worker.clone(), now + span);
         if let Some(view) = lead.workers.get_mut(&worker.executor) {
             lead.replan |= view.lease_until <= now;
@@ -285,7 +288,7 @@
 
     /// Whether a stream is the one on which a worker's agent speaks now. What comes late on an
     /// earlier one may have been overtaken by orders on this one.
-    fn speaks_for(&self, session: SessionId, worker: &WorkerLife) -> bool {
+    pub(super) fn speaks_for(&self, session: SessionId, worker: &WorkerLife) -> bool {
         let Some(lead) = &self.lead else { return false };
         lead.agents.get(&session) == Some(worker)
             && lead.sessions.get(&worker.executor) == Some(&session)
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -26,6 +26,7 @@
     fences: Vec<u64>,
     calls: Vec<String>,
     sent: Vec<String>,
+    introductions: usize,
 }
 
 fn life() -> WorkerLife {
@@ -52,7 +53,7 @@
         let now = Duration::from_secs(10);
         let node = AgentNode::new(AgentSettings { lease: LEASE }, now);
         let (holds, deadlines, fences, calls, sent) = Default::default();
-        let mut desk = Self { node, now, holds, deadlines, fences, calls, sent };
+        let mut desk = Self { node, now, holds, deadlines, fences, calls, sent, introductions: 0 };
         desk.beat(1, None);
         desk.welcome(1);
         desk.step(AgentEvent::Tick);
@@ -85,6 +86,7 @@
                 AgentEffect::Send(LinkMessage::Ping { sequence }) => {
                     self.sent.push(format!("ping {sequence}"));
                 }
+                AgentEffect::Send(LinkMessage::Worker(_)) => self.introductions += 1,
                 AgentEffect::Reconnect => self.sent.push("reconnect".to_owned()),
                 AgentEffect::Send(_) | AgentEffect::Record(_) => {}
             }
@@ -422,3 +424,13 @@
     different.dedup();
     assert!(different.len() >= 3, "{:?}", desk.fences);
 }
+
+#[test]
+fn an_agent_that_the_leader_does_not_know_introduces_itself_again() {
+    let mut desk = AgentDesk::start();
+    desk.advance(600);
+    let before = desk.introductions;
+    let pong = LinkMessage::Pong { sequence: desk.last_ping(), term: 1, leased: None };
+    desk.step(AgentEvent::LeaderMessage(pong));
+    assert_eq!(desk.introductions, before + 1);
+}
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -229,3 +229,18 @@
     assert_eq!(desk.phase(0xa), "Ended(Succeeded)");
     assert_eq!(desk.starts().len(), 1);
 }
+
+// Found by the soak, seed 149: the last words of a stream came after the first of the next one, and
+// the worker went with the stream's end, while its lease was renewed for ever.
+#[test]
+fn a_lease_is_renewed_only_on_the_stream_that_speaks_for_the_worker() {
+    let mut desk = ControlDesk::start();
+    desk.worker(2, "e1", 100);
+    desk.worker(1, "e1", 100);
+    desk.close(1);
+    desk.send(2, LinkMessage::Ping { sequence: 1 });
+    assert_eq!(desk.leased, None);
+    desk.worker(2, "e1", 100);
+    desk.send(2, LinkMessage::Ping { sequence: 2 });
+    assert_eq!(desk.leased.as_deref(), Some("e1@100"));
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -72,6 +72,8 @@
     answers: Vec<CallerAnswer>,
     noted: u64,
     operator: Vec<OperatorAnswer>,
+    /// What the last answer to a ping granted a lease for.
+    pub leased: Option<String>,
 }
 
 impl ControlDesk {
@@ -104,6 +106,7 @@
             answers: Vec::new(),
             noted: 0,
             operator: Vec::new(),
+            leased: None,
         };
         desk.advance(1500);
         assert!(desk.node.is_leader());
@@ -150,6 +153,9 @@
             ControlEffect::Send { message: LinkMessage::EndsNoted { up_to, .. }, .. } => {
                 self.noted = up_to;
             }
+            ControlEffect::Send { message: LinkMessage::Pong { leased, .. }, .. } => {
+                self.leased = leased.map(|life| life.to_string());
+            }
             ControlEffect::Answer { answer, .. } => self.operator.push(answer),
             _ => {}
         }
