--- a/crates/workflow/src/control/lead.rs
+++ b/crates/workflow/src/control/lead.rs
@@ -32,8 +32,6 @@
     pub(super) run: RunNumber,
     pub(super) checkpoint: String,
     pub(super) percent: u8,
-    /// When the percentage last changed.
-    pub(super) moved: Duration,
 }
 
 /// The soft state of a lead. A new leader learns it again.
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod members;
 mod operator;
 mod proposals;
+mod runs;
 mod sessions;
 mod types;
 mod workers;
--- /dev/null
+++ b/crates/workflow/src/control/runs.rs
@@ -0,0 +1,166 @@
+//! What runs on a worker that should not, or does not run that should.
+
+use {
+    super::{
+        lead::RunProgress,
+        types::{ControlEffect, SessionId},
+        ControlNode,
+    },
+    crate::{
+        event::{FlowEvent, StopReason},
+        job::{RunNumber, TaskKey, WorkerLife},
+        message::{LinkMessage, RunReport},
+        plan::Placement,
+        state::TaskPhase,
+    },
+    std::time::Duration,
+};
+
+/// How long an order may be on its way before a report without its run means that it was lost.
+const ORDER_PATIENCE: Duration = Duration::from_millis(1200);
+/// How often a stop is repeated while the run is still listed.
+const STOP_REPEAT: Duration = Duration::from_millis(500);
+
+impl ControlNode {
+    /// Orders everything again that is placed on a worker: its agent may have begun anew and know
+    /// nothing of what runs there.
+    pub(super) fn repeat_orders(&mut self, session: SessionId, worker: &WorkerLife) {
+        let Some(lead) = &self.lead else { return };
+        let placed = lead.ahead.placed_tasks().filter(|(_, _, at)| *at == worker);
+        let placed: Vec<Placement> =
+            placed.map(|(task, run, at)| Placement { task, run, worker: at.clone() }).collect();
+        for placement in placed {
+            self.repeat_order(session, placement);
+        }
+    }
+
+    fn repeat_order(&mut self, session: SessionId, placement: Placement) {
+        let now = self.now;
+        let Placement { task, run, .. } = placement;
+        let ended = self.ahead_job_ended(&task);
+        if let Some(lead) = &mut self.lead {
+            lead.ordered.insert(task, (run, now));
+        }
+        if ended {
+            self.stop_unwanted(session, &placement.worker, task, run);
+        } else if let Some(order) = self.start_order(&placement) {
+            let message = LinkMessage::Start(order);
+            let effect = ControlEffect::Send { session, message };
+            if self.is_backed(&effect) {
+                self.effects.push(effect);
+            }
+        }
+    }
+
+    /// Whether a stream is the one on which a worker's agent speaks now. What comes late on an
+    /// earlier one may have been overtaken by orders on this one.
+    pub(super) fn speaks_for(&self, session: SessionId, worker: &WorkerLife) -> bool {
+        let Some(lead) = &self.lead else { return false };
+        lead.agents.get(&session) == Some(worker)
+            && lead.sessions.get(&worker.executor) == Some(&session)
+    }
+
+    /// Compares what an executor runs with what the log says that it should run.
+    pub(super) fn see_runs(
+        &mut self,
+        session: SessionId,
+        worker: &WorkerLife,
+        runs: Vec<RunReport>,
+    ) {
+        if !self.speaks_for(session, worker) {
+            return;
+        }
+        self.settle_earlier_lives(worker, &runs);
+        if let Some(lead) = &mut self.lead {
+            if let Some(view) = lead.workers.get_mut(&worker.executor) {
+                lead.replan |= !std::mem::replace(&mut view.listed, true);
+            }
+        }
+        for report in &runs {
+            self.see_run(session, worker, report);
+        }
+        self.repeat_lost_orders(session, worker, &runs);
+        self.learn_interference(worker, &runs);
+    }
+
+    fn see_run(&mut self, session: SessionId, worker: &WorkerLife, report: &RunReport) {
+        let Some(lead) = &mut self.lead else { return };
+        let (task, run) = (report.task, report.run);
+        let wanted = lead.ahead.job(task.job).filter(|job| job.outcome.is_none());
+        let held = wanted.and_then(|job| job.task(&task)).is_some_and(|record| {
+            let here = matches!(&record.phase, TaskPhase::Placed(at)
+                if at.executor == worker.executor && at.born <= worker.born);
+            here && record.run == run
+        });
+        if !held {
+            self.stop_unwanted(session, worker, task, run);
+            return;
+        }
+        let checkpoint = report.checkpoint.clone();
+        let progress = RunProgress { run, checkpoint, percent: report.percent };
+        lead.progress.insert(task, progress);
+    }
+
+    fn stop_unwanted(
+        &mut self,
+        session: SessionId,
+        worker: &WorkerLife,
+        task: TaskKey,
+        run: RunNumber,
+    ) {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return };
+        let told = lead.stopping.get(&task).filter(|(stopped, _)| *stopped == run);
+        if told.is_some_and(|(_, at)| now.saturating_sub(*at) < STOP_REPEAT) {
+            return;
+        }
+        lead.stopping.insert(task, (run, now));
+        let reason = StopReason::Superseded;
+        self.record(FlowEvent::RunStopped { task, run, worker: worker.clone(), reason });
+        let message = LinkMessage::Stop { worker: worker.clone(), task, run };
+        self.effects.push(ControlEffect::Send { session, message });
+    }
+
+    /// Sends the orders for placed tasks again that a worker does not list.
+    fn repeat_lost_orders(&mut self, session: SessionId, worker: &WorkerLife, runs: &[RunReport]) {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return };
+        let mut missing = Vec::new();
+        for (task, run, at) in lead.ahead.placed_tasks().filter(|(_, _, at)| *at == worker) {
+            let listed = runs.iter().any(|report| report.task == task && report.run == run);
+            let ordered = lead.ordered.get(&task).filter(|(ordered, _)| *ordered == run);
+            let patient =
+                ordered.is_some_and(|(_, sent)| now.saturating_sub(*sent) < ORDER_PATIENCE);
+            if !listed && !patient {
+                missing.push(Placement { task, run, worker: at.clone() });
+            }
+        }
+        for placement in missing {
+            self.repeat_order(session, placement);
+        }
+    }
+
+    fn ahead_job_ended(&self, task: &TaskKey) -> bool {
+        let job = self.lead.as_ref().and_then(|lead| lead.ahead.job(task.job));
+        job.is_none_or(|job| job.outcome.is_some())
+    }
+
+    /// The order that stops a placed run, if its worker can be reached. Its room stays reserved
+    /// until the end is in the log.
+    pub(super) fn stop_run(
+        &mut self,
+        placement: &Placement,
+        reason: StopReason,
+    ) -> Vec<ControlEffect> {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return Vec::new() };
+        let Placement { task, run, worker } = placement.clone();
+        let Some(session) = lead.sessions.get(&worker.executor).copied() else {
+            return Vec::new();
+        };
+        lead.stopping.insert(task, (run, now));
+        let event = FlowEvent::RunStopped { task, run, worker: worker.clone(), reason };
+        let message = LinkMessage::Stop { worker, task, run };
+        vec![ControlEffect::Record(event), ControlEffect::Send { session, message }]
+    }
+}
