Choose ports that no outgoing connection takes

Ports came from the range that the system gives to outgoing connections, of which the soak makes many.

Change: dev and the test choose ports below that range.

--- a/crates/mangorouter/src/dev/fleet.rs
+++ b/crates/mangorouter/src/dev/fleet.rs
@@ -10,7 +10,15 @@
         AgentSettings, ControlSettings, EntrySettings, MemberSettings, ProcessSettings,
         RoleSettings, StandInSettings,
     },
-    std::{net::TcpListener, path::Path, str::FromStr, time::Duration},
+    std::{
+        io,
+        net::TcpListener,
+        path::Path,
+        process,
+        str::FromStr,
+        sync::atomic::{AtomicU16, Ordering},
+        time::Duration,
+    },
 };
 
 const REPLICAS: u64 = 3;
@@ -161,8 +169,29 @@
     text.parse().expect("names in this file are well formed")
 }
 
+/// The first port that is tried, and the number of those after it. All lie below the ports that
+/// the system gives to outgoing connections, one of which could take a port before its process
+/// listens.
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u16 = 20_000;
+/// Spreads the processes of one machine over the ports.
+const PORTS_PER_PROCESS: u32 = 97;
+
+static PORTS_TRIED: AtomicU16 = AtomicU16::new(0);
+
 /// A port that was free a moment ago: processes must know each other's ports before they start.
-fn free_address() -> Result<PeerAddress, DaemonFailure> {
-    let bound = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
-    bound.map(PeerAddress).map_err(|error| DaemonFailure::start("a port on loopback", error))
+pub fn free_address() -> Result<PeerAddress, DaemonFailure> {
+    let start = (process::id().wrapping_mul(PORTS_PER_PROCESS) % u32::from(PORTS)) as u16;
+    let mut last_error = None;
+    for _ in 0..PORTS {
+        let tried = PORTS_TRIED.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + start.wrapping_add(tried) % PORTS;
+        let bound = TcpListener::bind(("127.0.0.1", port));
+        match bound.and_then(|listener| listener.local_addr()) {
+            Ok(address) => return Ok(PeerAddress(address)),
+            Err(error) => last_error = Some(error),
+        }
+    }
+    let error = last_error.unwrap_or_else(|| io::ErrorKind::AddrInUse.into());
+    Err(DaemonFailure::start("a port on loopback", error))
 }
--- a/crates/mangorouter/src/dev/mod.rs
+++ b/crates/mangorouter/src/dev/mod.rs
@@ -4,7 +4,7 @@
 mod demonstration;
 mod fleet;
 
-pub use fleet::DevFleet;
+pub use fleet::{free_address, DevFleet};
 
 use {
     crate::{
--- a/crates/mangorouter/src/lib.rs
+++ b/crates/mangorouter/src/lib.rs
@@ -10,7 +10,11 @@
 mod failure;
 mod logging;
 
-pub use {daemon::RunningRole, dev::DevFleet, failure::DaemonFailure};
+pub use {
+    daemon::RunningRole,
+    dev::{free_address, DevFleet},
+    failure::DaemonFailure,
+};
 
 use arguments::{ParsedLine, HELP};
 
--- a/crates/mangorouter/tests/whole_path.rs
+++ b/crates/mangorouter/tests/whole_path.rs
@@ -2,7 +2,7 @@
 
 use {
     base::PeerAddress,
-    mangorouter::DevFleet,
+    mangorouter::{free_address, DevFleet},
     proto::{
         messages::{
             operator::{ApplyReply, ApplyRequest, FleetStatus},
@@ -14,7 +14,7 @@
     std::{
         fs,
         io::{Read, Write},
-        net::{TcpListener, TcpStream},
+        net::TcpStream,
         path::Path,
         process::{Child, Command, Stdio},
         sync::{
@@ -120,6 +120,18 @@
     fleet.shut_down();
 }
 
+// A connection of another program took a port between its choice and the start of its process, on
+// a machine with many connections on loopback: the fleet could not start.
+#[test]
+fn chosen_ports_are_not_given_to_outgoing_connections() {
+    let range = fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").expect("the range");
+    let first: u16 = range.split_whitespace().next().and_then(|n| n.parse().ok()).expect("a port");
+    for _ in 0..200 {
+        let address = free_address().expect("a port");
+        assert!(address.0.port() < first, "{address} may be taken by a connection");
+    }
+}
+
 fn declare(fleet: &DevFleet) {
     let client = OperatorClient::new(fleet.operators().to_vec(), CALL_DEADLINE);
     let request = ApplyRequest {
@@ -140,8 +152,8 @@
 }
 
 fn start_entry(folder: &Path, control_peers: &[PeerAddress]) -> (Child, PeerAddress) {
-    let free = || TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
-    let [internal, operator, callers] = [free(), free(), free()].map(|port| port.expect("a port"));
+    let free = || free_address().expect("a port");
+    let [internal, operator, callers] = [free(), free(), free()];
     let peers: Vec<_> = control_peers.iter().map(|peer| format!("\"{peer}\"")).collect();
     let text = format!(
         "cluster = \"dev\"\nname = \"entry-9\"\nregion = \"here\"\ndata_centre = \"here-1\"\n\
@@ -152,7 +164,7 @@
     let config = folder.join("entry-9.toml");
     fs::write(&config, text).expect("the settings can be written");
     let child = program(&["entry", "--config"]).arg(config).stderr(Stdio::null()).spawn();
-    (child.expect("the program runs"), PeerAddress(callers))
+    (child.expect("the program runs"), callers)
 }
 
 fn await_answer(address: PeerAddress) {
