--- a/crates/workflow/src/agent/holding.rs
+++ b/crates/workflow/src/agent/holding.rs
@@ -152,8 +152,7 @@
         }
         let Some(executor) = &mut self.executor else { return };
         let lapsed = executor.silent_since.is_some() && now > executor.lapse_at;
-        if lapsed && !executor.given_up && executor.reached {
-            executor.given_up = true;
+        if lapsed && executor.reached {
             executor.reached = false;
             let worker = executor.report.worker.clone();
             self.runs = super::orders::RunTable::default();
@@ -168,7 +167,6 @@
         let Some(executor) = &mut self.executor else { return };
         executor.clock = Some(LeaseClock { executor_ms: view.clock_ms, at: now });
         executor.silent_since = None;
-        executor.given_up = false;
         let responsive = std::mem::replace(&mut executor.report.responsive, true);
         let first = !std::mem::replace(&mut executor.reached, true) || !responsive;
         let noted = executor.noted;
--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -43,15 +43,13 @@
     /// Numbers its own messages, so that a late one is known.
     sequence: u64,
     clock: Option<LeaseClock>,
-    /// Whether it has answered since it was last found silent.
+    /// Whether control may think that something runs there: it has answered, and was not given up.
     reached: bool,
     /// Since when it does not answer.
     silent_since: Option<Duration>,
     /// When everything that runs there has certainly ended, unless it is renewed. A process of
     /// this agent before this one may have granted a whole lease just now.
     lapse_at: Duration,
-    /// Whether control was told that nothing runs there.
-    given_up: bool,
     /// The last end that control has in its log.
     noted: u64,
     /// Ends that control has not noted.
@@ -245,7 +243,6 @@
             reached: false,
             silent_since: None,
             lapse_at: holding::lapse_of(self.now, self.now + self.settings.lease),
-            given_up: false,
             noted: 0,
             ends: BTreeMap::new(),
             rows: Vec::new(),
--- a/crates/workflow/src/control/interference.rs
+++ b/crates/workflow/src/control/interference.rs
@@ -25,9 +25,18 @@
 struct WorkerFigures {
     /// The worst latency of each serving image, as a share of its target.
     serving: BTreeMap<ImageName, f64>,
-    /// Filling tasks: task, run, image, share of the machine in use, and whether a stop loses
-    /// nothing.
-    fillers: Vec<(TaskKey, RunNumber, ImageName, f64, bool)>,
+    fillers: Vec<FillerFigure>,
+}
+
+/// A filling task at work.
+struct FillerFigure {
+    task: TaskKey,
+    run: RunNumber,
+    image: ImageName,
+    /// The share of the machine that it uses.
+    share: f64,
+    /// Whether it has checkpoints, so that a stop loses little.
+    saves: bool,
 }
 
 impl ControlNode {
@@ -38,8 +47,8 @@
         let figures = self.figures_of(worker, runs);
         let Some(lead) = &mut self.lead else { return };
         let mut shares: BTreeMap<ImageName, f64> = BTreeMap::new();
-        for (_, _, image, share, _) in &figures.fillers {
-            *shares.entry(image.clone()).or_default() += share;
+        for filler in &figures.fillers {
+            *shares.entry(filler.image.clone()).or_default() += filler.share;
         }
         let shares: Vec<(ImageName, f64)> = shares.into_iter().collect();
         let mut worst: Option<(&ImageName, f64)> = None;
@@ -56,19 +65,17 @@
         if now.saturating_sub(last) < RELIEF_INTERVAL {
             return;
         }
-        let movable = figures.fillers.iter().filter(|(_, _, _, _, saves)| *saves);
-        let blamed: Vec<(TaskKey, RunNumber)> = movable
-            .map(|(task, run, image, share, _)| {
-                (*task, *run, lead.learned.added(serving, image, *share))
-            })
-            .filter(|(_, _, added)| *added >= BLAMED_SHARE)
-            .map(|(task, run, _)| (task, run))
+        let adds = |filler: &FillerFigure| lead.learned.added(serving, &filler.image, filler.share);
+        let blamed: Vec<&FillerFigure> = figures
+            .fillers
+            .iter()
+            .filter(|filler| filler.saves && adds(filler) >= BLAMED_SHARE)
             .collect();
         if !blamed.is_empty() {
             lead.relieved.insert(worker.executor.clone(), now);
         }
-        for (task, run) in blamed {
-            let placement = Placement { task, run, worker: worker.clone() };
+        for FillerFigure { task, run, .. } in blamed {
+            let placement = Placement { task: *task, run: *run, worker: worker.clone() };
             let stop = self.stop_run(&placement, StopReason::Interferes);
             self.effects.extend(stop);
         }
@@ -82,15 +89,15 @@
         for report in runs {
             let spec = lead.ahead.job(report.task.job).and_then(|job| job.step_spec(&report.task));
             let Some(spec) = spec else { continue };
-            let image = spec.image.clone().unwrap_or_else(|| ImageName::from(""));
+            let image = spec.image_name();
             if let Some(target) = spec.latency_target_ms.filter(|_| report.percent == AT_WORK) {
                 let share = report.figure as f64 / target.max(1) as f64;
                 let worst = figures.serving.entry(image).or_default();
                 *worst = worst.max(share);
             } else if spec.filler {
                 let share = report.figure as f64 / capacity;
-                let saves = spec.checkpointing;
-                figures.fillers.push((report.task, report.run, image, share, saves));
+                let (task, run, saves) = (report.task, report.run, spec.checkpointing);
+                figures.fillers.push(FillerFigure { task, run, image, share, saves });
             }
         }
         figures
--- a/crates/workflow/src/control/lead.rs
+++ b/crates/workflow/src/control/lead.rs
@@ -8,7 +8,7 @@
     crate::{
         event::FlowEvent,
         job::{RunNumber, TaskKey, WorkerLife},
-        plan::{InterferenceTable, WorkerTable},
+        plan::{InterferenceTable, Placement, WorkerTable},
         state::{FlowCommand, FlowState},
     },
     base::{ReplicaId, ReplyTicket},
@@ -74,6 +74,20 @@
     pub(super) admissions: BTreeMap<ReplyTicket, (SessionId, ReplicaId)>,
 }
 
+impl LeadState {
+    /// The life that the agent on a stream speaks for, unless it speaks on a newer stream by now.
+    pub(super) fn spoken_for(&self, session: SessionId) -> Option<&WorkerLife> {
+        let worker = self.agents.get(&session)?;
+        (self.sessions.get(&worker.executor) == Some(&session)).then_some(worker)
+    }
+
+    /// The placements on those lives that are asked for.
+    pub(super) fn placements_on(&self, asked: impl Fn(&WorkerLife) -> bool) -> Vec<Placement> {
+        let placed = self.ahead.placed_tasks().filter(|(_, _, at)| asked(at));
+        placed.map(|(task, run, at)| Placement { task, run, worker: at.clone() }).collect()
+    }
+}
+
 impl ControlNode {
     /// Starts to lead from the applied state, which holds every entry of earlier terms.
     pub(super) fn take_lead(&mut self, term: u64) {
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -11,7 +11,7 @@
         job::JobKey,
         message::{LinkMessage, StartOrder},
         plan::{plan, Placement, PlanTime},
-        state::{CommandBatch, CommandOutcome, FlowCommand, FlowState, TaskPhase},
+        state::{CommandBatch, CommandOutcome, FlowCommand, FlowState},
     },
     base::ReplyTicket,
     quorum::{ProposalError, QuorumEvent},
@@ -145,10 +145,7 @@
             return true;
         };
         let holds = |state: &FlowState| {
-            state.task(&order.task).is_some_and(|task| {
-                let placed = matches!(&task.phase, TaskPhase::Placed(at) if *at == order.worker);
-                placed && task.run == order.run
-            })
+            state.task(&order.task).is_some_and(|task| task.is_placed(order.run, &order.worker))
         };
         holds(&self.applied) && self.lead.as_ref().is_some_and(|lead| holds(&lead.ahead))
     }
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -26,10 +26,7 @@
     /// nothing of what runs there.
     pub(super) fn repeat_orders(&mut self, session: SessionId, worker: &WorkerLife) {
         let Some(lead) = &self.lead else { return };
-        let placed = lead.ahead.placed_tasks().filter(|(_, _, at)| *at == worker);
-        let placed: Vec<Placement> =
-            placed.map(|(task, run, at)| Placement { task, run, worker: at.clone() }).collect();
-        for placement in placed {
+        for placement in lead.placements_on(|at| at == worker) {
             self.repeat_order(session, placement);
         }
     }
@@ -55,9 +52,7 @@
     /// Whether a stream is the one on which a worker's agent speaks now. What comes late on an
     /// earlier one may have been overtaken by orders on this one.
     pub(super) fn speaks_for(&self, session: SessionId, worker: &WorkerLife) -> bool {
-        let Some(lead) = &self.lead else { return false };
-        lead.agents.get(&session) == Some(worker)
-            && lead.sessions.get(&worker.executor) == Some(&session)
+        self.lead.as_ref().is_some_and(|lead| lead.spoken_for(session) == Some(worker))
     }
 
     /// Compares what an executor runs with what the log says that it should run.
@@ -89,7 +84,7 @@
         let wanted = lead.ahead.job(task.job).filter(|job| job.outcome.is_none());
         let held = wanted.and_then(|job| job.task(&task)).is_some_and(|record| {
             let here = matches!(&record.phase, TaskPhase::Placed(at)
-                if at.executor == worker.executor && at.born <= worker.born);
+                if at == worker || at.is_before(worker));
             here && record.run == run
         });
         if !held {
--- a/crates/workflow/src/control/sessions.rs
+++ b/crates/workflow/src/control/sessions.rs
@@ -68,8 +68,7 @@
             self.welcome(session);
             return;
         };
-        let spoken = lead.agents.get(&session);
-        let leased = spoken.filter(|worker| self.speaks_for(session, worker)).cloned();
+        let leased = lead.spoken_for(session).cloned();
         let message = LinkMessage::Pong { sequence, term: lead.term, leased };
         self.effects.push(ControlEffect::Send { session, message });
         self.renew_lease(session);
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -59,10 +59,7 @@
     /// ended with its life.
     pub(super) fn settle_earlier_lives(&mut self, worker: &WorkerLife, runs: &[RunReport]) {
         let Some(lead) = &self.lead else { return };
-        let earlier = |at: &WorkerLife| at.executor == worker.executor && at.born < worker.born;
-        let placed = lead.ahead.placed_tasks().filter(|(_, _, at)| earlier(at));
-        let placed: Vec<Placement> =
-            placed.map(|(task, run, at)| Placement { task, run, worker: at.clone() }).collect();
+        let placed = lead.placements_on(|at| at.is_before(worker));
         let (listed, ended): (Vec<_>, Vec<_>) = placed.into_iter().partition(|placement| {
             runs.iter().any(|row| row.task == placement.task && row.run == placement.run)
         });
@@ -103,15 +100,12 @@
         let span = self.lease_span();
         let now = self.now;
         let Some(lead) = &mut self.lead else { return };
-        let Some(worker) = lead.agents.get(&session) else { return };
-        if lead.sessions.get(&worker.executor) != Some(&session) {
-            return;
-        }
-        lead.leases.insert(worker.clone(), now + span);
+        let Some(worker) = lead.spoken_for(session).cloned() else { return };
         if let Some(view) = lead.workers.get_mut(&worker.executor) {
             lead.replan |= view.lease_until <= now;
             view.lease_until = now + span;
         }
+        lead.leases.insert(worker, now + span);
     }
 
     /// The longest time for which a worker may run on after control has renewed its lease.
@@ -153,12 +147,7 @@
     /// Ends every run of a life that is certainly over.
     pub(super) fn lose_worker(&mut self, worker: &WorkerLife, reason: LossReason) {
         let Some(lead) = &mut self.lead else { return };
-        let runs: Vec<(TaskKey, RunNumber)> = lead
-            .ahead
-            .placed_tasks()
-            .filter(|(_, _, at)| *at == worker)
-            .map(|(task, run, _)| (task, run))
-            .collect();
+        let runs = lead.placements_on(|at| at == worker);
         lead.leases.remove(worker);
         if reason != LossReason::LeaseExpired {
             let current =
@@ -171,7 +160,7 @@
         if !runs.is_empty() {
             self.record(lost);
         }
-        for (task, run) in runs {
+        for Placement { task, run, .. } in runs {
             self.end_run(worker, task, run, EndKind::Lapsed, String::new());
         }
     }
@@ -202,11 +191,7 @@
     fn placed_life(&self, worker: &WorkerLife, task: &TaskKey, run: RunNumber) -> WorkerLife {
         let record = self.lead.as_ref().and_then(|lead| lead.ahead.task(task));
         match record.filter(|record| record.run == run).map(|record| &record.phase) {
-            Some(TaskPhase::Placed(at))
-                if at.executor == worker.executor && at.born < worker.born =>
-            {
-                at.clone()
-            }
+            Some(TaskPhase::Placed(at)) if at.is_before(worker) => at.clone(),
             _ => worker.clone(),
         }
     }
--- a/crates/workflow/src/job/ids.rs
+++ b/crates/workflow/src/job/ids.rs
@@ -98,6 +98,13 @@
     pub born: u64,
 }
 
+impl WorkerLife {
+    /// Whether this is an earlier life of the same executor.
+    pub fn is_before(&self, later: &Self) -> bool {
+        self.executor == later.executor && self.born < later.born
+    }
+}
+
 impl fmt::Display for WorkerLife {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}@{}", self.executor, self.born)
--- a/crates/workflow/src/job/spec.rs
+++ b/crates/workflow/src/job/spec.rs
@@ -59,6 +59,13 @@
     pub disruption_budget: Option<u32>,
 }
 
+impl StepSpec {
+    /// The image; tasks without one count as one image of their own.
+    pub fn image_name(&self) -> Arc<str> {
+        self.image.clone().unwrap_or_default()
+    }
+}
+
 /// When a job's steps run, if they run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/workflow/src/plan/room.rs
+++ b/crates/workflow/src/plan/room.rs
@@ -57,7 +57,7 @@
         let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand;
         self.demand.memory_mb += memory_mb;
         self.demand.accelerators += accelerators;
-        let image = spec.image.clone().unwrap_or_else(|| ImageName::from(""));
+        let image = spec.image_name();
         if spec.filler {
             *self.fillers.entry(image.clone()).or_default() += cpu_milli;
         } else {
@@ -74,7 +74,7 @@
         let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand;
         self.demand.memory_mb -= memory_mb;
         self.demand.accelerators -= accelerators;
-        let image = spec.image.clone().unwrap_or_else(|| ImageName::from(""));
+        let image = spec.image_name();
         if spec.filler {
             self.fillers.entry(image.clone()).and_modify(|milli| *milli -= cpu_milli);
         } else {
--- a/crates/workflow/src/state/record.rs
+++ b/crates/workflow/src/state/record.rs
@@ -57,6 +57,13 @@
     pub checkpoint: String,
 }
 
+impl TaskRecord {
+    /// Whether this run of the task holds room on a worker.
+    pub fn is_placed(&self, run: RunNumber, worker: &WorkerLife) -> bool {
+        self.run == run && matches!(&self.phase, TaskPhase::Placed(at) if at == worker)
+    }
+}
+
 /// A step of one occurrence.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/workflow/src/state/transition.rs
+++ b/crates/workflow/src/state/transition.rs
@@ -74,7 +74,7 @@
             return CommandOutcome::Stale;
         };
         match &mut task.phase {
-            TaskPhase::Placed(at) if at.executor == worker.executor && at.born < worker.born => {
+            TaskPhase::Placed(at) if at.is_before(worker) => {
                 *at = worker.clone();
                 CommandOutcome::Done
             }
@@ -93,9 +93,7 @@
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return CommandOutcome::UnknownJob;
         };
-        let current = job.task(key).is_some_and(|task| {
-            task.run == run && matches!(&task.phase, TaskPhase::Placed(at) if at == worker)
-        });
+        let current = job.task(key).is_some_and(|task| task.is_placed(run, worker));
         if !current {
             return CommandOutcome::Stale;
         }
