--- a/crates/mangoctl/tests/fleet.rs
+++ b/crates/mangoctl/tests/fleet.rs
@@ -60,6 +60,21 @@
         assert_eq!((missing, output.status.code()), (vec![], Some(code)), "{line}\n{printed}");
     }
 
+    /// A worker is part of the fleet from its agent's first heartbeat on, which nothing else here
+    /// waits for.
+    fn await_worker(&self, worker: &str) {
+        loop {
+            let status = Command::new(env!("CARGO_BIN_EXE_mangoctl"))
+                .arg("status")
+                .env("MANGOROUTER_OPERATOR", &self.at)
+                .output()
+                .expect("the program runs");
+            if String::from_utf8_lossy(&status.stdout).contains(worker) {
+                return;
+            }
+        }
+    }
+
     fn write(&self, path: &str, text: &str) {
         let path = self.folder.path().join(path);
         fs::create_dir_all(path.parent().unwrap_or(Path::new("."))).expect("the folder is made");
@@ -111,6 +126,7 @@
             "the yard's link is slow until it is replaced",
         ],
     );
+    operator.await_worker("worker-3");
     check("status", 0, &["revision 1, led by replica", "control-1", "entry-1", "worker-3"]);
     check("status --json", 0, &["\"revision\": 1"]);
     check("job submit report.toml --wait", 0, &["job monthly-report is accepted", "2 finished"]);
