Learn headroom, the inverse of the tail latency, by step and pair

Change: the table models target over latency; a level for each serving step that drifts, less a pressure for each pair of images. A filling task is planned only beside steps that keep a headroom of 1.3; relief stops as many of those that take most as give a headroom of 1.1 back.

--- a/crates/workflow/src/control/interference.rs
+++ b/crates/workflow/src/control/interference.rs
@@ -4,37 +4,61 @@
     super::ControlNode,
     crate::{
         event::StopReason,
-        job::{RunNumber, TaskKey, WorkerLife},
+        job::{RunNumber, StepKey, TaskKey, WorkerLife},
         message::RunReport,
-        plan::{ImageName, Placement},
+        plan::{FillerShare, ImageName, InterferenceTable, Placement},
     },
     std::{collections::BTreeMap, time::Duration},
 };
 
 /// The percentage at which a lasting task is at work.
 const AT_WORK: u8 = 100;
-/// The share of its target at which a serving task is relieved of filling ones.
-const RELIEVED_SHARE: f64 = 1.0;
-/// What a filling task must add to that share to be one of those that go.
-const BLAMED_SHARE: f64 = 0.15;
+/// The headroom below which a serving task is relieved of filling ones.
+const RELIEVED_HEADROOM: f64 = 1.0;
+/// The headroom that relief is to bring.
+const RELIEF_GOAL: f64 = 1.1;
+/// What a filling task must take of the headroom to be one of those that go.
+const BLAMED_SHARE: f64 = 0.1;
 /// How often a worker is relieved: the figures have to show what the last time has brought.
 const RELIEF_INTERVAL: Duration = Duration::from_millis(800);
 
 /// The figures of one worker.
 #[derive(Default)]
 struct WorkerFigures {
-    /// The worst latency of each serving image, as a share of its target.
-    serving: BTreeMap<ImageName, f64>,
+    /// The worst tail latency of each serving step, as a share of its target.
+    serving: BTreeMap<StepKey, ServingFigure>,
     fillers: Vec<FillerFigure>,
 }
 
+impl WorkerFigures {
+    /// What the filling tasks use, by image.
+    fn filler_shares(&self) -> Vec<FillerShare> {
+        let mut shares: BTreeMap<&ImageName, f64> = BTreeMap::new();
+        for FillerFigure { used, .. } in &self.fillers {
+            *shares.entry(&used.image).or_default() += used.share;
+        }
+        let share = |(image, share): (&ImageName, f64)| FillerShare { image: image.clone(), share };
+        shares.into_iter().map(share).collect()
+    }
+
+    /// The serving step that has the least headroom.
+    fn worst(&self) -> Option<(StepKey, &ServingFigure)> {
+        let figures = self.serving.iter().map(|(step, figure)| (*step, figure));
+        figures.max_by(|(_, one), (_, other)| one.tail_share.total_cmp(&other.tail_share))
+    }
+}
+
+struct ServingFigure {
+    image: ImageName,
+    tail_share: f64,
+}
+
 /// A filling task at work.
 struct FillerFigure {
     task: TaskKey,
     run: RunNumber,
-    image: ImageName,
-    /// The share of the machine that it uses.
-    share: f64,
+    /// What it alone uses.
+    used: FillerShare,
     /// Whether it has checkpoints, so that a stop loses little.
     saves: bool,
 }
@@ -46,36 +70,22 @@
         let now = self.now;
         let figures = self.figures_of(worker, runs);
         let Some(lead) = &mut self.lead else { return };
-        let mut shares: BTreeMap<ImageName, f64> = BTreeMap::new();
-        for filler in &figures.fillers {
-            *shares.entry(filler.image.clone()).or_default() += filler.share;
-        }
-        let shares: Vec<(ImageName, f64)> = shares.into_iter().collect();
-        let mut worst: Option<(&ImageName, f64)> = None;
-        for (image, observed) in &figures.serving {
-            lead.learned.observe(image, &shares, *observed);
-            if worst.is_none_or(|(_, highest)| *observed > highest) {
-                worst = Some((image, *observed));
-            }
+        let shares = figures.filler_shares();
+        for (step, ServingFigure { image, tail_share }) in &figures.serving {
+            lead.learned.observe(now, *step, image, &shares, *tail_share);
         }
-        let Some((serving, _)) = worst.filter(|(_, share)| *share >= RELIEVED_SHARE) else {
-            return;
-        };
+        let Some((_, ServingFigure { image, tail_share })) = figures.worst() else { return };
+        let headroom = tail_share.recip();
         let last = lead.relieved.get(&worker.executor).copied().unwrap_or_default();
-        if now.saturating_sub(last) < RELIEF_INTERVAL {
+        if headroom > RELIEVED_HEADROOM || now.saturating_sub(last) < RELIEF_INTERVAL {
             return;
         }
-        let adds = |filler: &FillerFigure| lead.learned.added(serving, &filler.image, filler.share);
-        let blamed: Vec<&FillerFigure> = figures
-            .fillers
-            .iter()
-            .filter(|filler| filler.saves && adds(filler) >= BLAMED_SHARE)
-            .collect();
+        let blamed = blamed_fillers(&figures, &lead.learned, image, RELIEF_GOAL - headroom);
         if !blamed.is_empty() {
             lead.relieved.insert(worker.executor.clone(), now);
         }
-        for FillerFigure { task, run, .. } in blamed {
-            let placement = Placement { task: *task, run: *run, worker: worker.clone() };
+        for (task, run) in blamed {
+            let placement = Placement { task, run, worker: worker.clone() };
             let stop = self.stop_run(&placement, StopReason::Interferes);
             self.effects.extend(stop);
         }
@@ -91,15 +101,40 @@
             let Some(spec) = spec else { continue };
             let image = spec.image_name();
             if let Some(target) = spec.latency_target_ms.filter(|_| report.percent == AT_WORK) {
-                let share = report.figure as f64 / target.max(1) as f64;
-                let worst = figures.serving.entry(image).or_default();
-                *worst = worst.max(share);
+                let share = (report.figure.max(1)) as f64 / target.max(1) as f64;
+                let step = report.task.step_key();
+                let entry = figures.serving.entry(step);
+                let figure = entry.or_insert(ServingFigure { image, tail_share: share });
+                figure.tail_share = figure.tail_share.max(share);
             } else if spec.filler {
                 let share = report.figure as f64 / capacity;
                 let (task, run, saves) = (report.task, report.run, spec.checkpointing);
-                figures.fillers.push(FillerFigure { task, run, image, share, saves });
+                let used = FillerShare { image, share };
+                figures.fillers.push(FillerFigure { task, run, used, saves });
             }
         }
         figures
     }
 }
+
+/// The filling tasks that take most of a serving image's headroom, as many as give `missing` back.
+fn blamed_fillers(
+    figures: &WorkerFigures,
+    learned: &InterferenceTable,
+    serving: &ImageName,
+    missing: f64,
+) -> Vec<(TaskKey, RunNumber)> {
+    let takes = |filler: &FillerFigure| learned.taken(serving, &filler.used);
+    let saving = figures.fillers.iter().filter(|filler| filler.saves);
+    let mut blamed: Vec<(f64, &FillerFigure)> =
+        saving.map(|filler| (takes(filler), filler)).collect();
+    blamed.retain(|(taken, _)| *taken >= BLAMED_SHARE);
+    blamed.sort_by(|(one, _), (other, _)| other.total_cmp(one));
+    let mut given_back = 0.0;
+    let needed = blamed.into_iter().take_while(|(taken, _)| {
+        let wanted = given_back < missing;
+        given_back += taken;
+        wanted
+    });
+    needed.map(|(_, filler)| (filler.task, filler.run)).collect()
+}
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -113,9 +113,10 @@
 
     /// Logs the end of a job and stops what it still runs.
     fn conclude(&mut self, key: JobKey, held: &mut Vec<ControlEffect>) {
-        let Some(lead) = &self.lead else { return };
+        let Some(lead) = &mut self.lead else { return };
         let Some(job) = lead.ahead.job(key) else { return };
         let Some(outcome) = job.outcome else { return };
+        lead.learned.forget_job(key);
         let after_ms = lead.ahead.clock_ms().saturating_sub(job.accepted_ms);
         held.push(ControlEffect::Record(FlowEvent::JobEnded { job: key, outcome, after_ms }));
         let runs: Vec<_> = job
--- a/crates/workflow/src/job/ids.rs
+++ b/crates/workflow/src/job/ids.rs
@@ -38,6 +38,18 @@
     }
 }
 
+/// A step in one occurrence of its job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct StepKey {
+    /// The job.
+    pub job: JobKey,
+    /// The occurrence, 0 for a job without a schedule.
+    pub occurrence: u32,
+    /// The step's position in the job.
+    pub step: u16,
+}
+
 /// A task: one of the equal parts of a step, in one occurrence of its job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
@@ -52,6 +64,13 @@
     pub index: u16,
 }
 
+impl TaskKey {
+    /// The step that the task belongs to.
+    pub fn step_key(&self) -> StepKey {
+        StepKey { job: self.job, occurrence: self.occurrence, step: self.step }
+    }
+}
+
 impl fmt::Display for TaskKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
--- a/crates/workflow/src/job/mod.rs
+++ b/crates/workflow/src/job/mod.rs
@@ -6,6 +6,6 @@
 
 pub use {
     config::{ConfigProblem, FleetConfig, QueueRule, ServiceRule},
-    ids::{JobKey, RunNumber, TaskKey, WorkerLife},
+    ids::{JobKey, RunNumber, StepKey, TaskKey, WorkerLife},
     spec::{JobSchedule, JobSpec, SpecProblem, StepSpec, TaskDemand},
 };
--- a/crates/workflow/src/plan/interference.rs
+++ b/crates/workflow/src/plan/interference.rs
@@ -1,33 +1,40 @@
 //! How much filling tasks slow serving ones, learned for each pair of images.
 //!
-//! A serving task's tail latency, as a share of its target, is modelled as a base of its own image
-//! plus what each filling image beside it adds, in proportion to the share of the machine that it
+//! Tail latencies grow like those of a queue, with the inverse of what a server has left. What is
+//! modelled is therefore the *headroom*, a task's target over its tail latency, which is linear in
+//! the load: a level of the serving task's own step, whose users come and go within seconds, less
+//! what each filling image beside it takes, in proportion to the share of the machine that it
 //! uses. Each coefficient is kept with its variance, and an observation moves it the further the
-//! less certain it is (a Kalman filter with a diagonal covariance): what is known to be harmless is
-//! not blamed for what a newcomer does.
+//! less certain it is (a Kalman filter with a diagonal covariance): what is known to be harmless
+//! is not blamed for what a newcomer does.
 
-use std::{collections::HashMap, sync::Arc};
+use {
+    crate::job::{JobKey, StepKey},
+    std::{collections::HashMap, sync::Arc, time::Duration},
+};
 
 /// A kind of task, by what it runs.
 pub type ImageName = Arc<str>;
 
-/// What a pair is presumed to add for the use of a whole machine: little enough for one filling
-/// task to be tried beside a serving one, too much for two.
-const PRESUMED_PRESSURE: Estimate = Estimate { value: 2.0, variance: 9.0 };
-/// The share of its target that an image is presumed to reach alone.
-const PRESUMED_BASE: Estimate = Estimate { value: 0.5, variance: 0.04 };
+/// What a pair is presumed to take for the use of a whole machine: little enough for a filling
+/// task or two to be tried beside a serving one.
+const PRESUMED_PRESSURE: Estimate = Estimate { value: 1.5, variance: 6.0 };
+/// The headroom that an image is presumed to have alone.
+const PRESUMED_LEVEL: Estimate = Estimate { value: 2.2, variance: 0.5 };
 /// The variance of an observation: figures are rough, and late by up to a report.
-const FIGURE_VARIANCE: f64 = 0.03;
-/// What a base's variance grows by with each observation, because load swings within seconds.
-const BASE_DRIFT: f64 = 0.002;
+const FIGURE_VARIANCE: f64 = 0.15;
+/// What a level's variance grows by each second, because load swings within seconds.
+const LEVEL_DRIFT: f64 = 0.2;
 /// The same for a pair.
-const PAIR_DRIFT: f64 = 0.02;
-/// Latencies beyond this multiple of a target tell no more.
-const OBSERVED_CEILING: f64 = 3.0;
+const PAIR_DRIFT: f64 = 0.05;
+/// How much an image's level follows those of its steps with each observation.
+const IMAGE_GAIN: f64 = 0.02;
+/// Headroom beyond this tells no more: tail latencies are whole milliseconds.
+const HEADROOM_CEILING: f64 = 4.0;
 /// Use of a machine below this share tells nothing.
 const LEAST_USE: f64 = 0.01;
 
-/// A coefficient, and how uncertain it is.
+/// A coefficient, how uncertain it is, and when that was so.
 #[derive(Debug, Clone, Copy)]
 struct Estimate {
     value: f64,
@@ -37,56 +44,109 @@
 impl Estimate {
     /// Moves by this estimate's part of an error. `factor` is what the coefficient is multiplied
     /// by in the model, `total` the variance of the whole prediction.
-    fn corrected(self, error: f64, factor: f64, total: f64, drift: f64) -> Self {
+    fn corrected(self, error: f64, factor: f64, total: f64) -> Self {
         let gain = self.variance * factor / total;
-        let value = (self.value + gain * error).max(0.0);
-        let variance = self.variance * (1.0 - gain * factor) + drift;
-        Self { value, variance }
+        Self { value: self.value + gain * error, variance: self.variance * (1.0 - gain * factor) }
     }
+
+    fn aged(self, seconds: f64, drift: f64, ceiling: f64) -> Self {
+        Self { variance: (self.variance + drift * seconds).min(ceiling), ..self }
+    }
+}
+
+/// An estimate with the time of its last observation.
+#[derive(Debug, Clone, Copy)]
+struct TimedEstimate {
+    estimate: Estimate,
+    seen: Duration,
+}
+
+/// Filling tasks of one image on a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FillerShare {
+    /// What they run.
+    pub image: ImageName,
+    /// The share of the machine that they use together.
+    pub share: f64,
 }
 
 /// What was learned of the images of one deployment.
 #[derive(Debug, Clone, Default)]
 pub struct InterferenceTable {
-    bases: HashMap<ImageName, Estimate>,
-    pairs: HashMap<(ImageName, ImageName), Estimate>,
+    levels: HashMap<StepKey, TimedEstimate>,
+    images: HashMap<ImageName, f64>,
+    /// By serving image, then by filling image.
+    pairs: HashMap<ImageName, HashMap<ImageName, TimedEstimate>>,
 }
 
 impl InterferenceTable {
-    /// The share of its target that a serving image reaches beside filling tasks, each given as
-    /// its image and the share of the machine that it uses.
-    pub fn predict(&self, serving: &ImageName, fillers: &[(ImageName, f64)]) -> f64 {
-        let added = fillers.iter().map(|(filler, share)| self.added(serving, filler, *share));
-        self.base(serving).value + added.sum::<f64>()
+    /// The headroom that a serving step is expected to have beside filling tasks.
+    pub fn predict(&self, step: StepKey, serving: &ImageName, fillers: &[FillerShare]) -> f64 {
+        let taken = fillers.iter().map(|filler| self.taken(serving, filler)).sum::<f64>();
+        self.level(step, serving).value - taken
     }
 
-    /// What one filling image adds to that share.
-    pub fn added(&self, serving: &ImageName, filler: &ImageName, share: f64) -> f64 {
-        self.pair(serving, filler).value * share
+    /// What filling tasks of one image take of that headroom.
+    pub fn taken(&self, serving: &ImageName, filler: &FillerShare) -> f64 {
+        let pair =
+            self.pair(serving, &filler.image).map_or(PRESUMED_PRESSURE, |pair| pair.estimate);
+        pair.value * filler.share
     }
 
-    /// Learns from a serving image's latency, as a share of its target.
-    pub fn observe(&mut self, serving: &ImageName, fillers: &[(ImageName, f64)], observed: f64) {
-        let error = observed.min(OBSERVED_CEILING) - self.predict(serving, fillers);
-        let told = fillers.iter().filter(|(_, share)| *share >= LEAST_USE);
-        let told: Vec<_> =
-            told.map(|(filler, share)| (filler, *share, self.pair(serving, filler))).collect();
-        let base = self.base(serving);
-        let spread: f64 = told.iter().map(|(_, share, pair)| pair.variance * share * share).sum();
-        let total = base.variance + spread + FIGURE_VARIANCE;
-        for (filler, share, pair) in told {
-            let key = (serving.clone(), filler.clone());
-            self.pairs.insert(key, pair.corrected(error, share, total, PAIR_DRIFT));
+    /// Learns from a serving step's tail latency on one worker, as a share of its target.
+    pub fn observe(
+        &mut self,
+        now: Duration,
+        step: StepKey,
+        serving: &ImageName,
+        fillers: &[FillerShare],
+        tail_share: f64,
+    ) {
+        let headroom = tail_share.recip().min(HEADROOM_CEILING);
+        let error = headroom - self.predict(step, serving, fillers);
+        let told = fillers.iter().filter(|filler| filler.share >= LEAST_USE);
+        let told: Vec<(&FillerShare, Estimate)> =
+            told.map(|filler| (filler, self.aged_pair(now, serving, &filler.image))).collect();
+        let level = self.aged_level(now, step, serving);
+        let spread: f64 =
+            told.iter().map(|(filler, pair)| pair.variance * filler.share * filler.share).sum();
+        let total = level.variance + spread + FIGURE_VARIANCE;
+        let pairs = self.pairs.entry(serving.clone()).or_default();
+        for (FillerShare { image, share }, pair) in told {
+            let corrected = pair.corrected(error, -share, total);
+            let estimate = Estimate { value: corrected.value.max(0.0), ..corrected };
+            pairs.insert(image.clone(), TimedEstimate { estimate, seen: now });
         }
-        self.bases.insert(serving.clone(), base.corrected(error, 1.0, total, BASE_DRIFT));
+        let estimate = level.corrected(error, 1.0, total);
+        self.levels.insert(step, TimedEstimate { estimate, seen: now });
+        let typical = self.images.entry(serving.clone()).or_insert(estimate.value);
+        *typical += IMAGE_GAIN * (estimate.value - *typical);
+    }
+
+    /// Forgets the levels of a job that has ended; what its images have taught stays.
+    pub fn forget_job(&mut self, job: JobKey) {
+        self.levels.retain(|step, _| step.job != job);
+    }
+
+    fn level(&self, step: StepKey, serving: &ImageName) -> Estimate {
+        let typical = || self.images.get(serving).copied().unwrap_or(PRESUMED_LEVEL.value);
+        let known = self.levels.get(&step).map(|level| level.estimate);
+        known.unwrap_or_else(|| Estimate { value: typical(), ..PRESUMED_LEVEL })
+    }
+
+    fn aged_level(&self, now: Duration, step: StepKey, serving: &ImageName) -> Estimate {
+        let seen = self.levels.get(&step).map_or(now, |level| level.seen);
+        let seconds = now.saturating_sub(seen).as_secs_f64();
+        self.level(step, serving).aged(seconds, LEVEL_DRIFT, PRESUMED_LEVEL.variance)
     }
 
-    fn base(&self, serving: &ImageName) -> Estimate {
-        self.bases.get(serving).copied().unwrap_or(PRESUMED_BASE)
+    fn pair(&self, serving: &ImageName, filler: &ImageName) -> Option<&TimedEstimate> {
+        self.pairs.get(serving)?.get(filler)
     }
 
-    fn pair(&self, serving: &ImageName, filler: &ImageName) -> Estimate {
-        let known = self.pairs.get(&(serving.clone(), filler.clone()));
-        known.copied().unwrap_or(PRESUMED_PRESSURE)
+    fn aged_pair(&self, now: Duration, serving: &ImageName, filler: &ImageName) -> Estimate {
+        let Some(pair) = self.pair(serving, filler) else { return PRESUMED_PRESSURE };
+        let seconds = now.saturating_sub(pair.seen).as_secs_f64();
+        pair.estimate.aged(seconds, PAIR_DRIFT, PRESUMED_PRESSURE.variance)
     }
 }
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -11,7 +11,7 @@
 mod worker;
 
 pub use {
-    interference::{ImageName, InterferenceTable},
+    interference::{FillerShare, ImageName, InterferenceTable},
     worker::{WorkerTable, WorkerView},
 };
 
--- a/crates/workflow/src/plan/room.rs
+++ b/crates/workflow/src/plan/room.rs
@@ -2,11 +2,11 @@
 
 use {
     super::{
-        interference::ImageName,
+        interference::{FillerShare, ImageName},
         worker::{WorkerTable, WorkerView},
     },
     crate::{
-        job::{StepSpec, TaskDemand, TaskKey, WorkerLife},
+        job::{StepKey, StepSpec, TaskDemand, TaskKey, WorkerLife},
         state::{FlowState, StepRecord, TaskPhase},
     },
     std::{
@@ -30,16 +30,16 @@
     pub(super) used_milli: f64,
     /// Processors that filling tasks could use, by image, in thousandths of a core.
     fillers: BTreeMap<ImageName, u64>,
-    /// The number of tasks with a latency target, by image.
-    pub(super) serving: BTreeMap<ImageName, u32>,
-    /// Tasks by occurrence and step.
-    steps: HashMap<(crate::job::JobKey, u32, u16), u32>,
+    /// The steps that have tasks with a latency target here, and their images.
+    pub(super) serving: BTreeMap<StepKey, ImageName>,
+    /// The number of tasks of each step.
+    steps: HashMap<StepKey, u32>,
 }
 
 impl Reserved {
     /// The number of tasks of a task's step.
     pub(super) fn of_step(&self, key: &TaskKey) -> u32 {
-        self.steps.get(&(key.job, key.occurrence, key.step)).copied().unwrap_or(0)
+        self.steps.get(&key.step_key()).copied().unwrap_or(0)
     }
 
     /// Processors that all filling tasks could use, in thousandths of a core.
@@ -48,9 +48,11 @@
     }
 
     /// The share of a machine that filling tasks could use, by image.
-    pub(super) fn filler_shares(&self, capacity_milli: f64) -> Vec<(ImageName, f64)> {
-        let share =
-            |(image, milli): (&ImageName, &u64)| (image.clone(), *milli as f64 / capacity_milli);
+    pub(super) fn filler_shares(&self, capacity_milli: f64) -> Vec<FillerShare> {
+        let share = |(image, milli): (&ImageName, &u64)| FillerShare {
+            image: image.clone(),
+            share: *milli as f64 / capacity_milli,
+        };
         self.fillers.iter().map(share).collect()
     }
 
@@ -66,9 +68,9 @@
             self.used_milli += presumed_use(spec);
         }
         if spec.latency_target_ms.is_some() {
-            *self.serving.entry(image).or_default() += 1;
+            self.serving.insert(key.step_key(), image);
         }
-        *self.steps.entry((key.job, key.occurrence, key.step)).or_default() += 1;
+        *self.steps.entry(key.step_key()).or_default() += 1;
     }
 
     fn remove(&mut self, key: &TaskKey, spec: &StepSpec) {
@@ -82,12 +84,13 @@
             self.demand.cpu_milli -= cpu_milli;
             self.used_milli -= presumed_use(spec);
         }
-        if spec.latency_target_ms.is_some() {
-            self.serving.entry(image).and_modify(|count| *count -= 1);
-            self.serving.retain(|_, count| *count > 0);
-        }
-        if let Some(count) = self.steps.get_mut(&(key.job, key.occurrence, key.step)) {
+        let step = key.step_key();
+        if let Some(count) = self.steps.get_mut(&step) {
             *count -= 1;
+            if *count == 0 {
+                self.steps.remove(&step);
+                self.serving.remove(&step);
+            }
         }
     }
 }
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        interference::InterferenceTable,
+        interference::{FillerShare, InterferenceTable},
         room::{fitting, Reserved},
         worker::WorkerView,
         PlanPass,
@@ -24,8 +24,8 @@
 const MIXED_PENALTY: f64 = 0.4;
 /// For a filling task beside serving ones that may not bear it.
 const STARVING_PENALTY: f64 = 2.0;
-/// The share of its target up to which a serving task is loaded by plan.
-const TOLERATED_SHARE: f64 = 0.85;
+/// The headroom that every serving task must keep by plan.
+const PLANNED_HEADROOM: f64 = 1.3;
 
 /// What the tasks of a step ask for.
 pub(super) struct Wish<'a> {
@@ -87,12 +87,10 @@
         return true;
     }
     let mut fillers = reserved.filler_shares(capacity_of(worker));
-    if let Some(image) = &wish.spec.image {
-        let share = wish.spec.demand.cpu_milli as f64 / capacity_of(worker);
-        fillers.push((image.clone(), share));
-    }
-    let serving = reserved.serving.keys();
-    serving.into_iter().all(|image| learned.predict(image, &fillers) <= TOLERATED_SHARE)
+    let share = wish.spec.demand.cpu_milli as f64 / capacity_of(worker);
+    fillers.push(FillerShare { image: wish.spec.image_name(), share });
+    let mut serving = reserved.serving.iter();
+    serving.all(|(step, image)| learned.predict(*step, image, &fillers) >= PLANNED_HEADROOM)
 }
 
 /// The share of a filling task's processors that a worker leaves idle.
@@ -138,7 +136,7 @@
 fn packing_score(wish: &Wish<'_>, worker: &WorkerView, reserved: &Reserved) -> f64 {
     let unshared = if reserved.serving.is_empty() { UNSHARED_PENALTY } else { 0.0 };
     let serves = wish.spec.latency_target_ms.is_some();
-    let others = reserved.serving.keys().filter(|image| wish.spec.image.as_ref() != Some(image));
+    let others = reserved.serving.values().filter(|image| wish.spec.image.as_ref() != Some(*image));
     let mixed = if serves && others.count() > 0 { MIXED_PENALTY } else { 0.0 };
     let counted = reserved.demand.cpu_milli as f64 / capacity_of(worker);
     let filling = reserved.filler_milli() / capacity_of(worker);
