Place filling tasks where they strain serving ones least

Cause: among the workers that bear a filling task the least loaded one was taken, so that harmless images used up the workers that bear harmful ones.

Change: a worker's score counts the part of its tightest serving step's spare headroom that the task would take.

--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -2,12 +2,12 @@
 
 use {
     super::{
-        interference::{FillerShare, InterferenceTable},
+        interference::{FillerShare, ImageName, InterferenceTable},
         room::{fitting, Reserved},
         worker::WorkerView,
         PlanPass,
     },
-    crate::job::{StepSpec, TaskKey, WorkerLife},
+    crate::job::{StepKey, StepSpec, TaskKey, WorkerLife},
     std::time::Duration,
 };
 
@@ -24,6 +24,8 @@
 const MIXED_PENALTY: f64 = 0.4;
 /// For a filling task beside serving ones that may not bear it.
 const STARVING_PENALTY: f64 = 2.0;
+/// What one more filling task is taken to cost a serving step at least: estimates are rough.
+const LEAST_TAKEN: f64 = 0.02;
 /// The headroom that every serving task must keep by plan.
 const PLANNED_HEADROOM: f64 = 1.3;
 
@@ -46,12 +48,14 @@
     let mut best: Option<(f64, &WorkerView)> = None;
     for (executor, worker) in pass.workers {
         let Some(reserved) = pass.room.of(executor) else { continue };
-        if !may_run(key, wish, worker, reserved, pass.time.now)
-            || !bears(wish, worker, reserved, pass.learned)
-        {
+        if !may_run(key, wish, worker, reserved, pass.time.now) {
             continue;
         }
-        let score = score_of(key, wish, worker, reserved, pass.time.now);
+        let strain = strain_of(wish, worker, reserved, pass.learned);
+        if strain > 1.0 && !wish.starving {
+            continue;
+        }
+        let score = score_of(key, wish, worker, reserved, strain, pass.time.now);
         if best.is_none_or(|(lowest, _)| score < lowest) {
             best = Some((score, worker));
         }
@@ -75,22 +79,30 @@
     able && fitting(worker, reserved, spec) > 0
 }
 
-/// Whether the serving tasks of a worker would stay below their targets beside one more filling
-/// task.
-fn bears(
+/// The largest part of any serving step's spare headroom that one more filling task would take: 0
+/// where it takes nothing, above 1 where a step would be left with less than is planned.
+fn strain_of(
     wish: &Wish<'_>,
     worker: &WorkerView,
     reserved: &Reserved,
     learned: &InterferenceTable,
-) -> bool {
-    if !wish.spec.filler || reserved.serving.is_empty() || wish.starving {
-        return true;
+) -> f64 {
+    if !wish.spec.filler {
+        return 0.0;
     }
-    let mut fillers = reserved.filler_shares(capacity_of(worker));
+    let beside = reserved.filler_shares(capacity_of(worker));
     let share = wish.spec.demand.cpu_milli as f64 / capacity_of(worker);
-    fillers.push(FillerShare { image: wish.spec.image_name(), share });
-    let mut serving = reserved.serving.iter();
-    serving.all(|(step, image)| learned.predict(*step, image, &fillers) >= PLANNED_HEADROOM)
+    let added = FillerShare { image: wish.spec.image_name(), share };
+    let strain = |(step, image): (&StepKey, &ImageName)| {
+        let spare = learned.predict(*step, image, &beside) - PLANNED_HEADROOM;
+        let taken = learned.taken(image, &added).max(LEAST_TAKEN);
+        if spare > 0.0 {
+            taken / spare
+        } else {
+            f64::INFINITY
+        }
+    };
+    reserved.serving.iter().map(strain).fold(0.0, f64::max)
 }
 
 /// The share of a filling task's processors that a worker leaves idle.
@@ -105,11 +117,12 @@
     wish: &Wish<'_>,
     worker: &WorkerView,
     reserved: &Reserved,
+    strain: f64,
     now: Duration,
 ) -> f64 {
     let elsewhere = wish.rack.is_some_and(|rack| worker.rack() != Some(rack));
     let mut score = if wish.spec.filler {
-        spread_score(wish, worker, reserved)
+        spread_score(wish, worker, reserved, strain)
     } else {
         packing_score(wish, worker, reserved)
     };
@@ -119,15 +132,16 @@
     score
 }
 
-/// Filling tasks go where most processors are idle, and rather beside serving tasks that bear them
-/// than where any filling task could run. One that starves goes where it harms nobody, if it can.
-fn spread_score(wish: &Wish<'_>, worker: &WorkerView, reserved: &Reserved) -> f64 {
+/// Filling tasks go where they strain serving ones least and most processors are idle, and rather
+/// beside serving tasks that bear them than where any filling task could run. One that starves goes
+/// where it harms nobody, if it can.
+fn spread_score(wish: &Wish<'_>, worker: &WorkerView, reserved: &Reserved, strain: f64) -> f64 {
     let taken = reserved.used_milli + reserved.filler_milli();
     let load = taken / capacity_of(worker);
     match (reserved.serving.is_empty(), wish.starving) {
         (true, false) => load + UNSHARED_PENALTY,
-        (false, true) => load + STARVING_PENALTY,
-        _ => load,
+        (false, true) => load + STARVING_PENALTY + strain.min(1.0),
+        _ => load + strain.min(1.0),
     }
 }
 
