Put what was learned of images into the log, and finish small jobs first

Under load that exceeds the room, jobs in the order of their age all became late.

Change: the leader proposes its pairs every two seconds if they have changed; the next one begins with them. Among jobs of one priority and prospect the one with the least work left comes first.

--- a/crates/workflow/src/control/interference.rs
+++ b/crates/workflow/src/control/interference.rs
@@ -7,6 +7,7 @@
         job::{RunNumber, StepKey, TaskKey, WorkerLife},
         message::RunReport,
         plan::{FillerShare, ImageName, InterferenceTable, Placement},
+        state::FlowCommand,
     },
     std::{collections::BTreeMap, time::Duration},
 };
@@ -22,6 +23,10 @@
 /// How often a worker is relieved: the figures have to show what the last time has brought.
 const RELIEF_INTERVAL: Duration = Duration::from_millis(800);
 
+/// How often what was learned is put into the log: what a new leader has to learn again is less
+/// than the seconds in which a pair is learned, and the log grows by a kilobyte or two.
+pub(super) const KEEP_LEARNED_INTERVAL: Duration = Duration::from_secs(2);
+
 /// The figures of one worker.
 #[derive(Default)]
 struct WorkerFigures {
@@ -91,6 +96,19 @@
         }
     }
 
+    /// Puts what was learned into the log, for the next leader to begin with.
+    pub(super) fn keep_learned(&mut self) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_mut().filter(|lead| now >= lead.keep_learned_at) else {
+            return;
+        };
+        lead.keep_learned_at = now + KEEP_LEARNED_INTERVAL;
+        let pairs = lead.learned.learned_pairs();
+        if pairs != lead.ahead.learned() {
+            self.propose(FlowCommand::KeepLearned(pairs), Vec::new());
+        }
+    }
+
     fn figures_of(&self, worker: &WorkerLife, runs: &[RunReport]) -> WorkerFigures {
         let mut figures = WorkerFigures::default();
         let Some(lead) = &self.lead else { return figures };
--- a/crates/workflow/src/control/lead.rs
+++ b/crates/workflow/src/control/lead.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        interference::KEEP_LEARNED_INTERVAL,
         types::{ControlEffect, SessionId},
         ControlNode,
     },
@@ -51,6 +52,8 @@
     pub(super) planned: Duration,
     pub(super) workers: WorkerTable,
     pub(super) learned: InterferenceTable,
+    /// When what was learned is put into the log next.
+    pub(super) keep_learned_at: Duration,
     /// The stream to the agent of each executor.
     pub(super) sessions: HashMap<Arc<str>, SessionId>,
     /// The executor that the agent on a stream speaks for.
@@ -99,6 +102,7 @@
         self.record(FlowEvent::LeadTaken { term, active_jobs });
         let retention_ms = self.settings.retention.as_millis() as u64;
         let commands = vec![FlowCommand::RetainFor { retention_ms }];
+        let learned = InterferenceTable::from_pairs(self.now, ahead.learned());
         self.lead = Some(LeadState {
             term,
             since: self.now,
@@ -109,7 +113,8 @@
             replan: true,
             planned: self.now,
             workers: WorkerTable::new(),
-            learned: InterferenceTable::default(),
+            learned,
+            keep_learned_at: self.now + KEEP_LEARNED_INTERVAL,
             sessions: HashMap::new(),
             agents: HashMap::new(),
             leases: HashMap::new(),
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -26,6 +26,7 @@
             return;
         }
         self.expire_leases();
+        self.keep_learned();
         let due = self.lead.as_ref().is_some_and(|lead| self.now >= lead.tend_at);
         if due {
             self.tend_group();
--- a/crates/workflow/src/plan/interference.rs
+++ b/crates/workflow/src/plan/interference.rs
@@ -10,6 +10,7 @@
 
 use {
     crate::job::{JobKey, StepKey},
+    serde::{Deserialize, Serialize},
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
@@ -70,6 +71,20 @@
     pub share: f64,
 }
 
+/// What one filling image was found to take of a serving image's headroom.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct LearnedPair {
+    /// What the serving tasks run.
+    pub serving: ImageName,
+    /// What the filling tasks run.
+    pub filler: ImageName,
+    /// The headroom that the use of a whole machine takes.
+    pub pressure: f64,
+    /// The variance of that.
+    pub variance: f64,
+}
+
 /// What was learned of the images of one deployment.
 #[derive(Debug, Clone, Default)]
 pub struct InterferenceTable {
@@ -80,6 +95,35 @@
 }
 
 impl InterferenceTable {
+    /// Begins with what another table had learned.
+    pub fn from_pairs(now: Duration, learned: &[LearnedPair]) -> Self {
+        let mut table = Self::default();
+        for LearnedPair { serving, filler, pressure, variance } in learned {
+            let estimate = Estimate { value: *pressure, variance: *variance };
+            let pairs = table.pairs.entry(serving.clone()).or_default();
+            pairs.insert(filler.clone(), TimedEstimate { estimate, seen: now });
+        }
+        table
+    }
+
+    /// What was learned of pairs of images, in a fixed order.
+    pub fn learned_pairs(&self) -> Vec<LearnedPair> {
+        let row = |serving: &ImageName, filler: &ImageName, pair: &TimedEstimate| LearnedPair {
+            serving: serving.clone(),
+            filler: filler.clone(),
+            pressure: pair.estimate.value,
+            variance: pair.estimate.variance,
+        };
+        let rows = self.pairs.iter().flat_map(|(serving, pairs)| {
+            pairs.iter().map(move |(filler, pair)| row(serving, filler, pair))
+        });
+        let mut pairs: Vec<LearnedPair> = rows.collect();
+        pairs.sort_by(|one, other| {
+            (&one.serving, &one.filler).cmp(&(&other.serving, &other.filler))
+        });
+        pairs
+    }
+
     /// The headroom that a serving step is expected to have beside filling tasks.
     pub fn predict(&self, step: StepKey, serving: &ImageName, fillers: &[FillerShare]) -> f64 {
         let taken = fillers.iter().map(|filler| self.taken(serving, filler)).sum::<f64>();
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -11,7 +11,7 @@
 mod worker;
 
 pub use {
-    interference::{FillerShare, ImageName, InterferenceTable},
+    interference::{FillerShare, ImageName, InterferenceTable, LearnedPair},
     worker::{WorkerTable, WorkerView},
 };
 
@@ -19,7 +19,7 @@
     self::{
         room::RoomTable,
         score::{best_worker, Wish},
-        urgency::{prospect_of, JobProspect},
+        urgency::{prospect_of, remaining_work, JobProspect},
     },
     crate::{
         job::{JobKey, RunNumber, TaskKey, WorkerLife},
@@ -101,7 +101,12 @@
         return Vec::new();
     }
     steps.sort_by_key(|step| {
-        (step.record.priority, step.prospect, step.record.accepted_ms, step.job)
+        (
+            step.record.priority,
+            step.prospect,
+            remaining_work(step.record, step.occurrence),
+            step.job,
+        )
     });
     let mut room = RoomTable::new(state, workers);
     let mut pass = PlanPass { state, workers, learned, time, room: &mut room };
--- a/crates/workflow/src/plan/urgency.rs
+++ b/crates/workflow/src/plan/urgency.rs
@@ -53,3 +53,13 @@
     }
     chains.into_iter().max().unwrap_or(0)
 }
+
+/// The work that is left of an occurrence, in thousandths of core-milliseconds.
+pub(super) fn remaining_work(record: &JobRecord, occurrence: u32) -> u64 {
+    let steps = &record.occurrences[occurrence as usize].steps;
+    let left = record.spec.steps.iter().zip(steps).map(|(spec, step)| {
+        let tasks = step.tasks.len() as u64 - u64::from(step.done);
+        tasks * spec.estimate_ms * spec.demand.cpu_milli
+    });
+    left.sum()
+}
--- a/crates/workflow/src/state/command.rs
+++ b/crates/workflow/src/state/command.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{StateError, StateSnafu},
-    crate::job::{FleetConfig, JobKey, JobSpec, RunNumber, TaskKey, WorkerLife},
+    crate::{
+        job::{FleetConfig, JobKey, JobSpec, RunNumber, TaskKey, WorkerLife},
+        plan::LearnedPair,
+    },
     serde::{Deserialize, Serialize},
     snafu::ResultExt,
     std::sync::Arc,
@@ -86,6 +89,8 @@
         /// The job.
         job: JobKey,
     },
+    /// Keeps what a leader has learned of images, for the next one to begin with.
+    KeepLearned(Vec<LearnedPair>),
     /// Reserves room for a task and starts its next run.
     Place {
         /// The task.
--- a/crates/workflow/src/state/mod.rs
+++ b/crates/workflow/src/state/mod.rs
@@ -15,7 +15,10 @@
 };
 
 use {
-    crate::job::{FleetConfig, JobKey, RunNumber, TaskKey, WorkerLife},
+    crate::{
+        job::{FleetConfig, JobKey, RunNumber, TaskKey, WorkerLife},
+        plan::LearnedPair,
+    },
     serde::{Deserialize, Serialize},
     snafu::{ResultExt, Snafu},
     std::collections::{BTreeMap, BTreeSet},
@@ -42,6 +45,9 @@
     active: BTreeSet<JobKey>,
     /// Ended jobs in the order of their end.
     ended: BTreeSet<(u64, JobKey)>,
+    /// What leaders have learned of images.
+    #[serde(default)]
+    learned: Vec<LearnedPair>,
 }
 
 impl FlowState {
@@ -65,6 +71,11 @@
         self.config.as_ref()
     }
 
+    /// What leaders have learned of images.
+    pub fn learned(&self) -> &[LearnedPair] {
+        &self.learned
+    }
+
     /// A job that is known.
     pub fn job(&self, key: JobKey) -> Option<&JobRecord> {
         self.jobs.get(&key)
@@ -105,6 +116,10 @@
                 self.retention_ms = *retention_ms;
                 CommandOutcome::Done
             }
+            FlowCommand::KeepLearned(pairs) => {
+                self.learned.clone_from(pairs);
+                CommandOutcome::Done
+            }
             FlowCommand::Submit(submission) => self.submit(submission),
             FlowCommand::Cancel { job } => self.cancel(*job),
             FlowCommand::Place { task, run, worker } => self.place(task, *run, worker),
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -244,3 +244,15 @@
     desk.send(2, LinkMessage::Ping { sequence: 2 });
     assert_eq!(desk.leased.as_deref(), Some("e1@100"));
 }
+
+#[test]
+fn of_two_waiting_jobs_the_one_with_less_work_left_comes_first() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0x1, job(&[StepDraft::tasks(16)]));
+    desk.submit(0xa, job(&[StepDraft::tasks(8)]));
+    desk.submit(0xb, job(&[StepDraft::tasks(1)]));
+    assert_eq!(desk.starts().len(), 16);
+    desk.end(1, "e1@100", 1, "0000000000000001.0.0.0", 1, EndKind::Done);
+    assert_eq!(desk.starts().last().unwrap(), "000000000000000b.0.0.0 run 1 on e1@100");
+}
--- a/crates/workflow/tests/interference.rs
+++ b/crates/workflow/tests/interference.rs
@@ -5,6 +5,7 @@
     workflow::{
         job::{JobKey, StepKey},
         plan::{FillerShare, ImageName, InterferenceTable},
+        state::{CommandBatch, FlowCommand, FlowState},
     },
 };
 
@@ -116,3 +117,22 @@
     let after = table.taken(&image("web"), &beside(&[("heavy", 0.2)])[0]);
     assert_eq!(before.to_bits(), after.to_bits());
 }
+
+// A leader that took over learned every pair anew, at the cost of the serving tasks.
+#[test]
+fn a_new_leader_begins_with_what_the_log_holds() {
+    let truth = Truth { level: 2.5, pressures: vec![("heavy", 6.0), ("light", 0.0)] };
+    let settings: [&[(&str, f64)]; 2] = [&[("light", 0.4)], &[("heavy", 0.2)]];
+    let table = learn(&truth, &settings, 20);
+    let commands = vec![FlowCommand::KeepLearned(table.learned_pairs())];
+    let mut state = FlowState::default();
+    state.apply(&CommandBatch { elapsed_ms: 0, commands });
+    let state = FlowState::from_snapshot(&state.to_snapshot()).unwrap();
+    let next = InterferenceTable::from_pairs(REPORT, state.learned());
+    for name in ["heavy", "light"] {
+        let filler = &beside(&[(name, 0.3)])[0];
+        let (before, after) =
+            (table.taken(&image("web"), filler), next.taken(&image("web"), filler));
+        assert_eq!(before.to_bits(), after.to_bits(), "{name}");
+    }
+}
