Plan filling tasks for the usual load of the steps beside them

Cause: a filling task that was placed while the load beside it was low pressed when the load came back within its two or three seconds.

Change: a step keeps its usual level, and planning takes the lower of that and the present one; in return a headroom of 1.2 is planned in place of 1.3.

--- a/crates/workflow/src/plan/interference.rs
+++ b/crates/workflow/src/plan/interference.rs
@@ -30,6 +30,9 @@
 const PAIR_DRIFT: f64 = 0.05;
 /// How much an image's level follows those of its steps with each observation.
 const IMAGE_GAIN: f64 = 0.02;
+/// How much a step's usual level follows the present one with each observation, of which a step on
+/// six workers has a dozen or more a second.
+const USUAL_GAIN: f64 = 0.03;
 /// Headroom beyond this tells no more: tail latencies are whole milliseconds.
 const HEADROOM_CEILING: f64 = 4.0;
 /// Use of a machine below this share tells nothing.
@@ -62,6 +65,14 @@
     seen: Duration,
 }
 
+/// The headroom of a serving step without filling tasks.
+#[derive(Debug, Clone, Copy)]
+struct StepLevel {
+    present: TimedEstimate,
+    /// The average of the last tens of seconds.
+    usual: f64,
+}
+
 /// Filling tasks of one image on a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FillerShare {
@@ -88,7 +99,7 @@
 /// What was learned of the images of one deployment.
 #[derive(Debug, Clone, Default)]
 pub struct InterferenceTable {
-    levels: HashMap<StepKey, TimedEstimate>,
+    levels: HashMap<StepKey, StepLevel>,
     images: HashMap<ImageName, f64>,
     /// By serving image, then by filling image.
     pairs: HashMap<ImageName, HashMap<ImageName, TimedEstimate>>,
@@ -130,6 +141,14 @@
         self.level(step, serving).value - taken
     }
 
+    /// The least that it is expected to have in the next seconds: load that is low returns to what
+    /// is usual.
+    pub fn forecast(&self, step: StepKey, serving: &ImageName, fillers: &[FillerShare]) -> f64 {
+        let predicted = self.predict(step, serving, fillers);
+        let Some(level) = self.levels.get(&step) else { return predicted };
+        predicted - (level.present.estimate.value - level.usual).max(0.0)
+    }
+
     /// What filling tasks of one image take of that headroom.
     pub fn taken(&self, serving: &ImageName, filler: &FillerShare) -> f64 {
         let pair =
@@ -162,7 +181,10 @@
             pairs.insert(image.clone(), TimedEstimate { estimate, seen: now });
         }
         let estimate = level.corrected(error, 1.0, total);
-        self.levels.insert(step, TimedEstimate { estimate, seen: now });
+        let before = self.levels.get(&step).map_or(estimate.value, |level| level.usual);
+        let usual = before + USUAL_GAIN * (estimate.value - before);
+        let present = TimedEstimate { estimate, seen: now };
+        self.levels.insert(step, StepLevel { present, usual });
         let typical = self.images.entry(serving.clone()).or_insert(estimate.value);
         *typical += IMAGE_GAIN * (estimate.value - *typical);
     }
@@ -174,12 +196,12 @@
 
     fn level(&self, step: StepKey, serving: &ImageName) -> Estimate {
         let typical = || self.images.get(serving).copied().unwrap_or(PRESUMED_LEVEL.value);
-        let known = self.levels.get(&step).map(|level| level.estimate);
+        let known = self.levels.get(&step).map(|level| level.present.estimate);
         known.unwrap_or_else(|| Estimate { value: typical(), ..PRESUMED_LEVEL })
     }
 
     fn aged_level(&self, now: Duration, step: StepKey, serving: &ImageName) -> Estimate {
-        let seen = self.levels.get(&step).map_or(now, |level| level.seen);
+        let seen = self.levels.get(&step).map_or(now, |level| level.present.seen);
         let seconds = now.saturating_sub(seen).as_secs_f64();
         self.level(step, serving).aged(seconds, LEVEL_DRIFT, PRESUMED_LEVEL.variance)
     }
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -27,7 +27,7 @@
 /// What one more filling task is taken to cost a serving step at least: estimates are rough.
 const LEAST_TAKEN: f64 = 0.02;
 /// The headroom that every serving task must keep by plan.
-const PLANNED_HEADROOM: f64 = 1.3;
+const PLANNED_HEADROOM: f64 = 1.2;
 
 /// What the tasks of a step ask for.
 pub(super) struct Wish<'a> {
@@ -94,7 +94,7 @@
     let share = wish.spec.demand.cpu_milli as f64 / capacity_of(worker);
     let added = FillerShare { image: wish.spec.image_name(), share };
     let strain = |(step, image): (&StepKey, &ImageName)| {
-        let spare = learned.predict(*step, image, &beside) - PLANNED_HEADROOM;
+        let spare = learned.forecast(*step, image, &beside) - PLANNED_HEADROOM;
         let taken = learned.taken(image, &added).max(LEAST_TAKEN);
         if spare > 0.0 {
             taken / spare
--- a/crates/workflow/tests/interference.rs
+++ b/crates/workflow/tests/interference.rs
@@ -136,3 +136,16 @@
         assert_eq!(before.to_bits(), after.to_bits(), "{name}");
     }
 }
+
+#[test]
+fn a_step_that_is_calm_for_a_moment_is_expected_to_get_busy_again() {
+    let mut table = InterferenceTable::default();
+    for round in 0..60 {
+        let level = if round < 50 { 1.6 } else { 3.0 };
+        table.observe(REPORT * round, step(1), &image("web"), &beside(&[]), f64::recip(level));
+    }
+    let present = table.predict(step(1), &image("web"), &beside(&[]));
+    let forecast = table.forecast(step(1), &image("web"), &beside(&[]));
+    assert!(present > 2.5, "{present}");
+    assert!(forecast < 2.1, "{forecast}");
+}
