End the runs of an executor that another one has replaced

Change: agents say where their executor answers, the log holds it, and an executor that has answered in a place ends earlier ones there at once. Orders name the executor's id, so that none of the lost one reaches the next. In the schedules half of the new lives have another id.

--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -8,7 +8,7 @@
     },
     base::{ClockSource, EventReducer},
     link::LinkSender,
-    std::{future::Future, net::SocketAddr, rc::Rc, time::Duration},
+    std::{future::Future, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         sync::{
             mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender},
@@ -88,6 +88,8 @@
     pub seeds: Vec<SocketAddr>,
     /// How long a lease runs.
     pub lease: Duration,
+    /// Where the executor answers.
+    pub place: String,
 }
 
 enum AgentInput {
@@ -128,7 +130,7 @@
     let (name, seeds) = (setup.name, setup.seeds);
     let search = LeaderSearch { name, seeds, log: log.clone(), reconnect: reconnect.clone() };
     tokio::task::spawn_local(search.run(inputs.clone(), AgentInput::Leader));
-    let settings = AgentSettings { lease: setup.lease };
+    let settings = AgentSettings { lease: setup.lease, place: Arc::from(setup.place) };
     let running = AgentLoop {
         node: AgentNode::new(settings, clock.monotonic()),
         clock,
--- a/crates/workflow/src/agent/holding.rs
+++ b/crates/workflow/src/agent/holding.rs
@@ -148,7 +148,7 @@
         if silent && executor.report.responsive && executor.reached {
             executor.report.responsive = false;
             let report = executor.report.clone();
-            self.send(LinkMessage::Worker(report));
+            self.describe(report);
         }
         let Some(executor) = &mut self.executor else { return };
         let lapsed = executor.silent_since.is_some() && now > executor.lapse_at;
--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -189,11 +189,16 @@
         }
         let report = executor.report.clone();
         let (worker, ends) = (report.worker.clone(), executor.ends.values().cloned().collect());
-        self.send(LinkMessage::Worker(report));
+        self.describe(report);
         self.send_ends(worker, ends);
         self.report_runs();
     }
 
+    fn describe(&mut self, report: WorkerReport) {
+        let place = self.settings.place.clone();
+        self.send(LinkMessage::Worker { report, place });
+    }
+
     fn send_ends(&mut self, worker: WorkerLife, ends: Vec<EndReport>) {
         if !ends.is_empty() {
             self.send(LinkMessage::Ends { worker, ends });
@@ -272,7 +277,7 @@
         let changed = !same || was_draining != report.drain_left_ms.is_some();
         executor.report = report.clone();
         if changed && executor.reached {
-            self.send(LinkMessage::Worker(report));
+            self.describe(report);
         }
     }
 }
--- a/crates/workflow/src/agent/types.rs
+++ b/crates/workflow/src/agent/types.rs
@@ -6,7 +6,7 @@
         job::{RunNumber, TaskKey, WorkerLife},
         message::{EndReport, LinkMessage, RunReport, StartOrder, WorkerReport},
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// What an agent is told when it starts.
@@ -14,6 +14,8 @@
 pub struct AgentSettings {
     /// How long a lease runs from the moment at which the leader was asked.
     pub lease: Duration,
+    /// Where the executor beside the agent answers.
+    pub place: Arc<str>,
 }
 
 /// What an executor says of its runs.
--- a/crates/workflow/src/control/sessions.rs
+++ b/crates/workflow/src/control/sessions.rs
@@ -29,7 +29,7 @@
             LinkMessage::Call { sequence, host, path, call } => {
                 self.take_call(session, sequence, &host, &path, call);
             }
-            LinkMessage::Worker(report) => self.see_worker(session, report),
+            LinkMessage::Worker { report, place } => self.see_worker(session, report, &place),
             LinkMessage::Runs { worker, runs } => self.see_runs(session, &worker, runs),
             LinkMessage::Ends { worker, ends } => self.take_ends(session, &worker, ends),
             LinkMessage::WorkerGone { worker } => self.take_gone(session, &worker),
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -12,7 +12,7 @@
         plan::{Placement, WorkerView},
         state::{EndKind, FlowCommand, TaskPhase},
     },
-    std::time::Duration,
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
 
 /// How much longer than its length a lease may last on a worker's clock.
@@ -21,7 +21,12 @@
 const LEASE_SLACK: Duration = Duration::from_millis(150);
 
 impl ControlNode {
-    pub(super) fn see_worker(&mut self, session: SessionId, report: WorkerReport) {
+    pub(super) fn see_worker(
+        &mut self,
+        session: SessionId,
+        report: WorkerReport,
+        place: &Arc<str>,
+    ) {
         let worker = report.worker.clone();
         let event = FlowEvent::WorkerSeen {
             worker: worker.clone(),
@@ -46,6 +51,7 @@
         lead.replan = true;
         self.record(event);
         self.renew_lease(session);
+        self.take_place(&worker, place);
         if !known {
             self.repeat_orders(session, &worker);
         }
@@ -54,6 +60,23 @@
         }
     }
 
+    /// Notes where a worker answers. Another executor that answered there before is over, and
+    /// nothing that was ordered of it can reach this one, which has another id.
+    fn take_place(&mut self, worker: &WorkerLife, place: &Arc<str>) {
+        let Some(lead) = &self.lead else { return };
+        let executor = worker.executor.clone();
+        let known = lead.ahead.place_of(&executor) == Some(place);
+        let placed = lead.placements_on(|at| {
+            let earlier = at.executor != executor && at.born < worker.born;
+            earlier && lead.ahead.place_of(&at.executor) == Some(place)
+        });
+        if !known {
+            let place = place.clone();
+            self.propose(FlowCommand::Locate { executor, place }, Vec::new());
+        }
+        self.lose_lives(placed, LossReason::Replaced);
+    }
+
     /// Settles what was placed on earlier lives of an executor, once its present life has listed
     /// its runs: what is among them was ordered before and carried out late, everything else has
     /// ended with its life.
@@ -67,10 +90,14 @@
             let worker = worker.clone();
             self.propose(FlowCommand::Adopt { task, run, worker }, Vec::new());
         }
-        let mut lives: Vec<WorkerLife> = ended.into_iter().map(|ended| ended.worker).collect();
-        lives.dedup();
+        self.lose_lives(ended, LossReason::NewLife);
+    }
+
+    /// Ends every run of those lives that some placements are on.
+    fn lose_lives(&mut self, placements: Vec<Placement>, reason: LossReason) {
+        let lives: BTreeSet<WorkerLife> = placements.into_iter().map(|lost| lost.worker).collect();
         for life in lives {
-            self.lose_worker(&life, LossReason::NewLife);
+            self.lose_worker(&life, reason);
         }
     }
 
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -19,6 +19,8 @@
     LeaseExpired,
     /// The executor has begun a new life.
     NewLife,
+    /// Another executor answers in its place.
+    Replaced,
     /// Its agent saw it end.
     Ended,
 }
--- a/crates/workflow/src/message/mod.rs
+++ b/crates/workflow/src/message/mod.rs
@@ -8,6 +8,7 @@
     base::{PeerAddress, ReplicaId},
     quorum::QuorumMessage,
     serde::{Deserialize, Serialize},
+    std::sync::Arc,
 };
 
 /// One message on a stream between two processes.
@@ -62,8 +63,14 @@
         /// The answer.
         answer: CallerAnswer,
     },
-    /// An agent describes its executor; sent anew whenever something of it has changed.
-    Worker(WorkerReport),
+    /// An agent describes its executor, which has answered it; sent anew whenever something of it
+    /// has changed.
+    Worker {
+        /// The description.
+        report: WorkerReport,
+        /// Where the executor answers: one at a time can.
+        place: Arc<str>,
+    },
     /// An agent lists every run on its executor, and those it is about to start.
     Runs {
         /// The executor.
--- a/crates/workflow/src/state/command.rs
+++ b/crates/workflow/src/state/command.rs
@@ -91,6 +91,13 @@
     },
     /// Keeps what a leader has learned of images, for the next one to begin with.
     KeepLearned(Vec<LearnedPair>),
+    /// Notes where an executor answers: only one at a time can.
+    Locate {
+        /// The executor.
+        executor: Arc<str>,
+        /// Where.
+        place: Arc<str>,
+    },
     /// Reserves room for a task and starts its next run.
     Place {
         /// The task.
--- a/crates/workflow/src/state/mod.rs
+++ b/crates/workflow/src/state/mod.rs
@@ -21,7 +21,10 @@
     },
     serde::{Deserialize, Serialize},
     snafu::{ResultExt, Snafu},
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
 };
 
 /// Why a snapshot or an entry can't be used: it is of another format or program.
@@ -48,6 +51,9 @@
     /// What leaders have learned of images.
     #[serde(default)]
     learned: Vec<LearnedPair>,
+    /// Where executors answer, as long as something is placed on them or nobody else answers there.
+    #[serde(default)]
+    places: BTreeMap<Arc<str>, Arc<str>>,
 }
 
 impl FlowState {
@@ -76,6 +82,11 @@
         &self.learned
     }
 
+    /// Where an executor answers, or answered last.
+    pub fn place_of(&self, executor: &str) -> Option<&Arc<str>> {
+        self.places.get(executor)
+    }
+
     /// A job that is known.
     pub fn job(&self, key: JobKey) -> Option<&JobRecord> {
         self.jobs.get(&key)
@@ -120,6 +131,7 @@
                 self.learned.clone_from(pairs);
                 CommandOutcome::Done
             }
+            FlowCommand::Locate { executor, place } => self.locate(executor, place),
             FlowCommand::Submit(submission) => self.submit(submission),
             FlowCommand::Cancel { job } => self.cancel(*job),
             FlowCommand::Place { task, run, worker } => self.place(task, *run, worker),
--- a/crates/workflow/src/state/transition.rs
+++ b/crates/workflow/src/state/transition.rs
@@ -7,6 +7,7 @@
         FlowState,
     },
     crate::job::{FleetConfig, JobKey, RunNumber, TaskKey, WorkerLife},
+    std::{collections::BTreeSet, sync::Arc},
 };
 
 impl FlowState {
@@ -19,6 +20,15 @@
         CommandOutcome::Done
     }
 
+    /// Forgets others that answered there and hold nothing.
+    pub(super) fn locate(&mut self, executor: &Arc<str>, place: &Arc<str>) -> CommandOutcome {
+        let holding: BTreeSet<Arc<str>> =
+            self.placed_tasks().map(|(_, _, worker)| worker.executor.clone()).collect();
+        self.places.retain(|other, at| at != place || holding.contains(other));
+        self.places.insert(executor.clone(), place.clone());
+        CommandOutcome::Done
+    }
+
     pub(super) fn submit(&mut self, submission: &Submission) -> CommandOutcome {
         let key = submission.job;
         if !self.jobs.contains_key(&key) {
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -51,7 +51,7 @@
     /// An agent that has met a leader of term 1 and an executor that runs nothing.
     fn start() -> Self {
         let now = Duration::from_secs(10);
-        let node = AgentNode::new(AgentSettings { lease: LEASE }, now);
+        let node = AgentNode::new(AgentSettings { lease: LEASE, place: Arc::from("a1") }, now);
         let (holds, deadlines, fences, calls, sent) = Default::default();
         let mut desk = Self { node, now, holds, deadlines, fences, calls, sent, introductions: 0 };
         desk.beat(1, None);
@@ -86,7 +86,7 @@
                 AgentEffect::Send(LinkMessage::Ping { sequence }) => {
                     self.sent.push(format!("ping {sequence}"));
                 }
-                AgentEffect::Send(LinkMessage::Worker(_)) => self.introductions += 1,
+                AgentEffect::Send(LinkMessage::Worker { .. }) => self.introductions += 1,
                 AgentEffect::Reconnect => self.sent.push("reconnect".to_owned()),
                 AgentEffect::Send(_) | AgentEffect::Record(_) => {}
             }
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -256,3 +256,22 @@
     desk.end(1, "e1@100", 1, "0000000000000001.0.0.0", 1, EndKind::Done);
     assert_eq!(desk.starts().last().unwrap(), "000000000000000b.0.0.0 run 1 on e1@100");
 }
+
+// After a loss of all power executors came back under other ids, and what had run on the lost ones
+// waited for the end of their leases.
+#[test]
+fn an_executor_that_answers_in_the_place_of_another_ends_its_runs() {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1 at a", 100);
+    desk.worker(2, "e2 at b", 100);
+    desk.submit(0xa, job(&[StepDraft::tasks(1)]));
+    assert_eq!(desk.starts(), ["000000000000000a.0.0.0 run 1 on e1 at a@100"]);
+    desk.close(1);
+    desk.close(2);
+    desk.worker(3, "e3 at b", 200);
+    assert_eq!(desk.starts().len(), 1, "another place says nothing");
+    desk.worker(4, "e0 at a", 50);
+    assert_eq!(desk.starts().len(), 1, "an earlier executor says nothing");
+    desk.worker(4, "e4 at a", 200);
+    assert_eq!(desk.starts().len(), 2);
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -204,18 +204,26 @@
         }
     }
 
+    /// Each executor of a test answers in a place of its own, unless it is named after one.
+    fn describe(&mut self, session: u64, report: WorkerReport) {
+        let executor = report.worker.executor.clone();
+        let place = executor.split_once(" at ").map_or(&*executor, |(_, place)| place);
+        let place = Arc::from(place);
+        self.send(session, LinkMessage::Worker { report, place });
+    }
+
     pub fn worker(&mut self, session: u64, executor: &str, born: u64) {
-        self.send(session, LinkMessage::Worker(Self::report(executor, born, None)));
+        self.describe(session, Self::report(executor, born, None));
         self.runs(session, &format!("{executor}@{born}"), &[]);
     }
 
     /// A life of an executor, before its agent has listed its runs.
     pub fn announce(&mut self, session: u64, executor: &str, born: u64) {
-        self.send(session, LinkMessage::Worker(Self::report(executor, born, None)));
+        self.describe(session, Self::report(executor, born, None));
     }
 
     pub fn drain(&mut self, session: u64, executor: &str, born: u64) {
-        self.send(session, LinkMessage::Worker(Self::report(executor, born, Some(2000))));
+        self.describe(session, Self::report(executor, born, Some(2000)));
     }
 
     fn call(&mut self, key: u64, call: CallerCall) {
--- a/crates/workflow/tests/world/executor.rs
+++ b/crates/workflow/tests/world/executor.rs
@@ -45,10 +45,11 @@
         }
     }
 
-    /// A new life knows nothing of the one before.
-    pub fn restart(&mut self, born: u64) {
+    /// A new life knows nothing of the one before, and may have another id.
+    pub fn restart(&mut self, born: u64, name: Option<&str>) {
         let seed = self.random.next_u64();
-        *self = Self::new(&self.name.clone(), born, seed);
+        let name = name.map_or_else(|| self.name.clone(), Arc::from);
+        *self = Self::new(&name, born, seed);
     }
 
     pub fn life(&self) -> WorkerLife {
--- a/crates/workflow/tests/world/faults.rs
+++ b/crates/workflow/tests/world/faults.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        start_control, AgentNode, AgentSettings, Arrival, FleetWorld, AGENTS, CONTROLS, LEASE,
-        TRACE_VARIABLE,
+        place_of, start_control, AgentNode, AgentSettings, Arrival, FleetWorld, AGENTS, CONTROLS,
+        LEASE, TRACE_VARIABLE,
     },
     std::time::Duration,
     workflow::{
@@ -50,12 +50,15 @@
             6 => {
                 let now = self.now;
                 let host = &mut self.agents[agent];
-                host.node = AgentNode::new(AgentSettings { lease: LEASE }, now);
+                host.node =
+                    AgentNode::new(AgentSettings { lease: LEASE, place: place_of(agent) }, now);
                 host.leader = None;
             }
             _ => {
                 let born = self.now.as_millis() as u64;
-                self.agents[agent].executor.restart(born);
+                let other = format!("e{agent}-{born}");
+                let name = born.is_multiple_of(2).then_some(other.as_str());
+                self.agents[agent].executor.restart(born, name);
                 self.agents[agent].sequence = 0;
             }
         }
--- a/crates/workflow/tests/world/mod.rs
+++ b/crates/workflow/tests/world/mod.rs
@@ -164,6 +164,11 @@
     JobSpec { payload: "work".to_owned(), steps, schedule: None }
 }
 
+/// Where the executor of an agent answers, whatever its id.
+fn place_of(agent: usize) -> Arc<str> {
+    Arc::from(format!("place {agent}"))
+}
+
 impl FleetWorld {
     pub fn new(seed: u64) -> Self {
         let mut random = SeededRandom::new(seed);
@@ -175,7 +180,7 @@
         });
         let controls = controls.collect();
         let agents = (0..AGENTS).map(|agent| AgentHost {
-            node: AgentNode::new(AgentSettings { lease: LEASE }, now),
+            node: AgentNode::new(AgentSettings { lease: LEASE, place: place_of(agent) }, now),
             executor: FakeExecutor::new(&format!("e{agent}"), 1, random.next_u64()),
             leader: None,
             stream: 0,
