Test relief, and waiting beside a serving task, at the control process

Change: three tests of the control reducer; constants say where they come from; no change of behaviour.

Measured: tests pass.

--- a/crates/workflow/src/control/interference.rs
+++ b/crates/workflow/src/control/interference.rs
@@ -14,11 +14,12 @@
 
 /// The percentage at which a lasting task is at work.
 const AT_WORK: u8 = 100;
-/// The headroom below which a serving task is relieved of filling ones.
+/// The headroom below which a serving task is relieved of filling ones: it misses its target.
 const RELIEVED_HEADROOM: f64 = 1.0;
-/// The headroom that relief is to bring.
+/// The headroom that relief is to bring: half of what is planned beyond the target.
 const RELIEF_GOAL: f64 = 1.1;
-/// What a filling task must take of the headroom to be one of those that go.
+/// What a filling task must take of the headroom to be one of those that go: less would not show
+/// in figures of whole milliseconds.
 const BLAMED_SHARE: f64 = 0.1;
 /// How often a worker is relieved: the figures have to show what the last time has brought.
 const RELIEF_INTERVAL: Duration = Duration::from_millis(800);
@@ -30,7 +31,7 @@
 /// The figures of one worker.
 #[derive(Default)]
 struct WorkerFigures {
-    /// The worst tail latency of each serving step, as a share of its target.
+    /// The worst tail latency of each serving step.
     serving: BTreeMap<StepKey, ServingFigure>,
     fillers: Vec<FillerFigure>,
 }
@@ -47,14 +48,14 @@
     }
 
     /// The serving step that has the least headroom.
-    fn worst(&self) -> Option<(StepKey, &ServingFigure)> {
-        let figures = self.serving.iter().map(|(step, figure)| (*step, figure));
-        figures.max_by(|(_, one), (_, other)| one.tail_share.total_cmp(&other.tail_share))
+    fn worst(&self) -> Option<&ServingFigure> {
+        self.serving.values().max_by(|one, other| one.tail_share.total_cmp(&other.tail_share))
     }
 }
 
 struct ServingFigure {
     image: ImageName,
+    /// The tail latency as a share of its target.
     tail_share: f64,
 }
 
@@ -79,7 +80,7 @@
         for (step, ServingFigure { image, tail_share }) in &figures.serving {
             lead.learned.observe(now, *step, image, &shares, *tail_share);
         }
-        let Some((_, ServingFigure { image, tail_share })) = figures.worst() else { return };
+        let Some(ServingFigure { image, tail_share }) = figures.worst() else { return };
         let headroom = tail_share.recip();
         let last = lead.relieved.get(&worker.executor).copied().unwrap_or_default();
         if headroom > RELIEVED_HEADROOM || now.saturating_sub(last) < RELIEF_INTERVAL {
--- a/crates/workflow/src/plan/interference.rs
+++ b/crates/workflow/src/plan/interference.rs
@@ -20,15 +20,17 @@
 /// What a pair is presumed to take for the use of a whole machine: little enough for a filling
 /// task or two to be tried beside a serving one.
 const PRESUMED_PRESSURE: Estimate = Estimate { value: 1.5, variance: 6.0 };
-/// The headroom that an image is presumed to have alone.
+/// The headroom that an image is presumed to have alone: twice what it needs, as services are
+/// commonly sized for.
 const PRESUMED_LEVEL: Estimate = Estimate { value: 2.2, variance: 0.5 };
 /// The variance of an observation: figures are rough, and late by up to a report.
 const FIGURE_VARIANCE: f64 = 0.15;
-/// What a level's variance grows by each second, because load swings within seconds.
+/// What a level's variance grows by each second: load swings by a third of it within seconds.
 const LEVEL_DRIFT: f64 = 0.2;
-/// The same for a pair.
+/// The same for a pair, whose pressure depends on the images alone in the long run.
 const PAIR_DRIFT: f64 = 0.05;
-/// How much an image's level follows those of its steps with each observation.
+/// How much an image's level follows those of its steps with each observation: an average over
+/// several steps and swings.
 const IMAGE_GAIN: f64 = 0.02;
 /// How much a step's usual level follows the present one with each observation, of which a step on
 /// six workers has a dozen or more a second.
@@ -38,7 +40,7 @@
 /// Use of a machine below this share tells nothing.
 const LEAST_USE: f64 = 0.01;
 
-/// A coefficient, how uncertain it is, and when that was so.
+/// A coefficient and its variance.
 #[derive(Debug, Clone, Copy)]
 struct Estimate {
     value: f64,
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -24,9 +24,11 @@
 const MIXED_PENALTY: f64 = 0.4;
 /// For a filling task beside serving ones that may not bear it.
 const STARVING_PENALTY: f64 = 2.0;
-/// What one more filling task is taken to cost a serving step at least: estimates are rough.
+/// What one more filling task is taken to cost a serving step at least: a hundredth of the
+/// headroom that services commonly have, below which estimates tell nothing.
 const LEAST_TAKEN: f64 = 0.02;
-/// The headroom that every serving task must keep by plan.
+/// The headroom that every serving task must keep by plan: a target is held beside load that grows
+/// by a fifth.
 const PLANNED_HEADROOM: f64 = 1.2;
 
 /// What the tasks of a step ask for.
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -275,3 +275,51 @@
     desk.worker(4, "e4 at a", 200);
     assert_eq!(desk.starts().len(), 2);
 }
+
+const SERVING: &str = "0000000000000001.0.0.0";
+const FILLING: &str = "000000000000000a.0.0.0";
+
+/// A worker with a serving task, whose tail has to stay below 20 ms, and a filling one of 4 cores.
+fn shared_worker() -> ControlDesk {
+    let mut desk = ControlDesk::start();
+    desk.worker(1, "e1", 100);
+    desk.submit(0x1, job(&[StepDraft::tasks(1).lasting().image("web").latency_target(20)]));
+    desk.submit(0xa, job(&[StepDraft::tasks(1).cores(4).filler().saves().image("sort")]));
+    assert_eq!(desk.starts().len(), 2);
+    desk
+}
+
+#[test]
+fn a_filling_task_that_keeps_a_serving_one_above_its_target_is_stopped() {
+    let mut desk = shared_worker();
+    for _ in 0..4 {
+        desk.keep_alive(1, 1000);
+        desk.figures(1, "e1@100", &[(SERVING, 1, 60), (FILLING, 1, 4000)]);
+    }
+    assert_eq!(desk.stops().first().unwrap(), "000000000000000a.0.0.0 run 1");
+}
+
+#[test]
+fn a_filling_task_beside_a_serving_one_below_its_target_runs_on() {
+    let mut desk = shared_worker();
+    for _ in 0..4 {
+        desk.keep_alive(1, 1000);
+        desk.figures(1, "e1@100", &[(SERVING, 1, 15), (FILLING, 1, 4000)]);
+    }
+    assert!(desk.stops().is_empty(), "{:?}", desk.stops());
+}
+
+// A step was started beside a serving task that an image of its own was known to press on.
+#[test]
+fn a_filling_task_waits_rather_than_press_on_a_serving_one() {
+    let mut desk = shared_worker();
+    for round in 0..20 {
+        desk.keep_alive(1, 400);
+        let (tail, used) = if round % 2 == 0 { (8, 0) } else { (18, 4000) };
+        desk.figures(1, "e1@100", &[(SERVING, 1, tail), (FILLING, 1, used)]);
+    }
+    desk.submit(0xb, job(&[StepDraft::tasks(1).cores(4).filler().image("sort")]));
+    assert_eq!(desk.starts().len(), 2, "the worker bears one of them");
+    desk.worker(2, "e2", 100);
+    assert_eq!(desk.starts().last().unwrap(), "000000000000000b.0.0.0 run 1 on e2@100");
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -49,6 +49,21 @@
         self
     }
 
+    pub fn image(mut self, name: &str) -> Self {
+        self.0.image = Some(Arc::from(name));
+        self
+    }
+
+    pub fn saves(mut self) -> Self {
+        self.0.checkpointing = true;
+        self
+    }
+
+    pub fn latency_target(mut self, milliseconds: u64) -> Self {
+        self.0.latency_target_ms = Some(milliseconds);
+        self
+    }
+
     pub fn lasting(mut self) -> Self {
         self.0.lasting = true;
         self
@@ -279,6 +294,19 @@
         self.send(session, LinkMessage::Runs { worker: Self::life(worker), runs });
     }
 
+    /// Lists runs with their figures: tail latencies, or thousandths of a core in use.
+    pub fn figures(&mut self, session: u64, worker: &str, runs: &[(&str, u32, u64)]) {
+        let report = |(task, run, figure): &(&str, u32, u64)| RunReport {
+            task: task.parse().unwrap(),
+            run: RunNumber(*run),
+            checkpoint: String::new(),
+            percent: 100,
+            figure: *figure,
+        };
+        let runs = runs.iter().map(report).collect();
+        self.send(session, LinkMessage::Runs { worker: Self::life(worker), runs });
+    }
+
     pub fn configure(&mut self, version: u64) {
         let ticket = ReplyTicket(version);
         let config = fleet_config(version, 2);
