--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -1,8 +1,8 @@
 //! Placement: which waiting task starts where.
 //!
 //! One pass serves the tasks of every open step in the order of priority, of what the job can still
-//! reach, and of the work that it has left. A placement holds its room until its end is in the log, so that a pass over the ahead state never counts
-//! room twice.
+//! reach, and of the work that it has left. A placement holds its room until its end is in the log,
+//! so that a pass over the ahead state never counts room twice.
 
 mod interference;
 mod room;
