Build faults into the schedules of the deployed processes

Cause: nothing showed that these schedules catch what they look for.

Change: leases that agents overstay, executors that are taken for others in one place, and disks that forget, each of which some seed has to catch.

--- a/crates/workflow/tests/schedules.rs
+++ b/crates/workflow/tests/schedules.rs
@@ -4,15 +4,26 @@
 mod fixtures;
 mod world;
 
-use {rstest::rstest, world::FleetWorld};
+use {
+    rstest::rstest,
+    std::panic::catch_unwind,
+    world::{Breakage, FleetWorld},
+};
 
 /// Seeds that every run of the tests plays.
 const SEEDS: std::ops::Range<u64> = 0..40;
 const SEEDS_VARIABLE: &str = "SCHEDULE_SEEDS";
 
+/// Seeds in which a breakage has to show.
+const BROKEN_SEEDS: std::ops::Range<u64> = 0..100;
+
 /// Plays a seed; a broken promise panics with the seed and what the executors saw.
 fn check(seed: u64) {
-    let mut world = FleetWorld::new(seed);
+    play(seed, None);
+}
+
+fn play(seed: u64, breakage: Option<Breakage>) {
+    let mut world = FleetWorld::new(seed, breakage);
     world.play_faults();
     world.heal();
     world.expect_all_finished();
@@ -40,3 +51,14 @@
 fn seeds_that_failed_once_hold(#[case] seed: u64) {
     check(seed);
 }
+
+#[rstest]
+#[case::leases_that_are_overstayed(Breakage::OverstayedLease)]
+#[case::executors_taken_for_others(Breakage::SharedPlace)]
+#[case::disks_that_forget(Breakage::ForgetfulDisk)]
+fn a_built_in_fault_is_caught(#[case] breakage: Breakage) {
+    let caught = |seed: &u64| catch_unwind(|| play(*seed, Some(breakage))).is_err();
+    let seed = BROKEN_SEEDS.into_iter().find(caught);
+    println!("{breakage:?} is caught by seed {seed:?}");
+    assert!(seed.is_some());
+}
--- a/crates/workflow/tests/world/faults.rs
+++ b/crates/workflow/tests/world/faults.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        place_of, start_control, AgentNode, AgentSettings, Arrival, FleetWorld, AGENTS, CONTROLS,
-        LEASE, TRACE_VARIABLE,
+        agent_settings, start_control, AgentNode, Arrival, Breakage, FleetWorld, AGENTS, CONTROLS,
+        TRACE_VARIABLE,
     },
+    quorum::RecoveredLog,
     std::time::Duration,
     workflow::{
         agent::AgentEvent,
@@ -50,8 +51,7 @@
             6 => {
                 let now = self.now;
                 let host = &mut self.agents[agent];
-                host.node =
-                    AgentNode::new(AgentSettings { lease: LEASE, place: place_of(agent) }, now);
+                host.node = AgentNode::new(agent_settings(agent, self.breakage), now);
                 host.leader = None;
             }
             _ => {
@@ -68,6 +68,9 @@
         let seed = self.random.next_u64();
         let host = &mut self.controls[control];
         host.life += 1;
+        if self.breakage == Some(Breakage::ForgetfulDisk) {
+            host.disk = RecoveredLog::default();
+        }
         host.node = Some(start_control(control, &host.disk, self.now, seed));
         self.drop_streams_of(control);
     }
--- a/crates/workflow/tests/world/mod.rs
+++ b/crates/workflow/tests/world/mod.rs
@@ -98,6 +98,7 @@
 
 pub struct FleetWorld {
     seed: u64,
+    breakage: Option<Breakage>,
     random: SeededRandom,
     now: Duration,
     controls: Vec<ControlHost>,
@@ -164,13 +165,26 @@
     JobSpec { payload: "work".to_owned(), steps, schedule: None }
 }
 
-/// Where the executor of an agent answers, whatever its id.
-fn place_of(agent: usize) -> Arc<str> {
-    Arc::from(format!("place {agent}"))
+/// A fault that is built into the processes on purpose, to show that the schedules catch it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Breakage {
+    /// Agents let their executors run on for longer than control counts.
+    OverstayedLease,
+    /// All executors are said to answer in one place.
+    SharedPlace,
+    /// Control processes lose what they have synced when they start again.
+    ForgetfulDisk,
+}
+
+/// The settings of an agent, whose executor answers in one place, whatever its id.
+fn agent_settings(agent: usize, breakage: Option<Breakage>) -> AgentSettings {
+    let lease = if breakage == Some(Breakage::OverstayedLease) { LEASE * 4 } else { LEASE };
+    let place = if breakage == Some(Breakage::SharedPlace) { 0 } else { agent };
+    AgentSettings { lease, place: Arc::from(format!("place {place}")) }
 }
 
 impl FleetWorld {
-    pub fn new(seed: u64) -> Self {
+    pub fn new(seed: u64, breakage: Option<Breakage>) -> Self {
         let mut random = SeededRandom::new(seed);
         let now = Duration::from_secs(1);
         let controls = (0..CONTROLS).map(|control| {
@@ -180,7 +194,7 @@
         });
         let controls = controls.collect();
         let agents = (0..AGENTS).map(|agent| AgentHost {
-            node: AgentNode::new(AgentSettings { lease: LEASE, place: place_of(agent) }, now),
+            node: AgentNode::new(agent_settings(agent, breakage), now),
             executor: FakeExecutor::new(&format!("e{agent}"), 1, random.next_u64()),
             leader: None,
             stream: 0,
@@ -189,6 +203,7 @@
         });
         Self {
             seed,
+            breakage,
             now,
             controls,
             agents: agents.collect(),
