Look jobs, queues and estimates up once

Change: FlowState::change_job, is_of of both reports, TimedEstimate::aged, Reserved::busy_milli, the rule kept with the open step, the sort's keys cached; pairs of images lie in order in place of being sorted.

--- a/crates/workflow/src/agent/holding.rs
+++ b/crates/workflow/src/agent/holding.rs
@@ -176,10 +176,11 @@
             .filter(|end| end.number > noted && !executor.ends.contains_key(&end.number))
             .collect();
         executor.ends.extend(fresh.iter().map(|end| (end.number, end.clone())));
-        let same_runs = executor.rows.len() == view.running.len()
-            && executor.rows.iter().zip(&view.running).all(|(old, new)| {
-                old.task == new.task && old.run == new.run && old.checkpoint == new.checkpoint
-            });
+        let same_runs =
+            executor.rows.len() == view.running.len()
+                && executor.rows.iter().zip(&view.running).all(|(old, new)| {
+                    old.is_of(new.task, new.run) && old.checkpoint == new.checkpoint
+                });
         executor.rows = view.running;
         let interval = if self.pacer.is_watching() { WATCHING_INTERVAL } else { REPORT_INTERVAL };
         let due = now.saturating_sub(executor.reported) >= interval;
--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -213,7 +213,7 @@
         let worker = executor.report.worker.clone();
         let mut runs = executor.rows.clone();
         for (task, run) in self.runs.pending() {
-            if !runs.iter().any(|report| report.task == task && report.run == run) {
+            if !runs.iter().any(|report| report.is_of(task, run)) {
                 let (checkpoint, percent, figure) = (String::new(), 0, 0);
                 runs.push(RunReport { task, run, checkpoint, percent, figure });
             }
--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -95,7 +95,7 @@
         if executor.report.worker != order.worker {
             return;
         }
-        if executor.ends.values().any(|end| end.task == task && end.run == run) {
+        if executor.ends.values().any(|end| end.is_of(task, run)) {
             return;
         }
         if let Some((end, _)) = self.runs.closed.get(&(task, run)).copied() {
@@ -103,7 +103,7 @@
             return;
         }
         let known = self.runs.orders.get(&(task, run)).map(|known| known.phase.clone());
-        let listed = executor.rows.iter().any(|row| row.task == task && row.run == run);
+        let listed = executor.rows.iter().any(|row| row.is_of(task, run));
         if known.is_some() {
             return;
         }
@@ -259,10 +259,8 @@
     pub(super) fn settle_runs(&mut self, asked: Duration) {
         let now = self.now;
         let Some(executor) = &self.executor else { return };
-        let running =
-            |task, run| executor.rows.iter().any(|row| row.task == task && row.run == run);
-        let ended =
-            |task, run| executor.ends.values().any(|end| end.task == task && end.run == run);
+        let running = |task, run| executor.rows.iter().any(|row| row.is_of(task, run));
+        let ended = |task, run| executor.ends.values().any(|end| end.is_of(task, run));
         let mut settled = Vec::new();
         let mut never_began = Vec::new();
         let mut again = Vec::new();
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -122,7 +122,7 @@
         let Some(lead) = &mut self.lead else { return };
         let mut missing = Vec::new();
         for (task, run, at) in lead.ahead.placed_tasks().filter(|(_, _, at)| *at == worker) {
-            let listed = runs.iter().any(|report| report.task == task && report.run == run);
+            let listed = runs.iter().any(|report| report.is_of(task, run));
             let ordered = lead.ordered.get(&task).filter(|(ordered, _)| *ordered == run);
             let patient =
                 ordered.is_some_and(|(_, sent)| now.saturating_sub(*sent) < ORDER_PATIENCE);
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -83,9 +83,9 @@
     pub(super) fn settle_earlier_lives(&mut self, worker: &WorkerLife, runs: &[RunReport]) {
         let Some(lead) = &self.lead else { return };
         let placed = lead.placements_on(|at| at.is_before(worker));
-        let (listed, ended): (Vec<_>, Vec<_>) = placed.into_iter().partition(|placement| {
-            runs.iter().any(|row| row.task == placement.task && row.run == placement.run)
-        });
+        let (listed, ended): (Vec<_>, Vec<_>) = placed
+            .into_iter()
+            .partition(|placement| runs.iter().any(|row| row.is_of(placement.task, placement.run)));
         for Placement { task, run, .. } in listed {
             let worker = worker.clone();
             self.propose(FlowCommand::Adopt { task, run, worker }, Vec::new());
--- a/crates/workflow/src/message/mod.rs
+++ b/crates/workflow/src/message/mod.rs
@@ -209,6 +209,13 @@
     pub figure: u64,
 }
 
+impl RunReport {
+    /// Whether this is a run of a task.
+    pub fn is_of(&self, task: TaskKey, run: RunNumber) -> bool {
+        (self.task, self.run) == (task, run)
+    }
+}
+
 /// The end of a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -225,6 +232,13 @@
     pub checkpoint: String,
 }
 
+impl EndReport {
+    /// Whether this is the end of a task's run.
+    pub fn is_of(&self, task: TaskKey, run: RunNumber) -> bool {
+        (self.task, self.run) == (task, run)
+    }
+}
+
 /// An order to start a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/workflow/src/plan/interference.rs
+++ b/crates/workflow/src/plan/interference.rs
@@ -11,7 +11,11 @@
 use {
     crate::job::{JobKey, StepKey},
     serde::{Deserialize, Serialize},
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// A kind of task, by what it runs.
@@ -54,10 +58,6 @@
         let gain = self.variance * factor / total;
         Self { value: self.value + gain * error, variance: self.variance * (1.0 - gain * factor) }
     }
-
-    fn aged(self, seconds: f64, drift: f64, ceiling: f64) -> Self {
-        Self { variance: (self.variance + drift * seconds).min(ceiling), ..self }
-    }
 }
 
 /// An estimate with the time of its last observation.
@@ -67,6 +67,16 @@
     seen: Duration,
 }
 
+impl TimedEstimate {
+    /// The estimate by now: its variance has grown by `drift` a second, up to that of nothing
+    /// known.
+    fn aged(self, now: Duration, drift: f64, unknown: Estimate) -> Estimate {
+        let seconds = now.saturating_sub(self.seen).as_secs_f64();
+        let variance = (self.estimate.variance + drift * seconds).min(unknown.variance);
+        Estimate { variance, ..self.estimate }
+    }
+}
+
 /// The headroom of a serving step without filling tasks.
 #[derive(Debug, Clone, Copy)]
 struct StepLevel {
@@ -104,7 +114,7 @@
     levels: HashMap<StepKey, StepLevel>,
     images: HashMap<ImageName, f64>,
     /// By serving image, then by filling image.
-    pairs: HashMap<ImageName, HashMap<ImageName, TimedEstimate>>,
+    pairs: BTreeMap<ImageName, BTreeMap<ImageName, TimedEstimate>>,
 }
 
 impl InterferenceTable {
@@ -130,11 +140,7 @@
         let rows = self.pairs.iter().flat_map(|(serving, pairs)| {
             pairs.iter().map(move |(filler, pair)| row(serving, filler, pair))
         });
-        let mut pairs: Vec<LearnedPair> = rows.collect();
-        pairs.sort_by(|one, other| {
-            (&one.serving, &one.filler).cmp(&(&other.serving, &other.filler))
-        });
-        pairs
+        rows.collect()
     }
 
     /// The headroom that a serving step is expected to have beside filling tasks.
@@ -203,9 +209,11 @@
     }
 
     fn aged_level(&self, now: Duration, step: StepKey, serving: &ImageName) -> Estimate {
-        let seen = self.levels.get(&step).map_or(now, |level| level.present.seen);
-        let seconds = now.saturating_sub(seen).as_secs_f64();
-        self.level(step, serving).aged(seconds, LEVEL_DRIFT, PRESUMED_LEVEL.variance)
+        let known = self.levels.get(&step).map(|level| level.present);
+        known.map_or_else(
+            || self.level(step, serving),
+            |present| present.aged(now, LEVEL_DRIFT, PRESUMED_LEVEL),
+        )
     }
 
     fn pair(&self, serving: &ImageName, filler: &ImageName) -> Option<&TimedEstimate> {
@@ -213,8 +221,7 @@
     }
 
     fn aged_pair(&self, now: Duration, serving: &ImageName, filler: &ImageName) -> Estimate {
-        let Some(pair) = self.pair(serving, filler) else { return PRESUMED_PRESSURE };
-        let seconds = now.saturating_sub(pair.seen).as_secs_f64();
-        pair.estimate.aged(seconds, PAIR_DRIFT, PRESUMED_PRESSURE.variance)
+        let known = self.pair(serving, filler);
+        known.map_or(PRESUMED_PRESSURE, |pair| pair.aged(now, PAIR_DRIFT, PRESUMED_PRESSURE))
     }
 }
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -22,7 +22,7 @@
         urgency::{prospect_of, remaining_work, JobProspect},
     },
     crate::{
-        job::{JobKey, RunNumber, TaskKey, WorkerLife},
+        job::{JobKey, QueueRule, RunNumber, TaskKey, WorkerLife},
         state::{FlowState, JobRecord, StepRecord, TaskPhase},
     },
     std::time::Duration,
@@ -71,6 +71,8 @@
     occurrence: u32,
     step: u16,
     prospect: JobProspect,
+    /// What the configuration says of the job's queue, while it has one.
+    rule: Option<&'a QueueRule>,
 }
 
 impl OpenStep<'_> {
@@ -100,7 +102,7 @@
     if steps.is_empty() {
         return Vec::new();
     }
-    steps.sort_by_key(|step| {
+    steps.sort_by_cached_key(|step| {
         (
             step.record.priority,
             step.prospect,
@@ -123,12 +125,12 @@
         if record.outcome.is_some() || record.unfinished == record.placed {
             continue;
         }
+        let rule = state.config().and_then(|config| config.queue(&record.queue));
         for (occurrence, steps) in record.occurrences.iter().enumerate() {
             let due = record.spec.due_ms(occurrence as u32);
             if due.is_some_and(|due| due > time.wall_ms) {
                 continue;
             }
-            let rule = state.config().and_then(|config| config.queue(&record.queue));
             let age_ms = match due {
                 Some(due) => time.wall_ms.saturating_sub(due),
                 None => state.clock_ms().saturating_sub(record.accepted_ms),
@@ -138,7 +140,7 @@
                 let tasks = &steps.steps[step];
                 if !tasks.is_done() && steps.is_open(spec) {
                     let (occurrence, step) = (occurrence as u32, step as u16);
-                    open.push(OpenStep { job, record, occurrence, step, prospect });
+                    open.push(OpenStep { job, record, occurrence, step, prospect, rule });
                 }
             }
         }
@@ -148,8 +150,7 @@
 
 fn place_step(step: &OpenStep<'_>, pass: &mut PlanPass<'_>, placements: &mut Vec<Placement>) {
     let spec = &step.record.spec.steps[usize::from(step.step)];
-    let rule = pass.state.config().and_then(|config| config.queue(&step.record.queue));
-    let service = rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
+    let service = step.rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
     let rack = pass.room.rack_for(step.tasks(), spec, service, pass.workers, pass.time.now);
     let waited = pass.state.clock_ms().saturating_sub(step.record.accepted_ms);
     let idle = || pass.room.load_of(service, pass.workers, pass.time.now) < STARVATION_LOAD;
--- a/crates/workflow/src/plan/room.rs
+++ b/crates/workflow/src/plan/room.rs
@@ -27,7 +27,7 @@
     /// By tasks that are counted against the worker's capacity.
     pub(super) demand: TaskDemand,
     /// Processors that counted tasks are presumed to use, in thousandths of a core.
-    pub(super) used_milli: f64,
+    used_milli: f64,
     /// Processors that filling tasks could use, by image, in thousandths of a core.
     fillers: BTreeMap<ImageName, u64>,
     /// The steps that have tasks with a latency target here, and their images.
@@ -47,6 +47,11 @@
         self.fillers.values().sum::<u64>() as f64
     }
 
+    /// Processors that all tasks are presumed to use, in thousandths of a core.
+    pub(super) fn busy_milli(&self) -> f64 {
+        self.used_milli + self.filler_milli()
+    }
+
     /// The share of a machine that filling tasks could use, by image.
     pub(super) fn filler_shares(&self, capacity_milli: f64) -> Vec<FillerShare> {
         let share = |(image, milli): (&ImageName, &u64)| FillerShare {
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -109,8 +109,7 @@
 
 /// The share of a filling task's processors that a worker leaves idle.
 fn idle_share(worker: &WorkerView, reserved: &Reserved, spec: &StepSpec) -> f64 {
-    let taken = reserved.used_milli + reserved.filler_milli();
-    let idle = worker.report.capacity.cpu_milli as f64 - taken;
+    let idle = worker.report.capacity.cpu_milli as f64 - reserved.busy_milli();
     idle / (spec.demand.cpu_milli as f64).max(1.0)
 }
 
@@ -138,8 +137,7 @@
 /// beside serving tasks that bear them than where any filling task could run. One that starves goes
 /// where it harms nobody, if it can.
 fn spread_score(wish: &Wish<'_>, worker: &WorkerView, reserved: &Reserved, strain: f64) -> f64 {
-    let taken = reserved.used_milli + reserved.filler_milli();
-    let load = taken / capacity_of(worker);
+    let load = reserved.busy_milli() / capacity_of(worker);
     match (reserved.serving.is_empty(), wish.starving) {
         (true, false) => load + UNSHARED_PENALTY,
         (false, true) => load + STARVING_PENALTY + strain.min(1.0),
--- a/crates/workflow/src/state/transition.rs
+++ b/crates/workflow/src/state/transition.rs
@@ -39,14 +39,16 @@
     }
 
     pub(super) fn cancel(&mut self, key: JobKey) -> CommandOutcome {
-        let Some(job) = self.jobs.get_mut(&key) else {
-            return CommandOutcome::UnknownJob;
-        };
-        if job.outcome.is_none() {
-            job.outcome = Some(JobOutcome::Cancelled);
+        let mut running = false;
+        let outcome = self.change_job(key, |job| {
+            running = job.outcome.is_none();
+            job.outcome.get_or_insert(JobOutcome::Cancelled);
+            CommandOutcome::Done
+        });
+        if running {
             self.note_end(key);
         }
-        CommandOutcome::Done
+        outcome
     }
 
     pub(super) fn place(
@@ -55,20 +57,19 @@
         run: RunNumber,
         worker: &WorkerLife,
     ) -> CommandOutcome {
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return CommandOutcome::UnknownJob;
-        };
-        if job.outcome.is_some() || !may_start(job, key, run) {
-            return CommandOutcome::Stale;
-        }
-        let Some(task) = job.task_mut(key) else {
-            return CommandOutcome::Stale;
-        };
-        task.run = run;
-        task.phase = TaskPhase::Placed(worker.clone());
-        job.placed += 1;
-        job.begun = true;
-        CommandOutcome::Done
+        self.change_job(key.job, |job| {
+            if job.outcome.is_some() || !may_start(job, key, run) {
+                return CommandOutcome::Stale;
+            }
+            let Some(task) = job.task_mut(key) else {
+                return CommandOutcome::Stale;
+            };
+            task.run = run;
+            task.phase = TaskPhase::Placed(worker.clone());
+            job.placed += 1;
+            job.begun = true;
+            CommandOutcome::Done
+        })
     }
 
     pub(super) fn adopt(
@@ -77,19 +78,18 @@
         run: RunNumber,
         worker: &WorkerLife,
     ) -> CommandOutcome {
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return CommandOutcome::UnknownJob;
-        };
-        let Some(task) = job.task_mut(key).filter(|task| task.run == run) else {
-            return CommandOutcome::Stale;
-        };
-        match &mut task.phase {
-            TaskPhase::Placed(at) if at.is_before(worker) => {
-                *at = worker.clone();
-                CommandOutcome::Done
+        self.change_job(key.job, |job| {
+            let Some(task) = job.task_mut(key).filter(|task| task.run == run) else {
+                return CommandOutcome::Stale;
+            };
+            match &mut task.phase {
+                TaskPhase::Placed(at) if at.is_before(worker) => {
+                    *at = worker.clone();
+                    CommandOutcome::Done
+                }
+                _ => CommandOutcome::Stale,
             }
-            _ => CommandOutcome::Stale,
-        }
+        })
     }
 
     pub(super) fn end(
@@ -100,16 +100,26 @@
         end: EndKind,
         checkpoint: &str,
     ) -> CommandOutcome {
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return CommandOutcome::UnknownJob;
-        };
-        let current = job.task(key).is_some_and(|task| task.is_placed(run, worker));
-        if !current {
-            return CommandOutcome::Stale;
+        let outcome = self.change_job(key.job, |job| {
+            let current = job.task(key).is_some_and(|task| task.is_placed(run, worker));
+            if !current {
+                return CommandOutcome::Stale;
+            }
+            end_current(job, key, end, checkpoint);
+            CommandOutcome::Done
+        });
+        if outcome == CommandOutcome::Done {
+            self.settle(key.job);
         }
-        end_current(job, key, end, checkpoint);
-        self.settle(key.job);
-        CommandOutcome::Done
+        outcome
+    }
+
+    fn change_job(
+        &mut self,
+        key: JobKey,
+        change: impl FnOnce(&mut JobRecord) -> CommandOutcome,
+    ) -> CommandOutcome {
+        self.jobs.get_mut(&key).map_or(CommandOutcome::UnknownJob, change)
     }
 
     /// Notes an outcome that the last end has brought, and lets go of jobs that hold nothing.
