Index placements by executor and plan incrementally

Cause: each event at the leader cost what the whole fleet runs. A planning pass rebuilt the reservations of all placements and, for every waiting task, scored every worker; each report of a worker, each drain and each lease check walked all placed tasks.

Change: the state keeps an index of placements by incarnation. The planner keeps reservations and rebuilds those of executors whose placements changed. A step scores each worker once, not once a task. Between two full passes, 100 ms apart, a step that found no worker is offered only the workers that have changed since.

--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -9,7 +9,7 @@
     crate::{
         event::FlowEvent,
         job::{RunNumber, TaskKey, WorkerIncarnation},
-        plan::{InterferenceTable, Placement, WorkerTable},
+        plan::{InterferenceTable, Placement, PlacementPlanner, WorkerTable},
         state::{FlowCommand, FlowState},
     },
     base::{ReplicaId, ReplyTicket},
@@ -50,7 +50,7 @@
     pub(super) in_flight: BTreeMap<ReplyTicket, Vec<ControlEffect>>,
     /// Whether a change since the last pass may let a task start.
     pub(super) replan: bool,
-    pub(super) planned_at: Duration,
+    pub(super) planner: PlacementPlanner,
     pub(super) workers: WorkerTable,
     pub(super) learned: InterferenceTable,
     /// The time at which learned interference goes into the log next.
@@ -88,13 +88,17 @@
         (self.sessions.get(&worker.executor) == Some(&session)).then_some(worker)
     }
 
-    /// Returns the placements on the incarnations that `selects` accepts.
-    pub(super) fn placements_on(
-        &self,
-        selects: impl Fn(&WorkerIncarnation) -> bool,
-    ) -> Vec<Placement> {
-        let placed = self.speculative.placed_tasks().filter(|(_, _, at)| selects(at));
-        placed.map(|(task, run, at)| Placement { task, run, worker: at.clone() }).collect()
+    /// Returns the placements on an incarnation.
+    pub(super) fn placements_on(&self, worker: &WorkerIncarnation) -> Vec<Placement> {
+        let placed = self.speculative.placed_tasks(worker);
+        placed.map(|(task, run)| Placement { task, run, worker: worker.clone() }).collect()
+    }
+
+    /// Returns the placements on the incarnations of an executor before the present one.
+    pub(super) fn placements_before(&self, present: &WorkerIncarnation) -> Vec<Placement> {
+        let incarnations = self.speculative.placed_incarnations_of(&present.executor);
+        let earlier = incarnations.filter(|worker| worker.is_before(present));
+        earlier.flat_map(|worker| self.placements_on(worker)).collect()
     }
 }
 
@@ -118,7 +122,7 @@
             pending: PendingBatch { commands, deferred: Vec::new() },
             in_flight: BTreeMap::new(),
             replan: true,
-            planned_at: self.now,
+            planner: PlacementPlanner::default(),
             workers: WorkerTable::new(),
             learned,
             store_learned_at: self.now + STORE_LEARNED_INTERVAL,
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -10,7 +10,7 @@
         event::{FlowEvent, StopReason},
         job::JobKey,
         message::{LinkMessage, StartOrder},
-        plan::{plan, Placement, PlanTime},
+        plan::{Placement, PlanInputs, PlanTime},
         state::{CommandBatch, CommandOutcome, FlowCommand, FlowState},
     },
     base::ReplyTicket,
@@ -18,16 +18,12 @@
     std::{collections::BTreeSet, time::Duration},
 };
 
-/// Interval at which waiting tasks are checked when nothing has changed: schedules come due, and
-/// suspicion of workers ends.
-const REPLAN_INTERVAL: Duration = Duration::from_millis(100);
-
 impl ControlNode {
     /// Proposes all collected commands, together with the placements that they make possible.
     pub(super) fn settle(&mut self) {
         let (now, wall_ms) = (self.now, self.wall_ms);
         let Some(leader) = &mut self.leader else { return };
-        let due = now.saturating_sub(leader.planned_at) >= REPLAN_INTERVAL;
+        let due = leader.planner.is_full_pass_due(now);
         if leader.pending.commands.is_empty() && !leader.replan && !due {
             return;
         }
@@ -38,10 +34,13 @@
         ended.retain(|key| leader.speculative.job(*key).is_some_and(|job| job.outcome.is_none()));
         leader.speculative.apply(&batch);
         commands = batch.commands;
-        leader.planned_at = now;
         leader.replan = false;
-        let placements =
-            plan(&leader.speculative, &leader.workers, &leader.learned, PlanTime { now, wall_ms });
+        let placements = leader.planner.plan(PlanInputs {
+            state: &leader.speculative,
+            workers: &leader.workers,
+            learned: &leader.learned,
+            time: PlanTime { now, wall_ms },
+        });
         for placement in placements {
             self.place(placement, &mut commands, &mut deferred);
         }
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -27,7 +27,7 @@
     /// record of the runs there.
     pub(super) fn repeat_orders(&mut self, session: SessionId, worker: &WorkerIncarnation) {
         let Some(leader) = &self.leader else { return };
-        for placement in leader.placements_on(|at| at == worker) {
+        for placement in leader.placements_on(worker) {
             self.repeat_order(session, placement);
         }
     }
@@ -72,7 +72,10 @@
         self.settle_earlier_incarnations(worker, &runs);
         if let Some(leader) = &mut self.leader {
             if let Some(view) = leader.workers.get_mut(&worker.executor) {
-                leader.replan |= !std::mem::replace(&mut view.listed, true);
+                if !std::mem::replace(&mut view.listed, true) {
+                    leader.planner.touch(&worker.executor);
+                    leader.replan = true;
+                }
             }
         }
         for report in &runs {
@@ -129,16 +132,16 @@
         runs: &[RunReport],
     ) {
         let now = self.now;
-        let Some(leader) = &mut self.leader else { return };
+        let Some(leader) = &self.leader else { return };
         let mut missing = Vec::new();
-        for (task, run, at) in leader.speculative.placed_tasks().filter(|(_, _, at)| *at == worker)
-        {
+        for placement in leader.placements_on(worker) {
+            let (task, run) = (placement.task, placement.run);
             let listed = runs.iter().any(|report| report.is_of(task, run));
             let ordered = leader.ordered.get(&task).filter(|(ordered, _)| *ordered == run);
             let in_transit =
                 ordered.is_some_and(|(_, sent)| now.saturating_sub(*sent) < ORDER_TIMEOUT);
             if !listed && !in_transit {
-                missing.push(Placement { task, run, worker: at.clone() });
+                missing.push(placement);
             }
         }
         for placement in missing {
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -49,6 +49,7 @@
                 leader.workers.insert(executor, WorkerView::new(report));
             }
         }
+        leader.planner.touch(&worker.executor);
         leader.replan = true;
         self.record(event);
         self.renew_lease(session);
@@ -68,15 +69,19 @@
         let Some(leader) = &self.leader else { return };
         let executor = worker.executor.clone();
         let known = leader.speculative.executor_address_of(&executor) == Some(place);
-        let placed = leader.placements_on(|at| {
-            let earlier = at.executor != executor && at.started_ms < worker.started_ms;
-            earlier && leader.speculative.executor_address_of(&at.executor) == Some(place)
-        });
+        let earlier = |at: &&WorkerIncarnation| {
+            let before = at.executor != executor && at.started_ms < worker.started_ms;
+            before && leader.speculative.executor_address_of(&at.executor) == Some(place)
+        };
+        let replaced: Vec<WorkerIncarnation> =
+            leader.speculative.placed_incarnations().filter(earlier).cloned().collect();
         if !known {
             let place = place.clone();
             self.propose(FlowCommand::RecordAddress { executor, place }, Vec::new());
         }
-        self.end_incarnations(placed, LossReason::Replaced);
+        for incarnation in replaced {
+            self.end_worker_runs(&incarnation, LossReason::Replaced);
+        }
     }
 
     /// Settles the placements on earlier incarnations of an executor, once the present incarnation
@@ -88,7 +93,7 @@
         runs: &[RunReport],
     ) {
         let Some(leader) = &self.leader else { return };
-        let placed = leader.placements_on(|at| at.is_before(worker));
+        let placed = leader.placements_before(worker);
         let (listed, ended): (Vec<_>, Vec<_>) = placed
             .into_iter()
             .partition(|placement| runs.iter().any(|row| row.is_of(placement.task, placement.run)));
@@ -96,15 +101,10 @@
             let worker = worker.clone();
             self.propose(FlowCommand::Adopt { task, run, worker }, Vec::new());
         }
-        self.end_incarnations(ended, LossReason::NewIncarnation);
-    }
-
-    /// Ends every run of the incarnations on which these placements are.
-    fn end_incarnations(&mut self, placements: Vec<Placement>, reason: LossReason) {
         let incarnations: BTreeSet<WorkerIncarnation> =
-            placements.into_iter().map(|lost| lost.worker).collect();
+            ended.into_iter().map(|lost| lost.worker).collect();
         for incarnation in incarnations {
-            self.end_worker_runs(&incarnation, reason);
+            self.end_worker_runs(&incarnation, LossReason::NewIncarnation);
         }
     }
 
@@ -115,13 +115,14 @@
         let Some(view) = leader.workers.get(&worker.executor) else { return };
         let left_ms = view.report.drain_left_ms.unwrap_or(0);
         let mut evacuated = Vec::new();
-        for (task, run, at) in leader.speculative.placed_tasks() {
+        for placement in leader.placements_on(worker) {
+            let task = placement.task;
             let spec = leader.speculative.job(task.job).and_then(|job| job.step_spec(&task));
-            let Some(spec) = spec.filter(|_| at == worker) else { continue };
+            let Some(spec) = spec else { continue };
             let percent = leader.progress.get(&task).map_or(0, |progress| progress.percent);
             let left = spec.estimate_ms * u64::from(100 - percent.min(100)) / 100;
             if spec.lasting || left > left_ms {
-                evacuated.push(Placement { task, run, worker: at.clone() });
+                evacuated.push(placement);
             }
         }
         for placement in evacuated {
@@ -138,7 +139,10 @@
         let Some(leader) = &mut self.leader else { return };
         let Some(worker) = leader.represented_worker(session).cloned() else { return };
         if let Some(view) = leader.workers.get_mut(&worker.executor) {
-            leader.replan |= view.lease_until <= now;
+            if view.lease_until <= now {
+                leader.planner.touch(&worker.executor);
+                leader.replan = true;
+            }
             view.lease_until = now + span;
         }
         leader.leases.insert(worker, now + span);
@@ -157,13 +161,10 @@
         let now = self.now;
         let Some(leader) = &self.leader else { return };
         let inherited = leader.leading_since + span;
-        let mut expired: Vec<WorkerIncarnation> = Vec::new();
-        for (_, _, worker) in leader.speculative.placed_tasks() {
-            let until = leader.leases.get(worker).copied().unwrap_or(inherited);
-            if until < now && !expired.contains(worker) {
-                expired.push(worker.clone());
-            }
-        }
+        let until = |worker| leader.leases.get(worker).copied().unwrap_or(inherited);
+        let placed = leader.speculative.placed_incarnations();
+        let expired: Vec<WorkerIncarnation> =
+            placed.filter(|worker| until(worker) < now).cloned().collect();
         for worker in expired {
             self.end_worker_runs(&worker, LossReason::LeaseExpired);
         }
@@ -185,7 +186,7 @@
     /// Ends every run of an incarnation on which certainly nothing runs any more.
     pub(super) fn end_worker_runs(&mut self, worker: &WorkerIncarnation, reason: LossReason) {
         let Some(leader) = &mut self.leader else { return };
-        let runs = leader.placements_on(|at| at == worker);
+        let runs = leader.placements_on(worker);
         leader.leases.remove(worker);
         if reason != LossReason::LeaseExpired {
             let current = leader
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -4,7 +4,12 @@
 //! priority, by what the job can still reach and by the work it has left. A placement keeps its
 //! reservation until the end of its run is proposed. A start that uses the freed capacity is sent
 //! only when the log holds that end, so that the same capacity never serves two runs.
+//!
+//! A full pass offers every worker to every open step. The passes between two full ones answer
+//! bursts of events at the cost of what has changed: a step that found no worker is offered only
+//! the workers that have changed since.
 
+mod candidates;
 mod interference;
 mod reservations;
 mod score;
@@ -18,15 +23,20 @@
 
 use {
     self::{
+        candidates::CandidateQueue,
         reservations::ReservationTable,
-        score::{best_worker, StepRequest},
+        score::StepRequest,
         urgency::{prospect_of, remaining_work, JobProspect},
     },
     crate::{
-        job::{JobKey, QueueRule, RunNumber, TaskKey, WorkerIncarnation},
+        job::{JobKey, QueueRule, RunNumber, StepKey, TaskKey, WorkerIncarnation},
         state::{FlowState, JobRecord, StepRecord, TaskPhase},
     },
-    std::time::Duration,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// A decision to start a task.
@@ -49,6 +59,22 @@
     pub wall_ms: u64,
 }
 
+/// What a pass decides on.
+#[derive(Debug, Clone, Copy)]
+pub struct PlanInputs<'a> {
+    /// The state on which placements are planned.
+    pub state: &'a FlowState,
+    /// The workers.
+    pub workers: &'a WorkerTable,
+    /// The learned interference.
+    pub learned: &'a InterferenceTable,
+    /// The time of the pass.
+    pub time: PlanTime,
+}
+
+/// Interval of full passes. What changes with time alone, such as schedules, learned interference
+/// and the suspicion of workers, shows in the placements after this time at the latest.
+const FULL_PASS_INTERVAL: Duration = Duration::from_millis(100);
 /// Age of a job in milliseconds from which, with nothing placed, its best-effort tasks may start
 /// beside latency-critical tasks whose targets they put at risk. Throttling then protects the
 /// targets.
@@ -57,13 +83,68 @@
 /// other tasks occupy the capacity that the job waits for.
 const STARVATION_LOAD: f64 = 0.6;
 
-/// The inputs and reservations of one pass.
+/// Decides placements, and remembers between two passes what the next one need not compute again.
+#[derive(Debug, Default)]
+pub struct PlacementPlanner {
+    reservations: ReservationTable,
+    /// Steps for which the last pass found no worker.
+    blocked: BTreeSet<StepKey>,
+    /// Executors that changed in another way than by their placements since the last pass.
+    touched: BTreeSet<Arc<str>>,
+    last_full: Option<Duration>,
+}
+
+impl PlacementPlanner {
+    /// Notes that a worker may have become able to receive tasks.
+    pub fn touch(&mut self, executor: &Arc<str>) {
+        self.touched.insert(executor.clone());
+    }
+
+    /// Returns whether a full pass is due.
+    pub fn is_full_pass_due(&self, now: Duration) -> bool {
+        self.last_full.is_none_or(|last| now.saturating_sub(last) >= FULL_PASS_INTERVAL)
+    }
+
+    /// Chooses a worker with enough free capacity for the waiting tasks that may start now.
+    pub fn plan(&mut self, inputs: PlanInputs<'_>) -> Vec<Placement> {
+        let mut changed = self.reservations.refresh(inputs.state, inputs.workers);
+        let touched = std::mem::take(&mut self.touched);
+        changed.extend(touched.iter().filter_map(|executor| inputs.workers.get_index_of(executor)));
+        let mut blocked = std::mem::take(&mut self.blocked);
+        if self.is_full_pass_due(inputs.time.now) {
+            self.last_full = Some(inputs.time.now);
+            blocked.clear();
+        }
+        let mut steps = open_steps(inputs.state, inputs.time);
+        steps.sort_by_cached_key(|step| {
+            (
+                step.record.priority,
+                step.prospect,
+                remaining_work(step.record, step.occurrence),
+                step.job,
+            )
+        });
+        let reservations = &mut self.reservations;
+        let loads = BTreeMap::new();
+        let mut pass = PlanPass { inputs, reservations, loads, placements: Vec::new() };
+        for step in &steps {
+            let known = blocked.contains(&step.step_key()) && !step.spec().gang;
+            let workers = known.then_some(&changed);
+            if !pass.place_step(step, workers) {
+                self.blocked.insert(step.step_key());
+            }
+        }
+        pass.placements
+    }
+}
+
+/// One pass over the open steps.
 struct PlanPass<'a> {
-    state: &'a FlowState,
-    workers: &'a WorkerTable,
-    learned: &'a InterferenceTable,
-    time: PlanTime,
+    inputs: PlanInputs<'a>,
     reservations: &'a mut ReservationTable,
+    /// The reserved share of each service's processors when the pass first asked for it.
+    loads: BTreeMap<String, f64>,
+    placements: Vec<Placement>,
 }
 
 /// The waiting tasks of one step.
@@ -77,50 +158,30 @@
     rule: Option<&'a QueueRule>,
 }
 
-impl OpenStep<'_> {
-    fn tasks(&self) -> &StepRecord {
+impl<'a> OpenStep<'a> {
+    fn spec(&self) -> &'a crate::job::StepSpec {
+        &self.record.spec.steps[usize::from(self.step)]
+    }
+
+    fn tasks(&self) -> &'a StepRecord {
         &self.record.occurrences[self.occurrence as usize].steps[usize::from(self.step)]
     }
 
+    fn step_key(&self) -> StepKey {
+        StepKey { job: self.job, occurrence: self.occurrence, step: self.step }
+    }
+
     fn key(&self, index: usize) -> TaskKey {
         let (job, occurrence, step) = (self.job, self.occurrence, self.step);
         TaskKey { job, occurrence, step, index: index as u16 }
     }
 
-    fn waiting(&self) -> impl Iterator<Item = usize> + '_ {
+    fn waiting(&self) -> impl Iterator<Item = usize> + 'a {
         let tasks = self.tasks().tasks.iter().enumerate();
         tasks.filter(|(_, task)| task.phase == TaskPhase::Waiting).map(|(index, _)| index)
     }
 }
 
-/// Chooses a worker with enough free capacity for every waiting task that may start now.
-pub fn plan(
-    state: &FlowState,
-    workers: &WorkerTable,
-    learned: &InterferenceTable,
-    time: PlanTime,
-) -> Vec<Placement> {
-    let mut steps = open_steps(state, time);
-    if steps.is_empty() {
-        return Vec::new();
-    }
-    steps.sort_by_cached_key(|step| {
-        (
-            step.record.priority,
-            step.prospect,
-            remaining_work(step.record, step.occurrence),
-            step.job,
-        )
-    });
-    let mut reservations = ReservationTable::new(state, workers);
-    let mut pass = PlanPass { state, workers, learned, time, reservations: &mut reservations };
-    let mut placements = Vec::new();
-    for step in &steps {
-        place_step(step, &mut pass, &mut placements);
-    }
-    placements
-}
-
 fn open_steps(state: &FlowState, time: PlanTime) -> Vec<OpenStep<'_>> {
     let mut open = Vec::new();
     for (job, record) in state.active_jobs() {
@@ -150,53 +211,85 @@
     open
 }
 
-fn place_step(step: &OpenStep<'_>, pass: &mut PlanPass<'_>, placements: &mut Vec<Placement>) {
-    let spec = &step.record.spec.steps[usize::from(step.step)];
-    let service = step.rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
-    let rack = pass.reservations.rack_for(step.tasks(), spec, service, pass.workers, pass.time.now);
-    let waited = pass.state.clock_ms().saturating_sub(step.record.accepted_ms);
-    let idle = || pass.reservations.load_of(service, pass.workers, pass.time.now) < STARVATION_LOAD;
-    let starving = step.record.placed == 0 && waited > STARVATION_MS && idle();
-    let request = StepRequest { spec, service, rack: rack.as_deref(), starving };
-    if spec.gang {
-        place_gang(step, &request, pass, placements);
-        return;
+impl PlanPass<'_> {
+    /// Places the waiting tasks of a step on the given workers, or on any. Returns whether no task
+    /// is left waiting.
+    fn place_step(&mut self, step: &OpenStep<'_>, workers: Option<&BTreeSet<usize>>) -> bool {
+        if step.waiting().next().is_none() {
+            return true;
+        }
+        if workers.is_some_and(BTreeSet::is_empty) {
+            return false;
+        }
+        let inputs = self.inputs;
+        let PlanInputs { workers: table, time, .. } = inputs;
+        let spec = step.spec();
+        let service = step.rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
+        let rack = self.reservations.rack_for(step.tasks(), spec, service, table, time.now);
+        let starving = self.is_starving(step, service);
+        let (key, rack) = (step.step_key(), rack.as_deref());
+        let request = StepRequest { key, spec, service, rack, starving };
+        let mut queue = CandidateQueue::new(&request, &inputs, self.reservations, workers);
+        if spec.gang {
+            self.place_gang(step, &mut queue)
+        } else {
+            self.place_tasks(step, &mut queue)
+        }
     }
-    for index in step.waiting() {
-        let key = step.key(index);
-        let Some(worker) = best_worker(&key, &request, pass) else {
-            // All tasks of a step have the same demand: if one does not fit, none does.
-            return;
+
+    /// Returns whether a job is past the starvation age and has nothing placed while the service
+    /// has capacity.
+    fn is_starving(&mut self, step: &OpenStep<'_>, service: &str) -> bool {
+        let PlanInputs { state, workers, time, .. } = self.inputs;
+        let waited = state.clock_ms().saturating_sub(step.record.accepted_ms);
+        if step.record.placed > 0 || waited <= STARVATION_MS {
+            return false;
+        }
+        let load = match self.loads.get(service) {
+            Some(load) => *load,
+            None => {
+                let load = self.reservations.load_of(service, workers, time.now);
+                self.loads.insert(service.to_owned(), load);
+                load
+            }
         };
-        let run = RunNumber(step.tasks().tasks[index].run.0 + 1);
-        pass.reservations.reserve(&worker, &key, spec);
-        placements.push(Placement { task: key, run, worker });
+        load < STARVATION_LOAD
     }
-}
 
-/// Starts all members of a gang together under one run number, or none of them.
-fn place_gang(
-    step: &OpenStep<'_>,
-    request: &StepRequest<'_>,
-    pass: &mut PlanPass<'_>,
-    placements: &mut Vec<Placement>,
-) {
-    let tasks = &step.tasks().tasks;
-    if step.waiting().count() != tasks.len() {
-        return;
+    fn place_tasks(&mut self, step: &OpenStep<'_>, queue: &mut CandidateQueue<'_>) -> bool {
+        for index in step.waiting() {
+            let task = step.key(index);
+            let record = &step.tasks().tasks[index];
+            let best = if record.failures > 0 { queue.best_for_retry(&task) } else { queue.best() };
+            // All tasks of a step have the same demand: if one does not fit, none does.
+            let Some(worker) = best else { return false };
+            let run = RunNumber(record.run.0 + 1);
+            let worker = queue.reserve(worker, &task, self.reservations);
+            self.placements.push(Placement { task, run, worker });
+        }
+        true
     }
-    let run = RunNumber(tasks.iter().map(|task| task.run.0).max().unwrap_or(0) + 1);
-    let mut members = Vec::new();
-    for index in 0..tasks.len() {
-        let key = step.key(index);
-        let Some(worker) = best_worker(&key, request, pass) else {
-            for Placement { task, worker, .. } in &members {
-                pass.reservations.release(worker, task, request.spec);
-            }
-            return;
-        };
-        pass.reservations.reserve(&worker, &key, request.spec);
-        members.push(Placement { task: key, run, worker });
+
+    /// Starts all members of a gang together under one run number, or none of them.
+    fn place_gang(&mut self, step: &OpenStep<'_>, queue: &mut CandidateQueue<'_>) -> bool {
+        let tasks = &step.tasks().tasks;
+        if step.waiting().count() != tasks.len() {
+            return false;
+        }
+        let run = RunNumber(tasks.iter().map(|task| task.run.0).max().unwrap_or(0) + 1);
+        let mut members = Vec::new();
+        for index in 0..tasks.len() {
+            let task = step.key(index);
+            let Some(worker) = queue.best_for_retry(&task) else {
+                for Placement { task, worker, .. } in &members {
+                    self.reservations.release(worker, task, step.spec());
+                }
+                return false;
+            };
+            let worker = queue.reserve(worker, &task, self.reservations);
+            members.push(Placement { task, run, worker });
+        }
+        self.placements.extend(members);
+        true
     }
-    placements.extend(members);
 }
--- a/crates/workflow/src/plan/reservations.rs
+++ b/crates/workflow/src/plan/reservations.rs
@@ -10,7 +10,7 @@
         state::{FlowState, StepRecord, TaskPhase},
     },
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
         time::Duration,
     },
@@ -37,9 +37,23 @@
 }
 
 impl WorkerReservations {
-    /// Returns the number of tasks on this worker that belong to a task's step.
-    pub(super) fn of_step(&self, key: &TaskKey) -> u32 {
-        self.steps.get(&key.step_key()).copied().unwrap_or(0)
+    /// Collects the reservations of the tasks that are placed on an executor, in any incarnation.
+    fn new(state: &FlowState, executor: &Arc<str>) -> Self {
+        let mut reserved = Self::default();
+        for worker in state.placed_incarnations_of(executor) {
+            for (task, _) in state.placed_tasks(worker) {
+                let job = state.job(task.job);
+                if let Some(spec) = job.and_then(|job| job.step_spec(&task)) {
+                    reserved.add(&task, spec);
+                }
+            }
+        }
+        reserved
+    }
+
+    /// Returns the number of a step's tasks on this worker.
+    pub(super) fn of_step(&self, step: &StepKey) -> u32 {
+        self.steps.get(step).copied().unwrap_or(0)
     }
 
     /// Returns the processors that all best-effort tasks could use, in thousandths of a core.
@@ -105,40 +119,56 @@
     spec.demand.cpu_milli as f64 * share
 }
 
+/// The reservations of one executor, as of a change of its placements.
+#[derive(Debug)]
+struct KnownReservations {
+    /// The number of the change; `None` while a pass has reserved more than the state holds.
+    change: Option<u64>,
+    reserved: WorkerReservations,
+}
+
 /// The reservations, by executor.
+#[derive(Debug, Default)]
 pub(super) struct ReservationTable {
-    reserved: HashMap<Arc<str>, WorkerReservations>,
+    known: HashMap<Arc<str>, KnownReservations>,
 }
 
 impl ReservationTable {
-    /// Collects the reservations of all placements in the state.
-    pub(super) fn new(state: &FlowState, workers: &WorkerTable) -> Self {
-        let entries =
-            workers.keys().map(|executor| (executor.clone(), WorkerReservations::default()));
-        let mut table = Self { reserved: entries.collect() };
-        for (key, record) in state.active_jobs() {
-            for (task, _, worker) in record.placed_tasks(key) {
-                if let Some(spec) = record.step_spec(&task) {
-                    table.reserve(worker, &task, spec);
-                }
+    /// Brings the table in line with the placements in the state. Returns the positions of the
+    /// workers whose reservations have changed.
+    pub(super) fn refresh(&mut self, state: &FlowState, workers: &WorkerTable) -> BTreeSet<usize> {
+        if self.known.len() > workers.len() {
+            self.known.retain(|executor, _| workers.contains_key(executor));
+        }
+        let mut changed = BTreeSet::new();
+        for (position, executor) in workers.keys().enumerate() {
+            let change = state.placement_change_of(executor);
+            let current = self.known.get(executor).is_some_and(|row| row.change == Some(change));
+            if !current {
+                let reserved = WorkerReservations::new(state, executor);
+                let row = KnownReservations { change: Some(change), reserved };
+                self.known.insert(executor.clone(), row);
+                changed.insert(position);
             }
         }
-        table
+        changed
     }
 
     pub(super) fn of(&self, executor: &str) -> Option<&WorkerReservations> {
-        self.reserved.get(executor)
+        self.known.get(executor).map(|row| &row.reserved)
     }
 
     pub(super) fn reserve(&mut self, worker: &WorkerIncarnation, key: &TaskKey, spec: &StepSpec) {
-        if let Some(reserved) = self.reserved.get_mut(&worker.executor) {
-            reserved.add(key, spec);
+        if let Some(row) = self.known.get_mut(&worker.executor) {
+            row.change = None;
+            row.reserved.add(key, spec);
         }
     }
 
     pub(super) fn release(&mut self, worker: &WorkerIncarnation, key: &TaskKey, spec: &StepSpec) {
-        if let Some(reserved) = self.reserved.get_mut(&worker.executor) {
-            reserved.remove(key, spec);
+        if let Some(row) = self.known.get_mut(&worker.executor) {
+            row.change = None;
+            row.reserved.remove(key, spec);
         }
     }
 
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -1,13 +1,13 @@
-//! Chooses the worker that suits a task best among those with free capacity.
+//! Scores the workers with free capacity by how well they suit the tasks of a step.
 
 use {
     super::{
         interference::{BestEffortShare, ImageName, InterferenceTable},
         reservations::{fitting, WorkerReservations},
         worker::WorkerView,
-        PlanPass,
+        PlanInputs,
     },
-    crate::job::{StepKey, StepSpec, TaskKey, WorkerIncarnation},
+    crate::job::{StepKey, StepSpec},
     std::time::Duration,
 };
 
@@ -17,7 +17,7 @@
 /// Penalties in units of a worker's load: 0 for an empty worker, 1 for a full one.
 const OTHER_RACK_PENALTY: f64 = 4.0;
 const SUSPECT_PENALTY: f64 = 16.0;
-const FAILED_HERE_PENALTY: f64 = 8.0;
+pub(super) const FAILED_HERE_PENALTY: f64 = 8.0;
 /// Applies to a worker without latency-critical tasks, which is left to tasks that cannot run
 /// beside such tasks. A starving best-effort task has no such penalty.
 const UNSHARED_PENALTY: f64 = 0.5;
@@ -36,6 +36,7 @@
 
 /// The placement requirements of a step's tasks.
 pub(super) struct StepRequest<'a> {
+    pub(super) key: StepKey,
     pub(super) spec: &'a StepSpec,
     pub(super) service: &'a str,
     /// The rack on which the tasks run faster.
@@ -45,34 +46,35 @@
     pub(super) starving: bool,
 }
 
-/// Returns the worker with the lowest score among those that may run the task and have enough free
-/// capacity. Unless the job starves, leaves out workers where a best-effort task would take more
-/// headroom than latency-critical tasks can spare.
-pub(super) fn best_worker(
-    key: &TaskKey,
+/// Returns the score of a worker, lower for better ones; `None` if the worker may not run a task of
+/// the step, or has too little free capacity. Unless the job starves, leaves out workers where a
+/// best-effort task would take more headroom than latency-critical tasks can spare.
+pub(super) fn score_of(
     request: &StepRequest<'_>,
-    pass: &PlanPass<'_>,
-) -> Option<WorkerIncarnation> {
-    let mut best: Option<(f64, &WorkerView)> = None;
-    for (executor, worker) in pass.workers {
-        let Some(reserved) = pass.reservations.of(executor) else { continue };
-        if !may_run(key, request, worker, reserved, pass.time.now) {
-            continue;
-        }
-        let strain = strain_of(request, worker, reserved, pass.learned);
-        if strain > 1.0 && !request.starving {
-            continue;
-        }
-        let score = score_of(key, request, worker, reserved, strain, pass.time.now);
-        if best.is_none_or(|(lowest, _)| score < lowest) {
-            best = Some((score, worker));
-        }
+    worker: &WorkerView,
+    reserved: &WorkerReservations,
+    inputs: &PlanInputs<'_>,
+) -> Option<f64> {
+    let now = inputs.time.now;
+    if !may_run(request, worker, reserved, now) {
+        return None;
+    }
+    let strain = strain_of(request, worker, reserved, inputs.learned);
+    if strain > 1.0 && !request.starving {
+        return None;
     }
-    best.map(|(_, worker)| worker.incarnation().clone())
+    let elsewhere = request.rack.is_some_and(|rack| worker.rack() != Some(rack));
+    let mut score = if request.spec.filler {
+        best_effort_score(request, worker, reserved, strain)
+    } else {
+        packing_score(request, worker, reserved)
+    };
+    score += if elsewhere { OTHER_RACK_PENALTY } else { 0.0 };
+    score += if worker.is_suspect(now) { SUSPECT_PENALTY } else { 0.0 };
+    Some(score)
 }
 
 fn may_run(
-    key: &TaskKey,
     request: &StepRequest<'_>,
     worker: &WorkerView,
     reserved: &WorkerReservations,
@@ -81,7 +83,7 @@
     let spec = request.spec;
     let label = spec.required_label.as_ref();
     let labelled = label.is_none_or(|label| worker.report.labels.contains(label));
-    let below = spec.per_worker_limit.is_none_or(|limit| reserved.of_step(key) < limit);
+    let below = spec.per_worker_limit.is_none_or(|limit| reserved.of_step(&request.key) < limit);
     let idle = !spec.filler || idle_share(worker, reserved, spec) >= MIN_IDLE_SHARE;
     let able = worker.accepts(request.service, now) && labelled && below && idle;
     able && fitting(worker, reserved, spec) > 0
@@ -96,7 +98,7 @@
     reserved: &WorkerReservations,
     learned: &InterferenceTable,
 ) -> f64 {
-    if !request.spec.filler {
+    if !request.spec.filler || reserved.latency_critical.is_empty() {
         return 0.0;
     }
     let present = reserved.best_effort_shares(capacity_of(worker));
@@ -121,26 +123,6 @@
     idle / (spec.demand.cpu_milli as f64).max(1.0)
 }
 
-fn score_of(
-    key: &TaskKey,
-    request: &StepRequest<'_>,
-    worker: &WorkerView,
-    reserved: &WorkerReservations,
-    strain: f64,
-    now: Duration,
-) -> f64 {
-    let elsewhere = request.rack.is_some_and(|rack| worker.rack() != Some(rack));
-    let mut score = if request.spec.filler {
-        best_effort_score(request, worker, reserved, strain)
-    } else {
-        packing_score(request, worker, reserved)
-    };
-    score += if elsewhere { OTHER_RACK_PENALTY } else { 0.0 };
-    score += if worker.is_suspect(now) { SUSPECT_PENALTY } else { 0.0 };
-    score += if worker.has_failed(key) { FAILED_HERE_PENALTY } else { 0.0 };
-    score
-}
-
 /// Prefers workers where a best-effort task strains latency-critical ones least and most processors
 /// are idle. Prefers workers whose latency-critical tasks tolerate it to those without such tasks,
 /// where any best-effort task could run. A starving task goes where it harms no other task, if
--- a/crates/workflow/src/state/mod.rs
+++ b/crates/workflow/src/state/mod.rs
@@ -4,6 +4,7 @@
 //! nothing, on every replica alike, so that a leader may propose on top of what it has proposed.
 
 mod command;
+mod placements;
 mod record;
 mod transition;
 
@@ -15,6 +16,7 @@
 };
 
 use {
+    self::placements::PlacementIndex,
     crate::{
         job::{FleetConfig, JobKey, RunNumber, TaskKey, WorkerIncarnation},
         plan::LearnedPair,
@@ -56,12 +58,16 @@
     /// executor answers there.
     #[serde(default)]
     addresses: BTreeMap<Arc<str>, Arc<str>>,
+    #[serde(skip)]
+    placements: PlacementIndex,
 }
 
 impl FlowState {
     /// Decodes a snapshot. Returns an error if it has another format or another program wrote it.
     pub fn from_snapshot(data: &[u8]) -> Result<Self, StateError> {
-        rmp_serde::from_slice(data).context(StateSnafu)
+        let mut state: Self = rmp_serde::from_slice(data).context(StateSnafu)?;
+        state.placements = PlacementIndex::new(state.active_jobs());
+        Ok(state)
     }
 
     /// Encodes a snapshot.
@@ -109,9 +115,31 @@
         self.jobs.get(&key.job)?.task(key)
     }
 
-    /// Returns every task that has reserved capacity on a worker, with its run.
-    pub fn placed_tasks(&self) -> impl Iterator<Item = (TaskKey, RunNumber, &WorkerIncarnation)> {
-        self.active_jobs().flat_map(|(key, job)| job.placed_tasks(key))
+    /// Returns the incarnations of executors on which tasks are placed, in order.
+    pub fn placed_incarnations(&self) -> impl Iterator<Item = &WorkerIncarnation> {
+        self.placements.incarnations()
+    }
+
+    /// Returns the incarnations of one executor on which tasks are placed, in order.
+    pub fn placed_incarnations_of<'a>(
+        &'a self,
+        executor: &'a Arc<str>,
+    ) -> impl Iterator<Item = &'a WorkerIncarnation> {
+        self.placements.incarnations_of(executor)
+    }
+
+    /// Returns the tasks that have reserved capacity on an incarnation, with their runs, in order.
+    pub fn placed_tasks(
+        &self,
+        worker: &WorkerIncarnation,
+    ) -> impl Iterator<Item = (TaskKey, RunNumber)> + '_ {
+        self.placements.tasks_of(worker)
+    }
+
+    /// Returns the number of the last change of the tasks that are placed on an executor, 0 if there
+    /// are none. Equal numbers of one state mean equal placements.
+    pub fn placement_change_of(&self, executor: &str) -> u64 {
+        self.placements.change_of(executor)
     }
 
     /// Applies one entry of the log and returns the outcome of each command.
--- a/crates/workflow/src/state/transition.rs
+++ b/crates/workflow/src/state/transition.rs
@@ -7,7 +7,7 @@
         FlowState,
     },
     crate::job::{FleetConfig, JobKey, RunNumber, TaskKey, WorkerIncarnation},
-    std::{collections::BTreeSet, sync::Arc},
+    std::sync::Arc,
 };
 
 impl FlowState {
@@ -27,9 +27,9 @@
         executor: &Arc<str>,
         place: &Arc<str>,
     ) -> CommandOutcome {
-        let reserved: BTreeSet<Arc<str>> =
-            self.placed_tasks().map(|(_, _, worker)| worker.executor.clone()).collect();
-        self.addresses.retain(|other, at| at != place || reserved.contains(other));
+        let placements = &self.placements;
+        let reserved = |other: &Arc<str>| placements.incarnations_of(other).next().is_some();
+        self.addresses.retain(|other, at| at != place || reserved(other));
         self.addresses.insert(executor.clone(), place.clone());
         CommandOutcome::Done
     }
@@ -62,7 +62,7 @@
         run: RunNumber,
         worker: &WorkerIncarnation,
     ) -> CommandOutcome {
-        self.change_job(key.job, |job| {
+        let outcome = self.change_job(key.job, |job| {
             if job.outcome.is_some() || !may_start(job, key, run) {
                 return CommandOutcome::Stale;
             }
@@ -74,7 +74,11 @@
             job.placed += 1;
             job.begun = true;
             CommandOutcome::Done
-        })
+        });
+        if outcome == CommandOutcome::Done {
+            self.placements.insert(*key, run, worker);
+        }
+        outcome
     }
 
     pub(super) fn adopt(
@@ -83,18 +87,24 @@
         run: RunNumber,
         worker: &WorkerIncarnation,
     ) -> CommandOutcome {
-        self.change_job(key.job, |job| {
+        let mut former = None;
+        let outcome = self.change_job(key.job, |job| {
             let Some(task) = job.task_mut(key).filter(|task| task.run == run) else {
                 return CommandOutcome::Stale;
             };
             match &mut task.phase {
                 TaskPhase::Placed(at) if at.is_before(worker) => {
-                    *at = worker.clone();
+                    former = Some(std::mem::replace(at, worker.clone()));
                     CommandOutcome::Done
                 }
                 _ => CommandOutcome::Stale,
             }
-        })
+        });
+        if let Some(former) = former {
+            self.placements.remove(key, &former);
+            self.placements.insert(*key, run, worker);
+        }
+        outcome
     }
 
     pub(super) fn end(
@@ -105,14 +115,21 @@
         end: EndKind,
         checkpoint: &str,
     ) -> CommandOutcome {
+        let mut released = Vec::new();
         let outcome = self.change_job(key.job, |job| {
             let current = job.task(key).is_some_and(|task| task.is_placed(run, worker));
             if !current {
                 return CommandOutcome::Stale;
             }
+            let placed = placed_with(job, key);
             end_current(job, key, end, checkpoint);
+            released = placed;
+            released.retain(|(task, worker)| !is_placed_on(job, task, worker));
             CommandOutcome::Done
         });
+        for (task, worker) in released {
+            self.placements.remove(&task, &worker);
+        }
         if outcome == CommandOutcome::Done {
             self.settle(key.job);
         }
@@ -154,6 +171,26 @@
     }
 }
 
+/// Returns the placed tasks that the end of one of them may release: the members of its gang, or
+/// the task alone.
+fn placed_with(job: &JobRecord, key: &TaskKey) -> Vec<(TaskKey, WorkerIncarnation)> {
+    let Some(spec) = job.step_spec(key) else { return Vec::new() };
+    let indexes = if spec.gang { 0..spec.count } else { key.index..key.index + 1 };
+    let placed = indexes.filter_map(|index| {
+        let member = TaskKey { index, ..*key };
+        match &job.task(&member)?.phase {
+            TaskPhase::Placed(worker) => Some((member, worker.clone())),
+            _ => None,
+        }
+    });
+    placed.collect()
+}
+
+fn is_placed_on(job: &JobRecord, key: &TaskKey, worker: &WorkerIncarnation) -> bool {
+    let phase = job.task(key).map(|task| &task.phase);
+    matches!(phase, Some(TaskPhase::Placed(at)) if at == worker)
+}
+
 /// Returns whether a task may be placed as this run: it waits, its step is open, and the run is a
 /// later one. The members of a gang may all carry the same run.
 fn may_start(job: &JobRecord, key: &TaskKey, run: RunNumber) -> bool {
