Mend three faults around repeated and extreme messages

Causes, each shown by a test that failed first:

- An agent repeats the ends that it has no acknowledgement for, to each leader and after each reconnection.
Each repetition counted against the worker's health, so that twelve reports of one failure made a sound worker suspect.
- The numbers of a job come from its caller.
An estimate near the largest integer overflowed in the planner: a build with overflow checks ended, one without them gave the job another place in the queue.
- An entry sends a job again to the next leader when an answer was lost.
If the next leader's configuration had dropped the queue, the caller was told that the job had not run, although the earlier leader may have accepted it.

Change: only the first report of an end counts; the arithmetic saturates; a refusal by a second leader becomes an unknown outcome.

--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -48,8 +48,8 @@
     reply: oneshot::Sender<CallerAnswer>,
     arrived: Duration,
     deadline: Duration,
-    /// Whether a leader may have received the request.
-    forwarded: bool,
+    /// The number of leaders that may have received the request.
+    forwards: u32,
 }
 
 enum EntryInput {
@@ -82,8 +82,8 @@
         let (reply, answer) = oneshot::channel();
         let arrived = self.clock.monotonic();
         let deadline = arrived + time_limit;
-        let forwarded = false;
-        let pending = PendingCall { host, path, call, reply, arrived, deadline, forwarded };
+        let forwards = 0;
+        let pending = PendingCall { host, path, call, reply, arrived, deadline, forwards };
         if self.inputs.send(EntryInput::Call(Box::new(pending))).is_err() {
             return CallerAnswer::Refused;
         }
@@ -160,9 +160,8 @@
     /// Passes an answer to its caller. After an inconclusive answer the request waits for the next
     /// leader.
     fn handle_answer(&mut self, sequence: u64, answer: CallerAnswer) {
-        if matches!(answer, CallerAnswer::Unresolved | CallerAnswer::NotLeading) {
-            return;
-        }
+        let Some(pending) = self.calls.get(&sequence) else { return };
+        let Some(answer) = conclude(&pending.call, pending.forwards, answer) else { return };
         let Some(call) = self.calls.remove(&sequence) else { return };
         // The caller may have disconnected, which its connection has logged.
         let _ = call.reply.send(answer);
@@ -184,7 +183,7 @@
         };
         let (host, path) = (call.host.clone(), call.path.clone());
         let message = LinkMessage::Call { sequence, host, path, call: call.call.clone() };
-        call.forwarded |= leader.send(message);
+        call.forwards += u32::from(leader.send(message));
     }
 
     fn tick(&mut self) {
@@ -205,7 +204,7 @@
         for sequence in expired {
             let Some(call) = self.calls.remove(&sequence) else { continue };
             let answer =
-                if call.forwarded { CallerAnswer::Unresolved } else { CallerAnswer::Refused };
+                if call.forwards > 0 { CallerAnswer::Unresolved } else { CallerAnswer::Refused };
             let _ = call.reply.send(answer);
         }
     }
@@ -214,7 +213,23 @@
 impl PendingCall {
     fn is_expired(&self, now: Duration, has_leader: bool) -> bool {
         let waited = now.saturating_sub(self.arrived);
-        let time_limit = if self.forwarded { FAILOVER_WAIT_LIMIT } else { LEADER_WAIT_LIMIT };
+        let time_limit = if self.forwards > 0 { FAILOVER_WAIT_LIMIT } else { LEADER_WAIT_LIMIT };
         now >= self.deadline || self.reply.is_closed() || (!has_leader && waited >= time_limit)
     }
 }
+
+/// Returns what a leader's answer means for the caller; `None` if the next leader has to answer. A
+/// leader that refuses a job speaks for itself only: one that received the job before it may have
+/// accepted it under an older configuration, and its answer was lost.
+fn conclude(call: &CallerCall, forwards: u32, answer: CallerAnswer) -> Option<CallerAnswer> {
+    let refuses = matches!(answer, CallerAnswer::NoQueue | CallerAnswer::Refused);
+    match (call, answer) {
+        (_, CallerAnswer::Unresolved | CallerAnswer::NotLeading) => None,
+        (CallerCall::Submit(_), _) if refuses && forwards > 1 => Some(CallerAnswer::Unresolved),
+        (_, answer) => Some(answer),
+    }
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/entry.rs"]
+mod tests;
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -120,7 +120,7 @@
             let spec = leader.speculative.job(task.job).and_then(|job| job.step_spec(&task));
             let Some(spec) = spec else { continue };
             let percent = leader.progress.get(&task).map_or(0, |progress| progress.percent);
-            let left = spec.estimate_ms * u64::from(100 - percent.min(100)) / 100;
+            let left = spec.estimate_ms / 100 * u64::from(100 - percent.min(100));
             if spec.lasting || left > left_ms {
                 evacuated.push(placement);
             }
@@ -217,8 +217,10 @@
         }
         let up_to = ends.iter().map(|end| end.number).max().unwrap_or(0);
         for EndReport { task, run, end, checkpoint, .. } in ends {
-            self.record_health(worker, task, end);
             let placed = self.placed_incarnation(worker, &task, run);
+            if self.is_first_report(&placed, task, run) {
+                self.record_health(worker, task, end);
+            }
             self.end_run(&placed, task, run, end, checkpoint);
         }
         let message = LinkMessage::EndsRecorded { worker: worker.clone(), up_to };
@@ -243,6 +245,19 @@
         }
     }
 
+    /// Returns whether nothing has proposed the end of a run yet. Agents repeat the ends that they
+    /// have no acknowledgement for.
+    fn is_first_report(&self, placed: &WorkerIncarnation, task: TaskKey, run: RunNumber) -> bool {
+        let Some(leader) = &self.leader else { return false };
+        let current =
+            leader.speculative.task(&task).is_some_and(|record| record.is_placed(run, placed));
+        let proposed = leader.pending.commands.iter().any(|command| {
+            matches!(command, FlowCommand::End { task: ended, run: of, .. }
+                if (*ended, *of) == (task, run))
+        });
+        current && !proposed
+    }
+
     fn record_health(&mut self, worker: &WorkerIncarnation, task: TaskKey, end: EndKind) {
         let now = self.now;
         let Some(leader) = &mut self.leader else { return };
--- a/crates/workflow/src/job/spec.rs
+++ b/crates/workflow/src/job/spec.rs
@@ -141,6 +141,7 @@
     /// once.
     pub fn due_ms(&self, occurrence: u32) -> Option<u64> {
         let schedule = self.schedule?;
-        Some(schedule.first_ms + u64::from(occurrence) * schedule.every_ms)
+        let after_first_ms = schedule.every_ms.saturating_mul(u64::from(occurrence));
+        Some(schedule.first_ms.saturating_add(after_first_ms))
     }
 }
--- a/crates/workflow/src/plan/urgency.rs
+++ b/crates/workflow/src/plan/urgency.rs
@@ -50,7 +50,7 @@
     for (position, step) in spec.steps.iter().enumerate() {
         let before = step.depends_on.iter().map(|on| chains[usize::from(*on)]).max().unwrap_or(0);
         let own = if counts(position) { step.estimate_ms } else { 0 };
-        chains.push(before + own);
+        chains.push(before.saturating_add(own));
     }
     chains.into_iter().max().unwrap_or(0)
 }
@@ -60,7 +60,7 @@
     let steps = &record.occurrences[occurrence as usize].steps;
     let left = record.spec.steps.iter().zip(steps).map(|(spec, step)| {
         let tasks = step.tasks.len() as u64 - u64::from(step.done);
-        tasks * spec.estimate_ms * spec.demand.cpu_milli
+        tasks.saturating_mul(spec.estimate_ms).saturating_mul(spec.demand.cpu_milli)
     });
-    left.sum()
+    left.fold(0, u64::saturating_add)
 }
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -6,7 +6,7 @@
 
 use {
     support::{job, ControlHarness, StepBuilder},
-    workflow::{message::LinkMessage, state::EndKind},
+    workflow::{job::JobSchedule, message::LinkMessage, state::EndKind},
 };
 
 // An agent whose executor was replaced by one of another id kept renewing the lease of the first
@@ -332,3 +332,38 @@
     harness.connect_worker(2, "e2", 100);
     assert_eq!(harness.starts().last().unwrap(), "000000000000000b.0.0.0 run 1 on e2@100");
 }
+
+// An agent repeats the ends that it has no acknowledgement for to each leader and after each
+// reconnection. One failed run that was reported often enough made its worker suspect.
+#[test]
+fn a_failure_that_is_reported_again_counts_once_against_its_worker() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.connect_worker(2, "e2", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    for _ in 0..12 {
+        harness.report_end(1, "e1@100", 1, "000000000000000a.0.0.0", 1, EndKind::Failed);
+    }
+    harness.report_end(2, "e2@100", 1, "000000000000000a.0.0.0", 2, EndKind::Done);
+    harness.submit(0xb, job(&[StepBuilder::tasks(1)]));
+    assert_eq!(harness.starts().last().unwrap(), "000000000000000b.0.0.0 run 1 on e1@100");
+}
+
+// The numbers of a job come from its caller. Arithmetic on them that overflows ends a process that
+// is built with checks, and without them gives a job another place in the queue.
+#[test]
+fn a_job_with_the_largest_numbers_is_treated_like_any_other() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    let huge = StepBuilder::tasks(3).estimate(u64::MAX);
+    harness.submit(0xa, job(&[huge.clone(), huge.clone().after(0), huge.after(1)]));
+    harness.submit(0xb, job(&[StepBuilder::tasks(1)]));
+    let mut scheduled = job(&[StepBuilder::tasks(1)]);
+    let (first_ms, every_ms) = (u64::MAX, u64::MAX);
+    scheduled.schedule = Some(JobSchedule { count: 3, first_ms, every_ms });
+    harness.submit(0xc, scheduled);
+    harness.submit(0xd, job(&[StepBuilder::tasks(1).cores(u64::MAX / 1000)]));
+    harness.report_draining(1, "e1", 100);
+    assert_eq!(harness.accepted(), 4);
+    assert_eq!(harness.starts().len(), 4, "three tasks of the first job and one of the second");
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -40,6 +40,11 @@
         self
     }
 
+    pub fn estimate(mut self, milliseconds: u64) -> Self {
+        self.0.estimate_ms = milliseconds;
+        self
+    }
+
     pub fn gang(mut self) -> Self {
         self.0.gang = true;
         self
