Serve displaced lasting tasks first and keep room for them

Change: within a priority, steps with a displaced lasting task come first. If one has fitted nowhere for 2 s, a worker where the end of other tasks makes enough room takes no other reserving task. The order of steps and the claims are modules of their own. A new lasting job keeps no room.

Tests: one worker, a lasting task of 6 cores is stopped among 40 short jobs of 2 cores: it runs again within 6 s, the platform's bound. A new lasting job holds back no short one.

--- a/crates/workflow/src/plan/candidates.rs
+++ b/crates/workflow/src/plan/candidates.rs
@@ -5,6 +5,7 @@
 
 use {
     super::{
+        claims::RoomClaims,
         reservations::{ReservationTable, WorkerReservations},
         score::{score_of, StepRequest, FAILED_HERE_PENALTY},
         worker::WorkerView,
@@ -50,21 +51,28 @@
 }
 
 impl<'a> CandidateQueue<'a> {
-    /// Scores the workers at the given positions, or all.
+    /// Scores the workers at the given positions, or all, except those that are claimed for others.
     pub(super) fn new(
         request: &'a StepRequest<'a>,
         inputs: &'a PlanInputs<'a>,
         reservations: &ReservationTable,
+        claims: &RoomClaims,
         positions: Option<&BTreeSet<usize>>,
     ) -> Self {
         let count = inputs.workers.len();
         let (scores, queue) = (vec![None; count], BinaryHeap::new());
         let mut candidates = Self { request, inputs, scores, queue };
+        // Best-effort tasks reserve no processors and may run on a claimed worker.
+        let open = |position: &usize| request.spec.filler || !claims.contains(*position);
         match positions {
             Some(positions) => {
-                positions.iter().for_each(|position| candidates.rescore(*position, reservations));
+                let open = positions.iter().copied().filter(open);
+                open.for_each(|position| candidates.rescore(position, reservations));
+            }
+            None => {
+                let open = (0..count).filter(open);
+                open.for_each(|position| candidates.rescore(position, reservations));
             }
-            None => (0..count).for_each(|position| candidates.rescore(position, reservations)),
         }
         candidates
     }
--- /dev/null
+++ b/crates/workflow/src/plan/claims.rs
@@ -0,0 +1,78 @@
+//! Workers on which free capacity is kept until a displaced lasting task fits.
+//!
+//! It answers a fleet whose processors are all reserved: the small tasks of short jobs take each
+//! core that comes free, and the room that a larger task needs at once never comes together. For
+//! each displaced task that has fitted nowhere for a while, one worker receives no other task that
+//! reserves processors, until enough of those that it runs have ended.
+
+use {
+    super::{
+        reservations::{fit_share, will_fit, ReservationTable},
+        score::{may_hold, StepRequest},
+        PlanInputs,
+    },
+    crate::job::StepKey,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// How long a displaced task waits for room that comes by itself. Claims cost the short tasks that
+/// could run meanwhile.
+const CLAIM_DELAY: Duration = Duration::from_millis(2000);
+/// The most workers on which one pass keeps capacity free.
+const CLAIMS_LIMIT: usize = 16;
+
+/// The displaced steps for which passes have found too little room, with the time of the first such
+/// pass.
+#[derive(Debug, Default)]
+pub(super) struct DisplacedSteps {
+    since: BTreeMap<StepKey, Duration>,
+}
+
+impl DisplacedSteps {
+    /// Notes that a pass left a step waiting that was in `earlier` if the pass before it did.
+    /// Returns whether the step may claim room.
+    pub(super) fn add(&mut self, step: StepKey, now: Duration, earlier: &Self) -> bool {
+        let since = earlier.since.get(&step).copied().unwrap_or(now);
+        self.since.insert(step, since);
+        now.saturating_sub(since) >= CLAIM_DELAY
+    }
+}
+
+/// The claimed workers of one pass, by position in the worker table.
+#[derive(Debug, Default)]
+pub(super) struct RoomClaims {
+    positions: BTreeSet<usize>,
+}
+
+impl RoomClaims {
+    pub(super) fn contains(&self, position: usize) -> bool {
+        self.positions.contains(&position)
+    }
+
+    /// Claims a worker for each of `count` tasks that fit nowhere: the one that lacks least.
+    pub(super) fn add(
+        &mut self,
+        request: &StepRequest<'_>,
+        count: usize,
+        inputs: &PlanInputs<'_>,
+        reservations: &ReservationTable,
+    ) {
+        let now = inputs.time.now;
+        let mut candidates: Vec<(f64, usize)> = Vec::new();
+        for (position, (executor, worker)) in inputs.workers.iter().enumerate() {
+            let Some(reserved) = reservations.of(executor) else { continue };
+            let usable = may_hold(request, worker, reserved, now) && !worker.is_suspect(now);
+            let frees = will_fit(worker, reserved, request.spec);
+            if usable && frees && !self.contains(position) {
+                candidates.push((fit_share(worker, reserved, request.spec), position));
+            }
+        }
+        candidates.sort_by(|(one, _), (other, _)| other.total_cmp(one));
+        let free = CLAIMS_LIMIT.saturating_sub(self.positions.len());
+        let claimed = candidates.into_iter().take(count.min(free));
+        self.positions.extend(claimed.map(|(_, position)| position));
+    }
+}
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -10,7 +10,9 @@
 //! the workers that have changed since.
 
 mod candidates;
+mod claims;
 mod interference;
+mod order;
 mod reservations;
 mod score;
 mod urgency;
@@ -24,13 +26,15 @@
 use {
     self::{
         candidates::CandidateQueue,
+        claims::{DisplacedSteps, RoomClaims},
+        order::StepRank,
         reservations::ReservationTable,
         score::StepRequest,
-        urgency::{prospect_of, remaining_work, JobProspect},
+        urgency::{prospect_of, JobProspect},
     },
     crate::{
         job::{JobKey, QueueRule, RunNumber, StepKey, TaskKey, WorkerIncarnation},
-        state::{FlowState, JobRecord, StepRecord, TaskPhase},
+        state::{FlowState, JobRecord, StepRecord, TaskPhase, TaskRecord},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -89,6 +93,7 @@
     reservations: ReservationTable,
     /// Steps for which the last pass found no worker.
     blocked: BTreeSet<StepKey>,
+    displaced: DisplacedSteps,
     /// Executors that changed in another way than by their placements since the last pass.
     touched: BTreeSet<Arc<str>>,
     last_full: Option<Duration>,
@@ -116,17 +121,13 @@
             blocked.clear();
         }
         let mut steps = open_steps(inputs.state, inputs.time);
-        steps.sort_by_cached_key(|step| {
-            (
-                step.record.priority,
-                step.prospect,
-                remaining_work(step.record, step.occurrence),
-                step.job,
-            )
-        });
+        steps.sort_by_cached_key(StepRank::new);
         let reservations = &mut self.reservations;
-        let loads = BTreeMap::new();
-        let mut pass = PlanPass { inputs, reservations, loads, placements: Vec::new() };
+        let earlier = std::mem::take(&mut self.displaced);
+        let displaced = &mut self.displaced;
+        let (claims, loads, placements) = Default::default();
+        let mut pass =
+            PlanPass { inputs, reservations, earlier, displaced, claims, loads, placements };
         for step in &steps {
             let known = blocked.contains(&step.step_key()) && !step.spec().gang;
             let workers = known.then_some(&changed);
@@ -142,6 +143,10 @@
 struct PlanPass<'a> {
     inputs: PlanInputs<'a>,
     reservations: &'a mut ReservationTable,
+    /// The displaced steps that the pass before left waiting, and those that this one leaves.
+    earlier: DisplacedSteps,
+    displaced: &'a mut DisplacedSteps,
+    claims: RoomClaims,
     /// The reserved share of each service's processors when the pass first asked for it.
     loads: BTreeMap<String, f64>,
     placements: Vec<Placement>,
@@ -176,6 +181,13 @@
         TaskKey { job, occurrence, step, index: index as u16 }
     }
 
+    /// Returns whether a lasting task of the step has lost its worker and waits for another.
+    fn is_displaced(&self) -> bool {
+        let displaced =
+            |task: &TaskRecord| task.phase == TaskPhase::Waiting && task.run > RunNumber(0);
+        self.spec().lasting && self.tasks().tasks.iter().any(displaced)
+    }
+
     fn waiting(&self) -> impl Iterator<Item = usize> + 'a {
         let tasks = self.tasks().tasks.iter().enumerate();
         tasks.filter(|(_, task)| task.phase == TaskPhase::Waiting).map(|(index, _)| index)
@@ -218,7 +230,7 @@
         if step.waiting().next().is_none() {
             return true;
         }
-        if workers.is_some_and(BTreeSet::is_empty) {
+        if workers.is_some_and(BTreeSet::is_empty) && !step.is_displaced() {
             return false;
         }
         let inputs = self.inputs;
@@ -229,12 +241,17 @@
         let starving = self.is_starving(step, service);
         let (key, rack) = (step.step_key(), rack.as_deref());
         let request = StepRequest { key, spec, service, rack, starving };
-        let mut queue = CandidateQueue::new(&request, &inputs, self.reservations, workers);
+        let mut queue =
+            CandidateQueue::new(&request, &inputs, self.reservations, &self.claims, workers);
         if spec.gang {
-            self.place_gang(step, &mut queue)
-        } else {
-            self.place_tasks(step, &mut queue)
+            return self.place_gang(step, &mut queue);
         }
+        let left = self.place_tasks(step, &mut queue);
+        let displaced = left > 0 && step.is_displaced();
+        if displaced && self.displaced.add(key, time.now, &self.earlier) {
+            self.claims.add(&request, left, &inputs, self.reservations);
+        }
+        left == 0
     }
 
     /// Returns whether a job is past the starvation age and has nothing placed while the service
@@ -256,18 +273,20 @@
         load < STARVATION_LOAD
     }
 
-    fn place_tasks(&mut self, step: &OpenStep<'_>, queue: &mut CandidateQueue<'_>) -> bool {
-        for index in step.waiting() {
+    /// Places the waiting tasks of a step. Returns how many are left.
+    fn place_tasks(&mut self, step: &OpenStep<'_>, queue: &mut CandidateQueue<'_>) -> usize {
+        let mut waiting = step.waiting();
+        while let Some(index) = waiting.next() {
             let task = step.key(index);
             let record = &step.tasks().tasks[index];
             let best = if record.failures > 0 { queue.best_for_retry(&task) } else { queue.best() };
             // All tasks of a step have the same demand: if one does not fit, none does.
-            let Some(worker) = best else { return false };
+            let Some(worker) = best else { return 1 + waiting.count() };
             let run = RunNumber(record.run.0 + 1);
             let worker = queue.reserve(worker, &task, self.reservations);
             self.placements.push(Placement { task, run, worker });
         }
-        true
+        0
     }
 
     /// Starts all members of a gang together under one run number, or none of them.
--- /dev/null
+++ b/crates/workflow/src/plan/order.rs
@@ -0,0 +1,37 @@
+//! The order in which the open steps of a pass are served.
+//!
+//! It answers a load above what the fleet can carry, where whoever comes last waits. Within a
+//! priority, first come lasting tasks that have lost their worker, because a service is short of
+//! them until they run again; then the jobs that can still meet their objective, the ones with the
+//! least work left before the others, since that lets most jobs end in time.
+
+use {
+    super::{
+        urgency::{remaining_work, JobProspect},
+        OpenStep,
+    },
+    crate::job::JobKey,
+};
+
+/// The rank of a step: the lowest is served first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct StepRank {
+    priority: u32,
+    /// Whether nothing of the step has lost its worker. A displaced step ranks first.
+    settled: bool,
+    prospect: JobProspect,
+    remaining_work: u64,
+    job: JobKey,
+}
+
+impl StepRank {
+    pub(super) fn new(step: &OpenStep<'_>) -> Self {
+        Self {
+            priority: step.record.priority,
+            settled: !step.is_displaced(),
+            prospect: step.prospect,
+            remaining_work: remaining_work(step.record, step.occurrence),
+            job: step.job,
+        }
+    }
+}
--- a/crates/workflow/src/plan/reservations.rs
+++ b/crates/workflow/src/plan/reservations.rs
@@ -26,6 +26,8 @@
 pub(super) struct WorkerReservations {
     /// Memory and accelerators of all tasks, and processors of all but the best-effort tasks.
     pub(super) demand: TaskDemand,
+    /// The part of `demand` that lasting tasks hold, and that does not come free by itself.
+    lasting: TaskDemand,
     /// Processors that all but the best-effort tasks are assumed to use, in thousandths of a core.
     used_milli: f64,
     /// Processors that best-effort tasks could use, by image, in thousandths of a core.
@@ -86,6 +88,11 @@
             self.demand.cpu_milli += cpu_milli;
             self.used_milli += assumed_use(spec);
         }
+        if spec.lasting {
+            self.lasting.cpu_milli += cpu_milli;
+            self.lasting.memory_mb += memory_mb;
+            self.lasting.accelerators += accelerators;
+        }
         if spec.latency_target_ms.is_some() {
             self.latency_critical.insert(key.step_key(), image);
         }
@@ -103,6 +110,11 @@
             self.demand.cpu_milli -= cpu_milli;
             self.used_milli -= assumed_use(spec);
         }
+        if spec.lasting {
+            self.lasting.cpu_milli -= cpu_milli;
+            self.lasting.memory_mb -= memory_mb;
+            self.lasting.accelerators -= accelerators;
+        }
         let step = key.step_key();
         if let Some(count) = self.steps.get_mut(&step) {
             *count -= 1;
@@ -233,16 +245,43 @@
 /// Returns how many tasks of a step fit on a worker. For best-effort tasks, processors do not
 /// count.
 pub(super) fn fitting(worker: &WorkerView, reserved: &WorkerReservations, spec: &StepSpec) -> u64 {
-    let free = free_capacity(worker, reserved);
+    let free = free_capacity(worker.report.capacity, reserved.demand);
     let share = |free: u64, asked: u64| free.checked_div(asked).unwrap_or(u64::MAX);
     let cpu = if spec.filler { u64::MAX } else { share(free.cpu_milli, spec.demand.cpu_milli) };
     cpu.min(share(free.memory_mb, spec.demand.memory_mb))
         .min(share(free.accelerators, spec.demand.accelerators))
 }
 
-/// Returns the free capacity of a worker.
-fn free_capacity(worker: &WorkerView, reserved: &WorkerReservations) -> TaskDemand {
-    let (capacity, taken) = (worker.report.capacity, reserved.demand);
+/// Returns the free part of a task's demand on a worker, by the resource that it lacks most: 1 if
+/// the task just fits.
+pub(super) fn fit_share(
+    worker: &WorkerView,
+    reserved: &WorkerReservations,
+    spec: &StepSpec,
+) -> f64 {
+    demand_share(free_capacity(worker.report.capacity, reserved.demand), spec)
+}
+
+/// Returns whether a task fits on a worker once the tasks that do not last have ended.
+pub(super) fn will_fit(
+    worker: &WorkerView,
+    reserved: &WorkerReservations,
+    spec: &StepSpec,
+) -> bool {
+    demand_share(free_capacity(worker.report.capacity, reserved.lasting), spec) >= 1.0
+}
+
+fn demand_share(free: TaskDemand, spec: &StepSpec) -> f64 {
+    let share = |free: u64, asked: u64| match asked {
+        0 => f64::INFINITY,
+        _ => free as f64 / asked as f64,
+    };
+    share(free.cpu_milli, spec.demand.cpu_milli)
+        .min(share(free.memory_mb, spec.demand.memory_mb))
+        .min(share(free.accelerators, spec.demand.accelerators))
+}
+
+fn free_capacity(capacity: TaskDemand, taken: TaskDemand) -> TaskDemand {
     TaskDemand {
         cpu_milli: capacity.cpu_milli.saturating_sub(taken.cpu_milli),
         memory_mb: capacity.memory_mb.saturating_sub(taken.memory_mb),
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -79,14 +79,24 @@
     worker: &WorkerView,
     reserved: &WorkerReservations,
     now: Duration,
+) -> bool {
+    let spec = request.spec;
+    let idle = !spec.filler || idle_share(worker, reserved, spec) >= MIN_IDLE_SHARE;
+    idle && may_hold(request, worker, reserved, now) && fitting(worker, reserved, spec) > 0
+}
+
+/// Returns whether a worker may run a task of the step as soon as it has the free capacity.
+pub(super) fn may_hold(
+    request: &StepRequest<'_>,
+    worker: &WorkerView,
+    reserved: &WorkerReservations,
+    now: Duration,
 ) -> bool {
     let spec = request.spec;
     let label = spec.required_label.as_ref();
     let labelled = label.is_none_or(|label| worker.report.labels.contains(label));
     let below = spec.per_worker_limit.is_none_or(|limit| reserved.of_step(&request.key) < limit);
-    let idle = !spec.filler || idle_share(worker, reserved, spec) >= MIN_IDLE_SHARE;
-    let able = worker.accepts(request.service, now) && labelled && below && idle;
-    able && fitting(worker, reserved, spec) > 0
+    worker.accepts(request.service, now) && labelled && below
 }
 
 /// Returns the largest part of any latency-critical step's spare headroom that one more best-effort
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -333,6 +333,48 @@
     assert_eq!(harness.starts().last().unwrap(), "000000000000000b.0.0.0 run 1 on e2@100");
 }
 
+// A lasting task that lost its place waited until the load ended: each core that came free went to
+// a shorter job, and the room that the lasting task needs at once never came together.
+#[test]
+fn a_displaced_lasting_task_does_not_wait_for_the_load_to_end() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    let lasting = "000000000000000a.0.0.0";
+    harness.submit(0xa, job(&[StepBuilder::tasks(1).cores(6).lasting()]));
+    for key in 0..40 {
+        harness.submit(0x100 + key, job(&[StepBuilder::tasks(1).cores(2)]));
+    }
+    harness.report_end(1, "e1@100", 1, lasting, 1, EndKind::Stopped);
+    let restarted = |harness: &ControlHarness| {
+        harness.starts().iter().any(|start| start == &format!("{lasting} run 2 on e1@100"))
+    };
+    let mut ended = 0;
+    while !restarted(&harness) {
+        assert!(ended < 12, "the lasting task has waited for 6 s");
+        harness.keep_alive(1, 500);
+        let task = format!("{:016x}.0.0.0", 0x100 + ended);
+        ended += 1;
+        harness.report_end(1, "e1@100", 1 + ended, &task, 1, EndKind::Done);
+    }
+}
+
+// Room is only kept for tasks that have run before: a new lasting job is one of many.
+#[test]
+fn a_new_lasting_job_holds_back_no_shorter_one() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    for key in 0..20 {
+        harness.submit(0x100 + key, job(&[StepBuilder::tasks(1).cores(2)]));
+    }
+    harness.submit(0xa, job(&[StepBuilder::tasks(1).cores(6).lasting()]));
+    let before = harness.starts().len();
+    for ended in 0..3 {
+        let task = format!("{:016x}.0.0.0", 0x100 + ended);
+        harness.report_end(1, "e1@100", 1 + ended, &task, 1, EndKind::Done);
+    }
+    assert_eq!(harness.starts().len(), before + 3);
+}
+
 // An agent repeats the ends that it has no acknowledgement for to each leader and after each
 // reconnection. One failed run that was reported often enough made its worker suspect.
 #[test]
