Test the order and the claims of displaced tasks apart

In one the task is stopped and short jobs wait for its room: it fails when displaced steps don't come first. In the other its worker is lost and the room has to come together on a full one within 6 s: it fails with no claims allowed.

--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -333,28 +333,46 @@
     assert_eq!(harness.starts().last().unwrap(), "000000000000000b.0.0.0 run 1 on e2@100");
 }
 
-// A lasting task that lost its place waited until the load ended: each core that came free went to
-// a shorter job, and the room that the lasting task needs at once never came together.
+// A lasting task that was stopped found its room taken by short jobs, which rank first by their
+// little work.
 #[test]
-fn a_displaced_lasting_task_does_not_wait_for_the_load_to_end() {
+fn a_displaced_lasting_task_gets_the_room_that_it_had() {
     let mut harness = ControlHarness::start();
     harness.connect_worker(1, "e1", 100);
     let lasting = "000000000000000a.0.0.0";
     harness.submit(0xa, job(&[StepBuilder::tasks(1).cores(6).lasting()]));
-    for key in 0..40 {
-        harness.submit(0x100 + key, job(&[StepBuilder::tasks(1).cores(2)]));
-    }
+    submit_short_jobs(&mut harness, 10);
     harness.report_end(1, "e1@100", 1, lasting, 1, EndKind::Stopped);
-    let restarted = |harness: &ControlHarness| {
-        harness.starts().iter().any(|start| start == &format!("{lasting} run 2 on e1@100"))
-    };
+    assert_eq!(harness.starts().last().unwrap(), &format!("{lasting} run 2 on e1@100"));
+}
+
+// A lasting task that lost its worker waited until the load ended: each core that came free went to
+// a short job, and the room that the lasting task needs at once never came together.
+#[test]
+fn a_displaced_lasting_task_does_not_wait_for_the_load_to_end() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    let lasting = "000000000000000a.0.0.0";
+    harness.submit(0xa, job(&[StepBuilder::tasks(1).cores(6).lasting()]));
+    harness.connect_worker(2, "e2", 100);
+    submit_short_jobs(&mut harness, 60);
+    harness.close(1);
+    harness.keep_alive(2, 4000);
+    let restart = format!("{lasting} run 2 on e2@100");
     let mut ended = 0;
-    while !restarted(&harness) {
-        assert!(ended < 12, "the lasting task has waited for 6 s");
-        harness.keep_alive(1, 500);
-        let task = format!("{:016x}.0.0.0", 0x100 + ended);
+    while !harness.starts().contains(&restart) {
+        let running = harness.running_on("e2@100");
+        assert!(ended < 12, "the lasting task has waited for 6 s beside {}", running.len());
         ended += 1;
-        harness.report_end(1, "e1@100", 1 + ended, &task, 1, EndKind::Done);
+        harness.report_end(2, "e2@100", ended, &running[0], 1, EndKind::Done);
+        harness.keep_alive(2, 400);
+        harness.advance(100);
+    }
+}
+
+fn submit_short_jobs(harness: &mut ControlHarness, count: u64) {
+    for key in 0..count {
+        harness.submit(0x100 + key, job(&[StepBuilder::tasks(1).cores(2)]));
     }
 }
 
@@ -363,9 +381,7 @@
 fn a_new_lasting_job_holds_back_no_shorter_one() {
     let mut harness = ControlHarness::start();
     harness.connect_worker(1, "e1", 100);
-    for key in 0..20 {
-        harness.submit(0x100 + key, job(&[StepBuilder::tasks(1).cores(2)]));
-    }
+    submit_short_jobs(&mut harness, 20);
     harness.submit(0xa, job(&[StepBuilder::tasks(1).cores(6).lasting()]));
     let before = harness.starts().len();
     for ended in 0..3 {
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -5,7 +5,7 @@
     crate::fixtures::fleet_config,
     base::{EventReducer, PeerAddress, ReplicaId, ReplyTicket},
     quorum::{GroupMember, PersistBatch, QuorumSettings, RecoveredLog},
-    std::{sync::Arc, time::Duration},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
     workflow::{
         control::{
             ControlEffect, ControlEvent, ControlNode, ControlSettings, OperatorAnswer, SessionId,
@@ -90,6 +90,8 @@
     unsynced: Vec<PersistBatch>,
     starts: Vec<String>,
     stops: Vec<String>,
+    /// Tasks that were reported as ended.
+    ended: BTreeSet<String>,
     answers: Vec<CallerAnswer>,
     recorded_up_to: u64,
     operator: Vec<OperatorAnswer>,
@@ -124,6 +126,7 @@
             unsynced: Vec::new(),
             starts: Vec::new(),
             stops: Vec::new(),
+            ended: BTreeSet::new(),
             answers: Vec::new(),
             recorded_up_to: 0,
             operator: Vec::new(),
@@ -284,6 +287,7 @@
         run: u32,
         end: EndKind,
     ) {
+        self.ended.insert(task.to_owned());
         let (task, run, checkpoint) = (task.parse().unwrap(), RunNumber(run), String::new());
         let ends = vec![EndReport { number, task, run, end, checkpoint }];
         self.send(session, LinkMessage::Ends { worker: Self::parse_incarnation(worker), ends });
@@ -335,6 +339,14 @@
         &self.starts
     }
 
+    /// Returns the tasks whose first run was started on a worker and was not reported as ended, in
+    /// the order of their starts.
+    pub fn running_on(&self, worker: &str) -> Vec<String> {
+        let suffix = format!(" run 1 on {worker}");
+        let started = self.starts.iter().filter_map(|start| start.strip_suffix(&suffix));
+        started.filter(|task| !self.ended.contains(*task)).map(str::to_owned).collect()
+    }
+
     pub fn stops(&self) -> &[String] {
         &self.stops
     }
