--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -15,6 +15,7 @@
 mod order;
 mod reservations;
 mod score;
+mod steps;
 mod urgency;
 mod worker;
 
@@ -30,11 +31,11 @@
         order::StepRank,
         reservations::ReservationTable,
         score::StepRequest,
-        urgency::{prospect_of, JobProspect},
+        steps::{open_steps, OpenStep},
     },
     crate::{
-        job::{JobKey, QueueRule, RunNumber, StepKey, TaskKey, WorkerIncarnation},
-        state::{FlowState, JobRecord, StepRecord, TaskPhase, TaskRecord},
+        job::{RunNumber, StepKey, TaskKey, WorkerIncarnation},
+        state::FlowState,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -93,6 +94,7 @@
     reservations: ReservationTable,
     /// Steps for which the last pass found no worker.
     blocked: BTreeSet<StepKey>,
+    /// The displaced steps that the last pass left waiting.
     displaced: DisplacedSteps,
     /// Executors that changed in another way than by their placements since the last pass.
     touched: BTreeSet<Arc<str>>,
@@ -152,77 +154,6 @@
     placements: Vec<Placement>,
 }
 
-/// The waiting tasks of one step.
-struct OpenStep<'a> {
-    job: JobKey,
-    record: &'a JobRecord,
-    occurrence: u32,
-    step: u16,
-    prospect: JobProspect,
-    /// The configured rule of the job's queue, if the queue is configured.
-    rule: Option<&'a QueueRule>,
-}
-
-impl<'a> OpenStep<'a> {
-    fn spec(&self) -> &'a crate::job::StepSpec {
-        &self.record.spec.steps[usize::from(self.step)]
-    }
-
-    fn tasks(&self) -> &'a StepRecord {
-        &self.record.occurrences[self.occurrence as usize].steps[usize::from(self.step)]
-    }
-
-    fn step_key(&self) -> StepKey {
-        StepKey { job: self.job, occurrence: self.occurrence, step: self.step }
-    }
-
-    fn key(&self, index: usize) -> TaskKey {
-        let (job, occurrence, step) = (self.job, self.occurrence, self.step);
-        TaskKey { job, occurrence, step, index: index as u16 }
-    }
-
-    /// Returns whether a lasting task of the step has lost its worker and waits for another.
-    fn is_displaced(&self) -> bool {
-        let displaced =
-            |task: &TaskRecord| task.phase == TaskPhase::Waiting && task.run > RunNumber(0);
-        self.spec().lasting && self.tasks().tasks.iter().any(displaced)
-    }
-
-    fn waiting(&self) -> impl Iterator<Item = usize> + 'a {
-        let tasks = self.tasks().tasks.iter().enumerate();
-        tasks.filter(|(_, task)| task.phase == TaskPhase::Waiting).map(|(index, _)| index)
-    }
-}
-
-fn open_steps(state: &FlowState, time: PlanTime) -> Vec<OpenStep<'_>> {
-    let mut open = Vec::new();
-    for (job, record) in state.active_jobs() {
-        if record.outcome.is_some() || record.unfinished == record.placed {
-            continue;
-        }
-        let rule = state.config().and_then(|config| config.queue(&record.queue));
-        for (occurrence, steps) in record.occurrences.iter().enumerate() {
-            let due = record.spec.due_ms(occurrence as u32);
-            if due.is_some_and(|due| due > time.wall_ms) {
-                continue;
-            }
-            let age_ms = match due {
-                Some(due) => time.wall_ms.saturating_sub(due),
-                None => state.clock_ms().saturating_sub(record.accepted_ms),
-            };
-            let prospect = prospect_of(record, steps, rule, age_ms);
-            for (step, spec) in record.spec.steps.iter().enumerate() {
-                let tasks = &steps.steps[step];
-                if !tasks.is_done() && steps.is_open(spec) {
-                    let (occurrence, step) = (occurrence as u32, step as u16);
-                    open.push(OpenStep { job, record, occurrence, step, prospect, rule });
-                }
-            }
-        }
-    }
-    open
-}
-
 impl PlanPass<'_> {
     /// Places the waiting tasks of a step on the given workers, or on any. Returns whether no task
     /// is left waiting.
--- a/crates/workflow/src/plan/order.rs
+++ b/crates/workflow/src/plan/order.rs
@@ -7,8 +7,8 @@
 
 use {
     super::{
+        steps::OpenStep,
         urgency::{remaining_work, JobProspect},
-        OpenStep,
     },
     crate::job::JobKey,
 };
