--- a/crates/workflow/src/plan/claims.rs
+++ b/crates/workflow/src/plan/claims.rs
@@ -3,7 +3,8 @@
 //! It answers a fleet whose processors are all reserved: the small tasks of short jobs take each
 //! core that comes free, and the room that a larger task needs at once never comes together. For
 //! each displaced task that has fitted nowhere for a while, one worker receives no other task that
-//! reserves processors, until enough of those that it runs have ended.
+//! reserves processors, until enough of those that it runs have ended. See
+//! `docs/decisions/scale.md`.
 
 use {
     super::{
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! A full pass offers every worker to every open step. The passes between two full ones answer
 //! bursts of events at the cost of what has changed: a step that found no worker is offered only
-//! the workers that have changed since.
+//! the workers that have changed since. `docs/decisions/scale.md` says why.
 
 mod candidates;
 mod claims;
--- a/crates/workflow/src/state/mod.rs
+++ b/crates/workflow/src/state/mod.rs
@@ -58,6 +58,7 @@
     /// executor answers there.
     #[serde(default)]
     addresses: BTreeMap<Arc<str>, Arc<str>>,
+    /// The placed tasks by executor, derived from `jobs`.
     #[serde(skip)]
     placements: PlacementIndex,
 }
