Forecast the headroom of swinging loads for the time a task runs

Recorded figures show why: the load of each service swings with a period of 10 to 14 s, and placement knew the level of now and an average.

Change: plan/swing.rs follows each level as a mean and an oscillation, with a Kalman filter for each of ten periods, of which the best predictor is used. Placement leaves a best-effort task out where the least headroom in the time that it is estimated to run would be too little. Claims wait 3 s instead of 2.

Tests: swings of 8, 10, 14 and 18 s are predicted 1.5 s ahead within 0.2, what placement leaves to spare; a level that jumps is followed within seconds. The test of the earlier rule, that a calm step is forecast to return to its usual level, is replaced by these: the rule is gone.

--- a/crates/workflow/src/plan/candidates.rs
+++ b/crates/workflow/src/plan/candidates.rs
@@ -9,7 +9,7 @@
         reservations::{ReservationTable, WorkerReservations},
         score::{score_of, StepRequest, FAILED_HERE_PENALTY},
         worker::WorkerView,
-        PlanInputs,
+        PassInputs,
     },
     crate::job::{TaskKey, WorkerIncarnation},
     std::{
@@ -42,7 +42,7 @@
 /// The workers that may run the tasks of one step.
 pub(super) struct CandidateQueue<'a> {
     request: &'a StepRequest<'a>,
-    inputs: &'a PlanInputs<'a>,
+    inputs: &'a PassInputs<'a>,
     /// The present score by position in the worker table; `None` for a worker that may not run a
     /// task of the step.
     scores: Vec<Option<f64>>,
@@ -54,7 +54,7 @@
     /// Scores the workers at the given positions, or all, except those that are claimed for others.
     pub(super) fn new(
         request: &'a StepRequest<'a>,
-        inputs: &'a PlanInputs<'a>,
+        inputs: &'a PassInputs<'a>,
         reservations: &ReservationTable,
         claims: &RoomClaims,
         positions: Option<&BTreeSet<usize>>,
--- a/crates/workflow/src/plan/claims.rs
+++ b/crates/workflow/src/plan/claims.rs
@@ -10,7 +10,7 @@
     super::{
         reservations::{fit_share, will_fit, ReservationTable},
         score::{may_hold, StepRequest},
-        PlanInputs,
+        PassInputs,
     },
     crate::job::StepKey,
     std::{
@@ -21,7 +21,7 @@
 
 /// How long a displaced task waits for room that comes by itself. Claims cost the short tasks that
 /// could run meanwhile.
-const CLAIM_DELAY: Duration = Duration::from_millis(2000);
+const CLAIM_DELAY: Duration = Duration::from_millis(3000);
 /// The most workers on which one pass keeps capacity free.
 const CLAIMS_LIMIT: usize = 16;
 
@@ -58,7 +58,7 @@
         &mut self,
         request: &StepRequest<'_>,
         count: usize,
-        inputs: &PlanInputs<'_>,
+        inputs: &PassInputs<'_>,
         reservations: &ReservationTable,
     ) {
         let now = inputs.time.now;
--- a/crates/workflow/src/plan/interference.rs
+++ b/crates/workflow/src/plan/interference.rs
@@ -4,13 +4,14 @@
 //! Tail latencies grow like those of a queue, with the inverse of a server's spare capacity. The
 //! model therefore predicts the *headroom*, a task's latency target over its tail latency, which is
 //! linear in the load. The headroom is a level of the latency-critical task's own step, whose load
-//! changes within seconds, less what each best-effort image beside the task takes, in proportion to
+//! swings within seconds, less what each best-effort image beside the task takes, in proportion to
 //! the share of the machine that the image uses. Each coefficient has a variance: the less certain
 //! the coefficient, the further an observation moves it (a Kalman filter with a diagonal
 //! covariance). The effects of a new image are thus not attributed to images that are known to be
 //! harmless.
 
 use {
+    super::swing::{PeriodTable, SwingLevel},
     crate::job::{JobKey, StepKey},
     serde::{Deserialize, Serialize},
     std::{
@@ -27,22 +28,20 @@
 /// machine: low enough that placement tries one or two best-effort tasks beside a latency-critical
 /// one.
 const INITIAL_PRESSURE: Estimate = Estimate { value: 1.5, variance: 6.0 };
-/// Initial estimate of the headroom of an image alone: twice what it needs, as services are
-/// commonly sized for.
-const INITIAL_LEVEL: Estimate = Estimate { value: 2.2, variance: 0.5 };
+/// The assumed headroom of an image alone: twice what it needs, as services are commonly sized for.
+const INITIAL_LEVEL: f64 = 2.2;
 /// The variance of an observation: reported figures are rough, and late by up to a report.
 const OBSERVATION_VARIANCE: f64 = 0.15;
-/// Growth of a level's variance per second: load swings by a third of it within seconds.
-const LEVEL_DRIFT: f64 = 0.2;
 /// Growth of a pair's variance per second. In the long run, its pressure depends on the images
 /// alone.
 const PAIR_DRIFT: f64 = 0.05;
 /// How far an observation moves an image's level towards those of its steps: the level averages
 /// several steps and swings.
 const IMAGE_GAIN: f64 = 0.02;
-/// How far an observation moves a step's usual level towards the present one. A step on six workers
-/// has a dozen or more observations a second.
-const USUAL_GAIN: f64 = 0.03;
+/// Interval of the times for which a level is forecast.
+const FORECAST_INTERVAL: Duration = Duration::from_millis(500);
+/// The number of times for which a level is forecast: beyond them, its swing is unknown.
+const FORECAST_TIMES: usize = 9;
 /// Upper limit of observed headroom. Tail latencies are whole milliseconds, so that higher values
 /// carry no information.
 const HEADROOM_CEILING: f64 = 4.0;
@@ -82,14 +81,6 @@
     }
 }
 
-/// The headroom of a latency-critical step without best-effort tasks.
-#[derive(Debug, Clone, Copy)]
-struct StepLevel {
-    present: TimedEstimate,
-    /// The average of the last tens of seconds.
-    usual: f64,
-}
-
 /// The use of a machine by best-effort tasks of one image.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BestEffortShare {
@@ -116,7 +107,9 @@
 /// The learned interference between the images of one deployment.
 #[derive(Debug, Clone, Default)]
 pub struct InterferenceTable {
-    levels: HashMap<StepKey, StepLevel>,
+    /// The headroom of each latency-critical step without best-effort tasks.
+    levels: HashMap<StepKey, SwingLevel>,
+    periods: PeriodTable,
     images: HashMap<ImageName, f64>,
     /// By latency-critical image, then by best-effort image.
     pairs: BTreeMap<ImageName, BTreeMap<ImageName, TimedEstimate>>,
@@ -150,29 +143,35 @@
         rows.collect()
     }
 
-    /// Predicts the headroom of a latency-critical step beside best-effort tasks.
+    /// Predicts the headroom of a latency-critical step beside best-effort tasks at a time.
     pub fn predict(
         &self,
+        time: Duration,
         step: StepKey,
         latency_critical: &ImageName,
         shares: &[BestEffortShare],
     ) -> f64 {
-        let taken =
-            shares.iter().map(|best_effort| self.taken(latency_critical, best_effort)).sum::<f64>();
-        self.level(step, latency_critical).value - taken
+        self.level_at(time, step, latency_critical) - self.taken_by(latency_critical, shares)
     }
 
-    /// Predicts the least headroom of a latency-critical step in the next seconds: where the load
-    /// is lower than usual, it is assumed to return to its usual level.
-    pub fn forecast(
-        &self,
-        step: StepKey,
-        latency_critical: &ImageName,
-        shares: &[BestEffortShare],
-    ) -> f64 {
-        let predicted = self.predict(step, latency_critical, shares);
-        let Some(level) = self.levels.get(&step) else { return predicted };
-        predicted - (level.present.estimate.value - level.usual).max(0.0)
+    /// Forecasts the levels of all steps from `now` on.
+    pub fn forecast(&self, now: Duration) -> HeadroomForecast<'_> {
+        let least = |level: &SwingLevel| {
+            let mut lowest = f64::INFINITY;
+            let mut number = 0;
+            [(); FORECAST_TIMES].map(|()| {
+                let time = now + FORECAST_INTERVAL * number;
+                number += 1;
+                lowest = lowest.min(level.at(time, &self.periods));
+                lowest
+            })
+        };
+        let levels = self.levels.iter().map(|(step, level)| (*step, least(level)));
+        HeadroomForecast { learned: self, levels: levels.collect() }
+    }
+
+    fn taken_by(&self, latency_critical: &ImageName, shares: &[BestEffortShare]) -> f64 {
+        shares.iter().map(|best_effort| self.taken(latency_critical, best_effort)).sum()
     }
 
     /// Returns the headroom that best-effort tasks of one image take.
@@ -194,32 +193,35 @@
         tail_share: f64,
     ) {
         let headroom = tail_share.recip().min(HEADROOM_CEILING);
-        let error = headroom - self.predict(step, latency_critical, shares);
+        let taken = self.taken_by(latency_critical, shares);
         let observed = shares.iter().filter(|best_effort| best_effort.share >= MIN_USE);
         let observed: Vec<(&BestEffortShare, Estimate)> = observed
             .map(|best_effort| {
                 (best_effort, self.aged_pair(now, latency_critical, &best_effort.image))
             })
             .collect();
-        let level = self.aged_level(now, step, latency_critical);
         let pair_variance: f64 = observed
             .iter()
             .map(|(best_effort, pair)| pair.variance * best_effort.share * best_effort.share)
             .sum();
-        let total = level.variance + pair_variance + OBSERVATION_VARIANCE;
+        let mean = self.image_level(latency_critical);
+        let level = self.levels.entry(step).or_insert_with(|| SwingLevel::new(now, mean));
+        level.advance(now);
+        let expected = level.expected();
+        let errors = expected.map(|(value, _)| headroom - (value - taken));
+        let totals = expected.map(|(_, variance)| variance + pair_variance + OBSERVATION_VARIANCE);
+        level.correct(errors, totals);
+        self.periods.add(errors);
+        let (error, total) = (errors[self.periods.best()], totals[self.periods.best()]);
+        let mean = level.mean(&self.periods);
         let pairs = self.pairs.entry(latency_critical.clone()).or_default();
         for (BestEffortShare { image, share }, pair) in observed {
             let corrected = pair.corrected(error, -share, total);
             let estimate = Estimate { value: corrected.value.max(0.0), ..corrected };
             pairs.insert(image.clone(), TimedEstimate { estimate, seen: now });
         }
-        let estimate = level.corrected(error, 1.0, total);
-        let before = self.levels.get(&step).map_or(estimate.value, |level| level.usual);
-        let usual = before + USUAL_GAIN * (estimate.value - before);
-        let present = TimedEstimate { estimate, seen: now };
-        self.levels.insert(step, StepLevel { present, usual });
-        let typical = self.images.entry(latency_critical.clone()).or_insert(estimate.value);
-        *typical += IMAGE_GAIN * (estimate.value - *typical);
+        let typical = self.images.entry(latency_critical.clone()).or_insert(mean);
+        *typical += IMAGE_GAIN * (mean - *typical);
     }
 
     /// Removes the levels of an ended job. The pairs learned from its images stay.
@@ -227,18 +229,13 @@
         self.levels.retain(|step, _| step.job != job);
     }
 
-    fn level(&self, step: StepKey, latency_critical: &ImageName) -> Estimate {
-        let typical = || self.images.get(latency_critical).copied().unwrap_or(INITIAL_LEVEL.value);
-        let known = self.levels.get(&step).map(|level| level.present.estimate);
-        known.unwrap_or_else(|| Estimate { value: typical(), ..INITIAL_LEVEL })
+    fn level_at(&self, time: Duration, step: StepKey, latency_critical: &ImageName) -> f64 {
+        let known = self.levels.get(&step).map(|level| level.at(time, &self.periods));
+        known.unwrap_or_else(|| self.image_level(latency_critical))
     }
 
-    fn aged_level(&self, now: Duration, step: StepKey, latency_critical: &ImageName) -> Estimate {
-        let known = self.levels.get(&step).map(|level| level.present);
-        known.map_or_else(
-            || self.level(step, latency_critical),
-            |present| present.aged(now, LEVEL_DRIFT, INITIAL_LEVEL),
-        )
+    fn image_level(&self, latency_critical: &ImageName) -> f64 {
+        self.images.get(latency_critical).copied().unwrap_or(INITIAL_LEVEL)
     }
 
     fn pair(
@@ -259,3 +256,35 @@
         known.map_or(INITIAL_PRESSURE, |pair| pair.aged(now, PAIR_DRIFT, INITIAL_PRESSURE))
     }
 }
+
+/// The headroom of latency-critical steps in the next seconds.
+#[derive(Debug)]
+pub struct HeadroomForecast<'a> {
+    learned: &'a InterferenceTable,
+    /// The lowest level of each step up to each time of the forecast.
+    levels: HashMap<StepKey, [f64; FORECAST_TIMES]>,
+}
+
+impl HeadroomForecast<'_> {
+    /// Returns the least headroom of a step, beside best-effort tasks, within `span` from the time
+    /// of the forecast.
+    pub fn least_headroom(
+        &self,
+        span: Duration,
+        step: StepKey,
+        latency_critical: &ImageName,
+        shares: &[BestEffortShare],
+    ) -> f64 {
+        let position = (span.as_millis() / FORECAST_INTERVAL.as_millis()) as usize;
+        let level = match self.levels.get(&step) {
+            Some(lowest) => lowest[position.min(FORECAST_TIMES - 1)],
+            None => self.learned.image_level(latency_critical),
+        };
+        level - self.learned.taken_by(latency_critical, shares)
+    }
+
+    /// Returns the headroom that best-effort tasks of one image take.
+    pub fn taken(&self, latency_critical: &ImageName, best_effort: &BestEffortShare) -> f64 {
+        self.learned.taken(latency_critical, best_effort)
+    }
+}
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -16,11 +16,12 @@
 mod reservations;
 mod score;
 mod steps;
+mod swing;
 mod urgency;
 mod worker;
 
 pub use {
-    interference::{BestEffortShare, ImageName, InterferenceTable, LearnedPair},
+    interference::{BestEffortShare, HeadroomForecast, ImageName, InterferenceTable, LearnedPair},
     worker::{WorkerTable, WorkerView},
 };
 
@@ -124,6 +125,8 @@
         }
         let mut steps = open_steps(inputs.state, inputs.time);
         steps.sort_by_cached_key(StepRank::new);
+        let PlanInputs { state, workers, learned, time } = inputs;
+        let inputs = &PassInputs { state, workers, time, forecast: learned.forecast(time.now) };
         let reservations = &mut self.reservations;
         let earlier = std::mem::take(&mut self.displaced);
         let displaced = &mut self.displaced;
@@ -141,9 +144,17 @@
     }
 }
 
+/// What a pass decides on, with what it derives once.
+struct PassInputs<'a> {
+    state: &'a FlowState,
+    workers: &'a WorkerTable,
+    time: PlanTime,
+    forecast: HeadroomForecast<'a>,
+}
+
 /// One pass over the open steps.
 struct PlanPass<'a> {
-    inputs: PlanInputs<'a>,
+    inputs: &'a PassInputs<'a>,
     reservations: &'a mut ReservationTable,
     /// The displaced steps that the pass before left waiting, and those that this one leaves.
     earlier: DisplacedSteps,
@@ -165,7 +176,7 @@
             return false;
         }
         let inputs = self.inputs;
-        let PlanInputs { workers: table, time, .. } = inputs;
+        let PassInputs { workers: table, time, .. } = inputs;
         let spec = step.spec();
         let service = step.rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
         let rack = self.reservations.rack_for(step.tasks(), spec, service, table, time.now);
@@ -173,14 +184,14 @@
         let (key, rack) = (step.step_key(), rack.as_deref());
         let request = StepRequest { key, spec, service, rack, starving };
         let mut queue =
-            CandidateQueue::new(&request, &inputs, self.reservations, &self.claims, workers);
+            CandidateQueue::new(&request, inputs, self.reservations, &self.claims, workers);
         if spec.gang {
             return self.place_gang(step, &mut queue);
         }
         let left = self.place_tasks(step, &mut queue);
         let displaced = left > 0 && step.is_displaced();
         if displaced && self.displaced.add(key, time.now, &self.earlier) {
-            self.claims.add(&request, left, &inputs, self.reservations);
+            self.claims.add(&request, left, inputs, self.reservations);
         }
         left == 0
     }
@@ -188,7 +199,7 @@
     /// Returns whether a job is past the starvation age and has nothing placed while the service
     /// has capacity.
     fn is_starving(&mut self, step: &OpenStep<'_>, service: &str) -> bool {
-        let PlanInputs { state, workers, time, .. } = self.inputs;
+        let PassInputs { state, workers, time, .. } = self.inputs;
         let waited = state.clock_ms().saturating_sub(step.record.accepted_ms);
         if step.record.placed > 0 || waited <= STARVATION_MS {
             return false;
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -2,10 +2,10 @@
 
 use {
     super::{
-        interference::{BestEffortShare, ImageName, InterferenceTable},
+        interference::{BestEffortShare, HeadroomForecast, ImageName},
         reservations::{fitting, WorkerReservations},
         worker::WorkerView,
-        PlanInputs,
+        PassInputs,
     },
     crate::job::{StepKey, StepSpec},
     std::time::Duration,
@@ -53,13 +53,13 @@
     request: &StepRequest<'_>,
     worker: &WorkerView,
     reserved: &WorkerReservations,
-    inputs: &PlanInputs<'_>,
+    inputs: &PassInputs<'_>,
 ) -> Option<f64> {
     let now = inputs.time.now;
     if !may_run(request, worker, reserved, now) {
         return None;
     }
-    let strain = strain_of(request, worker, reserved, inputs.learned);
+    let strain = strain_of(request, worker, reserved, &inputs.forecast);
     if strain > 1.0 && !request.starving {
         return None;
     }
@@ -106,17 +106,18 @@
     request: &StepRequest<'_>,
     worker: &WorkerView,
     reserved: &WorkerReservations,
-    learned: &InterferenceTable,
+    forecast: &HeadroomForecast<'_>,
 ) -> f64 {
     if !request.spec.filler || reserved.latency_critical.is_empty() {
         return 0.0;
     }
     let present = reserved.best_effort_shares(capacity_of(worker));
+    let span = Duration::from_millis(request.spec.estimate_ms);
     let share = request.spec.demand.cpu_milli as f64 / capacity_of(worker);
     let added = BestEffortShare { image: request.spec.image_name(), share };
     let strain = |(step, image): (&StepKey, &ImageName)| {
-        let spare = learned.forecast(*step, image, &present) - PLANNED_HEADROOM;
-        let taken = learned.taken(image, &added).max(MIN_TAKEN_HEADROOM);
+        let spare = forecast.least_headroom(span, *step, image, &present) - PLANNED_HEADROOM;
+        let taken = forecast.taken(image, &added).max(MIN_TAKEN_HEADROOM);
         if spare > 0.0 {
             taken / spare
         } else {
