--- a/crates/workflow/src/plan/interference.rs
+++ b/crates/workflow/src/plan/interference.rs
@@ -15,6 +15,7 @@
     crate::job::{JobKey, StepKey},
     serde::{Deserialize, Serialize},
     std::{
+        array::from_fn,
         collections::{BTreeMap, HashMap},
         sync::Arc,
         time::Duration,
@@ -158,10 +159,8 @@
     pub fn forecast(&self, now: Duration) -> HeadroomForecast<'_> {
         let least = |level: &SwingLevel| {
             let mut lowest = f64::INFINITY;
-            let mut number = 0;
-            [(); FORECAST_TIMES].map(|()| {
-                let time = now + FORECAST_INTERVAL * number;
-                number += 1;
+            from_fn(|number| {
+                let time = now + FORECAST_INTERVAL * number as u32;
                 lowest = lowest.min(level.at(time, &self.periods));
                 lowest
             })
