Count a crash that is confirmed late, or after the next one

And a crash confirmed after the task had been placed again could not be recorded, since a placed task takes no run. Starts that were never answered, because another task had crashed the executor, were not counted at all.

Change: the report of the next executor names it as the successor; crashes of a task that runs again are recorded when that run ends; unclear starts count in the thousands of the run number, and make the job go on trial alone. The wait for the verdict covers the interval at which executors describe themselves. An executor that answers again releases its tasks at once.

--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -11,30 +11,38 @@
         job::{JobKey, RunNumber, TaskKey, WorkerIncarnation},
         message::EndReport,
         plan::{Placement, SuspectTable},
-        state::{EndKind, FlowCommand},
+        state::{EndKind, FlowCommand, TaskPhase},
     },
     indexmap::IndexMap,
-    std::{collections::BTreeSet, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
-/// The number of executors that have crashed under a task when it is given up. At least one of them
-/// must have had no other suspect.
+/// The number of executors that have crashed under a task when it is given up. The last of them must
+/// have had no other suspect.
 const CRASH_LIMIT: u32 = 2;
 /// Time that the runs of an executor that has ended wait for the report of the next one, which
 /// tells whether it has crashed.
-const VERDICT_TIME: Duration = Duration::from_secs(1);
+const VERDICT_TIME: Duration = Duration::from_secs(2);
 
 /// The executor that an agent represented before its present one.
 #[derive(Debug)]
 pub(super) struct FormerWorker {
     pub(super) worker: WorkerIncarnation,
     pub(super) draining: bool,
+    /// The present one.
+    pub(super) successor: WorkerIncarnation,
 }
 
 /// An executor that has ended, and may have crashed.
 #[derive(Debug)]
 struct LostWorker {
     worker: WorkerIncarnation,
+    /// What was reported from the address next.
+    successor: Option<WorkerIncarnation>,
     /// The tasks whose runs had begun and not settled.
     starting: Vec<TaskKey>,
     /// The tasks that had been placed and may have begun.
@@ -45,28 +53,64 @@
 
 impl LostWorker {
     fn new(worker: WorkerIncarnation) -> Self {
-        Self { worker, starting: Vec::new(), unclear: Vec::new(), settled: Vec::new() }
+        let (starting, unclear, settled) = Default::default();
+        Self { worker, successor: None, starting, unclear, settled }
     }
 }
 
-/// What a leader remembers of executors that may have crashed, by address.
+/// Crashes of a task that was running again when they were confirmed. They are recorded when that
+/// run ends.
+#[derive(Debug, Clone, Copy, Default)]
+struct OwedCount {
+    crashes: u32,
+    unclear: u32,
+    /// Whether the task is to be given up.
+    given_up: bool,
+}
+
+/// What a leader remembers of executors that may have crashed.
 #[derive(Debug, Default)]
 pub(super) struct CrashWatch {
+    /// By address.
     formers: IndexMap<Arc<str>, FormerWorker>,
+    /// By address.
     lost: IndexMap<Arc<str>, LostWorker>,
+    owed: BTreeMap<TaskKey, OwedCount>,
 }
 
 impl CrashWatch {
-    /// Notes the executor that an agent represented before the one that it reports now.
-    pub(super) fn note_former(&mut self, address: &Arc<str>, former: FormerWorker) {
-        self.formers.insert(address.clone(), former);
+    /// Notes the executor that an agent reports, and the one that it represented before.
+    pub(super) fn note_report(
+        &mut self,
+        address: &Arc<str>,
+        present: &WorkerIncarnation,
+        former: Option<FormerWorker>,
+    ) {
+        if let Some(former) = former {
+            self.formers.insert(address.clone(), former);
+        }
+        if let Some(lost) = self.lost.get_mut(address) {
+            lost.successor = Some(present.clone());
+        }
+    }
+
+    /// Returns the executor that followed one which did not drain, if the same agent has
+    /// represented both.
+    fn successor_of(&self, address: &str, worker: &WorkerIncarnation) -> Option<WorkerIncarnation> {
+        let former = self.formers.get(address).filter(|former| former.worker == *worker)?;
+        (!former.draining).then(|| former.successor.clone())
     }
 
-    /// Returns whether an agent has reported the next executor that represented this one before,
-    /// and that did not drain.
-    fn is_witnessed(&self, address: &str, worker: &WorkerIncarnation) -> bool {
-        let former = self.formers.get(address);
-        former.is_some_and(|former| former.worker == *worker && !former.draining)
+    /// Removes and returns the lost executor whose successor this is.
+    fn take_preceding(&mut self, present: &WorkerIncarnation) -> Option<LostWorker> {
+        let mut lost = self.lost.iter();
+        let found = lost.position(|(_, lost)| lost.successor.as_ref() == Some(present))?;
+        self.lost.shift_remove_index(found).map(|(_, lost)| lost)
+    }
+
+    /// Forgets the tasks of a job that has ended.
+    pub(super) fn forget_job(&mut self, job: JobKey) {
+        self.owed.retain(|task, _| task.job != job);
     }
 
     fn lost_mut(&mut self, address: &Arc<str>, worker: &WorkerIncarnation) -> &mut LostWorker {
@@ -118,16 +162,17 @@
         else {
             return;
         };
+        let successor = leader.crashes.successor_of(&address, worker);
         let seen = match reason {
             LossReason::LeaseExpired => false,
             LossReason::Ended => !leader.is_draining(worker),
-            LossReason::Replaced | LossReason::NewIncarnation => {
-                leader.crashes.is_witnessed(&address, worker)
-            }
+            LossReason::Replaced | LossReason::NewIncarnation => successor.is_some(),
         };
-        if !seen {
+        if !seen || runs.is_empty() {
             return;
         }
+        let lost = leader.crashes.lost_mut(&address, worker);
+        lost.successor = lost.successor.take().or(successor);
         for Placement { task, run, .. } in runs {
             let lost = leader.crashes.lost_mut(&address, worker);
             if lost.starting.contains(task) || lost.settled.contains(task) {
@@ -146,20 +191,23 @@
     /// listed its runs. An executor that answers again had not crashed.
     pub(super) fn confirm_crash(&mut self, present: &WorkerIncarnation) {
         let Some(leader) = &mut self.leader else { return };
-        let address = leader.speculative.executor_address_of(&present.executor);
-        let Some(lost) = address.and_then(|address| leader.crashes.lost.shift_remove(address))
-        else {
-            return;
-        };
+        let Some(lost) = leader.crashes.take_preceding(present) else { return };
         if lost.worker.started_ms < present.started_ms {
             self.count_crash(lost);
+            return;
+        }
+        let now = self.now;
+        for task in lost.starting.iter().chain(&lost.unclear) {
+            let before =
+                leader.speculative.task(task).is_some_and(|task| task.run.suspicions() > 0);
+            leader.suspects.release(task, now, before);
         }
     }
 
     /// Counts a crash for the tasks that are blamed, and gives up one of them if it is certain.
     fn count_crash(&mut self, lost: LostWorker) {
         let Some(leader) = &mut self.leader else { return };
-        let LostWorker { worker, starting, unclear, settled } = lost;
+        let LostWorker { worker, starting, unclear, settled, .. } = lost;
         let runs = starting.len() + unclear.len() + settled.len();
         let suspects: Vec<TaskKey> = if starting.is_empty() && unclear.is_empty() {
             leader.suspects.blame_settled(settled)
@@ -168,63 +216,86 @@
         };
         let jobs: BTreeSet<JobKey> = suspects.iter().map(|task| task.job).collect();
         let one_job = jobs.len() == 1;
-        // Beside others, only a run that has begun for certain counts.
-        let counted: Vec<TaskKey> = if one_job || starting.is_empty() && unclear.is_empty() {
-            suspects.clone()
-        } else {
-            starting
-        };
+        // Beside other suspects, only a run that has begun for certain counts as crashed under.
+        let (certain, unclear) =
+            if one_job { (suspects.clone(), Vec::new()) } else { (starting, unclear) };
         self.record(FlowEvent::ExecutorCrashed { worker: worker.clone(), runs, suspects, one_job });
-        let counted: Vec<(TaskKey, RunNumber)> = counted
-            .into_iter()
-            .filter_map(|task| Some((task, self.count_crash_of(&worker, task, one_job)?)))
-            .collect();
-        let worst = counted.into_iter().max_by_key(|(_, run)| run.crashes());
-        if let Some((task, run)) = worst {
-            if run.proven_crashes() > 0 && run.crashes() >= CRASH_LIMIT && one_job {
-                self.give_up(&worker, task, run);
-            }
+        for task in unclear {
+            self.count_crash_of(&worker, task, OwedCount { unclear: 1, ..OwedCount::default() });
+        }
+        let mut worst = None;
+        for task in certain {
+            let count = OwedCount { crashes: 1, ..OwedCount::default() };
+            let crashes = self.count_crash_of(&worker, task, count);
+            worst = worst.max(crashes.map(|crashes| (crashes, task)));
+        }
+        let worst = worst.filter(|(crashes, _)| one_job && *crashes >= CRASH_LIMIT);
+        if let Some((crashes, task)) = worst {
+            self.give_up(&worker, task, crashes);
         }
     }
 
-    /// Counts a crash for a task, in the log. Returns the run number that holds the counts; `None`
-    /// if the task is unknown.
+    /// Counts a crash for a task. Returns how many executors have crashed under it; `None` if the
+    /// task is unknown.
     fn count_crash_of(
         &mut self,
         worker: &WorkerIncarnation,
         task: TaskKey,
-        proven: bool,
-    ) -> Option<RunNumber> {
+        count: OwedCount,
+    ) -> Option<u32> {
         let now = self.now;
         let leader = self.leader.as_mut()?;
         let job = leader.speculative.job(task.job)?;
         let lasting = job.step_spec(&task)?.lasting;
         let run = job.task(&task)?.run;
-        let run = if proven { run.after_proven_crash() } else { run.after_crash() };
-        let pause =
-            if lasting { SuspectTable::lasting_pause(run.crashes()) } else { Duration::ZERO };
+        let owed = leader.crashes.owed.entry(task).or_default();
+        owed.crashes += count.crashes;
+        owed.unclear += count.unclear;
+        let crashes = run.crashes() + owed.crashes;
+        let pause = if lasting { SuspectTable::lasting_pause(crashes) } else { Duration::ZERO };
         leader.suspects.suspect(task, now, now + pause);
-        self.use_up_run(worker, task, run, EndKind::Expired);
-        Some(run)
+        self.record_owed(worker, task);
+        Some(crashes)
     }
 
-    /// Fails a job by using up the attempts of one of its tasks. Lasting tasks have no limit of
-    /// attempts: they only wait longer after each crash.
-    fn give_up(&mut self, worker: &WorkerIncarnation, task: TaskKey, mut run: RunNumber) {
-        let Some(job) = self.leader.as_ref().and_then(|leader| leader.speculative.job(task.job))
-        else {
-            return;
-        };
-        let (Some(spec), Some(record)) = (job.step_spec(&task), job.task(&task)) else { return };
-        if spec.lasting || job.outcome.is_some() {
+    /// Fails a job because of one of its tasks. Lasting tasks have no limit of attempts: they only
+    /// wait longer after each crash.
+    fn give_up(&mut self, worker: &WorkerIncarnation, task: TaskKey, crashes: u32) {
+        let Some(leader) = &mut self.leader else { return };
+        let Some(job) = leader.speculative.job(task.job) else { return };
+        let lasting = job.step_spec(&task).is_none_or(|spec| spec.lasting);
+        if lasting || job.outcome.is_some() {
             return;
         }
-        let left = job.attempt_limit.saturating_sub(record.failures);
-        let crashes = run.crashes();
+        leader.crashes.owed.entry(task).or_default().given_up = true;
         self.record(FlowEvent::TaskGivenUp { task, crashes, worker: worker.clone() });
-        for _ in 0..left {
-            run = run.next();
-            self.use_up_run(worker, task, run, EndKind::Failed);
+        self.record_owed(worker, task);
+    }
+
+    /// Records the crashes of a task in the log, in its run number, unless it runs again. A task
+    /// that is given up also uses up the attempts that it has left, so that its job fails.
+    pub(super) fn record_owed(&mut self, worker: &WorkerIncarnation, task: TaskKey) {
+        let Some(leader) = &mut self.leader else { return };
+        let Some(owed) = leader.crashes.owed.get(&task).copied() else { return };
+        let job = leader.speculative.job(task.job);
+        let Some((job, record)) = job.and_then(|job| Some((job, job.task(&task)?))) else { return };
+        let ending = leader.pending.ends(&task, record.run);
+        if matches!(record.phase, TaskPhase::Placed(_)) && !ending {
+            return;
+        }
+        let (attempts, failures) = (job.attempt_limit, record.failures);
+        let mut run = leader.pending.last_run(&task).unwrap_or(record.run);
+        leader.crashes.owed.remove(&task);
+        if owed.crashes + owed.unclear > 0 {
+            (0..owed.crashes).for_each(|_| run = run.after_crash());
+            (0..owed.unclear).for_each(|_| run = run.after_unclear_crash());
+            self.use_up_run(worker, task, run, EndKind::Expired);
+        }
+        if owed.given_up {
+            for _ in failures..attempts {
+                run = run.next();
+                self.use_up_run(worker, task, run, EndKind::Failed);
+            }
         }
     }
 
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -28,6 +28,24 @@
     pub(super) deferred: Vec<ControlEffect>,
 }
 
+impl PendingBatch {
+    /// Returns whether the batch ends a run.
+    pub(super) fn ends(&self, ended: &TaskKey, number: RunNumber) -> bool {
+        self.commands.iter().any(|command| {
+            matches!(command, FlowCommand::End { task, run, .. } if task == ended && *run == number)
+        })
+    }
+
+    /// Returns the last run of a task that the batch places.
+    pub(super) fn last_run(&self, placed: &TaskKey) -> Option<RunNumber> {
+        let runs = self.commands.iter().filter_map(|command| match command {
+            FlowCommand::Place { task, run, .. } if task == placed => Some(*run),
+            _ => None,
+        });
+        runs.max()
+    }
+}
+
 /// The last report of an agent about a run.
 #[derive(Debug, Clone)]
 pub(super) struct RunProgress {
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -119,6 +119,7 @@
         let Some(outcome) = job.outcome else { return };
         leader.learned.forget_job(key);
         leader.suspects.forget_job(key);
+        leader.crashes.forget_job(key);
         let after_ms = leader.speculative.clock_ms().saturating_sub(job.accepted_ms);
         deferred.push(ControlEffect::Record(FlowEvent::JobEnded { job: key, outcome, after_ms }));
         let runs: Vec<_> = job
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -38,10 +38,11 @@
         let Some(leader) = &mut self.leader else { return };
         let executor = worker.executor.clone();
         let before = leader.agents.insert(session, worker.clone());
-        if let Some(former) = before.clone().filter(|former| *former != worker) {
-            let draining = leader.is_draining(&former);
-            leader.crashes.note_former(place, FormerWorker { worker: former, draining });
-        }
+        let former = before.clone().filter(|former| *former != worker).map(|former| {
+            let (draining, successor) = (leader.is_draining(&former), worker.clone());
+            FormerWorker { worker: former, draining, successor }
+        });
+        leader.crashes.note_report(place, &worker, former);
         if let Some(earlier) = before.filter(|earlier| earlier.executor != executor) {
             leader.sessions.remove(&earlier.executor);
             leader.workers.shift_remove(&earlier.executor);
@@ -209,7 +210,9 @@
             self.record(lost);
         }
         for Placement { task, run, .. } in runs {
-            self.end_run(worker, task, run, EndKind::Expired, String::new());
+            if self.is_first_report(worker, task, run) {
+                self.end_run(worker, task, run, EndKind::Expired, String::new());
+            }
         }
     }
 
@@ -259,11 +262,7 @@
         let Some(leader) = &self.leader else { return false };
         let current =
             leader.speculative.task(&task).is_some_and(|record| record.is_placed(run, placed));
-        let proposed = leader.pending.commands.iter().any(|command| {
-            matches!(command, FlowCommand::End { task: ended, run: of, .. }
-                if (*ended, *of) == (task, run))
-        });
-        current && !proposed
+        current && !leader.pending.ends(&task, run)
     }
 
     fn record_health(&mut self, worker: &WorkerIncarnation, task: TaskKey, end: EndKind) {
@@ -303,7 +302,10 @@
         leader.stopping.remove(&task);
         let worker = worker.clone();
         let event = FlowEvent::RunEnded { task, run, worker: worker.clone(), end };
-        let command = FlowCommand::End { task, run, worker, end, checkpoint };
+        let command = FlowCommand::End { task, run, worker: worker.clone(), end, checkpoint };
         self.propose(command, vec![ControlEffect::Record(event)]);
+        if end != EndKind::Done {
+            self.record_owed(&worker, task);
+        }
     }
 }
--- a/crates/workflow/src/job/ids.rs
+++ b/crates/workflow/src/job/ids.rs
@@ -97,19 +97,19 @@
 
 /// The number of a run of one task, from 1. It only rises.
 ///
-/// Its thousands count the executors that have crashed around the task, and its millions those that
-/// nothing but the task's job can have crashed. Every replica and every earlier build thus keeps the
-/// counts with the task. `docs/decisions/crashes.md` says why.
+/// Its thousands count the executors that have crashed when the task may have begun there, and its
+/// millions those under which it had begun for certain. Every replica and every earlier build thus
+/// keeps the counts with the task. `docs/decisions/crashes.md` says why.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RunNumber(pub u32);
 
-/// The run numbers between two crashes around a task. A task that is restarted as often for other
-/// reasons is only suspected, and tried.
-const RUNS_PER_CRASH: u32 = 1000;
-/// The run numbers between two crashes that a task's job has caused.
-const RUNS_PER_PROOF: u32 = 1_000_000;
+/// The run numbers between two crashes when a task may have begun. A task that is restarted as often
+/// for other reasons is only suspected, and tried.
+const RUNS_PER_UNCLEAR_CRASH: u32 = 1000;
+/// The run numbers between two crashes under a task.
+const RUNS_PER_CRASH: u32 = 1_000_000;
 
 impl RunNumber {
     /// Returns the number of the run that follows this one.
@@ -117,24 +117,24 @@
         Self(self.0.saturating_add(1))
     }
 
-    /// Returns the next number that counts one more crash around the task.
+    /// Returns the next number that counts one more crash under the task.
     pub fn after_crash(self) -> Self {
-        Self((self.0 / RUNS_PER_CRASH + 1).saturating_mul(RUNS_PER_CRASH))
+        Self(self.0.saturating_add(RUNS_PER_CRASH))
     }
 
-    /// Returns the next number that counts one more crash that the task's job has caused.
-    pub fn after_proven_crash(self) -> Self {
-        Self(self.0.saturating_add(RUNS_PER_PROOF))
+    /// Returns the next number that counts one more crash when the task may have begun.
+    pub fn after_unclear_crash(self) -> Self {
+        Self(self.0.saturating_add(RUNS_PER_UNCLEAR_CRASH))
     }
 
-    /// Returns the number of executors that have crashed around the task or because of its job.
+    /// Returns the number of executors that have crashed under the task.
     pub fn crashes(self) -> u32 {
-        self.0 % RUNS_PER_PROOF / RUNS_PER_CRASH + self.proven_crashes()
+        self.0 / RUNS_PER_CRASH
     }
 
-    /// Returns the number of executors that nothing but the task's job can have crashed.
-    pub fn proven_crashes(self) -> u32 {
-        self.0 / RUNS_PER_PROOF
+    /// Returns the number of executors that have crashed when the task had begun or may have.
+    pub fn suspicions(self) -> u32 {
+        self.crashes() + self.0 % RUNS_PER_CRASH / RUNS_PER_UNCLEAR_CRASH
     }
 }
 
--- a/crates/workflow/src/plan/suspects.rs
+++ b/crates/workflow/src/plan/suspects.rs
@@ -66,7 +66,7 @@
         for (key, job) in state.active_jobs() {
             let counted = job
                 .tasks(key)
-                .filter(|(_, task)| task.phase == TaskPhase::Waiting && task.run.crashes() > 0);
+                .filter(|(_, task)| task.phase == TaskPhase::Waiting && task.run.suspicions() > 0);
             counted.for_each(|(task, _)| table.suspect(task, now, now));
         }
         table
@@ -107,7 +107,7 @@
 
     /// Returns whether a run has been at work for so long that its start has crashed nothing.
     pub fn is_settled(&self, task: &TaskKey, run: RunNumber) -> bool {
-        let growth = SETTLE_GROWTH.pow(run.crashes().min(SETTLE_GROWTH_LIMIT));
+        let growth = SETTLE_GROWTH.pow(run.suspicions().min(SETTLE_GROWTH_LIMIT));
         let age = self.ages.get(task).filter(|age| age.run == run);
         age.is_some_and(|age| age.last - age.first >= SETTLE_TIME * growth)
     }
@@ -117,6 +117,16 @@
         self.suspects.insert(task, SuspectRecord { since: now, held_until });
     }
 
+    /// Ends the wait of a task whose executor had not crashed. The task stays suspected only if it
+    /// was before.
+    pub fn release(&mut self, task: &TaskKey, now: Duration, before: bool) {
+        if !before {
+            self.suspects.remove(task);
+        } else if let Some(record) = self.suspects.get_mut(task) {
+            record.held_until = now;
+        }
+    }
+
     /// Returns how long a lasting task waits after a crash under it.
     pub fn lasting_pause(crashes: u32) -> Duration {
         match crashes.checked_sub(2) {
--- a/crates/workflow/src/plan/trials.rs
+++ b/crates/workflow/src/plan/trials.rs
@@ -188,5 +188,5 @@
 /// Returns whether at most one executor has crashed around any task of a job.
 fn is_first_trial(job: JobKey, state: &FlowState) -> bool {
     let tasks = state.job(job).into_iter().flat_map(|record| record.tasks(job));
-    tasks.map(|(_, task)| task.run.crashes()).max().unwrap_or(0) <= 1
+    tasks.map(|(_, task)| task.run.suspicions()).max().unwrap_or(0) <= 1
 }
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -308,3 +308,27 @@
     assert!(!table.is_suspect(&TaskKey { index: 1, ..task }));
     assert_eq!(restored.task(&task).unwrap().run.next().crashes(), 1);
 }
+
+#[test]
+fn a_crash_that_is_confirmed_late_counts_when_the_next_run_ends() {
+    let mut harness = ControlHarness::start();
+    let worker = |name: &str| WorkerIncarnation { executor: Arc::from(name), started_ms: 100 };
+    harness.connect_worker(1, "e1 at A", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    harness.connect_worker(2, "e1 at B", 100);
+    harness.send(1, LinkMessage::WorkerEnded { worker: worker("e1 at A") });
+    harness.keep_alive(2, 3000);
+    assert_eq!(harness.starts()[1], "000000000000000a.0.0.0 run 2 on e1 at B@100");
+    harness.connect_worker(1, "e2 at A", 200);
+    harness.send(2, LinkMessage::WorkerEnded { worker: worker("e1 at B") });
+    harness.connect_worker(2, "e2 at B", 200);
+    assert_eq!(harness.phase(0xa), "Ended(Failed)", "{:?}", harness.starts());
+}
+
+#[test]
+fn a_start_that_may_not_have_begun_counts_apart() {
+    let run = RunNumber(3).after_unclear_crash();
+    assert_eq!((run, run.crashes(), run.suspicions()), (RunNumber(1003), 0, 1));
+    let run = run.after_crash().next();
+    assert_eq!((run, run.crashes(), run.suspicions()), (RunNumber(1_001_004), 1, 2));
+}
