Start nothing on a worker that has shrunk below its reservations

Callers saw: a best-effort task was started on a worker whose capacity had shrunk below what is reserved there, and made the shortage worse; on a worker that does not guard its capacity nothing refuses it. Cause: best-effort tasks reserve no processors, and their fit was judged by memory, accelerators and idle processors alone. A task that asks for none of the resource that is exceeded fitted as well. Evidence: a_worker_whose_reservations_exceed_its_capacity_gets_no_task failed before (two starts instead of one). Change: no task fits on a worker while its reservations exceed its capacity in any resource. Result: the test passes. The other new tests, on placement by the present capacity, gangs and claimed workers, passed before the change: reports take effect in the next pass, free capacity never underflows, and claims are chosen anew in every pass. Conclusion: such a worker is left to the tasks that it has until they fit again.

--- a/crates/workflow/src/job/spec.rs
+++ b/crates/workflow/src/job/spec.rs
@@ -23,6 +23,15 @@
     pub accelerators: u64,
 }
 
+impl TaskDemand {
+    /// Returns whether a capacity holds this demand.
+    pub fn fits_in(self, capacity: Self) -> bool {
+        self.cpu_milli <= capacity.cpu_milli
+            && self.memory_mb <= capacity.memory_mb
+            && self.accelerators <= capacity.accelerators
+    }
+}
+
 /// A step: equal tasks that may run at the same time.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/workflow/src/plan/reservations.rs
+++ b/crates/workflow/src/plan/reservations.rs
@@ -243,8 +243,12 @@
 }
 
 /// Returns how many tasks of a step fit on a worker. For best-effort tasks, processors do not
-/// count.
+/// count. None fits on a worker that has shrunk below its reservations, in whatever resource: what
+/// runs there already lacks capacity.
 pub(super) fn fitting(worker: &WorkerView, reserved: &WorkerReservations, spec: &StepSpec) -> u64 {
+    if !reserved.demand.fits_in(worker.report.capacity) {
+        return 0;
+    }
     let free = free_capacity(worker.report.capacity, reserved.demand);
     let share = |free: u64, asked: u64| free.checked_div(asked).unwrap_or(u64::MAX);
     let cpu = if spec.filler { u64::MAX } else { share(free.cpu_milli, spec.demand.cpu_milli) };
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -2,6 +2,7 @@
 //! entries.
 
 mod fixtures;
+mod shrinking;
 mod support;
 
 use {
--- /dev/null
+++ b/crates/workflow/tests/shrinking/mod.rs
@@ -0,0 +1,72 @@
+//! Tests of workers whose capacity shrinks and grows while they run.
+
+use {
+    crate::support::{job, ControlHarness, StepBuilder},
+    workflow::state::EndKind,
+};
+
+const FIRST: &str = "000000000000000a.0.0.0";
+const MEMORY: u64 = 64_000;
+
+// Best-effort tasks reserve no processors and were started beside tasks that reserve more than
+// their worker has left.
+#[test]
+fn a_worker_whose_reservations_exceed_its_capacity_gets_no_task() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1).cores(12).lasting()]));
+    harness.report_capacity(1, "e1", 100, (8, MEMORY));
+    harness.submit(0xb, job(&[StepBuilder::tasks(1).best_effort()]));
+    assert_eq!(harness.starts().len(), 1, "{:?}", harness.starts());
+    harness.report_capacity(1, "e1", 100, (12, MEMORY));
+    assert_eq!(harness.starts().len(), 2, "it fits again");
+}
+
+#[test]
+fn a_task_is_placed_by_the_capacity_that_its_worker_has_now() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.report_capacity(1, "e1", 100, (4, MEMORY));
+    harness.submit(0xa, job(&[StepBuilder::tasks(3).cores(4)]));
+    assert_eq!(harness.starts().len(), 1);
+    harness.report_capacity(1, "e1", 100, (8, 100));
+    assert_eq!(harness.starts().len(), 1, "memory is short");
+    harness.report_capacity(1, "e1", 100, (8, MEMORY));
+    assert_eq!(harness.starts().len(), 2, "it has grown");
+    harness.report_capacity(1, "e1", 100, (0, 0));
+    harness.report_end(1, "e1@100", 1, FIRST, 1, EndKind::Done);
+    assert_eq!(harness.starts().len(), 2, "it has shrunk to nothing");
+}
+
+#[test]
+fn a_gang_counts_on_the_capacity_that_its_workers_have_now() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.connect_worker(2, "e2", 100);
+    harness.report_capacity(1, "e1", 100, (3, MEMORY));
+    harness.submit(0xa, job(&[StepBuilder::tasks(5).cores(4).gang()]));
+    assert!(harness.starts().is_empty(), "{:?}", harness.starts());
+    harness.report_capacity(1, "e1", 100, (4, MEMORY));
+    assert_eq!(harness.starts().len(), 5);
+}
+
+#[test]
+fn room_is_not_kept_on_a_worker_that_has_become_too_small_for_the_task() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1).cores(6).lasting()]));
+    harness.connect_worker(2, "e2", 100);
+    for key in 0..20 {
+        harness.submit(0x100 + key, job(&[StepBuilder::tasks(1).cores(2)]));
+    }
+    harness.close(1);
+    harness.keep_alive(2, 8000);
+    harness.report_capacity(2, "e2", 100, (4, MEMORY));
+    let running = harness.running_on("e2@100");
+    let started = harness.starts().len();
+    for (number, task) in running.iter().enumerate() {
+        harness.report_end(2, "e2@100", 1 + number as u64, task, 1, EndKind::Done);
+    }
+    harness.advance(100);
+    assert_eq!(harness.starts().len(), started + 2, "two short tasks fit, and the claim is gone");
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -247,6 +247,19 @@
         self.report_worker(session, Self::report(executor, born, None));
     }
 
+    /// Reports an executor's present capacity, before its agent has listed its runs.
+    pub fn report_capacity(
+        &mut self,
+        session: u64,
+        executor: &str,
+        born: u64,
+        (cores, memory_mb): (u64, u64),
+    ) {
+        let capacity = TaskDemand { cpu_milli: cores * 1000, memory_mb, accelerators: 0 };
+        let report = WorkerReport { capacity, ..Self::report(executor, born, None) };
+        self.report_worker(session, report);
+    }
+
     pub fn report_draining(&mut self, session: u64, executor: &str, born: u64) {
         self.report_worker(session, Self::report(executor, born, Some(2000)));
     }
