Withdraw a lost order once its worker has become too small

Callers saw: a start that was lost on its way was ordered again at any later time, also after the executor's capacity had shrunk below what is reserved there. An executor that does not guard its capacity starts it and exceeds its capacity. Cause: control repeats the orders for placements that a worker does not list, without a look at the worker's present capacity. Evidence: a_lost_order_is_withdrawn_once_its_worker_has_become_too_small failed before (a third start was sent, no stop). Change: while the reservations on a worker exceed its capacity, such an order is stopped instead of repeated. The agent settles it with its executor, so that a start still on its way is refused as an old one, and reports that it never began; then the task is placed anew. RunStopped names the reason WorkerShrunk. All such orders of the worker are withdrawn, not only as many as exceed it: they have done no work, and a reservation lasts until its end is in the log. Result: the test passes. Conclusion: an order may be late, but no longer by more than the capacity allows.

--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! The speculative state ends with the leadership.
 
 mod calls;
+mod capacity;
 mod interference;
 mod leader;
 mod members;
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -41,6 +41,8 @@
         }
         if ended {
             self.stop_unwanted(session, &placement.worker, task, run);
+        } else if self.is_overfull(&placement.worker.executor) {
+            self.withdraw_order(&placement);
         } else if let Some(order) = self.start_order(&placement) {
             let message = LinkMessage::Start(order);
             let effect = ControlEffect::Send { session, message };
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -39,6 +39,8 @@
     WorkerDraining,
     /// The run keeps a latency-critical task beside it above its target.
     Interferes,
+    /// The run's worker has shrunk below what is reserved there.
+    WorkerShrunk,
 }
 
 /// An event, with the inputs of the decision.
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -22,6 +22,7 @@
 
 pub use {
     interference::{BestEffortShare, HeadroomForecast, ImageName, InterferenceTable, LearnedPair},
+    reservations::reserved_on,
     worker::{WorkerTable, WorkerView},
 };
 
--- a/crates/workflow/src/plan/reservations.rs
+++ b/crates/workflow/src/plan/reservations.rs
@@ -126,6 +126,23 @@
     }
 }
 
+/// Returns what the tasks on an executor, in any incarnation, have reserved: memory and accelerators
+/// of all tasks, and processors of all but the best-effort tasks.
+pub fn reserved_on(state: &FlowState, executor: &Arc<str>) -> TaskDemand {
+    let mut reserved = TaskDemand::default();
+    for worker in state.placed_incarnations_of(executor) {
+        for (task, _) in state.placed_tasks(worker) {
+            let job = state.job(task.job);
+            let Some(spec) = job.and_then(|job| job.step_spec(&task)) else { continue };
+            let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand;
+            reserved.cpu_milli += if spec.filler { 0 } else { cpu_milli };
+            reserved.memory_mb += memory_mb;
+            reserved.accelerators += accelerators;
+        }
+    }
+    reserved
+}
+
 fn assumed_use(spec: &StepSpec) -> f64 {
     let share = if spec.lasting { LASTING_USE } else { 1.0 };
     spec.demand.cpu_milli as f64 * share
--- a/crates/workflow/tests/shrinking/mod.rs
+++ b/crates/workflow/tests/shrinking/mod.rs
@@ -5,9 +5,35 @@
     workflow::state::EndKind,
 };
 
-const FIRST: &str = "000000000000000a.0.0.0";
+const LISTED: &str = "000000000000000a.0.0.0";
+const UNLISTED: &str = "000000000000000b.0.0.0";
 const MEMORY: u64 = 64_000;
 
+/// Creates a full worker of 16 cores whose agent lists one of its two tasks.
+fn start_full_worker() -> ControlHarness {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1).cores(8)]));
+    harness.submit(0xb, job(&[StepBuilder::tasks(1).cores(8)]));
+    harness.report_runs(1, "e1@100", &[(LISTED, 1)]);
+    assert_eq!(harness.starts().len(), 2);
+    harness
+}
+
+// A start that was lost before its worker shrank was ordered again seconds later.
+#[test]
+fn a_lost_order_is_withdrawn_once_its_worker_has_become_too_small() {
+    let mut harness = start_full_worker();
+    harness.report_capacity(1, "e1", 100, (8, MEMORY));
+    harness.keep_alive(1, 2000);
+    harness.report_runs(1, "e1@100", &[(LISTED, 1)]);
+    assert_eq!(harness.starts().len(), 2, "{:?}", harness.starts());
+    assert_eq!(harness.stops(), [format!("{UNLISTED} run 1")]);
+    harness.connect_worker(2, "e2", 100);
+    harness.report_end(1, "e1@100", 0, UNLISTED, 1, EndKind::Stopped);
+    assert_eq!(harness.starts().last().unwrap(), &format!("{UNLISTED} run 2 on e2@100"));
+}
+
 // Best-effort tasks reserve no processors and were started beside tasks that reserve more than
 // their worker has left.
 #[test]
@@ -34,7 +60,7 @@
     harness.report_capacity(1, "e1", 100, (8, MEMORY));
     assert_eq!(harness.starts().len(), 2, "it has grown");
     harness.report_capacity(1, "e1", 100, (0, 0));
-    harness.report_end(1, "e1@100", 1, FIRST, 1, EndKind::Done);
+    harness.report_end(1, "e1@100", 1, LISTED, 1, EndKind::Done);
     assert_eq!(harness.starts().len(), 2, "it has shrunk to nothing");
 }
 
