Order nothing anew on a shrunk worker before its agent has listed its runs

Callers saw: after a new leader, or a new stream to an agent, a run that had never begun was started on an executor that had shrunk meanwhile, whatever the time since its placement. Cause: control repeats all orders as soon as an agent presents its worker, before the agent's list shows which runs exist. Evidence: an_agent_that_returns_to_a_smaller_executor_gets_no_start_for_ a_run_it_does_not_list failed before (four starts instead of two). Change: while the reservations exceed the capacity, the orders wait for the list, which the agent sends next. A listed run is ordered again, as its agent may not know it otherwise; any other is withdrawn. Result: the test passes. Conclusion: neither a change of the leader nor a restart of an agent brings a late start to a worker that has become too small.

--- a/crates/workflow/src/control/capacity.rs
+++ b/crates/workflow/src/control/capacity.rs
@@ -9,6 +9,7 @@
     super::ControlNode,
     crate::{
         event::StopReason,
+        job::WorkerIncarnation,
         plan::{reserved_on, Placement},
     },
     std::sync::Arc,
@@ -23,6 +24,15 @@
         !reserved_on(&leader.speculative, executor).fits_in(view.report.capacity)
     }
 
+    /// Forgets that the runs on a worker were ordered. The next list of its agent decides which of
+    /// them are ordered again.
+    pub(super) fn forget_orders(&mut self, worker: &WorkerIncarnation) {
+        let Some(leader) = &mut self.leader else { return };
+        for placement in leader.placements_on(worker) {
+            leader.ordered.remove(&placement.task);
+        }
+    }
+
     /// Withdraws an order that its worker does not list. The agent settles it by a stop, which
     /// keeps the executor from starting the run late, and reports that the run never began.
     pub(super) fn withdraw_order(&mut self, placement: &Placement) {
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -24,15 +24,22 @@
 
 impl ControlNode {
     /// Repeats the orders for all placements on a worker: its agent may have restarted and have no
-    /// record of the runs there.
+    /// record of the runs there. On a worker that has become too small, the agent's list of runs has
+    /// to show first which of them have begun.
     pub(super) fn repeat_orders(&mut self, session: SessionId, worker: &WorkerIncarnation) {
+        if self.is_overfull(&worker.executor) {
+            self.forget_orders(worker);
+            return;
+        }
         let Some(leader) = &self.leader else { return };
         for placement in leader.placements_on(worker) {
-            self.repeat_order(session, placement);
+            self.repeat_order(session, placement, false);
         }
     }
 
-    fn repeat_order(&mut self, session: SessionId, placement: Placement) {
+    /// Repeats the order for a placement, or withdraws it if the worker has become too small for
+    /// one more run. The order for a listed run only tells the worker's agent about it.
+    fn repeat_order(&mut self, session: SessionId, placement: Placement, listed: bool) {
         let now = self.now;
         let Placement { task, run, .. } = placement;
         let ended = self.speculative_job_ended(&task);
@@ -41,7 +48,7 @@
         }
         if ended {
             self.stop_unwanted(session, &placement.worker, task, run);
-        } else if self.is_overfull(&placement.worker.executor) {
+        } else if !listed && self.is_overfull(&placement.worker.executor) {
             self.withdraw_order(&placement);
         } else if let Some(order) = self.start_order(&placement) {
             let message = LinkMessage::Start(order);
@@ -126,7 +133,7 @@
     }
 
     /// Repeats the orders for placed tasks that a worker does not list, unless they may still be in
-    /// transit.
+    /// transit, and those that its agent has not received on this stream.
     fn repeat_lost_orders(
         &mut self,
         session: SessionId,
@@ -135,19 +142,20 @@
     ) {
         let now = self.now;
         let Some(leader) = &self.leader else { return };
-        let mut missing = Vec::new();
+        let mut due = Vec::new();
         for placement in leader.placements_on(worker) {
             let (task, run) = (placement.task, placement.run);
             let listed = runs.iter().any(|report| report.is_of(task, run));
             let ordered = leader.ordered.get(&task).filter(|(ordered, _)| *ordered == run);
             let in_transit =
                 ordered.is_some_and(|(_, sent)| now.saturating_sub(*sent) < ORDER_TIMEOUT);
-            if !listed && !in_transit {
-                missing.push(placement);
+            let repeated = if listed { ordered.is_none() } else { !in_transit };
+            if repeated {
+                due.push((placement, listed));
             }
         }
-        for placement in missing {
-            self.repeat_order(session, placement);
+        for (placement, listed) in due {
+            self.repeat_order(session, placement, listed);
         }
     }
 
--- a/crates/workflow/tests/shrinking/mod.rs
+++ b/crates/workflow/tests/shrinking/mod.rs
@@ -34,6 +34,26 @@
     assert_eq!(harness.starts().last().unwrap(), &format!("{UNLISTED} run 2 on e2@100"));
 }
 
+// An agent that came back to a smaller executor received all its orders again, those that had never
+// been carried out among them.
+#[test]
+fn an_agent_that_returns_to_a_smaller_executor_gets_no_start_for_a_run_it_does_not_list() {
+    let mut harness = start_full_worker();
+    harness.close(1);
+    harness.report_capacity(2, "e1", 100, (8, MEMORY));
+    assert_eq!(
+        harness.starts().len(),
+        2,
+        "nothing is ordered before the agent has listed its runs"
+    );
+    harness.report_runs(2, "e1@100", &[(LISTED, 1)]);
+    assert_eq!(harness.stops(), [format!("{UNLISTED} run 1")]);
+    assert_eq!(harness.starts()[2..], [format!("{LISTED} run 1 on e1@100")]);
+    harness.advance(100);
+    harness.report_runs(2, "e1@100", &[(LISTED, 1), (UNLISTED, 1)]);
+    assert_eq!(harness.starts().len(), 3, "{:?}", harness.starts());
+}
+
 // Best-effort tasks reserve no processors and were started beside tasks that reserve more than
 // their worker has left.
 #[test]
