Send no start that was committed after its worker shrank

Callers saw: a start whose entry took long to commit was sent to a worker that had become too small for it meanwhile. Without a quorum that can be many seconds. Cause: a committed start was checked against its placement and the worker's lease, but not against the worker's capacity. Evidence: an_order_is_not_sent_when_its_worker_shrank_before_its_entry_ was_committed failed before (run 1 was started on the shrunk worker). Change: such a start is dropped and its run ended in the log. No stop is needed: the log reports an entry as applied and as committed in one step, so that nothing has sent the start earlier. Result: the test passes: the task starts as run 2 on another worker with the next entry. Conclusion: what control sends always fits by its newest report. Of a gang, only the member on the shrunk worker is dropped; the others end by themselves as before when a member is refused.

--- a/crates/workflow/src/control/capacity.rs
+++ b/crates/workflow/src/control/capacity.rs
@@ -6,11 +6,13 @@
 //! what becomes of such orders.
 
 use {
-    super::ControlNode,
+    super::{types::ControlEffect, ControlNode},
     crate::{
-        event::StopReason,
+        event::{FlowEvent, StopReason},
         job::WorkerIncarnation,
+        message::{LinkMessage, StartOrder},
         plan::{reserved_on, Placement},
+        state::EndKind,
     },
     std::sync::Arc,
 };
@@ -39,4 +41,25 @@
         let stop = self.stop_run(placement, StopReason::WorkerShrunk);
         self.effects.extend(stop);
     }
+
+    /// Ends the run of a committed start that no longer fits on its worker. Returns whether the
+    /// effect was such a start. Nothing has sent it, so that the run has certainly not begun.
+    pub(super) fn withdraw_unsent(&mut self, effect: &ControlEffect) -> bool {
+        let ControlEffect::Send { message: LinkMessage::Start(order), .. } = effect else {
+            return false;
+        };
+        let StartOrder { worker, task, run, .. } = order;
+        if !self.is_overfull(&worker.executor) {
+            return false;
+        }
+        let (worker, reason) = (worker.clone(), StopReason::WorkerShrunk);
+        self.record(FlowEvent::RunStopped {
+            task: *task,
+            run: *run,
+            worker: worker.clone(),
+            reason,
+        });
+        self.end_run(&worker, *task, *run, EndKind::Stopped, String::new());
+        true
+    }
 }
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -131,7 +131,7 @@
     pub(super) fn release(&mut self, ticket: ReplyTicket) {
         let Some(leader) = &mut self.leader else { return };
         for effect in leader.in_flight.remove(&ticket).into_iter().flatten() {
-            if self.may_send(&effect) {
+            if self.may_send(&effect) && !self.withdraw_unsent(&effect) {
                 self.effects.push(effect);
             }
         }
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -277,7 +277,7 @@
     }
 
     /// Proposes the end of a run, with its newest known checkpoint.
-    fn end_run(
+    pub(super) fn end_run(
         &mut self,
         worker: &WorkerIncarnation,
         task: TaskKey,
--- a/crates/workflow/tests/shrinking/mod.rs
+++ b/crates/workflow/tests/shrinking/mod.rs
@@ -54,6 +54,19 @@
     assert_eq!(harness.starts().len(), 3, "{:?}", harness.starts());
 }
 
+// An order that waited for its entry was sent to a worker that had shrunk meanwhile.
+#[test]
+fn an_order_is_not_sent_when_its_worker_shrank_before_its_entry_was_committed() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.pause_syncs(true);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1).cores(12)]));
+    harness.report_capacity(1, "e1", 100, (8, MEMORY));
+    harness.connect_worker(2, "e2", 100);
+    harness.pause_syncs(false);
+    assert_eq!(harness.starts(), [format!("{LISTED} run 2 on e2@100")]);
+}
+
 // Best-effort tasks reserve no processors and were started beside tasks that reserve more than
 // their worker has left.
 #[test]
