Repeat no start on an executor that has shrunk

Callers saw: an agent repeated an unanswered start every 200 ms at any later time. An executor that had shrunk meanwhile and does not guard its capacity started the run and exceeded its capacity. Cause: only a drain and the end of the lease withdrew a start. Evidence: an_unanswered_start_is_stopped_when_the_executor_shrinks and a_start_in_transit_while_the_executor_shrinks_is_not_repeated failed before (a second start instead of a stop). Change: when any resource shrinks, a start without an answer is settled by a stop and reported as never begun; one in transit goes on and is only not repeated; one that was never sent is refused. The agent does not know what an order reserves, so that it withdraws all of them: few are open at a time, and their tasks are placed anew by the new size. Result: the tests pass; runs that have begun go on, and a growing executor changes nothing (both held before). Conclusion: an agent's repetitions end with the capacity for which they were ordered.

--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -7,6 +7,7 @@
 
 mod orders;
 mod polling;
+mod shrink;
 mod throttle;
 mod types;
 
@@ -285,10 +286,14 @@
         let same = WorkerReport { drain_left_ms: None, ..report.clone() }
             == WorkerReport { drain_left_ms: None, ..executor.report.clone() };
         let changed = !same || was_draining != report.drain_left_ms.is_some();
+        let shrunk = shrink::has_shrunk(&executor.report, &report);
         executor.report = report.clone();
         if changed && executor.reached {
             self.send_description(report);
         }
+        if shrunk {
+            self.handle_shrink();
+        }
     }
 }
 
--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -51,6 +51,14 @@
     /// Whether a start was not answered: the executor may still carry it out, whatever the answers
     /// to later ones.
     unanswered: bool,
+    /// Whether the start must not be repeated: the executor has shrunk since the first one.
+    withdrawn: bool,
+}
+
+impl RunOrder {
+    fn new(phase: OrderPhase, order: Option<StartOrder>) -> Self {
+        Self { phase, order, unanswered: false, withdrawn: false }
+    }
 }
 
 /// The orders for runs whose ends the executor has not listed, by task and run.
@@ -79,10 +87,35 @@
         self.orders.get(&key).is_some_and(|order| order.unanswered)
     }
 
-    fn mark_unanswered(&mut self, key: (TaskKey, RunNumber)) {
-        if let Some(order) = self.orders.get_mut(&key) {
-            order.unanswered = true;
+    /// Notes that a start was not answered. It is repeated after a pause, or settled by a stop if
+    /// it was withdrawn.
+    fn handle_unanswered(&mut self, key: (TaskKey, RunNumber), now: Duration) {
+        let Some(order) = self.orders.get_mut(&key) else { return };
+        order.unanswered = true;
+        order.phase = if order.withdrawn {
+            OrderPhase::StopAgain(now)
+        } else {
+            OrderPhase::StartAgain(now + REPEAT_PAUSE)
+        };
+    }
+
+    /// Withdraws every start that has no answer. One that was sent before is settled by a stop, and
+    /// one in transit only if it is not answered. Returns the runs whose start was never sent, which
+    /// are removed.
+    pub(super) fn withdraw_starts(&mut self, now: Duration) -> Vec<(TaskKey, RunNumber)> {
+        let is_unsent = |order: &RunOrder| {
+            matches!(order.phase, OrderPhase::StartAgain(_)) && !order.unanswered
+        };
+        let unsent = self.orders.iter().filter(|(_, order)| is_unsent(order));
+        let unsent: Vec<_> = unsent.map(|(key, _)| *key).collect();
+        self.orders.retain(|_, order| !is_unsent(order));
+        for order in self.orders.values_mut() {
+            order.withdrawn = true;
+            if matches!(order.phase, OrderPhase::StartAgain(_)) {
+                order.phase = OrderPhase::StopAgain(now);
+            }
         }
+        unsent
     }
 
     fn set(&mut self, key: (TaskKey, RunNumber), phase: OrderPhase) {
@@ -116,9 +149,7 @@
             return;
         }
         let phase = if listed { OrderPhase::Started } else { OrderPhase::StartAgain(self.now) };
-        self.runs
-            .orders
-            .insert((task, run), RunOrder { phase, order: Some(order), unanswered: false });
+        self.runs.orders.insert((task, run), RunOrder::new(phase, Some(order)));
         self.repeat_orders();
     }
 
@@ -132,11 +163,7 @@
             return;
         }
         let entry = self.runs.orders.entry((task, run));
-        let order = entry.or_insert(RunOrder {
-            phase: OrderPhase::Started,
-            order: None,
-            unanswered: false,
-        });
+        let order = entry.or_insert(RunOrder::new(OrderPhase::Started, None));
         let stopping = matches!(
             order.phase,
             OrderPhase::Stopping | OrderPhase::StopAgain(_) | OrderPhase::Stopped(_)
@@ -226,8 +253,8 @@
             }
             StartVerdict::Old => self.runs.set(key, OrderPhase::Unclear(self.now)),
             StartVerdict::Failed(CallFailure::Unanswered(_) | CallFailure::Fenced) => {
-                self.runs.mark_unanswered(key);
-                self.runs.set(key, OrderPhase::StartAgain(self.now + REPEAT_PAUSE));
+                self.runs.handle_unanswered(key, self.now);
+                self.repeat_orders();
             }
             StartVerdict::Failed(CallFailure::OtherIncarnation) => {
                 self.runs.orders.remove(&key);
@@ -256,7 +283,7 @@
     }
 
     /// Reports to control that a run never began on this executor.
-    fn refuse_run(&mut self, task: TaskKey, run: RunNumber, reason: &str) {
+    pub(super) fn refuse_run(&mut self, task: TaskKey, run: RunNumber, reason: &str) {
         self.record(FlowEvent::StartRefused { task, run, reason: reason.to_owned() });
         self.report_never_began(task, run, EndKind::Refused);
     }
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -134,16 +134,26 @@
         sequence: u64,
         drain_left_ms: Option<u64>,
     ) {
-        let report = WorkerReport {
+        let report = WorkerReport { drain_left_ms, ..Self::report_of(worker, 16) };
+        self.step(AgentEvent::Heartbeat { report, sequence });
+    }
+
+    fn report_capacity(&mut self, sequence: u64, cores: u64) {
+        let report = Self::report_of(incarnation(), cores);
+        self.step(AgentEvent::Heartbeat { report, sequence });
+    }
+
+    fn report_of(worker: WorkerIncarnation, cores: u64) -> WorkerReport {
+        let cpu_milli = cores * 1000;
+        WorkerReport {
             worker,
             service: "s".to_owned(),
             data_centre: "north".to_owned(),
-            capacity: TaskDemand { cpu_milli: 16_000, memory_mb: 64_000, accelerators: 0 },
+            capacity: TaskDemand { cpu_milli, memory_mb: 64_000, accelerators: 0 },
             labels: Vec::new(),
-            drain_left_ms,
+            drain_left_ms: None,
             responsive: true,
-        };
-        self.step(AgentEvent::Heartbeat { report, sequence });
+        }
     }
 
     /// Answers the poll in progress.
@@ -447,3 +457,65 @@
     harness.step(AgentEvent::LeaderMessage(pong));
     assert_eq!(harness.introductions, before + 1);
 }
+
+// The executor would have started the run at any later time, also if it no longer fits.
+#[test]
+fn an_unanswered_start_is_stopped_when_the_executor_shrinks() {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.answer_start(1, StartVerdict::Failed(CallFailure::Unanswered("no answer".to_owned())));
+    harness.report_capacity(2, 8);
+    harness.advance(250);
+    assert_eq!(harness.calls, ["start 1", "stop 1"]);
+    harness.answer_stop(1, true);
+    for _ in 0..3 {
+        harness.advance(10);
+        harness.answer_poll(&[], &[]);
+    }
+    assert_eq!(harness.reports(), ["1 Stopped"]);
+}
+
+#[test]
+fn a_start_in_transit_while_the_executor_shrinks_is_not_repeated() {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.report_capacity(2, 8);
+    assert_eq!(harness.calls, ["start 1"], "it may have begun");
+    harness.answer_start(1, StartVerdict::Failed(CallFailure::Unanswered("no answer".to_owned())));
+    harness.advance(250);
+    assert_eq!(harness.calls, ["start 1", "stop 1"]);
+}
+
+#[test]
+fn a_run_that_has_begun_goes_on_when_the_executor_shrinks() {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.report_capacity(2, 8);
+    harness.answer_start(1, StartVerdict::Started);
+    harness.answer_poll(&[run_report(1)], &[]);
+    harness.advance(250);
+    harness.report_capacity(3, 4);
+    harness.advance(250);
+    assert_eq!(harness.calls, ["start 1"]);
+    assert!(harness.reports().is_empty(), "{:?}", harness.reports());
+}
+
+#[test]
+fn an_unanswered_start_is_repeated_when_the_executor_grows() {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.answer_start(1, StartVerdict::Failed(CallFailure::Unanswered("no answer".to_owned())));
+    harness.report_capacity(2, 32);
+    harness.advance(250);
+    assert_eq!(harness.calls, ["start 1", "start 1"]);
+}
+
+#[test]
+fn an_order_for_a_running_task_is_not_refused_when_the_executor_shrinks() {
+    let mut harness = AgentHarness::start();
+    harness.answer_poll(&[run_report(1)], &[]);
+    harness.report_capacity(2, 8);
+    harness.order(1);
+    assert!(harness.reports().is_empty(), "{:?}", harness.reports());
+    assert!(harness.calls.is_empty(), "{:?}", harness.calls);
+}
