Refuse orders that the leader sent before it knew of a shrinkage

Callers saw: an order that was delayed on the stream to the agent was carried out however long after the executor had shrunk. Cause: the agent could not tell it from an order that takes the new capacity into account. Change: the agent sends a ping behind the description of a shrunk executor and refuses orders for runs that the executor does not list until the answer. The stream keeps the order of messages, and control sends only starts that fit by its newest report, so that every order after the answer fits. A new stream begins with the description.

--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -77,6 +77,8 @@
     pings: BTreeMap<u64, Duration>,
     last_ping: u64,
     next_ping: Duration,
+    /// The ping whose answer shows that the leader knows the executor's capacity, which has shrunk.
+    unconfirmed_shrink: Option<u64>,
     executor: Option<ExecutorState>,
     /// The last known incarnation, while the executor has not described the next one.
     former_incarnation: Option<WorkerIncarnation>,
@@ -97,6 +99,7 @@
             pings: BTreeMap::new(),
             last_ping: 0,
             next_ping: now,
+            unconfirmed_shrink: None,
             executor: None,
             former_incarnation: None,
             runs: RunTable::default(),
@@ -155,6 +158,7 @@
             LinkMessage::Welcome { term, .. } => self.handle_welcome(term),
             LinkMessage::Pong { sequence, term, leased } => {
                 self.term = self.term.max(term);
+                self.confirm_shrink(sequence);
                 let asked = self.pings.remove(&sequence);
                 let own = leased.is_some() && leased == self.incarnation();
                 if let Some(asked) = asked.filter(|_| own) {
@@ -181,6 +185,7 @@
         self.term = self.term.max(term);
         self.connected = true;
         self.pings.clear();
+        self.unconfirmed_shrink = None;
         self.report_all();
         self.ping();
     }
--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -144,8 +144,8 @@
         if known.is_some() {
             return;
         }
-        if !listed && executor.report.drain_left_ms.is_some() {
-            self.refuse_run(task, run, "the executor is draining");
+        if let Some(reason) = self.refusal_reason().filter(|_| !listed) {
+            self.refuse_run(task, run, reason);
             return;
         }
         let phase = if listed { OrderPhase::Started } else { OrderPhase::StartAgain(self.now) };
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -98,10 +98,15 @@
     }
 
     fn connect_leader(&mut self, term: u64) {
+        self.connect_leader_without_answer(term);
+        self.renew();
+    }
+
+    /// Connects a leader that has not yet answered a ping.
+    fn connect_leader_without_answer(&mut self, term: u64) {
         let (leader, members) = (None, Vec::new());
         let welcome = LinkMessage::Welcome { leading: true, leader, members, term };
         self.step(AgentEvent::LeaderMessage(welcome));
-        self.renew();
     }
 
     fn connect_leader_without_lease(&mut self) {
@@ -510,6 +515,21 @@
     assert_eq!(harness.calls, ["start 1", "start 1"]);
 }
 
+// An order that the leader had sent before it knew the capacity arrived seconds later.
+#[test]
+fn an_order_is_refused_until_the_leader_knows_that_the_executor_has_shrunk() {
+    let mut harness = AgentHarness::start();
+    let introductions = harness.introductions;
+    harness.report_capacity(2, 8);
+    assert_eq!(harness.introductions, introductions + 1, "the leader learns it at once");
+    harness.order(1);
+    assert!(harness.calls.is_empty(), "{:?}", harness.calls);
+    assert_eq!(harness.reports(), ["1 Refused"]);
+    harness.renew();
+    harness.order(2);
+    assert_eq!(harness.calls, ["start 2"]);
+}
+
 #[test]
 fn an_order_for_a_running_task_is_not_refused_when_the_executor_shrinks() {
     let mut harness = AgentHarness::start();
@@ -519,3 +539,14 @@
     assert!(harness.reports().is_empty(), "{:?}", harness.reports());
     assert!(harness.calls.is_empty(), "{:?}", harness.calls);
 }
+
+// Orders on a new stream are sent by the capacity that the agent reported on it.
+#[test]
+fn the_orders_of_a_new_leader_are_not_refused_when_the_executor_has_shrunk_before() {
+    let mut harness = AgentHarness::start();
+    harness.report_capacity(2, 8);
+    harness.step(AgentEvent::LeaderLost);
+    harness.connect_leader_without_answer(2);
+    harness.order(1);
+    assert_eq!(harness.calls, ["start 1"]);
+}
