Play schedules with executors that shrink and grow

Change: a second family of seeded schedules has executors whose capacity changes between 1 and 4 runs, which start whatever they are told to and leave four calls in ten unanswered. After every start, an executor may hold no more runs than its largest capacity of the last second, within which late heartbeats, calls and pauses fall. All jobs still have to end. Without gangs, whose members the fake executors do not end together. The other family makes the same random choices as before. Executors that keep reporting their first capacity are detected as well. Conclusion: the rule that no start brings an unguarded executor over its capacity is checked in every run of the tests.

--- a/crates/workflow/tests/schedules.rs
+++ b/crates/workflow/tests/schedules.rs
@@ -19,23 +19,37 @@
 
 /// Plays a seed. A violated invariant panics with the seed and what the executors ran.
 fn check(seed: u64) {
-    play(seed, None);
+    play(seed, None, false);
 }
 
-fn play(seed: u64, breakage: Option<Breakage>) {
-    let mut world = FleetWorld::new(seed, breakage);
+/// Plays a seed with executors that shrink, grow, and start whatever they are told to. No start may
+/// bring one over its capacity.
+fn check_shrinking(seed: u64) {
+    play(seed, None, true);
+}
+
+fn play(seed: u64, breakage: Option<Breakage>, shrinking: bool) {
+    let mut world = FleetWorld::new(seed, breakage, shrinking);
     world.play_faults();
     world.heal();
     world.expect_all_jobs_end();
 }
 
-#[test]
-fn invariants_hold_under_random_faults() {
-    let seeds = match std::env::var(SEEDS_VARIABLE) {
+fn seeds() -> std::ops::Range<u64> {
+    match std::env::var(SEEDS_VARIABLE) {
         Ok(count) => 0..count.parse().expect("SCHEDULE_SEEDS is a number of seeds"),
         Err(_) => SEEDS,
-    };
-    seeds.for_each(check);
+    }
+}
+
+#[test]
+fn invariants_hold_under_random_faults() {
+    seeds().for_each(check);
+}
+
+#[test]
+fn invariants_hold_while_executors_shrink_and_grow() {
+    seeds().for_each(check_shrinking);
 }
 
 /// Seeds that once failed, each named after the fault that it found.
@@ -52,12 +66,20 @@
     check(seed);
 }
 
+// While control repeated lost orders whatever the worker's capacity, this seed failed.
+#[test]
+fn a_lost_order_is_not_repeated_on_a_shrunk_worker() {
+    check_shrinking(173);
+}
+
 #[rstest]
 #[case::leases_overstayed(Breakage::OverstayedLease)]
 #[case::executors_mistaken_for_others(Breakage::SharedAddress)]
 #[case::disks_that_lose_synced_data(Breakage::ForgetfulDisk)]
+#[case::capacities_reported_late(Breakage::StaleCapacity)]
 fn a_built_in_fault_is_detected(#[case] breakage: Breakage) {
-    let detected = |seed: &u64| catch_unwind(|| play(*seed, Some(breakage))).is_err();
+    let shrinking = breakage == Breakage::StaleCapacity;
+    let detected = |seed: &u64| catch_unwind(|| play(*seed, Some(breakage), shrinking)).is_err();
     let seed = BROKEN_SEEDS.into_iter().find(detected);
     println!("{breakage:?} is detected by seed {seed:?}");
     assert!(seed.is_some());
--- a/crates/workflow/tests/world/agents.rs
+++ b/crates/workflow/tests/world/agents.rs
@@ -1,7 +1,10 @@
 //! Drives the agents and performs the calls to their executors.
 
 use {
-    super::{Arrival, ExecutorCall, FleetWorld, CONTROLS, POLL, TRACE_VARIABLE},
+    super::{
+        executor::CAPACITY, Arrival, Breakage, ExecutorCall, FleetWorld, CONTROLS, POLL,
+        TRACE_VARIABLE,
+    },
     base::EventReducer,
     std::time::Duration,
     workflow::{
@@ -12,6 +15,19 @@
     },
 };
 
+/// The chance that an executor sends a heartbeat in a step.
+const HEARTBEAT_CHANCE: f64 = 0.03;
+/// The same chance while executors shrink, which they announce in heartbeats alone.
+const SHRINKING_HEARTBEAT_CHANCE: f64 = 0.3;
+/// Upper bound of the time after which an unanswered call is carried out, in milliseconds.
+const LATENESS_MS: usize = 3000;
+/// The same bound while executors shrink.
+const SHRINKING_LATENESS_MS: usize = 200;
+/// The chance that a call is not answered.
+const UNANSWERED_CHANCE: f64 = 0.05;
+/// The same chance while executors shrink, so that many starts are repeated.
+const SHRINKING_UNANSWERED_CHANCE: f64 = 0.4;
+
 impl FleetWorld {
     /// Finds the leader as an agent's driver does, but without its backoff.
     pub(super) fn connect(&mut self, agent: usize) {
@@ -42,17 +58,24 @@
     }
 
     pub(super) fn report_heartbeat(&mut self, agent: usize) {
-        if !self.random.chance(0.03) {
+        let chance = if self.shrinking { SHRINKING_HEARTBEAT_CHANCE } else { HEARTBEAT_CHANCE };
+        if !self.random.chance(chance) {
             return;
         }
+        let stale = self.breakage == Some(Breakage::StaleCapacity);
         let host = &mut self.agents[agent];
         host.sequence += 1;
         let sequence = host.sequence;
+        let runs = if stale { CAPACITY } else { host.executor.capacity() };
         let report = WorkerReport {
             worker: host.executor.incarnation(),
             service: "s".to_owned(),
             data_centre: "north".to_owned(),
-            capacity: TaskDemand { cpu_milli: 6000, memory_mb: 10_000, accelerators: 0 },
+            capacity: TaskDemand {
+                cpu_milli: runs as u64 * 1000,
+                memory_mb: 10_000,
+                accelerators: 0,
+            },
             labels: Vec::new(),
             drain_left_ms: None,
             responsive: true,
@@ -68,7 +91,8 @@
     }
 
     pub(super) fn perform_agent(&mut self, agent: usize, effect: AgentEffect) {
-        let answered = !(self.faults && self.random.chance(0.05));
+        let chance = if self.shrinking { SHRINKING_UNANSWERED_CHANCE } else { UNANSWERED_CHANCE };
+        let answered = !(self.faults && self.random.chance(chance));
         match effect {
             AgentEffect::Poll { worker, acknowledged, deadline_ms, wait, fence } => {
                 let asked = self.now;
@@ -118,7 +142,8 @@
     /// Delivers a call to the executor. A call without an answer may be carried out up to 3 s
     /// later.
     pub(super) fn order(&mut self, agent: usize, call: ExecutorCall, answered: bool) {
-        let delay_ms = if answered { 1 } else { 1 + self.random.below(3000) as u64 };
+        let lateness_ms = if self.shrinking { SHRINKING_LATENESS_MS } else { LATENESS_MS };
+        let delay_ms = if answered { 1 } else { 1 + self.random.below(lateness_ms) as u64 };
         self.schedule_event_in(Duration::from_millis(delay_ms), Arrival::Executor(agent, call));
     }
 
@@ -146,8 +171,17 @@
                 AgentEvent::PollAnswered { worker, asked, result }
             }
             ExecutorCall::Start { worker, task, run, deadline_ms, fence, answered } => {
+                let before = executor.running().count();
                 let verdict = if executor.admits(&worker, fence) {
-                    executor.start(now, task, run, deadline_ms)
+                    let verdict = executor.start(now, task, run, deadline_ms);
+                    let (runs, admissible) = executor.load(now);
+                    assert!(
+                        runs == before || runs <= admissible,
+                        "seed {} at {now:?}: the start of {task} brings {worker} to {runs} runs, \
+                         and it holds {admissible}",
+                        self.seed
+                    );
+                    verdict
                 } else {
                     StartVerdict::Failed(CallFailure::Fenced)
                 };
--- a/crates/workflow/tests/world/executor.rs
+++ b/crates/workflow/tests/world/executor.rs
@@ -11,13 +11,45 @@
     },
 };
 
-/// The number of runs that the executor accepts at a time.
-const CAPACITY: usize = 6;
+/// The number of runs that an executor holds unless it has shrunk.
+pub const CAPACITY: usize = 6;
+/// How much longer the runs of a shrinking executor last, so that there is always a shortage.
+const LONGER_WORK: u64 = 5;
+/// Time after a shrinkage in which a start may still count on the earlier capacity: heartbeats,
+/// calls and processes are late.
+const GRACE: Duration = Duration::from_millis(1000);
+
+/// The capacities that one incarnation of an executor has had.
+struct CapacityHistory {
+    /// Whether the capacity changes. Such an executor does not guard it.
+    changing: bool,
+    /// Each capacity with the time until which it held, except the present one.
+    earlier: Vec<(Duration, usize)>,
+    present: usize,
+}
+
+impl CapacityHistory {
+    fn new(changing: bool, present: usize) -> Self {
+        Self { changing, earlier: Vec::new(), present }
+    }
+
+    fn change(&mut self, now: Duration, capacity: usize) {
+        self.earlier.push((now, self.present));
+        self.present = capacity;
+    }
+
+    /// Returns the number of runs up to which a start is admissible.
+    fn admissible(&self, now: Duration) -> usize {
+        let recent = self.earlier.iter().filter(|(until, _)| *until + GRACE >= now);
+        recent.map(|(_, capacity)| *capacity).max().unwrap_or(0).max(self.present)
+    }
+}
 
 pub struct FakeExecutor {
     name: Arc<str>,
     born: u64,
     random: SeededRandom,
+    capacity: CapacityHistory,
     deadline_ms: u64,
     fence: u64,
     /// Each task's run, and the time at which its work is complete.
@@ -32,11 +64,12 @@
 }
 
 impl FakeExecutor {
-    pub fn new(name: &str, born: u64, seed: u64) -> Self {
+    pub fn new(name: &str, born: u64, seed: u64, changing: bool) -> Self {
         Self {
             name: Arc::from(name),
             born,
             random: SeededRandom::new(seed),
+            capacity: CapacityHistory::new(changing, CAPACITY),
             deadline_ms: 0,
             fence: 0,
             runs: BTreeMap::new(),
@@ -51,7 +84,23 @@
     pub fn restart(&mut self, born: u64, name: Option<&str>) {
         let seed = self.random.next_u64();
         let name = name.map_or_else(|| self.name.clone(), Arc::from);
-        *self = Self::new(&name, born, seed);
+        let capacity = CapacityHistory::new(self.capacity.changing, self.capacity.present);
+        *self = Self::new(&name, born, seed, capacity.changing);
+        self.capacity = capacity;
+    }
+
+    /// Returns the number of runs that the executor holds.
+    pub fn capacity(&self) -> usize {
+        self.capacity.present
+    }
+
+    pub fn change_capacity(&mut self, now: Duration, capacity: usize) {
+        self.capacity.change(now, capacity);
+    }
+
+    /// Returns the number of runs, and the number up to which a start is admissible.
+    pub fn load(&self, now: Duration) -> (usize, usize) {
+        (self.runs.len(), self.capacity.admissible(now))
     }
 
     pub fn incarnation(&self) -> WorkerIncarnation {
@@ -143,10 +192,11 @@
             return StartVerdict::Refused(StartRefusal::Late);
         }
         self.deadline_ms = self.deadline_ms.max(deadline_ms);
-        if self.runs.len() >= CAPACITY {
+        if !self.capacity.changing && self.runs.len() >= CAPACITY {
             return StartVerdict::Refused(StartRefusal::NoCapacity);
         }
-        let work = Duration::from_millis(200 + self.random.below(400) as u64);
+        let longer = if self.capacity.changing { LONGER_WORK } else { 1 };
+        let work = Duration::from_millis(200 + self.random.below(400) as u64 * longer);
         self.runs.insert(task, (run, now + work));
         StartVerdict::Started
     }
--- a/crates/workflow/tests/world/faults.rs
+++ b/crates/workflow/tests/world/faults.rs
@@ -13,7 +13,26 @@
     },
 };
 
+/// Upper bound of the pauses of an agent's process, in milliseconds.
+const PAUSE_MS: usize = 2500;
+/// The same bound while executors shrink.
+const SHRINKING_PAUSE_MS: usize = 100;
+/// The chance that the capacity of an executor changes in a step.
+const CAPACITY_CHANCE: f64 = 0.003;
+/// The capacities between which a shrinking executor changes: 1 to this number of runs.
+const SHRUNK_CAPACITIES: usize = 4;
+
 impl FleetWorld {
+    /// Changes the capacity of some executors.
+    pub(super) fn change_capacities(&mut self) {
+        for agent in 0..AGENTS {
+            if self.capacities.chance(CAPACITY_CHANCE) {
+                let capacity = 1 + self.capacities.below(SHRUNK_CAPACITIES);
+                self.agents[agent].executor.change_capacity(self.now, capacity);
+            }
+        }
+    }
+
     pub(super) fn inject_fault(&mut self) {
         let control = self.random.below(CONTROLS);
         let agent = self.random.below(AGENTS);
@@ -45,7 +64,8 @@
                 host.paused_until = host.paused_until.max(self.now + pause);
             }
             5 => {
-                let pause = Duration::from_millis(self.random.below(2500) as u64);
+                let longest_ms = if self.shrinking { SHRINKING_PAUSE_MS } else { PAUSE_MS };
+                let pause = Duration::from_millis(self.random.below(longest_ms) as u64);
                 let host = &mut self.agents[agent];
                 host.paused_until = host.paused_until.max(self.now + pause);
             }
--- a/crates/workflow/tests/world/mod.rs
+++ b/crates/workflow/tests/world/mod.rs
@@ -9,7 +9,7 @@
 use {
     crate::fixtures::fleet_config,
     base::{PeerAddress, ReplicaId, ReplyTicket, SeededRandom},
-    executor::FakeExecutor,
+    executor::{FakeExecutor, CAPACITY},
     quorum::{GroupMember, QuorumSettings, RecoveredLog},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -101,7 +101,11 @@
 pub struct FleetWorld {
     seed: u64,
     breakage: Option<Breakage>,
+    /// Whether the capacities of executors change, which do not guard them.
+    shrinking: bool,
     random: SeededRandom,
+    /// The source of the capacities alone, so that they leave the other choices as they are.
+    capacities: SeededRandom,
     now: Duration,
     controls: Vec<ControlHost>,
     agents: Vec<AgentHost>,
@@ -152,8 +156,9 @@
     ControlNode::new(settings, disk.clone(), now, seed).unwrap()
 }
 
-/// Generates a job of two steps, where the second depends on the first and may be a gang.
-fn job(random: &mut SeededRandom) -> JobSpec {
+/// Generates a job of two steps, where the second depends on the first and may be a gang. The fake
+/// executors do not end the members of a gang together, so that gangs say nothing about capacity.
+fn job(random: &mut SeededRandom, with_gangs: bool) -> JobSpec {
     let demand = TaskDemand { cpu_milli: 1000, memory_mb: 100, accelerators: 0 };
     let step = |count: usize| StepSpec {
         count: count as u16,
@@ -164,7 +169,7 @@
     };
     let mut second = step(1 + random.below(3));
     second.depends_on = vec![0];
-    second.gang = random.chance(0.3);
+    second.gang = random.chance(0.3) && with_gangs;
     let steps = vec![step(1 + random.below(4)), second];
     JobSpec { payload: "work".to_owned(), steps, schedule: None }
 }
@@ -178,6 +183,8 @@
     SharedAddress,
     /// Control processes lose their synced data when they restart.
     ForgetfulDisk,
+    /// Executors keep reporting the capacity with which they began.
+    StaleCapacity,
 }
 
 /// Returns the settings of an agent. Its executor keeps one address, whatever its id.
@@ -188,7 +195,7 @@
 }
 
 impl FleetWorld {
-    pub fn new(seed: u64, breakage: Option<Breakage>) -> Self {
+    pub fn new(seed: u64, breakage: Option<Breakage>, shrinking: bool) -> Self {
         let mut random = SeededRandom::new(seed);
         let now = Duration::from_secs(1);
         let controls = (0..CONTROLS).map(|control| {
@@ -199,7 +206,7 @@
         let controls = controls.collect();
         let agents = (0..AGENTS).map(|agent| AgentHost {
             node: AgentNode::new(agent_settings(agent, breakage), now),
-            executor: FakeExecutor::new(&format!("e{agent}"), 1, random.next_u64()),
+            executor: FakeExecutor::new(&format!("e{agent}"), 1, random.next_u64(), shrinking),
             leader: None,
             stream: 0,
             sequence: 0,
@@ -208,6 +215,8 @@
         Self {
             seed,
             breakage,
+            shrinking,
+            capacities: SeededRandom::new(seed),
             now,
             controls,
             agents: agents.collect(),
@@ -230,13 +239,20 @@
             if self.random.chance(0.02) {
                 self.inject_fault();
             }
+            if self.shrinking {
+                self.change_capacities();
+            }
             self.step();
         }
     }
 
-    /// Ends every fault, and restarts the control processes that are down.
+    /// Ends every fault, lets executors grow to their full capacity, and restarts the control
+    /// processes that are down.
     pub fn heal(&mut self) {
         self.faults = false;
+        for host in &mut self.agents {
+            host.executor.change_capacity(self.now, CAPACITY);
+        }
         self.partitions.clear();
         for control in 0..CONTROLS {
             if self.controls[control].node.is_none() {
@@ -323,7 +339,7 @@
             return;
         }
         self.submitted.insert(key);
-        let spec = job(&mut SeededRandom::new(self.seed * 1000 + key));
+        let spec = job(&mut SeededRandom::new(self.seed * 1000 + key), !self.shrinking);
         let control = self.random.below(CONTROLS);
         let (sequence, host, path) = (key, "h".to_owned(), format!("/q/{key:016x}"));
         let call = CallerCall::Submit(spec);
