--- a/crates/workflow/src/control/capacity.rs
+++ b/crates/workflow/src/control/capacity.rs
@@ -9,8 +9,8 @@
     super::{types::ControlEffect, ControlNode},
     crate::{
         event::{FlowEvent, StopReason},
-        job::WorkerIncarnation,
-        message::{LinkMessage, StartOrder},
+        job::{TaskDemand, WorkerIncarnation},
+        message::{LinkMessage, StartOrder, WorkerReport},
         plan::{reserved_on, Placement},
         state::EndKind,
     },
@@ -18,6 +18,24 @@
 };
 
 impl ControlNode {
+    /// Logs that a worker has become smaller, or is too small for its reservations when it first
+    /// reports to this leader.
+    pub(super) fn record_shrinkage(&mut self, report: &WorkerReport) {
+        let Some(leader) = &self.leader else { return };
+        let WorkerReport { worker, capacity, .. } = report;
+        let overfull = !reserved_on(&leader.speculative, &worker.executor).fits_in(*capacity);
+        let known = leader.workers.get(&worker.executor);
+        let shrunk = known.map_or(overfull, |view| !view.report.capacity.fits_in(*capacity));
+        if !shrunk {
+            return;
+        }
+        let (worker, TaskDemand { cpu_milli, memory_mb, accelerators }) =
+            (worker.clone(), *capacity);
+        let event =
+            FlowEvent::WorkerShrunk { worker, cpu_milli, memory_mb, accelerators, overfull };
+        self.record(event);
+    }
+
     /// Returns whether the reservations on an executor exceed its capacity, so that no run may
     /// begin there.
     pub(super) fn is_overfull(&self, executor: &Arc<str>) -> bool {
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -29,6 +29,7 @@
         place: &Arc<str>,
     ) {
         let worker = report.worker.clone();
+        self.record_shrinkage(&report);
         let event = FlowEvent::WorkerSeen {
             worker: worker.clone(),
             service: report.service.clone(),
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -214,6 +214,21 @@
         #[serde(serialize_with = "as_text")]
         worker: WorkerIncarnation,
     },
+    /// A worker has less of some resource than before, or than is reserved there when a leader first
+    /// hears of it.
+    WorkerShrunk {
+        /// The worker.
+        #[serde(serialize_with = "as_text")]
+        worker: WorkerIncarnation,
+        /// Thousandths of a processor core that the worker has now.
+        cpu_milli: u64,
+        /// Megabytes of memory that the worker has now.
+        memory_mb: u64,
+        /// Accelerators that the worker has now.
+        accelerators: u64,
+        /// Whether the worker's tasks have reserved more, so that it gets no other.
+        overfull: bool,
+    },
     /// The leader has requested a change of the control group.
     MemberChange {
         /// The replica.
@@ -322,6 +337,7 @@
             Self::ExecutorReached { .. } => (5034, "ExecutorReached"),
             Self::ExecutorSilent { .. } => (5035, "ExecutorSilent"),
             Self::FillersPaced { .. } => (5036, "FillersPaced"),
+            Self::WorkerShrunk { .. } => (5037, "WorkerShrunk"),
             Self::MemberChange { .. } => (5040, "MemberChange"),
             Self::StorageFailed { .. } => (5041, "StorageFailed"),
             Self::CallFailed { .. } => (5050, "CallFailed"),
--- a/crates/workflow/tests/shrinking/mod.rs
+++ b/crates/workflow/tests/shrinking/mod.rs
@@ -142,3 +142,23 @@
         assert!(harness.stops().is_empty(), "{:?}", harness.stops());
     }
 }
+
+#[test]
+fn a_shrinkage_is_logged_with_whether_the_tasks_still_fit() {
+    let mut harness = start_full_worker();
+    harness.report_capacity(1, "e1", 100, (20, MEMORY));
+    harness.report_capacity(1, "e1", 100, (16, MEMORY));
+    harness.report_capacity(1, "e1", 100, (8, MEMORY));
+    harness.report_capacity(1, "e1", 100, (8, MEMORY));
+    harness.close(1);
+    harness.report_capacity(2, "e1", 100, (8, MEMORY));
+    assert_eq!(
+        harness.shrinkages(),
+        [
+            "e1@100 to 16000, overfull false",
+            "e1@100 to 8000, overfull true",
+            "e1@100 to 8000, overfull true"
+        ],
+        "the last one is a reconnection"
+    );
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -10,6 +10,7 @@
         control::{
             ControlEffect, ControlEvent, ControlNode, ControlSettings, OperatorAnswer, SessionId,
         },
+        event::FlowEvent,
         job::{JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
         message::{CallerAnswer, CallerCall, EndReport, LinkMessage, RunReport, WorkerReport},
         state::EndKind,
@@ -89,6 +90,7 @@
     syncs_paused: bool,
     unsynced: Vec<PersistBatch>,
     starts: Vec<String>,
+    shrinkages: Vec<String>,
     stops: Vec<String>,
     /// Tasks that were reported as ended.
     ended: BTreeSet<String>,
@@ -125,6 +127,7 @@
             syncs_paused: false,
             unsynced: Vec::new(),
             starts: Vec::new(),
+            shrinkages: Vec::new(),
             stops: Vec::new(),
             ended: BTreeSet::new(),
             answers: Vec::new(),
@@ -181,6 +184,11 @@
                 self.leased = leased.map(|worker| worker.to_string());
             }
             ControlEffect::Answer { answer, .. } => self.operator.push(answer),
+            ControlEffect::Record(FlowEvent::WorkerShrunk {
+                worker, cpu_milli, overfull, ..
+            }) => {
+                self.shrinkages.push(format!("{worker} to {cpu_milli}, overfull {overfull}"));
+            }
             _ => {}
         }
     }
@@ -372,6 +380,10 @@
         started.filter(|task| !self.ended.contains(*task)).map(str::to_owned).collect()
     }
 
+    pub fn shrinkages(&self) -> &[String] {
+        &self.shrinkages
+    }
+
     pub fn stops(&self) -> &[String] {
         &self.stops
     }
