Move long runs away from workers that have become too small

Callers saw: tasks that run for long shared too little memory or too few processors on a shrunk worker for as long as they ran, also while another worker was idle. Cause: only drains and interference moved a run. Evidence: a_long_task_that_loses_no_work_leaves_a_worker_that_has_become_ too_small failed without the new call (no stop). Weighed: a stop helps the tasks that stay, but costs the stopped one its work or its service unless it resumes, and its time unless it has room elsewhere. Tasks that end soon free the room without any of this, and a capacity that dips may be back by then. Change: after two seconds of shortage, one run a second is moved, as long as the runs that are neither being stopped nor within two seconds of their end use more than the worker has. It has to resume without loss (checkpoints, or a lasting task), to be in no gang and within its step's budget of absent tasks, and to fit on another worker now. Best-effort runs go first, then the least urgent, those that do not last, and the latest; latency-critical ones last. Processors of lasting tasks count with the use that placement presumes. A run that is being stopped keeps its reservation until its end is in the log. Result: the test passes.

--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -77,6 +77,8 @@
     /// The time at which a best-effort task was last evicted from each executor to protect
     /// latency-critical tasks.
     pub(super) last_evictions: HashMap<Arc<str>, Duration>,
+    /// The time from which a run may be moved from each executor that has too little capacity.
+    pub(super) relief_due: HashMap<Arc<str>, Duration>,
     /// The run and the time of the last stop order for each task.
     pub(super) stopping: HashMap<TaskKey, (RunNumber, Duration)>,
     /// Streams of entries and agents that have presented themselves, which are notified when the
@@ -142,6 +144,7 @@
             ordered: HashMap::new(),
             progress: HashMap::new(),
             last_evictions: HashMap::new(),
+            relief_due: HashMap::new(),
             stopping: HashMap::new(),
             clients: BTreeSet::new(),
             members_check_at: self.now,
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod members;
 mod operator;
 mod proposals;
+mod relief;
 mod runs;
 mod sessions;
 mod types;
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -92,6 +92,7 @@
         }
         self.repeat_lost_orders(session, worker, &runs);
         self.learn_interference(worker, &runs);
+        self.relieve_worker(worker);
     }
 
     fn check_run(&mut self, session: SessionId, worker: &WorkerIncarnation, report: &RunReport) {
--- a/crates/workflow/src/job/spec.rs
+++ b/crates/workflow/src/job/spec.rs
@@ -30,6 +30,32 @@
             && self.memory_mb <= capacity.memory_mb
             && self.accelerators <= capacity.accelerators
     }
+
+    /// Returns the sum of two demands.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Returns the part of this demand that a capacity does not hold.
+    pub fn beyond(self, capacity: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(capacity.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(capacity.memory_mb),
+            accelerators: self.accelerators.saturating_sub(capacity.accelerators),
+        }
+    }
+
+    /// Returns whether both demands ask for some resource.
+    pub fn shares_with(self, other: Self) -> bool {
+        let both = |one: u64, other: u64| one > 0 && other > 0;
+        both(self.cpu_milli, other.cpu_milli)
+            || both(self.memory_mb, other.memory_mb)
+            || both(self.accelerators, other.accelerators)
+    }
 }
 
 /// A step: equal tasks that may run at the same time.
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -13,6 +13,7 @@
 mod claims;
 mod interference;
 mod order;
+mod relief;
 mod reservations;
 mod score;
 mod steps;
@@ -22,6 +23,7 @@
 
 pub use {
     interference::{BestEffortShare, HeadroomForecast, ImageName, InterferenceTable, LearnedPair},
+    relief::{assumed_demand, fits_elsewhere},
     reservations::reserved_on,
     worker::{WorkerTable, WorkerView},
 };
--- a/crates/workflow/src/plan/reservations.rs
+++ b/crates/workflow/src/plan/reservations.rs
@@ -40,7 +40,7 @@
 
 impl WorkerReservations {
     /// Collects the reservations of the tasks that are placed on an executor, in any incarnation.
-    fn new(state: &FlowState, executor: &Arc<str>) -> Self {
+    pub(super) fn new(state: &FlowState, executor: &Arc<str>) -> Self {
         let mut reserved = Self::default();
         for worker in state.placed_incarnations_of(executor) {
             for (task, _) in state.placed_tasks(worker) {
@@ -143,7 +143,7 @@
     reserved
 }
 
-fn assumed_use(spec: &StepSpec) -> f64 {
+pub(super) fn assumed_use(spec: &StepSpec) -> f64 {
     let share = if spec.lasting { LASTING_USE } else { 1.0 };
     spec.demand.cpu_milli as f64 * share
 }
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -74,7 +74,7 @@
     Some(score)
 }
 
-fn may_run(
+pub(super) fn may_run(
     request: &StepRequest<'_>,
     worker: &WorkerView,
     reserved: &WorkerReservations,
--- a/crates/workflow/tests/shrinking/mod.rs
+++ b/crates/workflow/tests/shrinking/mod.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::{job, ControlHarness, StepBuilder},
-    workflow::state::EndKind,
+    workflow::{message::LinkMessage, state::EndKind},
 };
 
 const LISTED: &str = "000000000000000a.0.0.0";
@@ -162,3 +162,96 @@
         "the last one is a reconnection"
     );
 }
+
+/// Lists both tasks on a full worker that has shrunk to the given capacity until a shortage of it
+/// counts, while another worker is idle. Returns the stops.
+fn stops_after_shrinkage(steps: [StepBuilder; 2], capacity: (u64, u64)) -> Vec<String> {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    for (key, step) in [0xa, 0xb].into_iter().zip(steps) {
+        harness.submit(key, job(&[step]));
+        harness.advance(100);
+    }
+    assert_eq!(harness.starts().len(), 2);
+    harness.connect_worker(2, "e2", 100);
+    harness.report_capacity(1, "e1", 100, capacity);
+    for _ in 0..5 {
+        harness.report_runs(1, "e1@100", &[(LISTED, 1), (UNLISTED, 1)]);
+        harness.keep_alive(1, 600);
+        harness.send(2, LinkMessage::Ping { sequence: 1 });
+    }
+    harness.stops().to_vec()
+}
+
+// Tasks shared too little memory for as long as they ran, beside an idle worker.
+#[test]
+fn a_long_task_that_loses_no_work_leaves_a_worker_that_has_become_too_small() {
+    let long = || StepBuilder::tasks(1).cores(1).memory(30_000).estimate(60_000);
+    let lasting = || long().lasting();
+    let critical = || lasting().image("web").latency_target(20);
+    let second = [format!("{UNLISTED} run 1")];
+    let cases = [
+        ([lasting(), long().checkpoints()], "least is lost by a checkpoint"),
+        ([critical(), lasting()], "a latency-critical task comes last"),
+        ([long().checkpoints(), long().checkpoints().best_effort()], "best-effort tasks first"),
+        ([long().checkpoints(), long().checkpoints()], "the latest run first"),
+    ];
+    for (steps, why) in cases {
+        assert_eq!(stops_after_shrinkage(steps, (16, 50_000)), second, "{why}");
+    }
+}
+
+#[test]
+fn a_task_on_a_worker_that_has_become_too_small_runs_on_if_a_stop_gains_nothing() {
+    let long = || StepBuilder::tasks(1).cores(8).memory(30_000).estimate(60_000);
+    let cases = [
+        ([long(), long()], (16, 50_000), "work would be lost"),
+        ([long().checkpoints().estimate(1000), long()], (16, 50_000), "it ends soon"),
+        ([long().lasting(), long().lasting()], (8, 64_000), "lasting tasks use less"),
+        ([long().checkpoints().gang(), long().gang()], (16, 50_000), "a gang would break"),
+        ([long().checkpoints(), long().checkpoints()], (16, 60_000), "both fit"),
+    ];
+    for (steps, capacity, why) in cases {
+        assert!(stops_after_shrinkage(steps, capacity).is_empty(), "{why}");
+    }
+}
+
+#[test]
+fn a_task_is_not_stopped_where_no_other_worker_has_room() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    let long = || StepBuilder::tasks(1).cores(8).estimate(60_000).checkpoints();
+    harness.submit(0xa, job(&[long()]));
+    harness.submit(0xb, job(&[long()]));
+    harness.report_capacity(1, "e1", 100, (8, MEMORY));
+    for _ in 0..5 {
+        harness.report_runs(1, "e1@100", &[(LISTED, 1), (UNLISTED, 1)]);
+        harness.keep_alive(1, 600);
+    }
+    assert!(harness.stops().is_empty(), "{:?}", harness.stops());
+}
+
+#[test]
+fn no_more_is_moved_than_a_worker_lacks() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    let long = StepBuilder::tasks(3).memory(20_000).estimate(60_000).checkpoints();
+    harness.submit(0xa, job(&[long]));
+    harness.connect_worker(2, "e2", 100);
+    harness.report_capacity(1, "e1", 100, (16, 45_000));
+    let tasks: Vec<String> = (0..3).map(|index| format!("000000000000000a.0.0.{index}")).collect();
+    let mut left: Vec<(&str, u32)> = tasks.iter().map(|task| (task.as_str(), 1)).collect();
+    for round in 0..16 {
+        harness.report_runs(1, "e1@100", &left);
+        harness.keep_alive(1, 600);
+        harness.send(2, LinkMessage::Ping { sequence: 1 });
+        if round == 7 {
+            let stopped = harness.stops()[0].clone();
+            left.retain(|(task, _)| !stopped.starts_with(task));
+            let task = stopped.strip_suffix(" run 1").unwrap();
+            harness.report_end(1, "e1@100", 1, task, 1, EndKind::Stopped);
+            assert!(harness.starts().last().unwrap().contains("run 2 on e2"));
+        }
+    }
+    assert_eq!(harness.stops().len(), 1, "{:?}", harness.stops());
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -41,6 +41,11 @@
         self
     }
 
+    pub fn memory(mut self, megabytes: u64) -> Self {
+        self.0.demand.memory_mb = megabytes;
+        self
+    }
+
     pub fn estimate(mut self, milliseconds: u64) -> Self {
         self.0.estimate_ms = milliseconds;
         self
