Lose calls to shrinking executors in the schedules

Cause: every unanswered call was still carried out within 200 ms, so that no schedule could tell whether an agent goes on repeating a start. Change: while executors shrink, six calls in ten are not answered, and four fifths of these are lost. The seed that was kept no longer plays what it was kept for; two others replace it.

--- a/crates/workflow/tests/schedules.rs
+++ b/crates/workflow/tests/schedules.rs
@@ -66,10 +66,12 @@
     check(seed);
 }
 
-// While control repeated lost orders whatever the worker's capacity, this seed failed.
-#[test]
-fn a_lost_order_is_not_repeated_on_a_shrunk_worker() {
-    check_shrinking(173);
+/// Seeds that failed without one of the checks, each named after what was done in its absence.
+#[rstest]
+#[case::unanswered_start_repeated_by_the_agent(8)]
+#[case::lost_order_repeated_by_control(339)]
+fn seeds_that_failed_without_a_check_of_the_capacity_hold(#[case] seed: u64) {
+    check_shrinking(seed);
 }
 
 #[rstest]
--- a/crates/workflow/tests/world/agents.rs
+++ b/crates/workflow/tests/world/agents.rs
@@ -10,7 +10,7 @@
     workflow::{
         agent::{AgentEffect, AgentEvent, CallFailure, StartVerdict},
         control::{ControlEvent, ControlNode, SessionId},
-        job::TaskDemand,
+        job::{RunNumber, TaskDemand},
         message::{LinkMessage, WorkerReport},
     },
 };
@@ -26,7 +26,9 @@
 /// The chance that a call is not answered.
 const UNANSWERED_CHANCE: f64 = 0.05;
 /// The same chance while executors shrink, so that many starts are repeated.
-const SHRINKING_UNANSWERED_CHANCE: f64 = 0.4;
+const SHRINKING_UNANSWERED_CHANCE: f64 = 0.6;
+/// The share of unanswered calls that are lost while executors shrink.
+const LOST_CALLS: f64 = 0.8;
 
 impl FleetWorld {
     /// Finds the leader as an agent's driver does, but without its backoff.
@@ -140,13 +142,33 @@
     }
 
     /// Delivers a call to the executor. A call without an answer may be carried out up to 3 s
-    /// later.
+    /// later, or never while executors shrink.
     pub(super) fn order(&mut self, agent: usize, call: ExecutorCall, answered: bool) {
+        if !answered && self.shrinking && self.random.chance(LOST_CALLS) {
+            self.lose_call(agent, call);
+            return;
+        }
         let lateness_ms = if self.shrinking { SHRINKING_LATENESS_MS } else { LATENESS_MS };
         let delay_ms = if answered { 1 } else { 1 + self.random.below(lateness_ms) as u64 };
         self.schedule_event_in(Duration::from_millis(delay_ms), Arrival::Executor(agent, call));
     }
 
+    /// Reports a call as unanswered that the executor has not received.
+    fn lose_call(&mut self, agent: usize, call: ExecutorCall) {
+        let event = match call {
+            ExecutorCall::Hold { .. } => return,
+            ExecutorCall::Start { worker, task, run, .. } => {
+                let failure = CallFailure::Unanswered("lost".to_owned());
+                let (run, verdict) = (RunNumber(run), StartVerdict::Failed(failure));
+                AgentEvent::StartAnswered { worker, task, run, verdict }
+            }
+            ExecutorCall::Stop { worker, task, run, .. } => {
+                AgentEvent::StopAnswered { worker, task, run: RunNumber(run), stopped: false }
+            }
+        };
+        self.schedule_event(Arrival::Agent(agent, event));
+    }
+
     pub(super) fn execute(&mut self, agent: usize, call: ExecutorCall) {
         let now = self.now;
         let executor = &mut self.agents[agent].executor;
@@ -186,7 +208,7 @@
                     StartVerdict::Failed(CallFailure::Fenced)
                 };
                 let verdict = if answered { verdict } else { StartVerdict::Failed(unanswered()) };
-                let run = workflow::job::RunNumber(run);
+                let run = RunNumber(run);
                 AgentEvent::StartAnswered { worker, task, run, verdict }
             }
             ExecutorCall::Stop { worker, task, run, fence, answered } => {
@@ -194,7 +216,7 @@
                 if admitted {
                     executor.stop(task, run);
                 }
-                let (run, stopped) = (workflow::job::RunNumber(run), answered && admitted);
+                let (run, stopped) = (RunNumber(run), answered && admitted);
                 AgentEvent::StopAnswered { worker, task, run, stopped }
             }
         };
