--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -7,6 +7,7 @@
 
 mod orders;
 mod polling;
+mod shrink;
 mod throttle;
 mod types;
 
@@ -76,6 +77,8 @@
     pings: BTreeMap<u64, Duration>,
     last_ping: u64,
     next_ping: Duration,
+    /// The ping whose answer shows that the leader knows the executor's capacity, which has shrunk.
+    unconfirmed_shrink: Option<u64>,
     executor: Option<ExecutorState>,
     /// The last known incarnation, while the executor has not described the next one.
     former_incarnation: Option<WorkerIncarnation>,
@@ -96,6 +99,7 @@
             pings: BTreeMap::new(),
             last_ping: 0,
             next_ping: now,
+            unconfirmed_shrink: None,
             executor: None,
             former_incarnation: None,
             runs: RunTable::default(),
@@ -154,6 +158,7 @@
             LinkMessage::Welcome { term, .. } => self.handle_welcome(term),
             LinkMessage::Pong { sequence, term, leased } => {
                 self.term = self.term.max(term);
+                self.confirm_shrink(sequence);
                 let asked = self.pings.remove(&sequence);
                 let own = leased.is_some() && leased == self.incarnation();
                 if let Some(asked) = asked.filter(|_| own) {
@@ -180,6 +185,7 @@
         self.term = self.term.max(term);
         self.connected = true;
         self.pings.clear();
+        self.unconfirmed_shrink = None;
         self.report_all();
         self.ping();
     }
@@ -288,10 +294,14 @@
         let same = WorkerReport { drain_left_ms: None, ..report.clone() }
             == WorkerReport { drain_left_ms: None, ..executor.report.clone() };
         let changed = !same || was_draining != report.drain_left_ms.is_some();
+        let shrunk = shrink::has_shrunk(&executor.report, &report);
         executor.report = report.clone();
         if changed && executor.reached {
             self.send_description(report);
         }
+        if shrunk {
+            self.handle_shrink();
+        }
     }
 }
 
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -5,12 +5,14 @@
 //! The speculative state ends with the leadership.
 
 mod calls;
+mod capacity;
 mod crashes;
 mod interference;
 mod leader;
 mod members;
 mod operator;
 mod proposals;
+mod relief;
 mod runs;
 mod sessions;
 mod types;
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -30,6 +30,7 @@
         place: &Arc<str>,
     ) {
         let worker = report.worker.clone();
+        self.record_shrinkage(&report);
         let event = FlowEvent::WorkerSeen {
             worker: worker.clone(),
             service: report.service.clone(),
@@ -284,7 +285,7 @@
     }
 
     /// Proposes the end of a run, with its newest known checkpoint.
-    fn end_run(
+    pub(super) fn end_run(
         &mut self,
         worker: &WorkerIncarnation,
         task: TaskKey,
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -13,6 +13,7 @@
 mod claims;
 mod interference;
 mod order;
+mod relief;
 mod reservations;
 mod score;
 mod steps;
@@ -24,6 +25,8 @@
 
 pub use {
     interference::{BestEffortShare, HeadroomForecast, ImageName, InterferenceTable, LearnedPair},
+    relief::{assumed_demand, fits_elsewhere},
+    reservations::reserved_on,
     suspects::SuspectTable,
     worker::{WorkerTable, WorkerView},
 };
--- a/crates/workflow/src/plan/reservations.rs
+++ b/crates/workflow/src/plan/reservations.rs
@@ -42,7 +42,7 @@
 
 impl WorkerReservations {
     /// Collects the reservations of the tasks that are placed on an executor, in any incarnation.
-    fn new(state: &FlowState, executor: &Arc<str>) -> Self {
+    pub(super) fn new(state: &FlowState, executor: &Arc<str>) -> Self {
         let mut reserved = Self::default();
         for worker in state.placed_incarnations_of(executor) {
             for (task, _) in state.placed_tasks(worker) {
@@ -144,7 +144,24 @@
     }
 }
 
-fn assumed_use(spec: &StepSpec) -> f64 {
+/// Returns what the tasks on an executor, in any incarnation, have reserved: memory and accelerators
+/// of all tasks, and processors of all but the best-effort tasks.
+pub fn reserved_on(state: &FlowState, executor: &Arc<str>) -> TaskDemand {
+    let mut reserved = TaskDemand::default();
+    for worker in state.placed_incarnations_of(executor) {
+        for (task, _) in state.placed_tasks(worker) {
+            let job = state.job(task.job);
+            let Some(spec) = job.and_then(|job| job.step_spec(&task)) else { continue };
+            let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand;
+            reserved.cpu_milli += if spec.filler { 0 } else { cpu_milli };
+            reserved.memory_mb += memory_mb;
+            reserved.accelerators += accelerators;
+        }
+    }
+    reserved
+}
+
+pub(super) fn assumed_use(spec: &StepSpec) -> f64 {
     let share = if spec.lasting { LASTING_USE } else { 1.0 };
     spec.demand.cpu_milli as f64 * share
 }
@@ -261,8 +278,12 @@
 }
 
 /// Returns how many tasks of a step fit on a worker. For best-effort tasks, processors do not
-/// count.
+/// count. None fits on a worker that has shrunk below its reservations, in whatever resource: what
+/// runs there already lacks capacity.
 pub(super) fn fitting(worker: &WorkerView, reserved: &WorkerReservations, spec: &StepSpec) -> u64 {
+    if !reserved.demand.fits_in(worker.report.capacity) {
+        return 0;
+    }
     let free = free_capacity(worker.report.capacity, reserved.demand);
     let share = |free: u64, asked: u64| free.checked_div(asked).unwrap_or(u64::MAX);
     let cpu = if spec.filler { u64::MAX } else { share(free.cpu_milli, spec.demand.cpu_milli) };
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod fixtures;
+mod shrinking;
 mod support;
 
 use {
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -10,6 +10,7 @@
         control::{
             ControlEffect, ControlEvent, ControlNode, ControlSettings, OperatorAnswer, SessionId,
         },
+        event::FlowEvent,
         job::{JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
         message::{CallerAnswer, CallerCall, EndReport, LinkMessage, RunReport, WorkerReport},
         state::EndKind,
@@ -40,6 +41,11 @@
         self
     }
 
+    pub fn memory(mut self, megabytes: u64) -> Self {
+        self.0.demand.memory_mb = megabytes;
+        self
+    }
+
     pub fn estimate(mut self, milliseconds: u64) -> Self {
         self.0.estimate_ms = milliseconds;
         self
@@ -89,6 +95,7 @@
     syncs_paused: bool,
     unsynced: Vec<PersistBatch>,
     starts: Vec<String>,
+    shrinkages: Vec<String>,
     stops: Vec<String>,
     /// Tasks that were reported as ended.
     ended: BTreeSet<String>,
@@ -125,6 +132,7 @@
             syncs_paused: false,
             unsynced: Vec::new(),
             starts: Vec::new(),
+            shrinkages: Vec::new(),
             stops: Vec::new(),
             ended: BTreeSet::new(),
             answers: Vec::new(),
@@ -181,6 +189,11 @@
                 self.leased = leased.map(|worker| worker.to_string());
             }
             ControlEffect::Answer { answer, .. } => self.operator.push(answer),
+            ControlEffect::Record(FlowEvent::WorkerShrunk {
+                worker, cpu_milli, overfull, ..
+            }) => {
+                self.shrinkages.push(format!("{worker} to {cpu_milli}, overfull {overfull}"));
+            }
             _ => {}
         }
     }
@@ -247,6 +260,19 @@
         self.report_worker(session, Self::report(executor, born, None));
     }
 
+    /// Reports an executor's present capacity, before its agent has listed its runs.
+    pub fn report_capacity(
+        &mut self,
+        session: u64,
+        executor: &str,
+        born: u64,
+        (cores, memory_mb): (u64, u64),
+    ) {
+        let capacity = TaskDemand { cpu_milli: cores * 1000, memory_mb, accelerators: 0 };
+        let report = WorkerReport { capacity, ..Self::report(executor, born, None) };
+        self.report_worker(session, report);
+    }
+
     pub fn report_draining(&mut self, session: u64, executor: &str, born: u64) {
         self.report_worker(session, Self::report(executor, born, Some(2000)));
     }
@@ -305,6 +331,18 @@
         self.send(session, LinkMessage::Runs { worker: Self::parse_incarnation(worker), runs });
     }
 
+    /// Reports the end of a run together with an empty list of runs, as an agent does: control
+    /// decides on both at once.
+    pub fn report_end_and_no_runs(&mut self, session: u64, worker: &str, task: &str, run: u32) {
+        let (task, run, checkpoint) = (task.parse().unwrap(), RunNumber(run), String::new());
+        let ends = vec![EndReport { number: 1, task, run, end: EndKind::Done, checkpoint }];
+        let message = LinkMessage::Ends { worker: Self::parse_incarnation(worker), ends };
+        let event = ControlEvent::Message { session: SessionId(session), message };
+        let effects = self.node.reduce(self.now, event);
+        effects.into_iter().for_each(|effect| self.record(effect));
+        self.report_runs(session, worker, &[]);
+    }
+
     /// Lists runs with their figures: tail latencies in milliseconds, or thousandths of a core in
     /// use.
     pub fn report_figures(&mut self, session: u64, worker: &str, runs: &[(&str, u32, u64)]) {
@@ -347,6 +385,10 @@
         started.filter(|task| !self.ended.contains(*task)).map(str::to_owned).collect()
     }
 
+    pub fn shrinkages(&self) -> &[String] {
+        &self.shrinkages
+    }
+
     pub fn stops(&self) -> &[String] {
         &self.stops
     }
