Count only reserved processors as the load of a service

What callers saw: a job with nothing running waits after the traffic, with most of the room free.

Cause: a job with nothing placed may start beside latency-critical tasks without spare headroom only while the load of its service is below 0.6. The load counted the processors of best-effort tasks, which reserve none. Where reservations were small and best-effort tasks filled the rest, the job waited for their end.

Change: the load of a service is the share of its processors that is reserved, as the name of the constant has said all along.

--- a/crates/workflow/src/plan/reservations.rs
+++ b/crates/workflow/src/plan/reservations.rs
@@ -184,13 +184,13 @@
         }
     }
 
-    /// Returns the share of a service's processors that placed tasks ask for.
+    /// Returns the share of a service's processors that is reserved. Best-effort tasks reserve none.
     pub(super) fn load_of(&self, service: &str, workers: &WorkerTable, now: Duration) -> f64 {
         let (mut taken, mut capacity) = (0.0, 0.0);
         for (executor, worker) in workers.iter().filter(|(_, worker)| worker.accepts(service, now))
         {
             let Some(reserved) = self.of(executor) else { continue };
-            taken += reserved.demand.cpu_milli as f64 + reserved.best_effort_milli();
+            taken += reserved.demand.cpu_milli as f64;
             capacity += worker.report.capacity.cpu_milli as f64;
         }
         taken / f64::max(capacity, 1.0)
