Start one task of a starving job that no worker has idle processors for

What callers saw: a job with nothing running waits after the traffic, with most of the room free.

Where other best-effort tasks filled the workers, a job with nothing placed waited for their end, however little was reserved.

Evidence: the cases of tests/waiting.rs in which best-effort tasks use every processor (a single task, a step of eight, a gang) failed before.

Change: what a step's tasks wait for is a type, StartTerms. The first task or the gang of a starving job that found no worker needs processors that are not reserved, in place of idle ones. The other tasks of the step wait as before.

Result: the three cases pass, with all tests of the crate. A task that is larger than what is unreserved still waits: two cases, which fail if the new condition on processors is taken out.

--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -31,7 +31,7 @@
         claims::{DisplacedSteps, RoomClaims},
         order::StepRank,
         reservations::ReservationTable,
-        score::StepRequest,
+        score::{StartTerms, StepRequest},
         steps::{open_steps, OpenStep},
     },
     crate::{
@@ -169,29 +169,30 @@
     /// Places the waiting tasks of a step on the given workers, or on any. Returns whether no task
     /// is left waiting.
     fn place_step(&mut self, step: &OpenStep<'_>, workers: Option<&BTreeSet<usize>>) -> bool {
-        if step.waiting().next().is_none() {
+        let waiting = step.waiting().count();
+        if waiting == 0 {
             return true;
         }
         if workers.is_some_and(BTreeSet::is_empty) && !step.is_displaced() {
             return false;
         }
-        let inputs = self.inputs;
-        let PassInputs { workers: table, time, .. } = inputs;
+        let PassInputs { workers: table, time, .. } = self.inputs;
         let spec = step.spec();
         let service = step.rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
         let rack = self.reservations.rack_for(step.tasks(), spec, service, table, time.now);
         let starving = self.is_starving(step, service);
+        let terms = if starving { StartTerms::Starving } else { StartTerms::Regular };
         let (key, rack) = (step.step_key(), rack.as_deref());
-        let request = StepRequest { key, spec, service, rack, starving };
-        let mut queue =
-            CandidateQueue::new(&request, inputs, self.reservations, &self.claims, workers);
-        if spec.gang {
-            return self.place_gang(step, &mut queue);
+        let request = StepRequest { key, spec, service, rack, terms };
+        let mut placed = self.place_tasks(step, &request, waiting, workers);
+        if starving && placed == 0 {
+            let request = StepRequest { terms: StartTerms::Stranded, ..request };
+            placed = self.place_tasks(step, &request, 1, workers);
         }
-        let left = self.place_tasks(step, &mut queue);
-        let displaced = left > 0 && step.is_displaced();
+        let left = waiting - placed;
+        let displaced = left > 0 && !spec.gang && step.is_displaced();
         if displaced && self.displaced.add(key, time.now, &self.earlier) {
-            self.claims.add(&request, left, inputs, self.reservations);
+            self.claims.add(&request, left, self.inputs, self.reservations);
         }
         left == 0
     }
@@ -215,27 +216,41 @@
         load < STARVATION_LOAD
     }
 
-    /// Places the waiting tasks of a step. Returns how many are left.
-    fn place_tasks(&mut self, step: &OpenStep<'_>, queue: &mut CandidateQueue<'_>) -> usize {
-        let mut waiting = step.waiting();
-        while let Some(index) = waiting.next() {
+    /// Places at most `limit` waiting tasks of a step, or the whole gang. Returns how many it has
+    /// placed.
+    fn place_tasks(
+        &mut self,
+        step: &OpenStep<'_>,
+        request: &StepRequest<'_>,
+        limit: usize,
+        workers: Option<&BTreeSet<usize>>,
+    ) -> usize {
+        let (inputs, claims) = (self.inputs, &self.claims);
+        let mut queue = CandidateQueue::new(request, inputs, self.reservations, claims, workers);
+        if request.spec.gang {
+            return self.place_gang(step, &mut queue);
+        }
+        let mut placed = 0;
+        for index in step.waiting().take(limit) {
             let task = step.key(index);
             let record = &step.tasks().tasks[index];
             let best = if record.failures > 0 { queue.best_for_retry(&task) } else { queue.best() };
             // All tasks of a step have the same demand: if one does not fit, none does.
-            let Some(worker) = best else { return 1 + waiting.count() };
+            let Some(worker) = best else { break };
             let run = RunNumber(record.run.0 + 1);
             let worker = queue.reserve(worker, &task, self.reservations);
             self.placements.push(Placement { task, run, worker });
+            placed += 1;
         }
-        0
+        placed
     }
 
-    /// Starts all members of a gang together under one run number, or none of them.
-    fn place_gang(&mut self, step: &OpenStep<'_>, queue: &mut CandidateQueue<'_>) -> bool {
+    /// Starts all members of a gang together under one run number, or none of them. Returns how
+    /// many it has started.
+    fn place_gang(&mut self, step: &OpenStep<'_>, queue: &mut CandidateQueue<'_>) -> usize {
         let tasks = &step.tasks().tasks;
         if step.waiting().count() != tasks.len() {
-            return false;
+            return 0;
         }
         let run = RunNumber(tasks.iter().map(|task| task.run.0).max().unwrap_or(0) + 1);
         let mut members = Vec::new();
@@ -245,12 +260,12 @@
                 for Placement { task, worker, .. } in &members {
                     self.reservations.release(worker, task, step.spec());
                 }
-                return false;
+                return 0;
             };
             let worker = queue.reserve(worker, &task, self.reservations);
             members.push(Placement { task, run, worker });
         }
         self.placements.extend(members);
-        true
+        tasks.len()
     }
 }
--- a/crates/workflow/src/plan/reservations.rs
+++ b/crates/workflow/src/plan/reservations.rs
@@ -252,6 +252,11 @@
         .min(share(free.accelerators, spec.demand.accelerators))
 }
 
+/// Returns the processors of a worker that are not reserved, in thousandths of a core.
+pub(super) fn unreserved_milli(worker: &WorkerView, reserved: &WorkerReservations) -> u64 {
+    free_capacity(worker.report.capacity, reserved.demand).cpu_milli
+}
+
 /// Returns the free part of a task's demand on a worker, by the resource that it lacks most: 1 if
 /// the task just fits.
 pub(super) fn fit_share(
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         interference::{BestEffortShare, HeadroomForecast, ImageName},
-        reservations::{fitting, WorkerReservations},
+        reservations::{fitting, unreserved_milli, WorkerReservations},
         worker::WorkerView,
         PassInputs,
     },
@@ -34,16 +34,34 @@
 /// target while its load grows by a fifth.
 const PLANNED_HEADROOM: f64 = 1.2;
 
+/// What the tasks of a step wait for, so as not to slow others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum StartTerms {
+    /// They wait for idle processors, and for headroom of latency-critical tasks.
+    Regular,
+    /// The job is past the starvation age and has nothing placed while the service has capacity:
+    /// its tasks don't wait for headroom.
+    Starving,
+    /// For the first task or gang of a starving job that found no worker: it doesn't wait for idle
+    /// processors either, and slows the best-effort tasks beside it.
+    Stranded,
+}
+
 /// The placement requirements of a step's tasks.
+#[derive(Clone, Copy)]
 pub(super) struct StepRequest<'a> {
     pub(super) key: StepKey,
     pub(super) spec: &'a StepSpec,
     pub(super) service: &'a str,
     /// The rack on which the tasks run faster.
     pub(super) rack: Option<&'a str>,
-    /// Whether the job is past the starvation age and has nothing placed while the service has
-    /// capacity.
-    pub(super) starving: bool,
+    pub(super) terms: StartTerms,
+}
+
+impl StepRequest<'_> {
+    fn is_starving(&self) -> bool {
+        self.terms >= StartTerms::Starving
+    }
 }
 
 /// Returns the score of a worker, lower for better ones; `None` if the worker may not run a task of
@@ -60,7 +78,7 @@
         return None;
     }
     let strain = strain_of(request, worker, reserved, &inputs.forecast);
-    if strain > 1.0 && !request.starving {
+    if strain > 1.0 && !request.is_starving() {
         return None;
     }
     let elsewhere = request.rack.is_some_and(|rack| worker.rack() != Some(rack));
@@ -79,10 +97,27 @@
     worker: &WorkerView,
     reserved: &WorkerReservations,
     now: Duration,
+) -> bool {
+    has_processors(request, worker, reserved)
+        && may_hold(request, worker, reserved, now)
+        && fitting(worker, reserved, request.spec) > 0
+}
+
+/// Returns whether a worker has the processors that a best-effort task needs to start: idle ones, or
+/// for a stranded task such that are not reserved.
+fn has_processors(
+    request: &StepRequest<'_>,
+    worker: &WorkerView,
+    reserved: &WorkerReservations,
 ) -> bool {
     let spec = request.spec;
-    let idle = !spec.filler || idle_share(worker, reserved, spec) >= MIN_IDLE_SHARE;
-    idle && may_hold(request, worker, reserved, now) && fitting(worker, reserved, spec) > 0
+    if !spec.filler {
+        return true;
+    }
+    if request.terms == StartTerms::Stranded {
+        return unreserved_milli(worker, reserved) >= spec.demand.cpu_milli;
+    }
+    idle_share(worker, reserved, spec) >= MIN_IDLE_SHARE
 }
 
 /// Returns whether a worker may run a task of the step as soon as it has the free capacity.
@@ -145,7 +180,7 @@
     strain: f64,
 ) -> f64 {
     let load = reserved.busy_milli() / capacity_of(worker);
-    match (reserved.latency_critical.is_empty(), request.starving) {
+    match (reserved.latency_critical.is_empty(), request.is_starving()) {
         (true, false) => load + UNSHARED_PENALTY,
         (false, true) => load + STARVING_PENALTY + strain.min(1.0),
         _ => load + strain.min(1.0),
--- a/crates/workflow/tests/waiting.rs
+++ b/crates/workflow/tests/waiting.rs
@@ -307,13 +307,37 @@
     fleet
 }
 
+/// Best-effort tasks that use every processor.
+fn filled_fleet() -> WaitingFleet {
+    let mut fleet = WaitingFleet::new(usize::from(FLEET));
+    fleet.submit(1, &[best_effort(one_a_worker(FLEET, CORES))], LONG);
+    fleet.pass_for(Duration::from_secs(2));
+    fleet
+}
+
 // A job with nothing running waited on a fleet with most of its room free.
 #[rstest]
 #[case::strained_single(strained_fleet(), best_effort(step(1, 1)))]
 #[case::strained_many(strained_fleet(), best_effort(step(8, 1)))]
 #[case::strained_gang(strained_fleet(), StepSpec { gang: true, ..best_effort(step(4, 2)) })]
+#[case::filled_single(filled_fleet(), best_effort(step(1, 1)))]
+#[case::filled_many(filled_fleet(), best_effort(step(8, 1)))]
+#[case::filled_gang(filled_fleet(), StepSpec { gang: true, ..best_effort(step(4, 2)) })]
 fn a_job_that_could_run_does_not_wait(#[case] mut fleet: WaitingFleet, #[case] spec: StepSpec) {
     assert!(fleet.reserved_share() < BUSY_SHARE && fleet.has_room_for(&spec));
     fleet.submit(9, &[spec], LONG);
     fleet.check_rest(Duration::from_secs(8), "a job");
 }
+
+// A best-effort task reserves no processors, yet it needs a worker that has them.
+#[rstest]
+#[case::larger_than_a_worker(filled_fleet(), best_effort(step(1, CORES + 1)))]
+#[case::larger_than_what_is_unreserved(strained_fleet(), best_effort(step(1, CORES - 2)))]
+fn a_starving_task_waits_for_a_worker_that_holds_it(
+    #[case] mut fleet: WaitingFleet,
+    #[case] spec: StepSpec,
+) {
+    fleet.submit(9, &[spec], LONG);
+    fleet.pass_for(Duration::from_secs(8));
+    assert_eq!(fleet.state.job(JobKey(9)).map(|job| job.begun), Some(false));
+}
