Let a starving job start one task on a claimed worker

What callers would see: a job with nothing running waits with most of the room free.

Cause: displaced lasting tasks that fit nowhere claim up to 16 workers, which may be every one that a step can use. Beside long tasks that leave too little for the displaced ones, the claims last as long as these run, and keep out all others.

Evidence: the cases of tests/waiting.rs with four claimed workers of four, of which three eighths are reserved (a single task, a step with a limit, a gang), failed before.

Change: the first task or the gang of a starving job that found no worker is offered the claimed ones as well.

Result: the three cases pass, with all tests of the crate; so do the older tests that a displaced task gets its room under load.

Conclusion: claims hold where most processors are reserved, which is what they are for.

--- a/crates/workflow/src/plan/candidates.rs
+++ b/crates/workflow/src/plan/candidates.rs
@@ -7,7 +7,7 @@
     super::{
         claims::RoomClaims,
         reservations::{ReservationTable, WorkerReservations},
-        score::{score_of, StepRequest, FAILED_HERE_PENALTY},
+        score::{score_of, StartTerms, StepRequest, FAILED_HERE_PENALTY},
         worker::WorkerView,
         PassInputs,
     },
@@ -63,7 +63,8 @@
         let (scores, queue) = (vec![None; count], BinaryHeap::new());
         let mut candidates = Self { request, inputs, scores, queue };
         // Best-effort tasks reserve no processors and may run on a claimed worker.
-        let open = |position: &usize| request.spec.filler || !claims.contains(*position);
+        let ignores_claims = request.spec.filler || request.terms == StartTerms::Stranded;
+        let open = |position: &usize| ignores_claims || !claims.contains(*position);
         match positions {
             Some(positions) => {
                 let open = positions.iter().copied().filter(open);
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -42,8 +42,9 @@
     /// The job is past the starvation age and has nothing placed while the service has capacity:
     /// its tasks don't wait for headroom.
     Starving,
-    /// For the first task or gang of a starving job that found no worker: it doesn't wait for idle
-    /// processors either, and slows the best-effort tasks beside it.
+    /// For the first task or gang of a starving job that found no worker: it waits neither for idle
+    /// processors nor for room that is claimed for others, and slows the best-effort tasks beside
+    /// it.
     Stranded,
 }
 
--- a/crates/workflow/tests/waiting.rs
+++ b/crates/workflow/tests/waiting.rs
@@ -123,6 +123,16 @@
         self.planner.touch(&executor);
     }
 
+    /// Loses a worker with its runs.
+    fn lose_worker(&mut self, number: usize) {
+        let Some(lost) = self.workers.shift_remove(&incarnation(number, 0).executor) else {
+            return;
+        };
+        for (task, run, worker) in self.placed_on(&lost.incarnation().clone()) {
+            self.end(task, run, worker, EndKind::Expired);
+        }
+    }
+
     fn end(&mut self, task: TaskKey, run: RunNumber, worker: WorkerIncarnation, end: EndKind) {
         let checkpoint = String::new();
         self.apply(FlowCommand::End { task, run, worker, end, checkpoint });
@@ -315,6 +325,27 @@
     fleet
 }
 
+/// Lasting tasks that have lost their workers, and fit beside what runs on no other.
+fn claimed_fleet() -> WaitingFleet {
+    let count = usize::from(FLEET);
+    let mut fleet = WaitingFleet::new(2 * count);
+    let lasting = StepSpec { lasting: true, ..one_a_worker(FLEET, 6) };
+    fleet.submit(1, &[lasting], LONG);
+    fleet.pass();
+    let free = fleet.workers.values().filter(|worker| fleet.reserved_on(worker).cpu_milli == 0);
+    let free: BTreeSet<Arc<str>> =
+        free.map(|worker| worker.incarnation().executor.clone()).collect();
+    fleet.submit(2, &[one_a_worker(FLEET, 3)], LONG);
+    fleet.pass();
+    for number in 0..2 * count {
+        if !free.contains(&incarnation(number, 0).executor) {
+            fleet.lose_worker(number);
+        }
+    }
+    fleet.pass_for(Duration::from_secs(5));
+    fleet
+}
+
 // A job with nothing running waited on a fleet with most of its room free.
 #[rstest]
 #[case::strained_single(strained_fleet(), best_effort(step(1, 1)))]
@@ -323,6 +354,9 @@
 #[case::filled_single(filled_fleet(), best_effort(step(1, 1)))]
 #[case::filled_many(filled_fleet(), best_effort(step(8, 1)))]
 #[case::filled_gang(filled_fleet(), StepSpec { gang: true, ..best_effort(step(4, 2)) })]
+#[case::claimed_single(claimed_fleet(), step(1, 1))]
+#[case::claimed_many(claimed_fleet(), one_a_worker(8, 1))]
+#[case::claimed_gang(claimed_fleet(), StepSpec { gang: true, ..step(4, 1) })]
 fn a_job_that_could_run_does_not_wait(#[case] mut fleet: WaitingFleet, #[case] spec: StepSpec) {
     assert!(fleet.reserved_share() < BUSY_SHARE && fleet.has_room_for(&spec));
     fleet.submit(9, &[spec], LONG);
