Play random traffic and check that no job waits after it

Change: a seeded test of the planner plays 20 s of random jobs (best-effort ones, gangs, steps with limits, serving tasks whose headroom swings), lost workers, refused starts and changes of the leader, then 15 s of rest. In the rest, no job may wait for more than 2.5 s by the rule of the other tests in the file.

--- a/crates/workflow/tests/waiting.rs
+++ b/crates/workflow/tests/waiting.rs
@@ -4,10 +4,12 @@
 mod fixtures;
 
 use {
+    base::SeededRandom,
     fixtures::fleet_config,
     rstest::rstest,
     std::{
         collections::{BTreeMap, BTreeSet},
+        f64::consts::TAU,
         sync::Arc,
         time::Duration,
     },
@@ -36,6 +38,8 @@
 const ROOM_FACTOR: u64 = 2;
 /// The headroom that a whole machine of best-effort tasks takes.
 const PRESSURE: f64 = 1.5;
+/// The period of the load of serving tasks.
+const SWING_PERIOD: Duration = Duration::from_secs(11);
 
 /// The headroom of latency-critical tasks that leave none to others.
 const NO_SPARE: f64 = 0.9;
@@ -85,8 +89,9 @@
     learned: InterferenceTable,
     planner: PlacementPlanner,
     now: Duration,
-    /// The headroom of a serving task with nothing beside it.
+    /// The headroom of a serving task with nothing beside it, and how far it swings.
     level: f64,
+    swing: f64,
     spans: BTreeMap<JobKey, Duration>,
     begun: BTreeMap<(TaskKey, RunNumber), Duration>,
     /// The time since which each job could run and does not.
@@ -102,6 +107,7 @@
             planner: PlacementPlanner::default(),
             now: Duration::ZERO,
             level: 3.0,
+            swing: 0.0,
             spans: BTreeMap::new(),
             begun: BTreeMap::new(),
             waiting_since: BTreeMap::new(),
@@ -206,6 +212,8 @@
     }
 
     fn observe_latencies(&mut self) {
+        let turn = TAU * self.now.as_secs_f64() / SWING_PERIOD.as_secs_f64();
+        let level = self.level + self.swing * turn.sin();
         let mut seen = Vec::new();
         for worker in self.workers.values() {
             let mut shares: BTreeMap<ImageName, f64> = BTreeMap::new();
@@ -222,7 +230,7 @@
             let used: f64 = shares.values().sum();
             let share = |(image, share)| BestEffortShare { image, share };
             let shares: Vec<BestEffortShare> = shares.into_iter().map(share).collect();
-            let tail_share = (self.level - PRESSURE * used).max(0.1).recip();
+            let tail_share = (level - PRESSURE * used).max(0.1).recip();
             seen.extend(steps.into_iter().map(|step| (step, shares.clone(), tail_share)));
         }
         for ((step, image), shares, tail_share) in seen {
@@ -375,3 +383,111 @@
     fleet.pass_for(Duration::from_secs(8));
     assert_eq!(fleet.state.job(JobKey(9)).map(|job| job.begun), Some(false));
 }
+
+const SEEDS: u64 = 24;
+const TRAFFIC: Duration = Duration::from_secs(20);
+const REST: Duration = Duration::from_secs(15);
+/// The time that a tenth of the jobs' tasks run.
+const LONG_RUN: Duration = Duration::from_secs(10);
+const PROPERTY_FLEET: usize = 12;
+
+/// A fleet with random jobs, lost workers, refused starts and changes of the leader.
+struct RandomTraffic {
+    random: SeededRandom,
+    fleet: WaitingFleet,
+    /// The number of jobs so far.
+    jobs: u64,
+    job_chance: f64,
+    best_effort_chance: f64,
+}
+
+impl RandomTraffic {
+    fn new(seed: u64) -> Self {
+        let mut random = SeededRandom::new(seed);
+        let mut fleet = WaitingFleet::new(PROPERTY_FLEET);
+        fleet.level = 0.8 + 2.0 * random.unit();
+        fleet.swing = 0.6 * random.unit();
+        let job_chance = 0.1 + 0.5 * random.unit();
+        let best_effort_chance = random.unit();
+        Self { random, fleet, jobs: 0, job_chance, best_effort_chance }
+    }
+
+    fn submit(&mut self, steps: &[StepSpec], span: Duration) {
+        self.jobs += 1;
+        self.fleet.submit(self.jobs, steps, span);
+    }
+
+    fn submit_lasting(&mut self) {
+        let count = 1 + self.random.below(5) as u16;
+        let cores = 1 + self.random.below(3) as u64;
+        let limit = self.random.chance(0.5).then_some(1);
+        let plain = StepSpec { per_worker_limit: limit, ..step(count, cores) };
+        let serves = self.random.chance(0.7);
+        let lasting = if serves { serving(plain) } else { StepSpec { lasting: true, ..plain } };
+        self.submit(&[lasting], LONG);
+    }
+
+    fn submit_short(&mut self) {
+        let is_best_effort = self.random.chance(self.best_effort_chance);
+        let count = 1 + self.random.below(2) as u16;
+        let steps: Vec<StepSpec> =
+            (0..count).map(|at| self.random_step(at, is_best_effort)).collect();
+        let (low, high) = (Duration::from_millis(300), Duration::from_secs(3));
+        let long = self.random.chance(0.1);
+        let span = if long { LONG_RUN } else { self.random.duration_between(low, high) };
+        self.submit(&steps, span);
+    }
+
+    fn random_step(&mut self, position: u16, is_best_effort: bool) -> StepSpec {
+        let plain = step(1 + self.random.below(8) as u16, 1 + self.random.below(5) as u64);
+        let spec = StepSpec {
+            depends_on: if position > 0 { vec![position - 1] } else { Vec::new() },
+            gang: self.random.chance(0.15),
+            per_worker_limit: self.random.chance(0.25).then_some(2),
+            ..plain
+        };
+        if is_best_effort {
+            best_effort(spec)
+        } else {
+            spec
+        }
+    }
+
+    /// Loses a worker or brings one back, lets a worker refuse, or lets another leader plan.
+    fn disturb(&mut self) {
+        let number = self.random.below(PROPERTY_FLEET);
+        let executor = incarnation(number, 0).executor;
+        let now = self.fleet.now;
+        let known = self.fleet.workers.contains_key(&executor);
+        match self.random.below(3) {
+            0 if known => self.fleet.lose_worker(number),
+            1 => self.fleet.planner = PlacementPlanner::default(),
+            _ if known => self.fleet.workers[&executor].record_refusal(now),
+            _ => self.fleet.add_worker(number),
+        }
+    }
+
+    fn play(&mut self) {
+        for _ in 0..2 + self.random.below(4) {
+            self.submit_lasting();
+        }
+        for _ in 0..TRAFFIC.as_millis() / PASS.as_millis() {
+            if self.random.chance(self.job_chance) {
+                self.submit_short();
+            }
+            if self.random.chance(0.04) {
+                self.disturb();
+            }
+            self.fleet.pass();
+        }
+    }
+}
+
+#[test]
+fn no_job_that_could_run_waits_after_the_traffic() {
+    for seed in 0..SEEDS {
+        let mut traffic = RandomTraffic::new(seed);
+        traffic.play();
+        traffic.fleet.check_rest(REST, &format!("seed {seed}:"));
+    }
+}
