Test that losses leave no job without a run for long

What was looked for: a job whose task is placed in the log and runs nowhere, or which the planner skips, after the loss of an agent, a leader or a worker.

Change: the schedules of faults now fail if, once the faults are over, a job that has not ended has nothing running for 4 s; before, it had 60 s to end. Tests of control: a task starts at once when its worker ends its drain, answers again, comes back or has a lease again, and a gang that lost a member starts again. A test of the planner's fleet: the counts by which a pass skips a job are those of its tasks, with cancelled jobs and repeated commands.

--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use {
+    rstest::rstest,
     support::{job, ControlHarness, StepBuilder},
     workflow::{job::JobSchedule, message::LinkMessage, state::EndKind},
 };
@@ -280,6 +281,60 @@
     assert_eq!(harness.starts().len(), 2);
 }
 
+fn drain(harness: &mut ControlHarness) {
+    harness.report_draining(1, "e1", 100);
+}
+
+fn fall_silent(harness: &mut ControlHarness) {
+    harness.report_unresponsive(1, "e1", 100);
+}
+
+fn lose_the_stream(harness: &mut ControlHarness) {
+    harness.close(1);
+}
+
+fn let_the_lease_expire(harness: &mut ControlHarness) {
+    harness.advance(4500);
+}
+
+#[rstest]
+#[case::drained(drain)]
+#[case::silent(fall_silent)]
+#[case::unreachable(lose_the_stream)]
+#[case::without_a_lease(let_the_lease_expire)]
+fn a_task_starts_as_soon_as_its_worker_is_usable_again(#[case] hinder: fn(&mut ControlHarness)) {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    hinder(&mut harness);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    harness.submit(0xb, job(&[StepBuilder::tasks(2).gang()]));
+    harness.advance(1000);
+    assert!(harness.starts().is_empty(), "{:?}", harness.starts());
+    harness.connect_worker(1, "e1", 100);
+    assert_eq!(harness.starts().len(), 3);
+}
+
+// A gang can only start anew once all of its members have ended.
+#[test]
+fn a_gang_that_lost_a_member_with_its_worker_starts_again_after_the_lease() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.connect_worker(2, "e2", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(2).cores(16).gang()]));
+    assert_eq!(harness.starts().len(), 2);
+    harness.close(1);
+    harness.connect_worker(3, "e3", 100);
+    let kept = harness.starts().iter().find(|start| start.ends_with("e2@100")).cloned();
+    let (kept, _) = kept.as_deref().and_then(|start| start.split_once(' ')).unwrap_or_default();
+    harness.report_end(2, "e2@100", 1, kept, 1, EndKind::GangIncomplete);
+    for _ in 0..22 {
+        harness.keep_alive(2, 200);
+        harness.send(3, LinkMessage::Ping { sequence: 1 });
+    }
+    let again = |start: &&String| start.contains(" run 2 on ");
+    assert_eq!(harness.starts().iter().filter(again).count(), 2, "{:?}", harness.starts());
+}
+
 const LATENCY_CRITICAL: &str = "0000000000000001.0.0.0";
 const BEST_EFFORT: &str = "000000000000000a.0.0.0";
 
--- a/crates/workflow/tests/planning.rs
+++ b/crates/workflow/tests/planning.rs
@@ -14,7 +14,9 @@
             InterferenceTable, Placement, PlacementPlanner, PlanInputs, PlanTime, WorkerTable,
             WorkerView,
         },
-        state::{CommandBatch, CommandOutcome, EndKind, FlowCommand, FlowState, Submission},
+        state::{
+            CommandBatch, CommandOutcome, EndKind, FlowCommand, FlowState, Submission, TaskPhase,
+        },
     },
 };
 
@@ -174,6 +176,38 @@
         self.plan();
     }
 
+    /// Cancels a job, or sends commands again that have taken effect before.
+    fn disturb(&mut self) {
+        let placed = self.placed();
+        if placed.is_empty() {
+            return;
+        }
+        let (task, run, worker) = placed[self.random.below(placed.len())].clone();
+        let (end, checkpoint) = (EndKind::Done, String::new());
+        let later = WorkerIncarnation { started_ms: worker.started_ms + 1, ..worker.clone() };
+        match self.random.below(4) {
+            0 => self.apply(FlowCommand::Cancel { job: task.job }),
+            1 => self.apply(FlowCommand::Place { task, run, worker }),
+            2 => self.apply(FlowCommand::Adopt { task, run, worker: later }),
+            _ => {
+                let again = FlowCommand::End { task, run, worker, end, checkpoint };
+                self.apply(again.clone());
+                self.apply(again)
+            }
+        };
+    }
+
+    /// Checks the counts by which a pass skips jobs with nothing to place.
+    fn check_counts(&self, context: &str) {
+        for (key, record) in self.state.active_jobs() {
+            let tasks = || record.tasks(key).map(|(_, task)| &task.phase);
+            let placed = tasks().filter(|phase| matches!(phase, TaskPhase::Placed(_))).count();
+            let unfinished = tasks().filter(|phase| **phase != TaskPhase::Done).count();
+            let counts = (record.placed as usize, record.unfinished as usize);
+            assert_eq!(counts, (placed, unfinished), "{context}: {key}");
+        }
+    }
+
     /// Returns what a planner without a memory would place on top.
     fn left_by_planner(&self) -> Vec<Placement> {
         PlacementPlanner::default().plan(self.inputs())
@@ -235,3 +269,18 @@
         }
     }
 }
+
+// A pass skips a job whose unfinished tasks are all placed. If the counts drifted, a job could wait
+// for good.
+#[test]
+fn the_counts_of_a_job_are_those_of_its_tasks() {
+    for seed in 300..310 {
+        let mut fleet = PlannedFleet::new(seed);
+        for round in 0..ROUNDS {
+            fleet.play_round();
+            fleet.disturb();
+            fleet.check_counts(&format!("seed {seed}, round {round}"));
+            fleet.check_index();
+        }
+    }
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -251,6 +251,12 @@
         self.report_worker(session, Self::report(executor, born, Some(2000)));
     }
 
+    /// Reports that the executor does not answer its agent.
+    pub fn report_unresponsive(&mut self, session: u64, executor: &str, born: u64) {
+        let report = Self::report(executor, born, None);
+        self.report_worker(session, WorkerReport { responsive: false, ..report });
+    }
+
     fn call(&mut self, key: u64, call: CallerCall) {
         self.sequence += 1;
         let (sequence, host, path) = (self.sequence, "h".to_owned(), format!("/q/{key:016x}"));
--- a/crates/workflow/tests/world/mod.rs
+++ b/crates/workflow/tests/world/mod.rs
@@ -37,6 +37,9 @@
 const FAULT_STEPS: usize = 1500;
 /// Steps without faults within which every job has to end.
 const RECOVERY_STEPS: usize = 6000;
+/// The longest time for which a job may have nothing running once the faults are over: an election,
+/// the leases that the new leader waits for, and a few messages.
+const WAIT_LIMIT: Duration = Duration::from_millis(4000);
 /// How long the fake executor keeps a poll open.
 const POLL: Duration = Duration::from_millis(50);
 
@@ -245,9 +248,18 @@
         }
     }
 
+    /// Expects that every job ends, and that none has nothing running for long on the way.
     pub fn expect_all_jobs_end(&mut self) {
+        let mut waiting_since: BTreeMap<u64, Duration> = BTreeMap::new();
         for _ in 0..RECOVERY_STEPS {
             self.step();
+            let waiting = self.jobs_without_runs();
+            waiting_since.retain(|job, _| waiting.contains(job));
+            for job in waiting {
+                let since = *waiting_since.entry(job).or_insert(self.now);
+                let waited = self.now - since;
+                assert!(waited < WAIT_LIMIT, "seed {}: job {job} waits for {waited:?}", self.seed);
+            }
             if self.all_jobs_ended() {
                 return;
             }
@@ -259,6 +271,14 @@
         );
     }
 
+    /// Returns the accepted jobs that have not ended and of which no executor runs a task.
+    fn jobs_without_runs(&self) -> BTreeSet<u64> {
+        let running = self.agents.iter().flat_map(|host| host.executor.running());
+        let running: BTreeSet<u64> = running.map(|(task, _)| task.job.0).collect();
+        let open = self.jobs_in_progress().into_iter().map(|(job, _)| job);
+        open.filter(|job| !running.contains(job)).collect()
+    }
+
     fn jobs_in_progress(&self) -> Vec<(u64, Option<JobPhase>)> {
         let leader = self.controls.iter().filter_map(|host| host.node.as_ref());
         let state = leader.max_by_key(|node| node.applied().clock_ms()).map(ControlNode::applied);
