Count each millisecond once on the clock of the speculative state

What callers saw: nothing of it by itself. A best-effort job counted as starving, and jobs as late or missed, before their time.

Cause: a settled batch adds the time since the last proposal to the clock of the speculative state. When it proposed nothing, the same time was added again at the next one: with a pass each 100 ms, a job was 1.5 s old after half a second. The log's clock was right, so the two differed until the leadership ended, and ended jobs left the speculative state early.

Evidence: a test of control in which a best-effort job beside a latency-critical task over its target started before it was 1.4 s old. It failed before.

Change: the speculative clock and the next proposal are counted apart. The format and the meaning of the entries are unchanged.

Result: the job starts between 1.4 and 1.8 s of its age; all tests of the crate pass.

Conclusion: ages decide the order of jobs and their starvation, and their limits were chosen with a clock that ran fast, the more so the fewer the proposals.

--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -41,8 +41,10 @@
 pub(super) struct LeaderState {
     pub(super) term: u64,
     pub(super) leading_since: Duration,
-    /// The time up to which the log's clock counts this leadership.
+    /// The time up to which the clock of the speculative state counts this leadership.
     pub(super) counted_until: Duration,
+    /// What the next proposal adds to the log's clock, in milliseconds.
+    pub(super) unproposed_ms: u64,
     /// The speculative state: the applied state plus all proposed entries.
     pub(super) speculative: FlowState,
     pub(super) pending: PendingBatch,
@@ -118,6 +120,7 @@
             term,
             leading_since: self.now,
             counted_until: self.now,
+            unproposed_ms: 0,
             speculative,
             pending: PendingBatch { commands, deferred: Vec::new() },
             in_flight: BTreeMap::new(),
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -29,6 +29,8 @@
         }
         let PendingBatch { mut commands, mut deferred } = std::mem::take(&mut leader.pending);
         let elapsed_ms = now.saturating_sub(leader.counted_until).as_millis() as u64;
+        leader.counted_until += Duration::from_millis(elapsed_ms);
+        leader.unproposed_ms += elapsed_ms;
         let batch = CommandBatch { elapsed_ms, commands };
         let mut ended = affected_jobs(&batch.commands);
         ended.retain(|key| leader.speculative.job(*key).is_some_and(|job| job.outcome.is_none()));
@@ -52,7 +54,7 @@
             return;
         }
         let Some(leader) = &mut self.leader else { return };
-        leader.counted_until += Duration::from_millis(elapsed_ms);
+        let elapsed_ms = std::mem::take(&mut leader.unproposed_ms);
         let data = CommandBatch { elapsed_ms, commands }.to_bytes();
         let ticket = self.next_ticket();
         if let Some(leader) = &mut self.leader {
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -388,6 +388,24 @@
     assert_eq!(harness.starts().last().unwrap(), "000000000000000b.0.0.0 run 1 on e2@100");
 }
 
+// While nothing was proposed, each pass added the whole time since the last proposal to the leader's
+// clock, and a job counted as starving after half a second.
+#[test]
+fn a_job_starves_only_at_its_age() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.submit(0x1, job(&[StepBuilder::tasks(1).lasting().image("web").latency_target(20)]));
+    for _ in 0..20 {
+        harness.keep_alive(1, 400);
+        harness.report_figures(1, "e1@100", &[(LATENCY_CRITICAL, 1, 40)]);
+    }
+    harness.submit(0xa, job(&[StepBuilder::tasks(1).best_effort().image("sort")]));
+    harness.keep_alive(1, 1400);
+    assert_eq!(harness.starts().len(), 1, "the job is 1.4 s old");
+    harness.keep_alive(1, 400);
+    assert_eq!(harness.starts().len(), 2, "the job is 1.8 s old");
+}
+
 // A lasting task that was stopped found its room taken by short jobs, which rank first by their
 // little work.
 #[test]
