Let the random traffic ask for labels and racks

Change: a fifth of the random steps needs a label that every third worker has, and a fifth runs faster on one rack. The rule counts only the workers with the label.

--- a/crates/workflow/tests/waiting.rs
+++ b/crates/workflow/tests/waiting.rs
@@ -43,6 +43,9 @@
 
 /// The headroom of latency-critical tasks that leave none to others.
 const NO_SPARE: f64 = 0.9;
+/// A label of every third worker.
+const LABEL: &str = "large";
+const LABELLED_EACH: usize = 3;
 const LONG: Duration = Duration::from_secs(60);
 
 fn incarnation(number: usize, started_ms: u64) -> WorkerIncarnation {
@@ -125,7 +128,11 @@
     fn add_worker(&mut self, number: usize) {
         let worker = incarnation(number, 100 + self.now.as_millis() as u64);
         let executor = worker.executor.clone();
-        self.workers.insert(executor.clone(), usable_worker(worker));
+        let mut view = usable_worker(worker);
+        if number.is_multiple_of(LABELLED_EACH) {
+            view.report.labels.push(LABEL.to_owned());
+        }
+        self.workers.insert(executor.clone(), view);
         self.planner.touch(&executor);
     }
 
@@ -263,7 +270,10 @@
     fn has_room_for(&self, spec: &StepSpec) -> bool {
         let together = if spec.gang { u64::from(spec.count) } else { 1 };
         let (mut room, mut within_limit) = (0, 0);
-        for worker in self.usable_workers() {
+        let labelled = |worker: &&WorkerView| {
+            spec.required_label.as_ref().is_none_or(|label| worker.report.labels.contains(label))
+        };
+        for worker in self.usable_workers().filter(labelled) {
             let reserved = self.reserved_on(worker);
             let capacity = worker.report.capacity;
             let cores = capacity.cpu_milli.saturating_sub(reserved.cpu_milli);
@@ -444,6 +454,8 @@
             depends_on: if position > 0 { vec![position - 1] } else { Vec::new() },
             gang: self.random.chance(0.15),
             per_worker_limit: self.random.chance(0.25).then_some(2),
+            required_label: self.random.chance(0.2).then(|| LABEL.to_owned()),
+            same_rack: self.random.chance(0.2),
             ..plain
         };
         if is_best_effort {
