--- a/crates/workflow/src/plan/candidates.rs
+++ b/crates/workflow/src/plan/candidates.rs
@@ -7,7 +7,7 @@
     super::{
         claims::RoomClaims,
         reservations::{ReservationTable, WorkerReservations},
-        score::{score_of, StepRequest, FAILED_HERE_PENALTY},
+        score::{score_of, StartTerms, StepRequest, FAILED_HERE_PENALTY},
         worker::WorkerView,
         PassInputs,
     },
@@ -62,7 +62,9 @@
         let count = inputs.workers.len();
         let (scores, queue) = (vec![None; count], BinaryHeap::new());
         let mut candidates = Self { request, inputs, scores, queue };
-        let open = |position: &usize| claims.is_open(*position, request.spec);
+        // Best-effort tasks reserve no processors and may run on a claimed worker.
+        let ignores_claims = request.spec.filler || request.terms == StartTerms::Stranded;
+        let open = |position: &usize| claims.is_open(*position, ignores_claims);
         match positions {
             Some(positions) => {
                 let open = positions.iter().copied().filter(open);
--- a/crates/workflow/src/plan/claims.rs
+++ b/crates/workflow/src/plan/claims.rs
@@ -12,7 +12,7 @@
         score::{may_hold, StepRequest},
         PassInputs,
     },
-    crate::job::{StepKey, StepSpec},
+    crate::job::StepKey,
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
@@ -61,10 +61,10 @@
         self.positions.contains(&position) || self.closed.contains(&position)
     }
 
-    /// Returns whether a worker takes tasks of a step. Best-effort tasks reserve no processors and
-    /// may run on a claimed worker.
-    pub(super) fn is_open(&self, position: usize, spec: &StepSpec) -> bool {
-        let claimed = !spec.filler && self.positions.contains(&position);
+    /// Returns whether a worker takes tasks of a step. Some tasks may run on a claimed worker, but
+    /// none beside a trial.
+    pub(super) fn is_open(&self, position: usize, ignores_claims: bool) -> bool {
+        let claimed = !ignores_claims && self.positions.contains(&position);
         !claimed && !self.closed.contains(&position)
     }
 
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -37,7 +37,7 @@
         claims::{DisplacedSteps, RoomClaims},
         order::StepRank,
         reservations::{fitting, ReservationTable},
-        score::{may_hold, StepRequest},
+        score::{may_hold, StartTerms, StepRequest},
         steps::{open_steps, OpenStep},
         trials::TrialTable,
     },
@@ -201,26 +201,27 @@
         if workers.is_some_and(BTreeSet::is_empty) && !step.is_displaced() && !suspected {
             return false;
         }
-        let inputs = self.inputs;
-        let PassInputs { workers: table, time, .. } = inputs;
+        let PassInputs { workers: table, time, .. } = self.inputs;
         let spec = step.spec();
         let service = step.rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
         let rack = self.reservations.rack_for(step.tasks(), spec, service, table, time.now);
         let starving = self.is_starving(step, service);
+        let terms = if starving { StartTerms::Starving } else { StartTerms::Regular };
         let (key, rack) = (step.step_key(), rack.as_deref());
-        let request = StepRequest { key, spec, service, rack, starving };
-        let tried = if suspected { self.place_on_trial(step, &request) } else { 0 };
-        let mut queue =
-            CandidateQueue::new(&request, inputs, self.reservations, &self.claims, workers);
-        if spec.gang {
-            return self.place_gang(step, &mut queue);
+        let request = StepRequest { key, spec, service, rack, terms };
+        let on_trial = if suspected { self.place_on_trial(step, &request) } else { 0 };
+        let regular = regular_tasks(self.inputs.suspects, step).count();
+        let mut placed = self.place_tasks(step, &request, regular, workers);
+        if starving && placed == 0 {
+            let request = StepRequest { terms: StartTerms::Stranded, ..request };
+            placed = self.place_tasks(step, &request, regular.min(1), workers);
         }
-        let left = self.place_tasks(step, &mut queue);
-        let displaced = left > 0 && step.is_displaced();
+        let left = regular - placed;
+        let displaced = left > 0 && !spec.gang && step.is_displaced();
         if displaced && self.displaced.add(key, time.now, &self.earlier) {
-            self.claims.add(&request, left, inputs, self.reservations);
+            self.claims.add(&request, left, self.inputs, self.reservations);
         }
-        tried + left == 0
+        on_trial + left == 0
     }
 
     /// Places the waiting tasks of a suspected job on the executor of its trial. Returns how many
@@ -276,29 +277,41 @@
         load < STARVATION_LOAD
     }
 
-    /// Places the waiting tasks of a step. Returns how many are left.
-    fn place_tasks(&mut self, step: &OpenStep<'_>, queue: &mut CandidateQueue<'_>) -> usize {
-        let suspects = self.inputs.suspects;
-        let mut waiting =
-            step.waiting().filter(|index| !needs_trial(suspects, step, &step.key(*index)));
-        while let Some(index) = waiting.next() {
+    /// Places at most `limit` waiting tasks of a step, or the whole gang. Returns how many it has
+    /// placed.
+    fn place_tasks(
+        &mut self,
+        step: &OpenStep<'_>,
+        request: &StepRequest<'_>,
+        limit: usize,
+        workers: Option<&BTreeSet<usize>>,
+    ) -> usize {
+        let (inputs, claims) = (self.inputs, &self.claims);
+        let mut queue = CandidateQueue::new(request, inputs, self.reservations, claims, workers);
+        if request.spec.gang {
+            return self.place_gang(step, &mut queue);
+        }
+        let mut placed = 0;
+        for index in regular_tasks(self.inputs.suspects, step).take(limit) {
             let task = step.key(index);
             let record = &step.tasks().tasks[index];
             let best = if record.failures > 0 { queue.best_for_retry(&task) } else { queue.best() };
             // All tasks of a step have the same demand: if one does not fit, none does.
-            let Some(worker) = best else { return 1 + waiting.count() };
+            let Some(worker) = best else { break };
             let run = record.run.next();
             let worker = queue.reserve(worker, &task, self.reservations);
             self.placements.push(Placement { task, run, worker });
+            placed += 1;
         }
-        0
+        placed
     }
 
-    /// Starts all members of a gang together under one run number, or none of them.
-    fn place_gang(&mut self, step: &OpenStep<'_>, queue: &mut CandidateQueue<'_>) -> bool {
+    /// Starts all members of a gang together under one run number, or none of them. Returns how
+    /// many it has started.
+    fn place_gang(&mut self, step: &OpenStep<'_>, queue: &mut CandidateQueue<'_>) -> usize {
         let tasks = &step.tasks().tasks;
         if step.waiting().count() != tasks.len() {
-            return false;
+            return 0;
         }
         let run = tasks.iter().map(|task| task.run).max().unwrap_or_default().next();
         let mut members = Vec::new();
@@ -308,13 +321,13 @@
                 for Placement { task, worker, .. } in &members {
                     self.reservations.release(worker, task, step.spec());
                 }
-                return false;
+                return 0;
             };
             let worker = queue.reserve(worker, &task, self.reservations);
             members.push(Placement { task, run, worker });
         }
         self.placements.extend(members);
-        true
+        tasks.len()
     }
 }
 
@@ -329,3 +342,11 @@
 fn needs_trial(suspects: &SuspectTable, step: &OpenStep<'_>, task: &TaskKey) -> bool {
     may_need_trial(suspects, step) && (!step.spec().lasting || suspects.is_suspect(task))
 }
+
+/// Returns the waiting tasks of a step that need no trial.
+fn regular_tasks<'a>(
+    suspects: &'a SuspectTable,
+    step: &'a OpenStep<'_>,
+) -> impl Iterator<Item = usize> + 'a {
+    step.waiting().filter(move |index| !needs_trial(suspects, step, &step.key(*index)))
+}
--- a/crates/workflow/src/plan/relief.rs
+++ b/crates/workflow/src/plan/relief.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         reservations::WorkerReservations,
-        score::{may_run, StepRequest},
+        score::{may_run, StartTerms, StepRequest},
         worker::WorkerTable,
     },
     crate::{
@@ -21,7 +21,7 @@
     now: Duration,
 ) -> bool {
     let key = task.step_key();
-    let request = StepRequest { key, spec, service, rack: None, starving: false };
+    let request = StepRequest { key, spec, service, rack: None, terms: StartTerms::Regular };
     let others = workers.iter().filter(|(other, view)| *other != executor && !view.is_suspect(now));
     let mut reserved = others.map(|(other, view)| (view, WorkerReservations::new(state, other)));
     reserved.any(|(view, reserved)| may_run(&request, view, &reserved, now))
--- a/crates/workflow/src/plan/reservations.rs
+++ b/crates/workflow/src/plan/reservations.rs
@@ -219,13 +219,13 @@
         }
     }
 
-    /// Returns the share of a service's processors that placed tasks ask for.
+    /// Returns the share of a service's processors that is reserved. Best-effort tasks reserve none.
     pub(super) fn load_of(&self, service: &str, workers: &WorkerTable, now: Duration) -> f64 {
         let (mut taken, mut capacity) = (0.0, 0.0);
         for (executor, worker) in workers.iter().filter(|(_, worker)| worker.accepts(service, now))
         {
             let Some(reserved) = self.of(executor) else { continue };
-            taken += reserved.demand.cpu_milli as f64 + reserved.best_effort_milli();
+            taken += reserved.demand.cpu_milli as f64;
             capacity += worker.report.capacity.cpu_milli as f64;
         }
         taken / f64::max(capacity, 1.0)
@@ -291,6 +291,11 @@
         .min(share(free.accelerators, spec.demand.accelerators))
 }
 
+/// Returns the processors of a worker that are not reserved, in thousandths of a core.
+pub(super) fn unreserved_milli(worker: &WorkerView, reserved: &WorkerReservations) -> u64 {
+    free_capacity(worker.report.capacity, reserved.demand).cpu_milli
+}
+
 /// Returns the free part of a task's demand on a worker, by the resource that it lacks most: 1 if
 /// the task just fits.
 pub(super) fn fit_share(
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -7,6 +7,7 @@
 mod support;
 
 use {
+    rstest::rstest,
     support::{job, ControlHarness, StepBuilder},
     workflow::{job::JobSchedule, message::LinkMessage, state::EndKind},
 };
@@ -281,6 +282,60 @@
     assert_eq!(harness.starts().len(), 2);
 }
 
+fn drain(harness: &mut ControlHarness) {
+    harness.report_draining(1, "e1", 100);
+}
+
+fn fall_silent(harness: &mut ControlHarness) {
+    harness.report_unresponsive(1, "e1", 100);
+}
+
+fn lose_the_stream(harness: &mut ControlHarness) {
+    harness.close(1);
+}
+
+fn let_the_lease_expire(harness: &mut ControlHarness) {
+    harness.advance(4500);
+}
+
+#[rstest]
+#[case::drained(drain)]
+#[case::silent(fall_silent)]
+#[case::unreachable(lose_the_stream)]
+#[case::without_a_lease(let_the_lease_expire)]
+fn a_task_starts_as_soon_as_its_worker_is_usable_again(#[case] hinder: fn(&mut ControlHarness)) {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    hinder(&mut harness);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    harness.submit(0xb, job(&[StepBuilder::tasks(2).gang()]));
+    harness.advance(1000);
+    assert!(harness.starts().is_empty(), "{:?}", harness.starts());
+    harness.connect_worker(1, "e1", 100);
+    assert_eq!(harness.starts().len(), 3);
+}
+
+// A gang can only start anew once all of its members have ended.
+#[test]
+fn a_gang_that_lost_a_member_with_its_worker_starts_again_after_the_lease() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.connect_worker(2, "e2", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(2).cores(16).gang()]));
+    assert_eq!(harness.starts().len(), 2);
+    harness.close(1);
+    harness.connect_worker(3, "e3", 100);
+    let kept = harness.starts().iter().find(|start| start.ends_with("e2@100")).cloned();
+    let (kept, _) = kept.as_deref().and_then(|start| start.split_once(' ')).unwrap_or_default();
+    harness.report_end(2, "e2@100", 1, kept, 1, EndKind::GangIncomplete);
+    for _ in 0..22 {
+        harness.keep_alive(2, 200);
+        harness.send(3, LinkMessage::Ping { sequence: 1 });
+    }
+    let again = |start: &&String| start.contains(" run 2 on ");
+    assert_eq!(harness.starts().iter().filter(again).count(), 2, "{:?}", harness.starts());
+}
+
 const LATENCY_CRITICAL: &str = "0000000000000001.0.0.0";
 const BEST_EFFORT: &str = "000000000000000a.0.0.0";
 
@@ -334,6 +389,24 @@
     assert_eq!(harness.starts().last().unwrap(), "000000000000000b.0.0.0 run 1 on e2@100");
 }
 
+// While nothing was proposed, each pass added the whole time since the last proposal to the leader's
+// clock, and a job counted as starving after half a second.
+#[test]
+fn a_job_starves_only_at_its_age() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.submit(0x1, job(&[StepBuilder::tasks(1).lasting().image("web").latency_target(20)]));
+    for _ in 0..20 {
+        harness.keep_alive(1, 400);
+        harness.report_figures(1, "e1@100", &[(LATENCY_CRITICAL, 1, 40)]);
+    }
+    harness.submit(0xa, job(&[StepBuilder::tasks(1).best_effort().image("sort")]));
+    harness.keep_alive(1, 1400);
+    assert_eq!(harness.starts().len(), 1, "the job is 1.4 s old");
+    harness.keep_alive(1, 400);
+    assert_eq!(harness.starts().len(), 2, "the job is 1.8 s old");
+}
+
 // A lasting task that was stopped found its room taken by short jobs, which rank first by their
 // little work.
 #[test]
