Count no processors when a best-effort task looks for a future place

Claims and trials ask whether a task will fit once others have ended. For best-effort tasks this counted processors, which they do not reserve: where lasting tasks hold them all, a suspected best-effort job would have waited for a trial without end.

--- a/crates/workflow/src/plan/reservations.rs
+++ b/crates/workflow/src/plan/reservations.rs
@@ -320,7 +320,8 @@
         0 => f64::INFINITY,
         _ => free as f64 / asked as f64,
     };
-    share(free.cpu_milli, spec.demand.cpu_milli)
+    let cpu_milli = if spec.filler { 0 } else { spec.demand.cpu_milli };
+    share(free.cpu_milli, cpu_milli)
         .min(share(free.memory_mb, spec.demand.memory_mb))
         .min(share(free.accelerators, spec.demand.accelerators))
 }
