--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -41,6 +41,7 @@
 #[derive(Debug)]
 struct LostWorker {
     worker: WorkerIncarnation,
+    address: Arc<str>,
     /// What was reported from the address next.
     successor: Option<WorkerIncarnation>,
     /// The tasks whose runs had begun and not settled.
@@ -52,9 +53,18 @@
 }
 
 impl LostWorker {
-    fn new(worker: WorkerIncarnation) -> Self {
+    fn new(worker: WorkerIncarnation, address: Arc<str>) -> Self {
         let (starting, unclear, settled) = Default::default();
-        Self { worker, successor: None, starting, unclear, settled }
+        Self { worker, address, successor: None, starting, unclear, settled }
+    }
+
+    /// Returns the tasks whose runs had not settled.
+    fn suspects(&self) -> Vec<TaskKey> {
+        self.starting.iter().chain(&self.unclear).copied().collect()
+    }
+
+    fn runs(&self) -> usize {
+        self.starting.len() + self.unclear.len() + self.settled.len()
     }
 }
 
@@ -101,6 +111,13 @@
         (!former.draining).then(|| former.successor.clone())
     }
 
+    /// Sets what followed a lost executor, unless it is known.
+    fn set_successor(&mut self, worker: &WorkerIncarnation, successor: Option<WorkerIncarnation>) {
+        if let Some(lost) = self.lost.values_mut().find(|lost| lost.worker == *worker) {
+            lost.successor = lost.successor.take().or(successor);
+        }
+    }
+
     /// Removes and returns the lost executor whose successor this is.
     fn take_preceding(&mut self, present: &WorkerIncarnation) -> Option<LostWorker> {
         let mut lost = self.lost.iter();
@@ -114,7 +131,7 @@
     }
 
     fn lost_mut(&mut self, address: &Arc<str>, worker: &WorkerIncarnation) -> &mut LostWorker {
-        let new = || LostWorker::new(worker.clone());
+        let new = || LostWorker::new(worker.clone(), address.clone());
         let lost = self.lost.entry(address.clone()).or_insert_with(new);
         if lost.worker != *worker {
             *lost = new();
@@ -125,63 +142,69 @@
 
 impl ControlNode {
     /// Notes the runs that an agent reports to have ended with their executor, before their ends
-    /// are recorded. All of them had begun.
-    pub(super) fn note_ended_runs(&mut self, worker: &WorkerIncarnation, ends: &[EndReport]) {
-        let now = self.now;
+    /// are recorded. All of them had begun. Nothing more is placed on the executor.
+    pub(super) fn note_certain_starts(&mut self, worker: &WorkerIncarnation, ends: &[EndReport]) {
+        let ended = ends.iter().filter(|end| end.number == 0 && end.end == EndKind::Expired);
+        let runs: Vec<(TaskKey, RunNumber)> = ended.map(|end| (end.task, end.run)).collect();
         let Some(leader) = &mut self.leader else { return };
-        if leader.is_draining(worker) {
+        if runs.is_empty() || !leader.is_working(worker) {
             return;
         }
-        let Some(address) = leader.speculative.executor_address_of(&worker.executor).cloned()
-        else {
-            return;
-        };
-        let ended = ends.iter().filter(|end| end.number == 0 && end.end == EndKind::Expired);
-        for EndReport { task, run, .. } in ended {
-            let lost = leader.crashes.lost_mut(&address, worker);
-            if leader.suspects.is_settled(task, *run) {
-                lost.settled.push(*task);
-            } else {
-                lost.starting.push(*task);
-                leader.suspects.suspect(*task, now, now + VERDICT_TIME);
-            }
+        if let Some(view) = leader.workers.get_mut(&worker.executor) {
+            view.listed = false;
         }
+        self.note_lost(worker, &runs, |lost| &mut lost.starting);
     }
 
     /// Notes the other runs of an executor that has ended, before their ends are recorded. They may
     /// have begun or not.
-    pub(super) fn note_lost_runs(
+    pub(super) fn note_unclear_starts(
         &mut self,
         worker: &WorkerIncarnation,
         reason: LossReason,
         runs: &[Placement],
     ) {
-        let now = self.now;
         let Some(leader) = &mut self.leader else { return };
-        let Some(address) = leader.speculative.executor_address_of(&worker.executor).cloned()
-        else {
-            return;
-        };
-        let successor = leader.crashes.successor_of(&address, worker);
+        let address = leader.speculative.executor_address_of(&worker.executor);
+        let successor = address.and_then(|address| leader.crashes.successor_of(address, worker));
         let seen = match reason {
             LossReason::LeaseExpired => false,
-            LossReason::Ended => !leader.is_draining(worker),
+            LossReason::Ended => leader.is_working(worker),
             LossReason::Replaced | LossReason::NewIncarnation => successor.is_some(),
         };
+        let open = runs.iter().filter(|placed| !leader.pending.ends(&placed.task, placed.run));
+        let runs: Vec<(TaskKey, RunNumber)> =
+            open.map(|placed| (placed.task, placed.run)).collect();
         if !seen || runs.is_empty() {
             return;
         }
-        let lost = leader.crashes.lost_mut(&address, worker);
-        lost.successor = lost.successor.take().or(successor);
-        for Placement { task, run, .. } in runs {
+        self.note_lost(worker, &runs, |lost| &mut lost.unclear);
+        let Some(leader) = &mut self.leader else { return };
+        leader.crashes.set_successor(worker, successor);
+    }
+
+    /// Adds runs to the record of a lost executor: the settled ones, and the others to a list.
+    fn note_lost(
+        &mut self,
+        worker: &WorkerIncarnation,
+        runs: &[(TaskKey, RunNumber)],
+        list: fn(&mut LostWorker) -> &mut Vec<TaskKey>,
+    ) {
+        let now = self.now;
+        let Some(leader) = &mut self.leader else { return };
+        let Some(address) = leader.speculative.executor_address_of(&worker.executor).cloned()
+        else {
+            return;
+        };
+        for (task, run) in runs {
             let lost = leader.crashes.lost_mut(&address, worker);
-            if lost.starting.contains(task) || lost.settled.contains(task) {
-                continue;
-            }
             if leader.suspects.is_settled(task, *run) {
                 lost.settled.push(*task);
-            } else {
-                lost.unclear.push(*task);
+                continue;
+            }
+            list(lost).push(*task);
+            let open = leader.speculative.job(task.job).is_some_and(|job| job.outcome.is_none());
+            if open {
                 leader.suspects.suspect(*task, now, now + VERDICT_TIME);
             }
         }
@@ -197,28 +220,34 @@
             return;
         }
         let now = self.now;
-        for task in lost.starting.iter().chain(&lost.unclear) {
+        for task in lost.suspects() {
             let before =
-                leader.speculative.task(task).is_some_and(|task| task.run.suspicions() > 0);
-            leader.suspects.release(task, now, before);
+                leader.speculative.task(&task).is_some_and(|task| task.run.suspicions() > 0);
+            leader.suspects.release(&task, now, before);
         }
     }
 
     /// Counts a crash for the tasks that are blamed, and gives up one of them if it is certain.
     fn count_crash(&mut self, lost: LostWorker) {
         let Some(leader) = &mut self.leader else { return };
-        let LostWorker { worker, starting, unclear, settled, .. } = lost;
-        let runs = starting.len() + unclear.len() + settled.len();
-        let suspects: Vec<TaskKey> = if starting.is_empty() && unclear.is_empty() {
-            leader.suspects.blame_settled(settled)
-        } else {
-            starting.iter().chain(&unclear).copied().collect()
+        let runs = lost.runs();
+        let suspects = match lost.suspects() {
+            suspects if suspects.is_empty() => leader.suspects.blame_settled(&lost.settled),
+            suspects => suspects,
         };
         let jobs: BTreeSet<JobKey> = suspects.iter().map(|task| task.job).collect();
         let one_job = jobs.len() == 1;
-        // Beside other suspects, only a run that has begun for certain counts as crashed under.
-        let (certain, unclear) =
-            if one_job { (suspects.clone(), Vec::new()) } else { (starting, unclear) };
+        for job in jobs {
+            leader.suspects.note_crash_at(job, &lost.address);
+        }
+        // A start that may not have begun proves something only if its job was on trial.
+        let tried = |task: &TaskKey| {
+            leader.speculative.task(task).is_some_and(|task| task.run.suspicions() > 0)
+        };
+        let (certain, unclear): (Vec<TaskKey>, Vec<TaskKey>) = suspects.iter().partition(|task| {
+            lost.starting.contains(task) || one_job && lost.unclear.contains(task) && tried(task)
+        });
+        let worker = lost.worker;
         self.record(FlowEvent::ExecutorCrashed { worker: worker.clone(), runs, suspects, one_job });
         for task in unclear {
             self.count_crash_of(&worker, task, OwedCount { unclear: 1, ..OwedCount::default() });
@@ -259,12 +288,14 @@
     }
 
     /// Fails a job because of one of its tasks. Lasting tasks have no limit of attempts: they only
-    /// wait longer after each crash.
+    /// wait longer after each crash. If all crashes were at one address, the executor there may be
+    /// at fault.
     fn give_up(&mut self, worker: &WorkerIncarnation, task: TaskKey, crashes: u32) {
         let Some(leader) = &mut self.leader else { return };
         let Some(job) = leader.speculative.job(task.job) else { return };
         let lasting = job.step_spec(&task).is_none_or(|spec| spec.lasting);
-        if lasting || job.outcome.is_some() {
+        let one_executor = leader.suspects.crashed_at_one_address(task.job);
+        if lasting || one_executor || job.outcome.is_some() {
             return;
         }
         leader.crashes.owed.entry(task).or_default().given_up = true;
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -122,6 +122,13 @@
             .is_some_and(|view| view.report.drain_left_ms.is_some())
     }
 
+    /// Returns whether an incarnation is known and does not drain.
+    pub(super) fn is_working(&self, worker: &WorkerIncarnation) -> bool {
+        let view = self.workers.get(&worker.executor);
+        view.filter(|view| view.incarnation() == worker)
+            .is_some_and(|view| view.report.drain_left_ms.is_none())
+    }
+
     /// Returns the placements on an incarnation.
     pub(super) fn placements_on(&self, worker: &WorkerIncarnation) -> Vec<Placement> {
         let placed = self.speculative.placed_tasks(worker);
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -194,7 +194,7 @@
     pub(super) fn end_worker_runs(&mut self, worker: &WorkerIncarnation, reason: LossReason) {
         let Some(leader) = &self.leader else { return };
         let runs = leader.placements_on(worker);
-        self.note_lost_runs(worker, reason, &runs);
+        self.note_unclear_starts(worker, reason, &runs);
         let Some(leader) = &mut self.leader else { return };
         leader.leases.remove(worker);
         if reason != LossReason::LeaseExpired {
@@ -226,7 +226,7 @@
         if !self.is_agent_stream(session, worker) {
             return;
         }
-        self.note_ended_runs(worker, &ends);
+        self.note_certain_starts(worker, &ends);
         let up_to = ends.iter().map(|end| end.number).max().unwrap_or(0);
         for EndReport { task, run, end, checkpoint, .. } in ends {
             let placed = self.placed_incarnation(worker, &task, run);
--- a/crates/workflow/src/plan/suspects.rs
+++ b/crates/workflow/src/plan/suspects.rs
@@ -13,6 +13,7 @@
     },
     std::{
         collections::{BTreeMap, HashMap},
+        sync::Arc,
         time::Duration,
     },
 };
@@ -26,6 +27,8 @@
 const SETTLE_GROWTH_LIMIT: u32 = 4;
 /// Crashes without another suspect after which settled runs are blamed: one may have any cause.
 const BYSTANDER_CRASHES: u32 = 2;
+/// Addresses of crashes that are remembered for each job.
+const ADDRESSES_KEPT: usize = 4;
 /// Pause before a lasting task starts again after the second crash under it. Doubles with each
 /// further one.
 const LASTING_PAUSE: Duration = Duration::from_secs(1);
@@ -56,6 +59,8 @@
     suspects: BTreeMap<TaskKey, SuspectRecord>,
     /// The number of crashes around tasks whose runs had settled, where no run had just begun.
     bystanders: BTreeMap<TaskKey, u32>,
+    /// The addresses at which executors have crashed around a job, the latest last.
+    addresses: BTreeMap<JobKey, Vec<Arc<str>>>,
 }
 
 impl SuspectTable {
@@ -103,6 +108,8 @@
     pub fn forget_job(&mut self, job: JobKey) {
         self.suspects.retain(|task, _| task.job != job);
         self.bystanders.retain(|task, _| task.job != job);
+        self.ages.retain(|task, _| task.job != job);
+        self.addresses.remove(&job);
     }
 
     /// Returns whether a run has been at work for so long that its start has crashed nothing.
@@ -137,18 +144,38 @@
 
     /// Chooses the tasks to blame for a crash around settled runs only: those that an executor has
     /// crashed around before.
-    pub fn blame_settled(&mut self, tasks: Vec<TaskKey>) -> Vec<TaskKey> {
+    pub fn blame_settled(&mut self, tasks: &[TaskKey]) -> Vec<TaskKey> {
         let mut blamed = Vec::new();
         for task in tasks {
-            let crashes = self.bystanders.entry(task).or_default();
+            let crashes = self.bystanders.entry(*task).or_default();
             *crashes += 1;
             if *crashes >= BYSTANDER_CRASHES {
-                blamed.push(task);
+                blamed.push(*task);
             }
         }
         blamed
     }
 
+    /// Notes the address of an executor that has crashed around a job.
+    pub fn note_crash_at(&mut self, job: JobKey, address: &Arc<str>) {
+        let addresses = self.addresses.entry(job).or_default();
+        addresses.push(address.clone());
+        if addresses.len() > ADDRESSES_KEPT {
+            addresses.remove(0);
+        }
+    }
+
+    /// Returns whether an executor at an address has crashed around a job.
+    pub fn has_crashed_at(&self, job: JobKey, address: &str) -> bool {
+        self.addresses.get(&job).is_some_and(|all| all.iter().any(|other| &**other == address))
+    }
+
+    /// Returns whether several executors have crashed around a job, all at the same address.
+    pub fn crashed_at_one_address(&self, job: JobKey) -> bool {
+        let Some(addresses) = self.addresses.get(&job) else { return false };
+        addresses.len() > 1 && addresses.iter().all(|address| *address == addresses[0])
+    }
+
     /// Returns whether a task is suspected: it has not settled since an executor crashed under it.
     pub fn is_suspect(&self, task: &TaskKey) -> bool {
         self.suspects.contains_key(task)
