--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -241,6 +241,11 @@
             return waiting.len();
         };
         let worker = view.incarnation();
+        let just_placed =
+            |placement: &Placement| placement.worker == *worker && placement.task.job != step.job;
+        if self.placements.iter().any(just_placed) {
+            return waiting.len();
+        }
         let mut placed = 0;
         for index in &waiting {
             let fits = self.reservations.of(executor).is_some_and(|reserved| {
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -372,3 +372,18 @@
     let run = run.after_crash().next();
     assert_eq!((run, run.crashes(), run.suspicions()), (RunNumber(1_001_004), 1, 2));
 }
+
+#[test]
+fn a_trial_waits_for_what_its_pass_has_placed_on_the_executor_before() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1 at A", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(4)]));
+    harness.announce_incarnation(1, "e2 at A", 200);
+    harness.submit(0xb, job(&[StepBuilder::tasks(1)]));
+    harness.report_runs(1, "e2 at A@200", &[]);
+    assert_eq!(harness.starts()[4..], ["000000000000000b.0.0.0 run 1 on e2 at A@200"]);
+    harness.keep_alive(1, 400);
+    harness.report_runs(1, "e2 at A@200", &[("000000000000000b.0.0.0", 1)]);
+    harness.keep_alive(1, 200);
+    assert_eq!(harness.starts().len(), 9, "{:?}", harness.starts());
+}
