Name the parts of trials by what they do

From the read-through: claim_executor begins a trial and says so, the counters of waiting jobs name their pass, and the number 0 of an end has both of its meanings in its doc.

--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -221,7 +221,7 @@
         worker: WorkerIncarnation,
         /// The number of its runs.
         runs: usize,
-        /// The tasks whose count of crashes rises.
+        /// The tasks that may have caused it.
         #[serde(serialize_with = "as_texts")]
         suspects: Vec<TaskKey>,
         /// Whether all of these are tasks of one job.
--- a/crates/workflow/src/message/mod.rs
+++ b/crates/workflow/src/message/mod.rs
@@ -227,7 +227,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct EndReport {
-    /// The executor's number of the end; 0 for a run that never began there.
+    /// The executor's number of the end; 0 if the executor has not listed it, because the run never
+    /// began there or because the executor itself has ended.
     pub number: u64,
     /// The task.
     pub task: TaskKey,
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -235,7 +235,7 @@
         }
         let (inputs, claims) = (self.inputs, &mut self.claims);
         let position =
-            self.trials.executor_for(step.job, request, inputs, self.reservations, claims);
+            self.trials.claim_executor(step.job, request, inputs, self.reservations, claims);
         let Some((executor, view)) = position.and_then(|position| workers.get_index(position))
         else {
             return waiting.len();
--- a/crates/workflow/src/plan/trials.rs
+++ b/crates/workflow/src/plan/trials.rs
@@ -27,10 +27,10 @@
 const CLEARING_TIME: Duration = Duration::from_millis(1500);
 /// Time after which a trial without a run is given up.
 const IDLE_TRIAL_TIME: Duration = Duration::from_millis(3000);
-
 /// The largest number of jobs that are tried together.
 const GROUP_LIMIT: usize = 4;
 
+/// A trial of one or more jobs on one executor.
 #[derive(Debug)]
 struct JobTrial {
     /// The jobs that start together, one alone unless it is their first trial.
@@ -42,10 +42,10 @@
 #[derive(Debug, Default)]
 pub(super) struct TrialTable {
     trials: IndexMap<Arc<str>, JobTrial>,
-    /// The jobs that the last pass left without a trial.
-    waiting: usize,
+    /// The number of jobs that the last pass left without a trial.
+    left_last_pass: usize,
     /// The same of the present pass, so far.
-    left: usize,
+    left_so_far: usize,
 }
 
 impl TrialTable {
@@ -58,7 +58,7 @@
         suspects: &SuspectTable,
         now: Duration,
     ) {
-        self.waiting = std::mem::take(&mut self.left);
+        self.left_last_pass = std::mem::take(&mut self.left_so_far);
         self.trials.retain(|executor, trial| {
             let Some(worker) = workers.get(executor) else { return false };
             trial.jobs.retain(|job| suspects.has_suspects(*job));
@@ -81,9 +81,9 @@
         self.trials.keys().filter_map(|executor| workers.get_index_of(executor))
     }
 
-    /// Returns the position of the executor on which a job may start tasks now; `None` while there
-    /// is none, or while runs of other jobs have yet to settle there.
-    pub(super) fn executor_for(
+    /// Finds the executor of a job's trial, or begins one. Returns its position if the job may start
+    /// tasks there now; `None` while there is none, or while runs of other jobs have yet to settle.
+    pub(super) fn claim_executor(
         &mut self,
         job: JobKey,
         request: &StepRequest<'_>,
@@ -97,7 +97,7 @@
         let found = known.or_else(joined);
         let begun = found.or_else(|| self.begin(job, request, inputs, reservations, claims));
         let Some(position) = begun else {
-            self.left += 1;
+            self.left_so_far += 1;
             return None;
         };
         let (executor, worker) = inputs.workers.get_index(position)?;
@@ -118,7 +118,7 @@
     ) -> Option<usize> {
         let now = inputs.time.now;
         let limit = trial_limit(request, inputs);
-        let size = self.waiting.div_ceil(limit.max(1)).min(GROUP_LIMIT);
+        let size = self.left_last_pass.div_ceil(limit.max(1)).min(GROUP_LIMIT);
         if !is_first_trial(job, inputs.state) {
             return None;
         }
@@ -149,7 +149,7 @@
         let trial = JobTrial { jobs: vec![job], since: now };
         let since = inputs.suspects.suspected_since(job).unwrap_or(now);
         let patient = now.saturating_sub(since) < TRIAL_PATIENCE;
-        let busy_allowed = self.trials.len() < trial_limit(request, inputs) || !patient;
+        let may_disturb = self.trials.len() < trial_limit(request, inputs) || !patient;
         let usable = |worker: &WorkerView, reserved: &WorkerReservations| {
             let room = will_fit(worker, reserved, request.spec);
             may_hold(request, worker, reserved, now) && room && !worker.is_suspect(now)
@@ -165,7 +165,7 @@
             let unsettled = trial.unsettled_on(worker, inputs);
             let (lasting, tasks) = (reserved.lasting_tasks(), reserved.tasks());
             let rank = (crashed, lacks_room, unsettled, lasting, tasks, position);
-            (open && (idle || busy_allowed)).then_some(rank)
+            (open && (idle || may_disturb)).then_some(rank)
         });
         let (.., position) = candidates.min()?;
         let (executor, _) = inputs.workers.get_index(position)?;
