Let agents and entries find a group whose members were all replaced

Cause: a process learned the members' addresses only from the Welcome at its connection. While it stayed connected to one leader, all other members could be replaced; when that leader was replaced as well, no known address was in use.

Change: the leader compares the addresses of its group with those it announced last, at each membership check, and sends a Welcome to its connected processes when they differ. The search takes such a Welcome from the running stream and replaces its addresses; agents do not see it, so that they send no full report. Addresses from a process that does not lead are added and replace none, because a process outside the group knows only the seeds.

--- a/crates/node/src/leader/mod.rs
+++ b/crates/node/src/leader/mod.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::logging::LineLog,
+    base::PeerAddress,
     link::{connect, LinkReader, LinkSender},
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -22,6 +23,8 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
 /// The pause before the next process is tried.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
+/// The most addresses that a search keeps: several times the members of the largest group.
+const ADDRESSES_LIMIT: usize = 64;
 
 /// A change of the stream, or a message on it.
 #[derive(Debug)]
@@ -56,15 +59,17 @@
         inputs: UnboundedSender<T>,
         wrap: impl Fn(LeaderEvent) -> T + Copy,
     ) {
-        let mut known_addresses = self.seeds.clone();
+        let mut known_addresses = KnownAddresses::new(&self.seeds);
         let mut position = self.name.bytes().map(usize::from).sum::<usize>();
         let mut hint = None;
         while !inputs.is_closed() {
             position += 1;
             let address: SocketAddr = match hint.take() {
                 Some(address) => address,
-                None if known_addresses.is_empty() => return,
-                None => known_addresses[position % known_addresses.len()],
+                None => match known_addresses.at(position) {
+                    Some(address) => address,
+                    None => return,
+                },
             };
             hint = self.try_process(address, &mut known_addresses, &inputs, wrap).await;
             if hint.is_none() {
@@ -78,7 +83,7 @@
     async fn try_process<T>(
         &self,
         address: SocketAddr,
-        known_addresses: &mut Vec<SocketAddr>,
+        known_addresses: &mut KnownAddresses,
         inputs: &UnboundedSender<T>,
         wrap: impl Fn(LeaderEvent) -> T,
     ) -> Option<SocketAddr> {
@@ -87,45 +92,71 @@
         sender.send(LinkMessage::Hello { name: self.name.clone() });
         let first = timeout(WELCOME_TIMEOUT, reader.next()).await.ok()?.ok()?;
         let LinkMessage::Welcome { leading, leader, members, term } = &first else { return None };
-        self.update_known(known_addresses, members.iter().map(|member| member.0));
         if !leading {
+            known_addresses.add(members);
             return leader.map(|leader| leader.0).filter(|leader| *leader != address);
         }
+        known_addresses.replace(members);
         let text = address.to_string();
         self.log.record(&FlowEvent::LeaderReached { address: text.clone(), term: *term });
         let up = LeaderEvent::Up { sender, term: *term };
         inputs.send(wrap(up)).ok()?;
         let (reason, hint) = tokio::select! {
-            end = forward_messages(&mut reader, inputs, &wrap) => end,
+            end = forward_messages(&mut reader, known_addresses, inputs, &wrap) => end,
             () = self.reconnect.notified() => ("reconnect requested".to_owned(), Some(address)),
         };
         self.log.record(&FlowEvent::LeaderLost { address: text, reason });
         inputs.send(wrap(LeaderEvent::Down)).ok()?;
         hint
     }
+}
 
-    /// Replaces the known addresses by the seeds and `members`. The seeds stay because joining
+/// The addresses where a search looks for control processes.
+#[derive(Debug)]
+struct KnownAddresses {
+    /// The number of addresses from the settings. They come first and always stay, because joining
     /// processes use them.
-    fn update_known(
-        &self,
-        known_addresses: &mut Vec<SocketAddr>,
-        members: impl Iterator<Item = SocketAddr>,
-    ) {
-        known_addresses.clear();
-        known_addresses.extend(&self.seeds);
+    seeds: usize,
+    addresses: Vec<SocketAddr>,
+}
+
+impl KnownAddresses {
+    fn new(seeds: &[SocketAddr]) -> Self {
+        Self { seeds: seeds.len(), addresses: seeds.to_vec() }
+    }
+
+    fn at(&self, position: usize) -> Option<SocketAddr> {
+        let last = self.addresses.len().checked_sub(1)?;
+        self.addresses.get(position % (last + 1)).copied()
+    }
+
+    /// Keeps only the seeds and `members`, which a leader has sent.
+    fn replace(&mut self, members: &[PeerAddress]) {
+        self.addresses.truncate(self.seeds);
+        self.add(members);
+    }
+
+    /// Adds addresses from a process that does not lead. It may be outside the group, or have been
+    /// cut off from it, so that its addresses replace none that a leader has sent. Beyond the limit,
+    /// those that were added first are removed.
+    fn add(&mut self, members: &[PeerAddress]) {
         for member in members {
-            if !known_addresses.contains(&member) {
-                known_addresses.push(member);
+            if !self.addresses.contains(&member.0) {
+                self.addresses.push(member.0);
             }
         }
+        let excess = self.addresses.len().saturating_sub(ADDRESSES_LIMIT.max(self.seeds));
+        self.addresses.drain(self.seeds..self.seeds + excess);
     }
 }
 
 /// Passes messages on until the leader sends nothing for `SILENCE_TIMEOUT`, the stream breaks, or
-/// the process is no longer the leader. Returns the reason and the address of another possible
+/// the process is no longer the leader. The leader's news of its members end here: nothing has
+/// changed for the receiver of the messages. Returns the reason and the address of another possible
 /// leader.
 async fn forward_messages<T>(
     reader: &mut LinkReader<LinkMessage>,
+    known_addresses: &mut KnownAddresses,
     inputs: &UnboundedSender<T>,
     wrap: &impl Fn(LeaderEvent) -> T,
 ) -> (String, Option<SocketAddr>) {
@@ -139,6 +170,7 @@
                     leader.map(|leader| leader.0),
                 );
             }
+            Ok(Ok(LinkMessage::Welcome { members, .. })) => known_addresses.replace(&members),
             Ok(Ok(message)) => {
                 if inputs.send(wrap(LeaderEvent::Message(message))).is_err() {
                     return ("this process is shutting down".to_owned(), None);
@@ -147,3 +179,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/leader.rs"]
+mod tests;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,9 @@
 mod entry;
 mod leader;
 mod logging;
+#[cfg(test)]
+#[path = "../tests/unit/scripted.rs"]
+mod scripted;
 
 pub use {
     agent::{start_agent, AgentHandle, AgentSetup, ExecutorPort, HoldRequest, RunRequest},
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -13,7 +13,7 @@
         plan::{InterferenceTable, Placement, PlacementPlanner, SuspectTable, WorkerTable},
         state::{FlowCommand, FlowState},
     },
-    base::{ReplicaId, ReplyTicket},
+    base::{PeerAddress, ReplicaId, ReplyTicket},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
@@ -96,9 +96,11 @@
     pub(super) relief_due: HashMap<Arc<str>, Duration>,
     /// The run and the time of the last stop order for each task.
     pub(super) stopping: HashMap<TaskKey, (RunNumber, Duration)>,
-    /// Streams of entries and agents that have presented themselves, which are notified when the
-    /// leadership ends.
+    /// Streams of entries and agents that have presented themselves, which are notified of changes
+    /// of the membership and of the end of the leadership.
     pub(super) clients: BTreeSet<SessionId>,
+    /// The sorted addresses of the members of which `clients` were last told.
+    pub(super) announced: Vec<PeerAddress>,
     /// The time of the next membership check.
     pub(super) members_check_at: Duration,
     /// The time since which each silent member has not answered.
@@ -156,6 +158,8 @@
         let commands = vec![FlowCommand::RetainFor { retention_ms }];
         let learned = InterferenceTable::from_pairs(self.now, speculative.learned());
         let suspects = SuspectTable::new(&speculative, self.now);
+        let mut announced = self.member_addresses();
+        announced.sort_unstable();
         self.leader = Some(LeaderState {
             term,
             leading_since: self.now,
@@ -180,6 +184,7 @@
             relief_due: HashMap::new(),
             stopping: HashMap::new(),
             clients: BTreeSet::new(),
+            announced,
             members_check_at: self.now,
             silent: BTreeMap::new(),
             admissions: BTreeMap::new(),
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -33,6 +33,24 @@
         let due = self.leader.as_ref().is_some_and(|leader| self.now >= leader.members_check_at);
         if due {
             self.check_members();
+            self.announce_members();
+        }
+    }
+
+    /// Sends the group's addresses to all connected entries and agents if they have changed. A
+    /// process that stayed connected while every other member was replaced would otherwise know no
+    /// address that is still in use when it loses this leader.
+    fn announce_members(&mut self) {
+        let mut addresses = self.member_addresses();
+        addresses.sort_unstable();
+        let Some(leader) = &mut self.leader else { return };
+        if leader.announced == addresses {
+            return;
+        }
+        leader.announced = addresses;
+        let clients: Vec<SessionId> = leader.clients.iter().copied().collect();
+        for session in clients {
+            self.send_welcome(session);
         }
     }
 
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -499,3 +499,22 @@
     assert_eq!(harness.accepted(), 4);
     assert_eq!(harness.starts().len(), 4, "three tasks of the first job and one of the second");
 }
+
+// A process that stays connected to one leader learned no addresses after its connection, and found
+// nobody once all members that it knew were replaced.
+#[test]
+fn connected_processes_are_told_of_changed_members() {
+    let mut harness = ControlHarness::start();
+    for client in [50, 51, 52] {
+        harness.connect_client(client);
+    }
+    harness.close(52);
+    let told = [50, 51, 52].map(|client| (client, vec![1]));
+    assert_eq!(harness.take_welcomes(), told);
+    harness.join(60, 2);
+    harness.advance(400);
+    let told = [50, 51].map(|client| (client, vec![1, 2]));
+    assert_eq!(harness.take_welcomes(), told);
+    harness.advance(1000);
+    assert_eq!(harness.take_welcomes(), []);
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -102,6 +102,8 @@
     answers: Vec<CallerAnswer>,
     recorded_up_to: u64,
     operator: Vec<OperatorAnswer>,
+    /// The streams that were sent a `Welcome` of a leader, with the ports of the members.
+    welcomes: Vec<(u64, Vec<u16>)>,
     /// The worker for which the last answer to a ping granted a lease.
     pub leased: Option<String>,
 }
@@ -138,6 +140,7 @@
             answers: Vec::new(),
             recorded_up_to: 0,
             operator: Vec::new(),
+            welcomes: Vec::new(),
             leased: None,
         };
         harness.advance(1500);
@@ -188,6 +191,13 @@
             ControlEffect::Send { message: LinkMessage::Pong { leased, .. }, .. } => {
                 self.leased = leased.map(|worker| worker.to_string());
             }
+            ControlEffect::Send {
+                session,
+                message: LinkMessage::Welcome { leading: true, members, .. },
+            } => {
+                let ports = members.iter().map(|member| member.0.port()).collect();
+                self.welcomes.push((session.0, ports));
+            }
             ControlEffect::Answer { answer, .. } => self.operator.push(answer),
             ControlEffect::Record(FlowEvent::WorkerShrunk {
                 worker, cpu_milli, overfull, ..
@@ -229,6 +239,21 @@
         self.step(ControlEvent::Closed { session: SessionId(session) });
     }
 
+    /// Presents an entry or agent.
+    pub fn connect_client(&mut self, session: u64) {
+        self.send(session, LinkMessage::Hello { name: String::new() });
+    }
+
+    /// Sends the request of a control process with an empty disk.
+    pub fn join(&mut self, session: u64, port: u16) {
+        let address = PeerAddress(([127, 0, 0, 1], port).into());
+        self.send(session, LinkMessage::Join { address });
+    }
+
+    pub fn take_welcomes(&mut self) -> Vec<(u64, Vec<u16>)> {
+        std::mem::take(&mut self.welcomes)
+    }
+
     fn report(executor: &str, started_ms: u64, drain_left_ms: Option<u64>) -> WorkerReport {
         WorkerReport {
             worker: WorkerIncarnation { executor: Arc::from(executor), started_ms },
