Tell the sender of a link message whether it was written

Cause: a message counted as sent once it was queued, also when the connection had failed or its socket took nothing any more. An entry could not tell which requests a leader can't have read.

Change: a tracked message has a ticket. It counts as written when the operating system has taken its first byte; before that it can be withdrawn, from the queue or from the batch that waits for the socket, so that a peer that stalls and continues never reads it.

Result: three tests, two of them over loopback: a stalled peer that reads again, a batch of which a part is written, and a connection that had failed before. Untracked messages are written as before.

--- a/crates/link/src/stream.rs
+++ b/crates/link/src/stream.rs
@@ -1,13 +1,16 @@
 //! One connection: a reader, and a sender with a queue that a background task writes to the socket.
 
 use {
-    super::frame::{take_frame, write_frame, FrameError},
+    super::{
+        frame::{take_frame, write_frame, FrameError},
+        ticket::SendTicket,
+    },
     serde::{de::DeserializeOwned, Serialize},
     snafu::{ResultExt, Snafu},
     socket2::SockRef,
-    std::{io, marker::PhantomData, net::SocketAddr, time::Duration},
+    std::{collections::VecDeque, io, marker::PhantomData, net::SocketAddr, time::Duration},
     tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
+        io::AsyncReadExt,
         net::{
             tcp::{OwnedReadHalf, OwnedWriteHalf},
             TcpStream,
@@ -52,7 +55,13 @@
 /// The sending half of a stream.
 #[derive(Debug)]
 pub struct LinkSender<T> {
-    queue: mpsc::Sender<T>,
+    queue: mpsc::Sender<QueuedMessage<T>>,
+}
+
+#[derive(Debug)]
+struct QueuedMessage<T> {
+    message: T,
+    ticket: Option<SendTicket>,
 }
 
 impl<T> Clone for LinkSender<T> {
@@ -65,7 +74,15 @@
     /// Queues a message. Returns false if the stream has ended or the queue is full; the caller
     /// must then stop using the stream.
     pub fn send(&self, message: T) -> bool {
-        self.queue.try_send(message).is_ok()
+        self.queue.try_send(QueuedMessage { message, ticket: None }).is_ok()
+    }
+
+    /// Queues a message and returns the ticket that says whether it was written. Returns `None`,
+    /// and never writes the message, where [`LinkSender::send`] returns false.
+    pub fn send_tracked(&self, message: T) -> Option<SendTicket> {
+        let ticket = SendTicket::new();
+        let queued = QueuedMessage { message, ticket: Some(ticket.clone()) };
+        self.queue.try_send(queued).ok().map(|()| ticket)
     }
 }
 
@@ -124,19 +141,107 @@
 
 /// Writes queued messages, many with one call, until all senders are dropped or the connection
 /// fails. The reader detects a failed connection independently.
-async fn write_queue<T: Serialize>(mut write_half: OwnedWriteHalf, mut queued: mpsc::Receiver<T>) {
-    let mut buffer = Vec::new();
+async fn write_queue<T: Serialize>(
+    write_half: OwnedWriteHalf,
+    mut queued: mpsc::Receiver<QueuedMessage<T>>,
+) {
+    let mut batch = WriteBatch::default();
     while let Some(message) = queued.recv().await {
-        buffer.clear();
         let mut next = Some(message);
-        while let Some(message) = next {
-            if write_frame(&message, &mut buffer).is_err() {
+        while let Some(QueuedMessage { message, ticket }) = next {
+            if batch.add(&message, ticket).is_err() {
                 return;
             }
-            next = if buffer.len() < WRITE_BATCH_BYTES { queued.try_recv().ok() } else { None };
+            let room = batch.bytes.len() < WRITE_BATCH_BYTES;
+            next = if room { queued.try_recv().ok() } else { None };
         }
-        if write_half.write_all(&buffer).await.is_err() {
+        if batch.write(&write_half).await.is_err() {
             return;
         }
     }
 }
+
+/// Encoded messages on their way to the socket.
+#[derive(Debug, Default)]
+struct WriteBatch {
+    bytes: Vec<u8>,
+    /// How many of `bytes` the socket has taken.
+    written: usize,
+    /// The tracked messages of which nothing is written, in the order of their frames.
+    tracked: VecDeque<TrackedFrame>,
+}
+
+#[derive(Debug)]
+struct TrackedFrame {
+    start: usize,
+    length: usize,
+    ticket: SendTicket,
+}
+
+impl WriteBatch {
+    fn add<T: Serialize>(
+        &mut self,
+        message: &T,
+        ticket: Option<SendTicket>,
+    ) -> Result<(), FrameError> {
+        let start = self.bytes.len();
+        write_frame(message, &mut self.bytes)?;
+        let length = self.bytes.len() - start;
+        self.tracked.extend(ticket.map(|ticket| TrackedFrame { start, length, ticket }));
+        Ok(())
+    }
+
+    /// Writes everything and empties the batch. While the socket takes nothing, tracked messages
+    /// can be withdrawn.
+    async fn write(&mut self, write_half: &OwnedWriteHalf) -> io::Result<()> {
+        loop {
+            self.claim_tracked();
+            if self.written == self.bytes.len() {
+                break;
+            }
+            let result = write_half.try_write(&self.bytes[self.written..]);
+            self.written += *result.as_ref().unwrap_or(&0);
+            self.release_unwritten();
+            match result {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    write_half.writable().await?;
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        self.bytes.clear();
+        self.written = 0;
+        Ok(())
+    }
+
+    /// Reserves the tracked messages for a write, and removes those that were withdrawn.
+    fn claim_tracked(&mut self) {
+        let mut removed = 0;
+        let bytes = &mut self.bytes;
+        self.tracked.retain_mut(|frame| {
+            frame.start -= removed;
+            let claimed = frame.ticket.claim();
+            if !claimed {
+                bytes.drain(frame.start..frame.start + frame.length);
+                removed += frame.length;
+            }
+            claimed
+        });
+    }
+
+    /// Makes the tracked messages that the write did not reach withdrawable again.
+    fn release_unwritten(&mut self) {
+        while self.tracked.front().is_some_and(|frame| frame.start < self.written) {
+            self.tracked.pop_front();
+        }
+        for frame in &self.tracked {
+            frame.ticket.release();
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/stream.rs"]
+mod tests;
