Answer calls that a lost leader did nothing about as not led

Cause: at the end of a leadership every waiting caller was answered Unresolved, also when its command was still to be proposed, or when the log had refused to append the proposal. A process that had left the group did not answer calls at all.

Change: both are answered NotLeading, which says that nothing was done. Only what was appended stays unresolved, because the next leader may commit it.

Result: a reducer test fails a sync with one job proposed and one not; the first is unresolved, the second is not.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -35,7 +35,7 @@
         control::{ControlEffect, ControlEvent, OperatorAnswer, SessionId},
         event::FlowEvent,
         job::FleetConfig,
-        message::LinkMessage,
+        message::{CallerAnswer, LinkMessage},
         state::StateError,
     },
 };
@@ -318,10 +318,15 @@
         Ok(())
     }
 
-    /// Answers without a replica id: other processes receive only the seeds, and operators are told
-    /// that this process is not the leader.
+    /// Answers without a replica id: other processes receive only the seeds, and operators and
+    /// callers are told that this process is not the leader. An entry may still forward calls here
+    /// if this process led before it left the group.
     fn answer_as_non_member(&mut self, event: ControlEvent) {
         match event {
+            ControlEvent::Message { session, message: LinkMessage::Call { sequence, .. } } => {
+                let answer = CallerAnswer::NotLeading;
+                self.sessions.send(session, LinkMessage::Answer { sequence, answer });
+            }
             ControlEvent::Message { session, message } => {
                 if matches!(message, LinkMessage::Hello { .. } | LinkMessage::Ping { .. }) {
                     let members = self.setup.seeds.iter().map(|seed| PeerAddress(*seed)).collect();
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -4,12 +4,13 @@
     super::{
         crashes::CrashWatch,
         interference::STORE_LEARNED_INTERVAL,
-        types::{ControlEffect, SessionId},
+        types::{ControlEffect, OperatorAnswer, SessionId},
         ControlNode,
     },
     crate::{
         event::FlowEvent,
         job::{RunNumber, TaskKey, WorkerIncarnation},
+        message::{CallerAnswer, LinkMessage},
         plan::{InterferenceTable, Placement, PlacementPlanner, SuspectTable, WorkerTable},
         state::{FlowCommand, FlowState},
     },
@@ -192,16 +193,18 @@
     }
 
     /// Drops everything that depends on the leadership. Notifies waiting callers and operators that
-    /// the outcome is unknown, and connected entries and agents that this replica no longer leads.
+    /// the outcome is unknown, callers whose command was never proposed that nothing was done, and
+    /// connected entries and agents that this replica no longer leads.
     pub(super) fn end_leadership(&mut self) {
         let Some(leader) = self.leader.take() else { return };
         let unresolved = leader.in_flight.len();
         self.record(FlowEvent::LeadLost { term: leader.term, unresolved });
-        let waiting = leader.in_flight.into_values().flatten().chain(leader.pending.deferred);
-        for effect in waiting {
-            if let Some(unresolved) = unresolved_of(effect) {
-                self.effects.push(unresolved);
-            }
+        let proposed = leader.in_flight.into_values().flatten();
+        let proposed = proposed.map(|effect| (effect, CallerAnswer::Unresolved));
+        let pending = leader.pending.deferred.into_iter();
+        let pending = pending.map(|effect| (effect, CallerAnswer::NotLeading));
+        for (effect, answer) in proposed.chain(pending) {
+            self.effects.extend(final_answer(effect, answer));
         }
         for session in leader.clients {
             self.send_welcome(session);
@@ -209,19 +212,14 @@
     }
 }
 
-/// Returns the answer that replaces an effect whose entry may or may not be committed; `None` if
-/// nobody waits for the effect.
-fn unresolved_of(effect: ControlEffect) -> Option<ControlEffect> {
-    use {
-        super::types::OperatorAnswer,
-        crate::message::{CallerAnswer, LinkMessage},
-    };
+/// Returns the answer that replaces a withheld effect at the end of a leadership: `answer` for a
+/// caller. `None` if nobody waits for the effect.
+fn final_answer(effect: ControlEffect, answer: CallerAnswer) -> Option<ControlEffect> {
     match effect {
         ControlEffect::Answer { ticket, .. } => {
             Some(ControlEffect::Answer { ticket, answer: OperatorAnswer::Unknown })
         }
         ControlEffect::Send { session, message: LinkMessage::Answer { sequence, .. } } => {
-            let answer = CallerAnswer::Unresolved;
             let message = LinkMessage::Answer { sequence, answer };
             Some(ControlEffect::Send { session, message })
         }
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -159,12 +159,17 @@
     }
 
     /// Handles a rejected proposal, which leaves the speculative state wrong. Rebuilds this state
-    /// from the applied state, as at the start of a leadership, if the replica still leads.
+    /// from the applied state, as at the start of a leadership, if the replica still leads. Callers
+    /// of a proposal that the log did not append learn that nothing was done.
     pub(super) fn drop_proposal(&mut self, ticket: ReplyTicket, error: &ProposalError) {
         let Some(leader) = &mut self.leader else { return };
         if leader.admissions.remove(&ticket).is_some() || !leader.in_flight.contains_key(&ticket) {
             return;
         }
+        if !matches!(error, ProposalError::Unresolved) {
+            let effects = leader.in_flight.remove(&ticket);
+            leader.pending.deferred.extend(effects.into_iter().flatten());
+        }
         let still_leading = !matches!(error, ProposalError::NotLeader { .. });
         let term = leader.term;
         self.end_leadership();
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -9,7 +9,11 @@
 use {
     rstest::rstest,
     support::{job, ControlHarness, StepBuilder},
-    workflow::{job::JobSchedule, message::LinkMessage, state::EndKind},
+    workflow::{
+        job::JobSchedule,
+        message::{CallerAnswer, LinkMessage},
+        state::EndKind,
+    },
 };
 
 // An agent whose executor was replaced by one of another id kept renewing the lease of the first
@@ -518,3 +522,14 @@
     harness.advance(1000);
     assert_eq!(harness.take_welcomes(), []);
 }
+
+// Every caller who waited for a leader that was lost was told that the job may have been accepted,
+// also those whose job was in no entry of the log.
+#[test]
+fn only_what_was_proposed_is_unresolved_when_the_leadership_ends() {
+    let mut harness = ControlHarness::start();
+    harness.pause_syncs(true);
+    harness.submit(1, job(&[StepBuilder::tasks(1)]));
+    harness.submit_and_fail_sync(2, job(&[StepBuilder::tasks(1)]));
+    assert_eq!(harness.answers(), [CallerAnswer::Unresolved, CallerAnswer::NotLeading]);
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -309,9 +309,25 @@
     }
 
     fn call(&mut self, key: u64, call: CallerCall) {
+        let message = self.call_message(key, call);
+        self.send(ENTRY, message);
+    }
+
+    fn call_message(&mut self, key: u64, call: CallerCall) -> LinkMessage {
         self.sequence += 1;
         let (sequence, host, path) = (self.sequence, "h".to_owned(), format!("/q/{key:016x}"));
-        self.send(ENTRY, LinkMessage::Call { sequence, host, path, call });
+        LinkMessage::Call { sequence, host, path, call }
+    }
+
+    /// Submits a job, and fails the oldest sync before the job is proposed. Requires paused syncs.
+    pub fn submit_and_fail_sync(&mut self, key: u64, job: JobSpec) {
+        let message = self.call_message(key, CallerCall::Submit(job));
+        let submission = ControlEvent::Message { session: SessionId(ENTRY), message };
+        let failure = ControlEvent::PersistFailed { number: self.unsynced[0].number };
+        for event in [submission, failure] {
+            let effects = self.node.reduce(self.now, event);
+            effects.into_iter().for_each(|effect| self.record(effect));
+        }
     }
 
     pub fn submit(&mut self, key: u64, job: JobSpec) {
@@ -428,6 +444,10 @@
         self.recorded_up_to
     }
 
+    pub fn answers(&self) -> &[CallerAnswer] {
+        &self.answers
+    }
+
     pub fn accepted(&self) -> usize {
         self.answers.iter().filter(|answer| **answer == CallerAnswer::Accepted).count()
     }
