Refuse calls as not run wherever no leader can have read them

Cause: an entry counted a call as forwarded once it was queued on a stream. Calls on a dead stream, which looks open for up to 1.2 s, and calls that a process answered with NotLeading ended as 504, after which the caller may not retry. Calls that a lost leader had read were given up after 1.5 s, also when the caller waited longer.

Change: a call is exposed only if a byte of it was written to a stream that ended without an answer. Calls are held while the leader has sent nothing for 150 ms, and a ping asks it for a sign of life. A call that was not forwarded is refused once it can't succeed any more: 250 ms without a leader, 600 ms beside a silent one, or 100 ms before its deadline. An exposed call waits for the next leader until its deadline, at most 5 s after the loss; a cancellation that a later leader refuses stays unresolved like a submission. An entry that ends can answer the calls that are left.

Result: tests over loopback streams with a scripted leader, and of the waits with given times.

--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -1,14 +1,23 @@
 //! The entry's event loop: forwards callers' requests to the leader and matches the answers to
 //! them.
+//!
+//! A request counts as not run only if no leader can have read it: nothing of it was written to a
+//! stream, or the process that read it answered that it does not lead.
+
+mod call;
+mod stream;
 
 use {
+    self::{
+        call::{PendingCall, StreamView},
+        stream::LeaderStream,
+    },
     crate::{
         clock::BootClock,
         leader::{LeaderEvent, LeaderSearch},
         logging::LineLog,
     },
     base::ClockSource,
-    link::LinkSender,
     std::{cell::Cell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         sync::{
@@ -23,12 +32,6 @@
 /// How often pending requests are checked. The leader receives a ping every few ticks.
 const TICK: Duration = Duration::from_millis(50);
 const TICKS_PER_PING: u64 = 8;
-/// How long a request waits for a leader before it is refused as not run. Covers a stream that is
-/// being reopened, but not an election that has just begun.
-const LEADER_WAIT_LIMIT: Duration = Duration::from_millis(250);
-/// How long a forwarded request waits for another leader after the loss of its own: an election and
-/// the search for the new leader. The job id makes forwarding the request again harmless.
-const FAILOVER_WAIT_LIMIT: Duration = Duration::from_millis(1500);
 /// The most requests in progress. Each holds a job of at most a few hundred kilobytes.
 const CALLS_LIMIT: usize = 512;
 
@@ -41,20 +44,10 @@
     pub seeds: Vec<SocketAddr>,
 }
 
-struct PendingCall {
-    host: String,
-    path: String,
-    call: CallerCall,
-    reply: oneshot::Sender<CallerAnswer>,
-    arrived: Duration,
-    deadline: Duration,
-    /// The number of leaders that may have received the request.
-    forwards: u32,
-}
-
 enum EntryInput {
     Leader(LeaderEvent),
     Call(Box<PendingCall>),
+    Close { at: Duration },
 }
 
 /// Passes callers' requests to the event loop.
@@ -80,20 +73,29 @@
         time_limit: Duration,
     ) -> CallerAnswer {
         let (reply, answer) = oneshot::channel();
-        let arrived = self.clock.monotonic();
-        let deadline = arrived + time_limit;
-        let forwards = 0;
-        let pending = PendingCall { host, path, call, reply, arrived, deadline, forwards };
+        let pending = PendingCall::new(host, path, call, reply, self.clock.monotonic(), time_limit);
         if self.inputs.send(EntryInput::Call(Box::new(pending))).is_err() {
             return CallerAnswer::Refused;
         }
         answer.await.unwrap_or(CallerAnswer::Unresolved)
     }
+
+    /// Answers every request within `time_limit`, since the process ends then. A connection that
+    /// ends without an answer says nothing about its request, even if that was never forwarded.
+    pub fn close(&self, time_limit: Duration) {
+        let at = self.clock.monotonic() + time_limit;
+        // If the event loop has ended, it has dropped its requests, which answers them.
+        let _ = self.inputs.send(EntryInput::Close { at });
+    }
 }
 
 struct EntryLoop {
     clock: BootClock,
-    leader: Option<LinkSender<LinkMessage>>,
+    leader: Option<LeaderStream>,
+    /// When the last stream to a leader ended.
+    lost_at: Duration,
+    /// When the process ends, once that is known.
+    close_at: Option<Duration>,
     ready: Rc<Cell<bool>>,
     calls: BTreeMap<u64, PendingCall>,
     last_sequence: u64,
@@ -111,6 +113,8 @@
     let running = EntryLoop {
         clock,
         leader: None,
+        lost_at: clock.monotonic(),
+        close_at: None,
         ready: ready.clone(),
         calls: BTreeMap::new(),
         last_sequence: 0,
@@ -129,6 +133,7 @@
                 input = queue.recv() => match input {
                     Some(EntryInput::Leader(event)) => self.handle_leader_event(event),
                     Some(EntryInput::Call(call)) => self.handle_call(*call),
+                    Some(EntryInput::Close { at }) => self.close_at = Some(at),
                     None => return,
                 },
                 _ = ticker.tick() => self.tick(),
@@ -137,22 +142,27 @@
     }
 
     fn handle_leader_event(&mut self, event: LeaderEvent) {
+        let now = self.clock.monotonic();
         match event {
             LeaderEvent::Up { sender, .. } => {
-                self.leader = Some(sender);
+                self.leader = Some(LeaderStream::new(sender, now));
                 self.ready.set(true);
-                let sequences: Vec<u64> = self.calls.keys().copied().collect();
-                for sequence in sequences {
-                    self.forward(sequence);
-                }
+                self.forward_waiting(now);
             }
-            LeaderEvent::Message(LinkMessage::Answer { sequence, answer }) => {
-                self.handle_answer(sequence, answer);
+            LeaderEvent::Message(message) => {
+                let resumed = self.leader.as_mut().is_some_and(|leader| leader.hear(now));
+                if let LinkMessage::Answer { sequence, answer } = message {
+                    self.handle_answer(sequence, answer);
+                }
+                if resumed {
+                    self.forward_waiting(now);
+                }
             }
-            LeaderEvent::Message(_) => {}
             LeaderEvent::Down => {
                 self.leader = None;
+                self.lost_at = now;
                 self.ready.set(false);
+                self.calls.values_mut().for_each(PendingCall::leave_stream);
             }
         }
     }
@@ -160,30 +170,44 @@
     /// Passes an answer to its caller. After an inconclusive answer the request waits for the next
     /// leader.
     fn handle_answer(&mut self, sequence: u64, answer: CallerAnswer) {
-        let Some(pending) = self.calls.get(&sequence) else { return };
-        let Some(answer) = conclude(&pending.call, pending.forwards, answer) else { return };
+        if answer == CallerAnswer::NotLeading {
+            if let Some(leader) = &mut self.leader {
+                leader.step_down(self.ticks);
+            }
+        }
+        let Some(pending) = self.calls.get_mut(&sequence) else { return };
+        let Some(answer) = pending.conclude(answer) else { return };
         let Some(call) = self.calls.remove(&sequence) else { return };
         // The caller may have disconnected, which its connection has logged.
         let _ = call.reply.send(answer);
     }
 
-    fn handle_call(&mut self, call: PendingCall) {
-        if self.calls.len() >= CALLS_LIMIT {
+    fn handle_call(&mut self, mut call: PendingCall) {
+        let now = self.clock.monotonic();
+        let closed = self.close_at.is_some_and(|at| now >= at);
+        if closed || call.is_late(now) || self.calls.len() >= CALLS_LIMIT {
             let _ = call.reply.send(CallerAnswer::Refused);
             return;
         }
         self.last_sequence += 1;
+        if let Some(leader) = self.leader.as_mut().filter(|leader| leader.is_usable()) {
+            if leader.is_answering(now) {
+                call.forward(self.last_sequence, leader);
+            } else {
+                leader.probe(self.ticks);
+            }
+        }
         self.calls.insert(self.last_sequence, call);
-        self.forward(self.last_sequence);
     }
 
-    fn forward(&mut self, sequence: u64) {
-        let (Some(leader), Some(call)) = (&self.leader, self.calls.get_mut(&sequence)) else {
-            return;
-        };
-        let (host, path) = (call.host.clone(), call.path.clone());
-        let message = LinkMessage::Call { sequence, host, path, call: call.call.clone() };
-        call.forwards += u32::from(leader.send(message));
+    /// Forwards the requests that the present stream has not received.
+    fn forward_waiting(&mut self, now: Duration) {
+        let Some(leader) = self.leader.as_ref().filter(|leader| leader.is_usable()) else { return };
+        for (sequence, call) in &mut self.calls {
+            if call.may_be_forwarded(now) {
+                call.forward(*sequence, leader);
+            }
+        }
     }
 
     fn tick(&mut self) {
@@ -191,45 +215,27 @@
         if let Some(leader) =
             self.leader.as_ref().filter(|_| self.ticks.is_multiple_of(TICKS_PER_PING))
         {
-            leader.send(LinkMessage::Ping { sequence: self.ticks });
+            leader.ping(self.ticks);
         }
         let now = self.clock.monotonic();
-        let has_leader = self.leader.is_some();
+        let view = match &self.leader {
+            Some(_) => StreamView::Open,
+            None => StreamView::LostAt(self.lost_at),
+        };
+        let closing = self.close_at.is_some_and(|at| now + TICK >= at);
         let expired: Vec<u64> = self
             .calls
             .iter()
-            .filter(|(_, call)| call.is_expired(now, has_leader))
+            .filter(|(_, call)| closing || call.is_expired(now, view))
             .map(|(sequence, _)| *sequence)
             .collect();
         for sequence in expired {
             let Some(call) = self.calls.remove(&sequence) else { continue };
-            let answer =
-                if call.forwards > 0 { CallerAnswer::Unresolved } else { CallerAnswer::Refused };
-            let _ = call.reply.send(answer);
+            call.give_up();
         }
     }
 }
 
-impl PendingCall {
-    fn is_expired(&self, now: Duration, has_leader: bool) -> bool {
-        let waited = now.saturating_sub(self.arrived);
-        let time_limit = if self.forwards > 0 { FAILOVER_WAIT_LIMIT } else { LEADER_WAIT_LIMIT };
-        now >= self.deadline || self.reply.is_closed() || (!has_leader && waited >= time_limit)
-    }
-}
-
-/// Returns what a leader's answer means for the caller; `None` if the next leader has to answer. A
-/// leader that refuses a job speaks for itself only: one that received the job before it may have
-/// accepted it under an older configuration, and its answer was lost.
-fn conclude(call: &CallerCall, forwards: u32, answer: CallerAnswer) -> Option<CallerAnswer> {
-    let refuses = matches!(answer, CallerAnswer::NoQueue | CallerAnswer::Refused);
-    match (call, answer) {
-        (_, CallerAnswer::Unresolved | CallerAnswer::NotLeading) => None,
-        (CallerCall::Submit(_), _) if refuses && forwards > 1 => Some(CallerAnswer::Unresolved),
-        (_, answer) => Some(answer),
-    }
-}
-
 #[cfg(test)]
 #[path = "../../tests/unit/entry.rs"]
 mod tests;
--- a/crates/node/tests/unit/scripted.rs
+++ b/crates/node/tests/unit/scripted.rs
@@ -5,7 +5,7 @@
     link::{LinkReader, LinkSender},
     std::{future::Future, net::SocketAddr, time::Duration},
     tokio::{net::TcpListener, task::LocalSet, time::timeout},
-    workflow::message::LinkMessage,
+    workflow::message::{CallerAnswer, LinkMessage},
 };
 
 /// How long a test may take. One that waits for a message that never arrives fails then.
@@ -69,9 +69,37 @@
         self.send_welcome(true, None, members);
     }
 
+    /// Says that the process at `leader` leads now.
+    pub(crate) fn hand_over(&mut self, leader: SocketAddr) {
+        self.send_welcome(false, Some(leader), &[]);
+    }
+
     fn send_welcome(&self, leading: bool, leader: Option<SocketAddr>, members: &[SocketAddr]) {
         let members = members.iter().copied().map(PeerAddress).collect();
         let leader = leader.map(PeerAddress);
         self.sender.send(LinkMessage::Welcome { leading, leader, members, term: 1 });
     }
+
+    /// Returns the number of the next call.
+    pub(crate) async fn read_call(&mut self) -> u64 {
+        loop {
+            match self.next().await {
+                Some(LinkMessage::Call { sequence, .. }) => return sequence,
+                Some(LinkMessage::Ping { .. }) => {}
+                other => panic!("expected a call, got {other:?}"),
+            }
+        }
+    }
+
+    /// Answers the next call.
+    pub(crate) async fn answer_call(&mut self, answer: CallerAnswer) {
+        let sequence = self.read_call().await;
+        self.sender.send(LinkMessage::Answer { sequence, answer });
+    }
+
+    /// Answers the next ping.
+    pub(crate) async fn answer_ping(&mut self) {
+        let Some(LinkMessage::Ping { sequence }) = self.next().await else { panic!("no ping") };
+        self.sender.send(LinkMessage::Pong { sequence, term: 1, leased: None });
+    }
 }
