Keep entries ready for 4 s after the loss of their leader

Cause: an outage of the control group takes the leader from all entries at once. All of them reported at once that they were not ready; the load balancer checks once a second and acts on the second refusal, and without any entry it can only answer 502 itself, although nothing reached a leader.

Change: an entry that was ready reports it for 4 s more without a leader, and refuses calls with 503 and Retry-After meanwhile. A starting entry is ready once it has reached a leader, as before. The price is that callers of an entry that is cut off alone are refused for 4 s longer.

Result: a test over a loopback stream loses the leader, has a call refused and finds the entry ready; the length of the time is checked with given times. Not measured with a load balancer.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -23,6 +23,12 @@
 /// deadline, because it would probably end without an outcome.
 const ANSWER_TIME: Duration = Duration::from_millis(100);
 
+/// How long an entry without a leader still reports that it is ready. An outage of the control group
+/// takes the leader from all entries at once, and a load balancer without a ready entry answers 502
+/// itself, after which callers may not retry. Longer than an election after an outage of 2 s or 3 s.
+/// An entry that is cut off alone sends callers away with 503 for that long.
+const READY_GRACE: Duration = Duration::from_millis(4000);
+
 /// What a request needs to know about the stream to the leader.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum StreamView {
@@ -30,6 +36,16 @@
     LostAt(Duration),
 }
 
+impl StreamView {
+    /// Returns whether an entry that was ready still is.
+    pub(super) fn is_ready(self, now: Duration) -> bool {
+        match self {
+            Self::Open => true,
+            Self::LostAt(lost_at) => now.saturating_sub(lost_at) < READY_GRACE,
+        }
+    }
+}
+
 pub(super) struct PendingCall {
     host: String,
     path: String,
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -59,7 +59,8 @@
 }
 
 impl EntryHandle {
-    /// Whether the entry is connected to a leader.
+    /// Whether the load balancer should send requests here: the entry is connected to a leader, or
+    /// was until a few seconds ago.
     pub fn is_ready(&self) -> bool {
         self.ready.get()
     }
@@ -161,7 +162,6 @@
             LeaderEvent::Down => {
                 self.leader = None;
                 self.lost_at = now;
-                self.ready.set(false);
                 self.calls.values_mut().for_each(PendingCall::leave_stream);
             }
         }
@@ -222,6 +222,7 @@
             Some(_) => StreamView::Open,
             None => StreamView::LostAt(self.lost_at),
         };
+        self.ready.set(self.ready.get() && view.is_ready(now));
         let closing = self.close_at.is_some_and(|at| now + TICK >= at);
         let expired: Vec<u64> = self
             .calls
--- a/crates/node/tests/unit/entry.rs
+++ b/crates/node/tests/unit/entry.rs
@@ -198,3 +198,27 @@
     assert!(pending.may_be_forwarded(START + Duration::from_millis(199)));
     assert_eq!(pending.may_be_forwarded(START + Duration::from_millis(200)), exposed);
 }
+
+// All entries lose the leader in an outage of the control group. They reported at once that they
+// were not ready, and the load balancer, without any entry, answered calls with 502.
+#[test]
+fn an_entry_that_has_lost_its_leader_answers_calls_for_a_while() {
+    on_local_set(async {
+        let control = ScriptedControl::start().await;
+        let handle = start(&[&control]);
+        assert!(!handle.is_ready());
+        let mut leader = control.lead(&[]).await;
+        let answered = send(&handle, submit(), AMPLE);
+        leader.answer_call(CallerAnswer::Accepted).await;
+        assert_eq!(answered.await.unwrap(), CallerAnswer::Accepted);
+        leader.hand_over(control.address);
+        // The stream ends when the entry has noticed the loss.
+        while leader.next().await.is_some() {}
+        let refused = send(&handle, submit(), AMPLE);
+        assert_eq!(refused.await.unwrap(), CallerAnswer::Refused);
+        assert!(handle.is_ready());
+    });
+    let lost = StreamView::LostAt(START);
+    assert!(lost.is_ready(START + Duration::from_millis(3999)));
+    assert!(!lost.is_ready(START + Duration::from_millis(4000)));
+}
