--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -9,7 +9,11 @@
 use {
     rstest::rstest,
     support::{job, ControlHarness, StepBuilder},
-    workflow::{job::JobSchedule, message::LinkMessage, state::EndKind},
+    workflow::{
+        job::JobSchedule,
+        message::{CallerAnswer, LinkMessage},
+        state::EndKind,
+    },
 };
 
 // An agent whose executor was replaced by one of another id kept renewing the lease of the first
@@ -499,3 +503,33 @@
     assert_eq!(harness.accepted(), 4);
     assert_eq!(harness.starts().len(), 4, "three tasks of the first job and one of the second");
 }
+
+// A process that stays connected to one leader learned no addresses after its connection, and found
+// nobody once all members that it knew were replaced.
+#[test]
+fn connected_processes_are_told_of_changed_members() {
+    let mut harness = ControlHarness::start();
+    for client in [50, 51, 52] {
+        harness.connect_client(client);
+    }
+    harness.close(52);
+    let told = [50, 51, 52].map(|client| (client, vec![1]));
+    assert_eq!(harness.take_welcomes(), told);
+    harness.join(60, 2);
+    harness.advance(400);
+    let told = [50, 51].map(|client| (client, vec![1, 2]));
+    assert_eq!(harness.take_welcomes(), told);
+    harness.advance(1000);
+    assert_eq!(harness.take_welcomes(), []);
+}
+
+// Every caller who waited for a leader that was lost was told that the job may have been accepted,
+// also those whose job was in no entry of the log.
+#[test]
+fn only_what_was_proposed_is_unresolved_when_the_leadership_ends() {
+    let mut harness = ControlHarness::start();
+    harness.pause_syncs(true);
+    harness.submit(1, job(&[StepBuilder::tasks(1)]));
+    harness.submit_and_fail_sync(2, job(&[StepBuilder::tasks(1)]));
+    assert_eq!(harness.answers(), [CallerAnswer::Unresolved, CallerAnswer::NotLeading]);
+}
