Start nothing in a data centre that operators have cordoned

Cause: operators had no way to ask that nothing more be sent to the executors of a data centre; they could only drain each executor.

A worker knows whether its data centre is cordoned, and placement does not accept it then.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -36,7 +36,7 @@
         event::FlowEvent,
         job::FleetConfig,
         message::LinkMessage,
-        state::StateError,
+        state::{DataCentreName, StateError},
     },
 };
 
@@ -126,6 +126,8 @@
     Leader(LeaderEvent),
     Configure(FleetConfig, oneshot::Sender<OperatorAnswer>),
     ReadConfig(oneshot::Sender<OperatorAnswer>),
+    Cordon(DataCentreName, oneshot::Sender<OperatorAnswer>),
+    LiftCordon(DataCentreName, oneshot::Sender<OperatorAnswer>),
 }
 
 /// Passes operators' calls to the event loop.
@@ -149,6 +151,20 @@
         let _ = self.inputs.send(ControlInput::ReadConfig(reply));
         answer.await.unwrap_or(OperatorAnswer::Unknown)
     }
+
+    /// Proposes the cordon of a data centre and returns the answer.
+    pub async fn cordon(&self, data_centre: DataCentreName) -> OperatorAnswer {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inputs.send(ControlInput::Cordon(data_centre, reply));
+        answer.await.unwrap_or(OperatorAnswer::Unknown)
+    }
+
+    /// Proposes to lift the cordon of a data centre and returns the answer.
+    pub async fn lift_cordon(&self, data_centre: DataCentreName) -> OperatorAnswer {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inputs.send(ControlInput::LiftCordon(data_centre, reply));
+        answer.await.unwrap_or(OperatorAnswer::Unknown)
+    }
 }
 
 /// Whether the process has a replica id.
@@ -296,6 +312,14 @@
                 let ticket = self.register_reply(reply);
                 self.step(ControlEvent::ReadConfig { ticket })
             }
+            ControlInput::Cordon(data_centre, reply) => {
+                let ticket = self.register_reply(reply);
+                self.step(ControlEvent::Cordon { ticket, data_centre })
+            }
+            ControlInput::LiftCordon(data_centre, reply) => {
+                let ticket = self.register_reply(reply);
+                self.step(ControlEvent::LiftCordon { ticket, data_centre })
+            }
         }
     }
 
@@ -330,7 +354,10 @@
                     self.sessions.send(session, welcome);
                 }
             }
-            ControlEvent::Configure { ticket, .. } | ControlEvent::ReadConfig { ticket } => {
+            ControlEvent::Configure { ticket, .. }
+            | ControlEvent::ReadConfig { ticket }
+            | ControlEvent::Cordon { ticket, .. }
+            | ControlEvent::LiftCordon { ticket, .. } => {
                 let answer = OperatorAnswer::NotLeading { leader: None };
                 self.answer(ticket, answer);
             }
--- a/crates/workflow/src/control/capacity.rs
+++ b/crates/workflow/src/control/capacity.rs
@@ -53,24 +53,30 @@
         }
     }
 
+    /// Returns why no run may begin on an executor any more, if so.
+    pub(super) fn start_barrier(&self, executor: &Arc<str>) -> Option<StopReason> {
+        if self.is_cordoned(executor) {
+            return Some(StopReason::DataCentreCordoned);
+        }
+        self.is_overfull(executor).then_some(StopReason::WorkerShrunk)
+    }
+
     /// Withdraws an order that its worker does not list. The agent settles it by a stop, which
     /// keeps the executor from starting the run late, and reports that the run never began.
-    pub(super) fn withdraw_order(&mut self, placement: &Placement) {
-        let stop = self.stop_run(placement, StopReason::WorkerShrunk);
+    pub(super) fn withdraw_order(&mut self, placement: &Placement, reason: StopReason) {
+        let stop = self.stop_run(placement, reason);
         self.effects.extend(stop);
     }
 
-    /// Ends the run of a committed start that no longer fits on its worker. Returns whether the
+    /// Ends the run of a committed start that its worker may not begin any more. Returns whether the
     /// effect was such a start. Nothing has sent it, so that the run has certainly not begun.
     pub(super) fn withdraw_unsent(&mut self, effect: &ControlEffect) -> bool {
         let ControlEffect::Send { message: LinkMessage::Start(order), .. } = effect else {
             return false;
         };
         let StartOrder { worker, task, run, .. } = order;
-        if !self.is_overfull(&worker.executor) {
-            return false;
-        }
-        let (worker, reason) = (worker.clone(), StopReason::WorkerShrunk);
+        let Some(reason) = self.start_barrier(&worker.executor) else { return false };
+        let worker = worker.clone();
         self.record(FlowEvent::RunStopped {
             task: *task,
             run: *run,
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        cordons::CordonWatch,
         crashes::CrashWatch,
         interference::STORE_LEARNED_INTERVAL,
         types::{ControlEffect, SessionId},
@@ -52,6 +53,8 @@
     pub(super) run: RunNumber,
     pub(super) checkpoint: String,
     pub(super) percent: u8,
+    /// Whether a report has shown that the run has begun.
+    pub(super) confirmed: bool,
 }
 
 /// The state of a leader outside the log. A new leader rebuilds it from agents' reports and starts
@@ -78,6 +81,8 @@
     pub(super) suspects: SuspectTable,
     /// The executors that may have crashed.
     pub(super) crashes: CrashWatch,
+    /// The cordoned data centres.
+    pub(super) cordons: CordonWatch,
     /// The time at which learned interference goes into the log next.
     pub(super) store_learned_at: Duration,
     /// The stream to the agent of each executor.
@@ -156,6 +161,7 @@
         let commands = vec![FlowCommand::RetainFor { retention_ms }];
         let learned = InterferenceTable::from_pairs(self.now, speculative.learned());
         let suspects = SuspectTable::new(&speculative, self.now);
+        let cordons = CordonWatch::new(speculative.cordons(), self.now);
         self.leader = Some(LeaderState {
             term,
             leading_since: self.now,
@@ -170,6 +176,7 @@
             learned,
             suspects,
             crashes: CrashWatch::default(),
+            cordons,
             store_learned_at: self.now + STORE_LEARNED_INTERVAL,
             sessions: HashMap::new(),
             agents: HashMap::new(),
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -22,13 +22,14 @@
 const MEMBERS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 impl ControlNode {
-    /// Expires leases, stores learned interference and checks the membership, each when due. Does
+    /// Expires leases, withdraws starts in cordoned data centres, stores learned interference and checks the membership, each when due. Does
     /// nothing on a replica that does not lead.
     pub(super) fn run_periodic_checks(&mut self) {
         if self.leader.is_none() {
             return;
         }
         self.expire_leases();
+        self.check_cordons();
         self.store_learned();
         let due = self.leader.as_ref().is_some_and(|leader| self.now >= leader.members_check_at);
         if due {
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod capacity;
+mod cordons;
 mod crashes;
 mod interference;
 mod leader;
@@ -212,6 +213,10 @@
             ControlEvent::Closed { session } => self.close_session(session),
             ControlEvent::Configure { ticket, config } => self.handle_config(ticket, config),
             ControlEvent::ReadConfig { ticket } => self.read_config(ticket),
+            ControlEvent::Cordon { ticket, data_centre } => self.handle_cordon(ticket, data_centre),
+            ControlEvent::LiftCordon { ticket, data_centre } => {
+                self.handle_lift(ticket, data_centre);
+            }
             ControlEvent::Settle => self.settle(),
         }
         self.drain_queue();
--- a/crates/workflow/src/control/operator.rs
+++ b/crates/workflow/src/control/operator.rs
@@ -34,7 +34,7 @@
         self.queue.push_back(QuorumEvent::ConfirmRead { ticket });
     }
 
-    fn redirect(&mut self, ticket: ReplyTicket) {
+    pub(super) fn redirect(&mut self, ticket: ReplyTicket) {
         let leader = self.leader_address();
         let answer = OperatorAnswer::NotLeading { leader };
         self.effects.push(ControlEffect::Answer { ticket, answer });
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -136,7 +136,8 @@
     /// Releases the effects of a committed entry.
     pub(super) fn release(&mut self, ticket: ReplyTicket) {
         let Some(leader) = &mut self.leader else { return };
-        for effect in leader.in_flight.remove(&ticket).into_iter().flatten() {
+        for mut effect in leader.in_flight.remove(&ticket).into_iter().flatten() {
+            self.note_cordon_committed(&mut effect);
             if self.may_send(&effect) && !self.withdraw_unsent(&effect) {
                 self.effects.push(effect);
             }
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        cordons::is_confirmed,
         leader::RunProgress,
         types::{ControlEffect, SessionId},
         ControlNode,
@@ -20,14 +21,14 @@
 /// order was lost.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Interval at which a stop is repeated while the run is still listed.
-const STOP_REPEAT: Duration = Duration::from_millis(500);
+pub(super) const STOP_REPEAT: Duration = Duration::from_millis(500);
 
 impl ControlNode {
     /// Repeats the orders for all placements on a worker: its agent may have restarted and have no
-    /// record of the runs there. On a worker that has become too small, the agent's list of runs has
-    /// to show first which of them have begun.
+    /// record of the runs there. On a worker that has become too small or is cordoned, the agent's
+    /// list of runs has to show first which of them have begun.
     pub(super) fn repeat_orders(&mut self, session: SessionId, worker: &WorkerIncarnation) {
-        if self.is_overfull(&worker.executor) {
+        if self.start_barrier(&worker.executor).is_some() {
             self.forget_orders(worker);
             return;
         }
@@ -38,7 +39,7 @@
     }
 
     /// Repeats the order for a placement, or withdraws it if the worker has become too small for
-    /// one more run. The order for a listed run only tells the worker's agent about it.
+    /// one more run or is cordoned. The order for a listed run only tells the worker's agent about it.
     fn repeat_order(&mut self, session: SessionId, placement: Placement, listed: bool) {
         let now = self.now;
         let Placement { task, run, .. } = placement;
@@ -46,10 +47,11 @@
         if let Some(leader) = &mut self.leader {
             leader.ordered.insert(task, (run, now));
         }
+        let barrier = self.start_barrier(&placement.worker.executor).filter(|_| !listed);
         if ended {
             self.stop_unwanted(session, &placement.worker, task, run);
-        } else if !listed && self.is_overfull(&placement.worker.executor) {
-            self.withdraw_order(&placement);
+        } else if let Some(reason) = barrier {
+            self.withdraw_order(&placement, reason);
         } else if let Some(order) = self.start_order(&placement) {
             let message = LinkMessage::Start(order);
             let effect = ControlEffect::Send { session, message };
@@ -92,6 +94,7 @@
             self.check_run(session, worker, report);
         }
         self.repeat_lost_orders(session, worker, &runs);
+        self.withdraw_unconfirmed(worker);
         self.learn_interference(worker, &runs);
         self.relieve_worker(worker);
     }
@@ -113,7 +116,9 @@
             leader.suspects.note_at_work(task, run, self.now);
         }
         let checkpoint = report.checkpoint.clone();
-        let progress = RunProgress { run, checkpoint, percent: report.percent };
+        let before = leader.progress.get(&task).filter(|before| before.run == run);
+        let confirmed = before.is_some_and(|before| before.confirmed) || is_confirmed(report);
+        let progress = RunProgress { run, checkpoint, percent: report.percent, confirmed };
         leader.progress.insert(task, progress);
     }
 
--- a/crates/workflow/src/control/types.rs
+++ b/crates/workflow/src/control/types.rs
@@ -1,7 +1,12 @@
 //! The events, effects and settings that the control reducer and its driver exchange.
 
 use {
-    crate::{event::FlowEvent, job::FleetConfig, message::LinkMessage, state::StateError},
+    crate::{
+        event::FlowEvent,
+        job::FleetConfig,
+        message::LinkMessage,
+        state::{DataCentreName, StateError},
+    },
     base::{PeerAddress, ReplicaId, ReplyTicket},
     quorum::{PersistBatch, QuorumMessage, QuorumSettings},
     std::time::Duration,
@@ -67,6 +72,20 @@
         /// The ticket by which the driver matches the answer.
         ticket: ReplyTicket,
     },
+    /// An operator asks that nothing more be started in a data centre.
+    Cordon {
+        /// The ticket by which the driver matches the answer.
+        ticket: ReplyTicket,
+        /// The data centre.
+        data_centre: DataCentreName,
+    },
+    /// An operator withdraws that request.
+    LiftCordon {
+        /// The ticket by which the driver matches the answer.
+        ticket: ReplyTicket,
+        /// The data centre.
+        data_centre: DataCentreName,
+    },
     /// The driver has passed on every event that had arrived: place tasks, and propose the
     /// collected commands. Collecting simultaneous events lets one entry of the log serve all of
     /// them.
@@ -76,9 +95,11 @@
 /// The answer to an operator.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OperatorAnswer {
-    /// The configuration is in the log. It takes effect only if its version is higher than that of
-    /// the one in force.
+    /// The configuration, the cordon or its lifting is in the log. A configuration takes effect only
+    /// if its version is higher than that of the one in force.
     Accepted,
+    /// The data centre is not cordoned, because the most data centres that may be are.
+    CordonLimit,
     /// The configuration in force, as the operator sent it; `None` before the first.
     Config(Option<Vec<u8>>),
     /// This replica does not lead.
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -56,6 +56,7 @@
                 leader.workers.insert(executor, WorkerView::new(report));
             }
         }
+        leader.mark_cordoned(&worker.executor);
         leader.planner.touch(&worker.executor);
         leader.replan = true;
         self.record(event);
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         job::{JobKey, RunNumber, TaskKey, WorkerIncarnation},
-        state::{EndKind, JobOutcome},
+        state::{DataCentreName, EndKind, JobOutcome},
     },
     serde::{Serialize, Serializer},
     std::fmt::Display,
@@ -41,6 +41,8 @@
     Interferes,
     /// The run's worker has shrunk below what is reserved there.
     WorkerShrunk,
+    /// The data centre of the run's worker is cordoned, and the run's start was not confirmed.
+    DataCentreCordoned,
 }
 
 /// An event, with the inputs of the decision.
@@ -323,6 +325,34 @@
         /// The number of dropped lines.
         count: u64,
     },
+    /// A data centre is cordoned, by a cordon that is in the log.
+    CordonSet {
+        /// The data centre.
+        #[serde(serialize_with = "as_text")]
+        data_centre: DataCentreName,
+        /// Whether it was cordoned before.
+        repeated: bool,
+        /// The number of its workers whose agents are connected.
+        workers: usize,
+        /// The number of runs on these workers.
+        runs: usize,
+        /// Milliseconds from the request to its commit.
+        elapsed_ms: u64,
+    },
+    /// The cordon of a data centre is lifted, by an entry that is in the log.
+    CordonLifted {
+        /// The data centre.
+        #[serde(serialize_with = "as_text")]
+        data_centre: DataCentreName,
+        /// Whether it was not cordoned before.
+        repeated: bool,
+        /// The number of its workers whose agents are connected.
+        workers: usize,
+        /// The number of runs on these workers.
+        runs: usize,
+        /// Milliseconds from the request to its commit.
+        elapsed_ms: u64,
+    },
 }
 
 impl FlowEvent {
@@ -369,6 +399,8 @@
             Self::CallFailed { .. } => (5050, "CallFailed"),
             Self::MessageRefused { .. } => (5051, "MessageRefused"),
             Self::LinesDropped { .. } => (5052, "LinesDropped"),
+            Self::CordonSet { .. } => (5060, "CordonSet"),
+            Self::CordonLifted { .. } => (5061, "CordonLifted"),
         }
     }
 }
--- a/crates/workflow/src/plan/worker.rs
+++ b/crates/workflow/src/plan/worker.rs
@@ -27,6 +27,8 @@
     pub report: WorkerReport,
     /// Whether the agent has listed the runs on the worker.
     pub listed: bool,
+    /// Whether the worker's data centre is cordoned, so that nothing more may start here.
+    pub cordoned: bool,
     /// The end of the lease under which the worker may run its tasks.
     pub lease_until: Duration,
     /// Consecutive failures, weighted.
@@ -43,6 +45,7 @@
         Self {
             report,
             listed: false,
+            cordoned: false,
             lease_until: Duration::ZERO,
             failures: 0.0,
             avoid_until: Duration::ZERO,
@@ -65,7 +68,7 @@
     pub fn accepts(&self, service: &str, now: Duration) -> bool {
         let able = self.report.responsive && self.report.drain_left_ms.is_none();
         let open = self.lease_until > now && self.refuses_until <= now;
-        self.listed && able && open && self.report.service == service
+        self.listed && !self.cordoned && able && open && self.report.service == service
     }
 
     /// Returns whether the worker has recently failed too many runs in a row.
--- a/crates/workflow/src/state/command.rs
+++ b/crates/workflow/src/state/command.rs
@@ -1,7 +1,7 @@
 //! The entries of the replicated log, and the outcomes of their commands.
 
 use {
-    super::{StateError, StateSnafu},
+    super::{cordons::DataCentreName, StateError, StateSnafu},
     crate::{
         job::{FleetConfig, JobKey, JobSpec, RunNumber, TaskKey, WorkerIncarnation},
         plan::LearnedPair,
@@ -136,6 +136,16 @@
         /// The newest checkpoint; empty for none.
         checkpoint: String,
     },
+    /// Cordons a data centre: nothing more may start there. An older build halts at this command.
+    Cordon {
+        /// The data centre.
+        data_centre: DataCentreName,
+    },
+    /// Lifts the cordon of a data centre.
+    LiftCordon {
+        /// The data centre.
+        data_centre: DataCentreName,
+    },
 }
 
 /// The outcome of a command.
--- a/crates/workflow/src/state/mod.rs
+++ b/crates/workflow/src/state/mod.rs
@@ -4,12 +4,14 @@
 //! nothing, on every replica alike, so that a leader may propose on top of what it has proposed.
 
 mod command;
+mod cordons;
 mod placements;
 mod record;
 mod transition;
 
 pub use {
     command::{CommandBatch, CommandOutcome, EndKind, FlowCommand, Submission},
+    cordons::{CordonSet, DataCentreError, DataCentreName, CORDON_LIMIT},
     record::{
         JobOutcome, JobPhase, JobRecord, OccurrenceRecord, StepRecord, TaskPhase, TaskRecord,
     },
@@ -58,6 +60,10 @@
     /// executor answers there.
     #[serde(default)]
     addresses: BTreeMap<Arc<str>, Arc<str>>,
+    /// The cordoned data centres. Left out while there are none, so that an older build can decode
+    /// the snapshot.
+    #[serde(default, skip_serializing_if = "CordonSet::is_empty")]
+    cordons: CordonSet,
     /// The placed tasks by executor, derived from `jobs`.
     #[serde(skip)]
     placements: PlacementIndex,
@@ -91,6 +97,11 @@
         &self.learned
     }
 
+    /// Returns the cordoned data centres.
+    pub fn cordons(&self) -> &CordonSet {
+        &self.cordons
+    }
+
     /// Returns the address at which an executor answers, or last answered.
     pub fn executor_address_of(&self, executor: &str) -> Option<&Arc<str>> {
         self.addresses.get(executor)
@@ -170,6 +181,8 @@
             FlowCommand::End { task, run, worker, end, checkpoint } => {
                 self.end(task, *run, worker, *end, checkpoint)
             }
+            FlowCommand::Cordon { data_centre } => self.cordons.cordon(data_centre),
+            FlowCommand::LiftCordon { data_centre } => self.cordons.lift(data_centre),
         }
     }
 
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -13,7 +13,7 @@
         event::FlowEvent,
         job::{JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
         message::{CallerAnswer, CallerCall, EndReport, LinkMessage, RunReport, WorkerReport},
-        state::EndKind,
+        state::{EndKind, FlowState},
     },
 };
 
@@ -90,6 +90,8 @@
 /// A control process and the effects it has produced.
 pub struct ControlHarness {
     node: ControlNode,
+    settings: ControlSettings,
+    disk: RecoveredLog,
     now: Duration,
     sequence: u64,
     syncs_paused: bool,
@@ -124,9 +126,12 @@
         };
         let retention = Duration::from_secs(60);
         let settings = ControlSettings { quorum, lease: LEASE, retention, tolerated_losses: 0 };
-        let node = ControlNode::new(settings, RecoveredLog::default(), Duration::ZERO, 1).unwrap();
+        let disk = RecoveredLog::default();
+        let node = ControlNode::new(settings.clone(), disk.clone(), Duration::ZERO, 1).unwrap();
         let mut harness = Self {
             node,
+            settings,
+            disk,
             now: Duration::ZERO,
             sequence: 0,
             syncs_paused: false,
@@ -153,6 +158,7 @@
             for event in events.drain(..) {
                 for effect in self.node.reduce(self.now, event) {
                     if let ControlEffect::Persist(batch) = effect {
+                        self.disk.apply(&batch);
                         persisted.push(batch);
                     } else {
                         self.record(effect);
@@ -206,6 +212,37 @@
         }
     }
 
+    /// Restarts the process from its disk and lets it gain leadership. All streams have ended.
+    pub fn restart(&mut self) {
+        let (settings, disk) = (self.settings.clone(), self.disk.clone());
+        self.node = ControlNode::new(settings, disk, self.now, 2).unwrap();
+        while !self.node.is_leader() {
+            self.advance(STEP);
+        }
+    }
+
+    /// Asks for the cordon of a data centre and returns the last answer to an operator.
+    pub fn cordon(&mut self, data_centre: &str) -> Option<&OperatorAnswer> {
+        let (ticket, data_centre) = (ReplyTicket(2000), data_centre.parse().unwrap());
+        self.step(ControlEvent::Cordon { ticket, data_centre });
+        self.operator.last()
+    }
+
+    /// Asks to lift the cordon of a data centre.
+    pub fn lift_cordon(&mut self, data_centre: &str) {
+        let (ticket, data_centre) = (ReplyTicket(2001), data_centre.parse().unwrap());
+        self.step(ControlEvent::LiftCordon { ticket, data_centre });
+    }
+
+    /// Returns the number of answers to operators.
+    pub fn operator_answers(&self) -> usize {
+        self.operator.len()
+    }
+
+    pub fn state(&self) -> &FlowState {
+        self.node.applied()
+    }
+
     pub fn advance(&mut self, milliseconds: u64) {
         for _ in 0..milliseconds.div_ceil(STEP) {
             self.now += Duration::from_millis(STEP);
@@ -255,6 +292,26 @@
         self.report_runs(session, &format!("{executor}@{born}"), &[]);
     }
 
+    /// Connects a worker in a data centre other than the usual one, `north`.
+    pub fn connect_worker_in(&mut self, session: u64, executor: &str, data_centre: &str) {
+        let (report, data_centre) = (Self::report(executor, 100, None), data_centre.to_owned());
+        self.report_worker(session, WorkerReport { data_centre, ..report });
+        self.report_runs(session, &format!("{executor}@100"), &[]);
+    }
+
+    /// Lists first runs by their percentage of progress: 0 for starts that are on their way.
+    pub fn report_progress(&mut self, session: u64, worker: &str, tasks: &[(&str, u8)]) {
+        let report = |(task, percent): &(&str, u8)| RunReport {
+            task: task.parse().unwrap(),
+            run: RunNumber(1),
+            checkpoint: String::new(),
+            percent: *percent,
+            figure: 0,
+        };
+        let runs = tasks.iter().map(report).collect();
+        self.send(session, LinkMessage::Runs { worker: Self::parse_incarnation(worker), runs });
+    }
+
     /// Reports an executor's new incarnation, before its agent has listed its runs.
     pub fn announce_incarnation(&mut self, session: u64, executor: &str, born: u64) {
         self.report_worker(session, Self::report(executor, born, None));
