Check cordons in the seeded schedules

Cause: the paths on which a run could start in a cordoned data centre depend on lost messages, new leaders and paused agents.

Change: an operator in the simulated fleet sets and lifts cordons at random and repeats each request until it is acknowledged. No start that an agent sends later than 5 s after the acknowledgement may begin a run there. After the faults one cordon may stay, and all jobs have to end. A built-in fault, agents that report another data centre, shows that the check works.

The choices of the other schedules are unchanged.

--- a/crates/workflow/tests/schedules.rs
+++ b/crates/workflow/tests/schedules.rs
@@ -19,19 +19,24 @@
 
 /// Plays a seed. A violated invariant panics with the seed and what the executors ran.
 fn check(seed: u64) {
-    play(seed, None, false);
+    play(FleetWorld::new(seed, None, false));
 }
 
 /// Plays a seed with executors that shrink, grow, and start whatever they are told to. No start may
 /// bring one over its capacity.
 fn check_shrinking(seed: u64) {
-    play(seed, None, true);
+    play(FleetWorld::new(seed, None, true));
 }
 
-fn play(seed: u64, breakage: Option<Breakage>, shrinking: bool) {
-    let mut world = FleetWorld::new(seed, breakage, shrinking);
+/// Plays a seed with an operator who cordons data centres. Nothing may start there meanwhile.
+fn check_cordons(seed: u64) {
+    play(FleetWorld::new(seed, None, false).with_operator());
+}
+
+fn play(mut world: FleetWorld) {
     world.play_faults();
     world.heal();
+    world.settle_cordons();
     world.expect_all_jobs_end();
 }
 
@@ -52,6 +57,11 @@
     seeds().for_each(check_shrinking);
 }
 
+#[test]
+fn invariants_hold_while_data_centres_are_cordoned() {
+    seeds().for_each(check_cordons);
+}
+
 /// Seeds that once failed, each named after the fault that it found.
 #[rstest]
 #[case::order_repeated_before_its_refusal(0)]
@@ -79,9 +89,15 @@
 #[case::executors_mistaken_for_others(Breakage::SharedAddress)]
 #[case::disks_that_lose_synced_data(Breakage::ForgetfulDisk)]
 #[case::capacities_reported_late(Breakage::StaleCapacity)]
+#[case::data_centres_reported_wrong(Breakage::WrongDataCentre)]
 fn a_built_in_fault_is_detected(#[case] breakage: Breakage) {
     let shrinking = breakage == Breakage::StaleCapacity;
-    let detected = |seed: &u64| catch_unwind(|| play(*seed, Some(breakage), shrinking)).is_err();
+    let world = |seed| FleetWorld::new(seed, Some(breakage), shrinking);
+    let detected = |seed: &u64| {
+        let cordoning = breakage == Breakage::WrongDataCentre;
+        let world = || if cordoning { world(*seed).with_operator() } else { world(*seed) };
+        catch_unwind(|| play(world())).is_err()
+    };
     let seed = BROKEN_SEEDS.into_iter().find(detected);
     println!("{breakage:?} is detected by seed {seed:?}");
     assert!(seed.is_some());
--- a/crates/workflow/tests/world/agents.rs
+++ b/crates/workflow/tests/world/agents.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        executor::CAPACITY, Arrival, Breakage, ExecutorCall, FleetWorld, CONTROLS, POLL,
-        TRACE_VARIABLE,
+        cordons::data_centre_of, executor::CAPACITY, Arrival, Breakage, ExecutorCall, FleetWorld,
+        CONTROLS, POLL, TRACE_VARIABLE,
     },
     base::EventReducer,
     std::time::Duration,
@@ -68,11 +68,13 @@
         let host = &mut self.agents[agent];
         host.sequence += 1;
         let sequence = host.sequence;
+        let wrong = self.breakage == Some(Breakage::WrongDataCentre);
+        let data_centre = if wrong { "elsewhere" } else { data_centre_of(agent) };
         let runs = if stale { CAPACITY } else { host.executor.capacity() };
         let report = WorkerReport {
             worker: host.executor.incarnation(),
             service: "s".to_owned(),
-            data_centre: "north".to_owned(),
+            data_centre: data_centre.to_owned(),
             capacity: TaskDemand {
                 cpu_milli: runs as u64 * 1000,
                 memory_mb: 10_000,
@@ -111,7 +113,9 @@
             }
             AgentEffect::Start { order, deadline_ms, fence } => {
                 let (worker, task, run) = (order.worker, order.task, order.run.0);
-                let call = ExecutorCall::Start { worker, task, run, deadline_ms, fence, answered };
+                let sent = self.now;
+                let call =
+                    ExecutorCall::Start { worker, task, run, deadline_ms, fence, sent, answered };
                 self.order(agent, call, answered);
             }
             AgentEffect::Stop { worker, task, run, fence } => {
@@ -192,7 +196,7 @@
                 let result = if answered { result } else { Err(unanswered()) };
                 AgentEvent::PollAnswered { worker, asked, result }
             }
-            ExecutorCall::Start { worker, task, run, deadline_ms, fence, answered } => {
+            ExecutorCall::Start { worker, task, run, deadline_ms, fence, sent, answered } => {
                 let before = executor.running().count();
                 let verdict = if executor.admits(&worker, fence) {
                     let verdict = executor.start(now, task, run, deadline_ms);
@@ -203,6 +207,9 @@
                          and it holds {admissible}",
                         self.seed
                     );
+                    if runs > before {
+                        self.check_cordon(agent, sent);
+                    }
                     verdict
                 } else {
                     StartVerdict::Failed(CallFailure::Fenced)
--- a/crates/workflow/tests/world/control.rs
+++ b/crates/workflow/tests/world/control.rs
@@ -46,7 +46,11 @@
             ControlEffect::Persist(batch) => self.persist(control, &batch),
             ControlEffect::Halt(error) => panic!("seed {}: {error}", self.seed),
             ControlEffect::Record(event) => self.trace(&format!("control {control}"), &event),
-            ControlEffect::Answer { .. } => {}
+            ControlEffect::Answer { ticket, answer } => {
+                if let Some(operator) = &mut self.operator {
+                    operator.note_answer(self.now, ticket, &answer);
+                }
+            }
         }
     }
 
--- a/crates/workflow/tests/world/mod.rs
+++ b/crates/workflow/tests/world/mod.rs
@@ -3,12 +3,14 @@
 
 mod agents;
 mod control;
+mod cordons;
 mod executor;
 mod faults;
 
 use {
     crate::fixtures::fleet_config,
     base::{PeerAddress, ReplicaId, ReplyTicket, SeededRandom},
+    cordons::CordonOperator,
     executor::{FakeExecutor, CAPACITY},
     quorum::{GroupMember, QuorumSettings, RecoveredLog},
     std::{
@@ -71,6 +73,7 @@
         run: u32,
         deadline_ms: u64,
         fence: u64,
+        sent: Duration,
         answered: bool,
     },
     Stop {
@@ -127,6 +130,8 @@
     /// Tasks that ended as done and whose end an executor discarded, which it may do only once the
     /// end is in the log.
     recorded_done: BTreeSet<TaskKey>,
+    /// The operator who cordons data centres, if there is one.
+    operator: Option<CordonOperator>,
 }
 
 fn address_of(control: usize) -> PeerAddress {
@@ -188,6 +193,8 @@
     ForgetfulDisk,
     /// Executors keep reporting the capacity with which they began.
     StaleCapacity,
+    /// Agents report another data centre than that of their executor.
+    WrongDataCentre,
 }
 
 /// Returns the settings of an agent. Its executor keeps one address, whatever its id.
@@ -233,10 +240,17 @@
             accepted: BTreeSet::new(),
             answers: Vec::new(),
             recorded_done: BTreeSet::new(),
+            operator: None,
             random,
         }
     }
 
+    /// Adds an operator who cordons data centres.
+    pub fn with_operator(mut self) -> Self {
+        self.operator = Some(CordonOperator::new(self.seed));
+        self
+    }
+
     pub fn play_faults(&mut self) {
         for _ in 0..FAULT_STEPS {
             if self.random.chance(0.02) {
@@ -345,6 +359,7 @@
             }
         }
         self.submit_some_job();
+        self.operate();
         self.check_invariants();
     }
 
