Report what a cordon leaves running and which jobs it lets wait

Cause: an operator could tell neither when a cordoned data centre is empty nor why a job waits meanwhile.

Change: control processes show gauges of the cordoned data centres, of the runs left in them by kind, and of the jobs that wait because only cordoned data centres have the label or service that they ask for. The leader looks for such jobs once a second while there are cordons, among the steps that the last planning pass left waiting, and writes one JobBlocked line for each, at most 16 in a check.

--- a/crates/node/src/control/member.rs
+++ b/crates/node/src/control/member.rs
@@ -17,7 +17,7 @@
         time::Duration,
     },
     tokio::sync::mpsc::UnboundedSender,
-    workflow::control::{ControlEffect, ControlEvent, ControlNode, ControlSettings},
+    workflow::control::{ControlEffect, ControlEvent, ControlNode, ControlSettings, CordonFigures},
 };
 
 /// Covers several disk syncs and round trips between data centres. A lost leader is replaced within
@@ -84,6 +84,10 @@
         self.node.reduce(now, event)
     }
 
+    pub(super) fn cordon_figures(&self) -> CordonFigures {
+        self.node.cordon_figures()
+    }
+
     pub(super) fn persist(&self, batch: PersistBatch) {
         // The thread outlives its member: the send fails only while the process ends.
         let _ = self.batches.send(batch);
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -46,6 +46,8 @@
 const INPUTS_PER_DECISION: usize = 256;
 /// Ticks between two requests of a joining process for a replica id.
 const JOIN_TICKS: u64 = 15;
+/// Ticks between two updates of the gauges of cordoned data centres: one second.
+const FIGURES_TICKS: u64 = 50;
 
 /// Why a control process stopped or did not start.
 #[derive(Debug, Snafu)]
@@ -274,6 +276,11 @@
                 leader.send(LinkMessage::Ping { sequence: self.ticks });
             }
         }
+        if let (Membership::Member(member), true) =
+            (&self.membership, self.ticks.is_multiple_of(FIGURES_TICKS))
+        {
+            self.log.set_cordon_figures(&member.cordon_figures());
+        }
         self.step(ControlEvent::Tick { wall_ms: wall_ms() })
     }
 
--- a/crates/node/src/logging/mod.rs
+++ b/crates/node/src/logging/mod.rs
@@ -12,8 +12,8 @@
         thread,
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
-    telemetry::metrics::{CounterKind, DurationKind, MetricsError, ProcessMetrics},
-    workflow::{event::FlowEvent, job::RunNumber, state::JobOutcome},
+    telemetry::metrics::{CounterKind, DurationKind, GaugeKind, MetricsError, ProcessMetrics},
+    workflow::{control::CordonFigures, event::FlowEvent, job::RunNumber, state::JobOutcome},
 };
 
 /// The most lines that a process writes in a second: about twice what a process of the largest
@@ -121,6 +121,19 @@
         self.metrics.observe(kind, case, value);
     }
 
+    /// Sets the gauges of cordoned data centres.
+    pub fn set_cordon_figures(&self, figures: &CordonFigures) {
+        self.metrics.set(GaugeKind::CordonedDataCentres, figures.data_centres as u64);
+        self.metrics.set(GaugeKind::CordonWaitingJobs, figures.waiting_jobs as u64);
+        for (kind, runs) in [
+            ("lasting", figures.lasting),
+            ("checkpointing", figures.checkpointing),
+            ("other", figures.other),
+        ] {
+            self.metrics.set_case(GaugeKind::CordonedRuns, kind, runs as u64);
+        }
+    }
+
     /// Returns all metrics of the process in the Prometheus text format.
     pub fn export_metrics(&self) -> Result<String, MetricsError> {
         self.metrics.export()
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -26,6 +26,9 @@
         Leader "mangorouter.control.leader" "{replica}" "Replica id of the leader, or 0 if none is known.";
         CommittedIndex "mangorouter.control.committed" "{entry}" "Index of the last committed log entry.";
         LiveWorkers "mangorouter.control.workers" "{worker}" "Workers that hold a lease.";
+        CordonedDataCentres "mangorouter.flow.cordons" "{data_centre}" "Data centres in which nothing more is started.";
+        CordonedRuns "mangorouter.flow.cordoned.runs" "{run}" "Runs left in cordoned data centres as the leader knows them, by kind; 0 on other processes.";
+        CordonWaitingJobs "mangorouter.flow.cordoned.jobs" "{job}" "Jobs that wait because only cordoned data centres have what they ask for; 0 on processes that do not lead.";
     }
 }
 
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -128,6 +128,12 @@
         self.gauges[gauge as usize].record(value, &[]);
     }
 
+    /// Sets the value of a gauge for one case. `label` is the value of the label `case` and must come
+    /// from a small fixed set.
+    pub fn set_case(&self, gauge: GaugeKind, label: &'static str, value: u64) {
+        self.gauges[gauge as usize].record(value, &[KeyValue::new("case", label)]);
+    }
+
     /// Adds a duration to a histogram. `label` is the value of the label `case` and must come from
     /// a small fixed set.
     pub fn observe(&self, duration: DurationKind, label: &'static str, value: Duration) {
--- a/crates/workflow/src/control/cordons.rs
+++ b/crates/workflow/src/control/cordons.rs
@@ -15,14 +15,14 @@
     },
     crate::{
         event::{FlowEvent, StopReason},
-        job::WorkerIncarnation,
+        job::{JobKey, StepKey, WorkerIncarnation},
         message::RunReport,
         plan::{Placement, WorkerView},
         state::{CommandOutcome, CordonSet, DataCentreName, FlowCommand},
     },
     base::ReplyTicket,
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         sync::Arc,
         time::Duration,
     },
@@ -37,6 +37,26 @@
 /// when its lease of at most 3.5 s ends. The difference is left.
 const INHERITED_CONFIRM_TIME: Duration = Duration::from_millis(1500);
 
+/// Interval at which the leader looks for jobs that wait because of a cordon.
+const BLOCKED_CHECK_INTERVAL: Duration = Duration::from_millis(1000);
+/// The most jobs that one such check reports, so that a cordon writes few lines a second.
+const BLOCKED_LINES: usize = 16;
+
+/// The figures about cordoned data centres, for metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CordonFigures {
+    /// The number of cordoned data centres.
+    pub data_centres: usize,
+    /// The lasting runs left there.
+    pub lasting: usize,
+    /// The other checkpointing runs left there.
+    pub checkpointing: usize,
+    /// All other runs left there.
+    pub other: usize,
+    /// The jobs that wait because only cordoned data centres have what they ask for.
+    pub waiting_jobs: usize,
+}
+
 /// The cordons as proposed, and what the leader still has to do for them.
 #[derive(Debug)]
 pub(super) struct CordonWatch {
@@ -50,6 +70,10 @@
     checks: VecDeque<Duration>,
     /// The times of the requests that wait for their commit, in their order.
     requested: VecDeque<Duration>,
+    /// The jobs that a cordon lets wait, as found by the last check.
+    blocked: BTreeSet<JobKey>,
+    /// The time of the next such check.
+    blocked_check_at: Duration,
 }
 
 impl CordonWatch {
@@ -63,6 +87,8 @@
             inherited_until,
             checks: checks.into_iter().collect(),
             requested: VecDeque::new(),
+            blocked: BTreeSet::new(),
+            blocked_check_at: now,
         }
     }
 
@@ -107,6 +133,45 @@
         workers.filter(|view| view.report.data_centre == data_centre.as_str())
     }
 
+    /// Returns the figures about cordoned data centres, whose number the caller knows.
+    pub(super) fn cordon_figures(&self, data_centres: usize) -> CordonFigures {
+        let waiting_jobs = self.cordons.blocked.len();
+        let mut figures = CordonFigures { data_centres, waiting_jobs, ..CordonFigures::default() };
+        let cordoned = self.workers.values().filter(|view| view.cordoned);
+        for (task, _) in cordoned.flat_map(|view| self.speculative.placed_tasks(view.incarnation()))
+        {
+            let job = self.speculative.job(task.job);
+            match job.and_then(|job| job.step_spec(&task)) {
+                Some(spec) if spec.lasting => figures.lasting += 1,
+                Some(spec) if spec.checkpointing => figures.checkpointing += 1,
+                _ => figures.other += 1,
+            }
+        }
+        figures
+    }
+
+    /// Returns the event about a waiting step if a worker in a cordoned data centre has what the
+    /// step asks for and no other worker has, whatever capacity is free.
+    fn cordon_that_blocks(&self, key: StepKey) -> Option<FlowEvent> {
+        let job = self.speculative.job(key.job)?;
+        let label = job.spec.steps.get(usize::from(key.step))?.required_label.as_ref();
+        let rule = self.speculative.config().and_then(|config| config.queue(&job.queue));
+        let service = rule.map_or(&job.service, |rule| &rule.service);
+        let suits = |view: &&WorkerView| {
+            let labelled = label.is_none_or(|label| view.report.labels.contains(label));
+            labelled && view.report.service == *service
+        };
+        let mut cordoned = None;
+        for view in self.workers.values().filter(suits) {
+            if !view.cordoned {
+                return None;
+            }
+            cordoned = Some(view.report.data_centre.clone());
+        }
+        let (label, data_centre) = (label.cloned(), cordoned?);
+        Some(FlowEvent::JobBlocked { job: key.job, step: key.step, label, data_centre })
+    }
+
     /// Returns the runs on a worker that no report has shown to have begun.
     fn unconfirmed_on(&self, worker: &WorkerIncarnation, now: Duration) -> Vec<Placement> {
         let mut placements = self.placements_on(worker);
@@ -224,6 +289,32 @@
         }
     }
 
+    /// Reports the jobs that wait because only cordoned data centres have what they ask for, each
+    /// once. Examines only the steps that the last pass left waiting.
+    pub(super) fn check_blocked_jobs(&mut self) {
+        let now = self.now;
+        let Some(leader) = &mut self.leader else { return };
+        if now < leader.cordons.blocked_check_at {
+            return;
+        }
+        leader.cordons.blocked_check_at = now + BLOCKED_CHECK_INTERVAL;
+        let known = std::mem::take(&mut leader.cordons.blocked);
+        if leader.cordons.proposed.is_empty() {
+            return;
+        }
+        let mut blocked = BTreeSet::new();
+        let mut events = Vec::new();
+        for key in leader.planner.blocked_steps().copied() {
+            let Some(event) = leader.cordon_that_blocks(key) else { continue };
+            if known.contains(&key.job) || events.len() < BLOCKED_LINES {
+                let new = blocked.insert(key.job) && !known.contains(&key.job);
+                events.extend(new.then_some(event));
+            }
+        }
+        leader.cordons.blocked = blocked;
+        events.into_iter().for_each(|event| self.record(event));
+    }
+
     /// Stops the unconfirmed starts in cordoned data centres, once for each cordon. Later ones are
     /// found in the lists of the agents.
     pub(super) fn check_cordons(&mut self) {
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -30,6 +30,7 @@
         }
         self.expire_leases();
         self.check_cordons();
+        self.check_blocked_jobs();
         self.store_learned();
         let due = self.leader.as_ref().is_some_and(|leader| self.now >= leader.members_check_at);
         if due {
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -19,7 +19,10 @@
 mod types;
 mod workers;
 
-pub use types::{ControlEffect, ControlEvent, ControlSettings, OperatorAnswer, SessionId};
+pub use {
+    cordons::CordonFigures,
+    types::{ControlEffect, ControlEvent, ControlSettings, OperatorAnswer, SessionId},
+};
 
 use {
     self::leader::LeaderState,
@@ -103,6 +106,15 @@
         Some(found.member.address)
     }
 
+    /// Returns the figures about cordoned data centres.
+    pub fn cordon_figures(&self) -> CordonFigures {
+        let data_centres = self.applied.cordons().len();
+        let leader = self.leader.as_ref();
+        leader
+            .map(|leader| leader.cordon_figures(data_centres))
+            .unwrap_or(CordonFigures { data_centres, ..CordonFigures::default() })
+    }
+
     /// Returns the addresses on which the members listen.
     pub fn member_addresses(&self) -> Vec<PeerAddress> {
         self.core.members().iter().map(|progress| progress.member.address).collect()
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -353,6 +353,18 @@
         /// Milliseconds from the request to its commit.
         elapsed_ms: u64,
     },
+    /// A job waits because only cordoned data centres have what one of its steps asks for.
+    JobBlocked {
+        /// The job.
+        #[serde(serialize_with = "as_text")]
+        job: JobKey,
+        /// The step's position in the job.
+        step: u16,
+        /// The label that the step requires; `None` if every worker of the service would do.
+        label: Option<String>,
+        /// One of the data centres.
+        data_centre: String,
+    },
 }
 
 impl FlowEvent {
@@ -401,6 +413,7 @@
             Self::LinesDropped { .. } => (5052, "LinesDropped"),
             Self::CordonSet { .. } => (5060, "CordonSet"),
             Self::CordonLifted { .. } => (5061, "CordonLifted"),
+            Self::JobBlocked { .. } => (5062, "JobBlocked"),
         }
     }
 }
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -119,6 +119,11 @@
         self.touched.insert(executor.clone());
     }
 
+    /// Returns the steps for which the last pass found no worker.
+    pub fn blocked_steps(&self) -> impl Iterator<Item = &StepKey> {
+        self.blocked.iter()
+    }
+
     /// Returns whether a full pass is due.
     pub fn is_full_pass_due(&self, now: Duration) -> bool {
         self.last_full.is_none_or(|last| now.saturating_sub(last) >= FULL_PASS_INTERVAL)
--- a/crates/workflow/tests/cordons/mod.rs
+++ b/crates/workflow/tests/cordons/mod.rs
@@ -4,7 +4,7 @@
     crate::support::{job, ControlHarness, StepBuilder},
     rstest::rstest,
     workflow::{
-        control::OperatorAnswer,
+        control::{CordonFigures, OperatorAnswer},
         state::{CommandBatch, CommandOutcome, EndKind, FlowCommand, FlowState, CORDON_LIMIT},
     },
 };
@@ -194,6 +194,26 @@
     assert_eq!(harness.operator_answers(), answers + 1);
 }
 
+// Operators could not tell why a job waits, nor whether a data centre is empty.
+#[test]
+fn a_job_that_only_a_cordoned_data_centre_can_run_waits_and_is_reported_once() {
+    let mut harness = start_ordered();
+    harness.connect_worker_in(2, "e2", "south");
+    harness.cordon("north");
+    harness.submit(0xb, job(&[StepBuilder::tasks(1).required_label("r1")]));
+    harness.submit(0xc, job(&[StepBuilder::tasks(1).preferred_rack("r1")]));
+    assert_eq!(harness.starts()[1..], ["000000000000000c.0.0.0 run 1 on e2@100"]);
+    harness.report_runs(1, "e1@100", &[(FIRST, 1)]);
+    harness.keep_alive(1, 2400);
+    assert_eq!(harness.blocked(), ["000000000000000b by north"]);
+    let left = CordonFigures { data_centres: 1, other: 1, waiting_jobs: 1, ..Default::default() };
+    assert_eq!(harness.cordon_figures(), left);
+    harness.lift_cordon("north");
+    harness.keep_alive(1, 1200);
+    assert_eq!(harness.starts()[2..], [format!("{SECOND} run 1 on e1@100")]);
+    assert_eq!(harness.cordon_figures(), CordonFigures::default());
+}
+
 fn apply(state: &mut FlowState, command: FlowCommand) -> Vec<CommandOutcome> {
     let bytes = CommandBatch { elapsed_ms: 1, commands: vec![command] }.to_bytes();
     state.apply(&CommandBatch::from_bytes(&bytes).unwrap())
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -8,7 +8,8 @@
     std::{collections::BTreeSet, sync::Arc, time::Duration},
     workflow::{
         control::{
-            ControlEffect, ControlEvent, ControlNode, ControlSettings, OperatorAnswer, SessionId,
+            ControlEffect, ControlEvent, ControlNode, ControlSettings, CordonFigures,
+            OperatorAnswer, SessionId,
         },
         event::FlowEvent,
         job::{JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
@@ -71,6 +72,16 @@
         self
     }
 
+    pub fn required_label(mut self, label: &str) -> Self {
+        self.0.required_label = Some(label.to_owned());
+        self
+    }
+
+    pub fn preferred_rack(mut self, rack: &str) -> Self {
+        self.0.preferred_rack = Some(rack.to_owned());
+        self
+    }
+
     pub fn latency_target(mut self, milliseconds: u64) -> Self {
         self.0.latency_target_ms = Some(milliseconds);
         self
@@ -98,6 +109,7 @@
     unsynced: Vec<PersistBatch>,
     starts: Vec<String>,
     shrinkages: Vec<String>,
+    blocked: Vec<String>,
     stops: Vec<String>,
     /// Tasks that were reported as ended.
     ended: BTreeSet<String>,
@@ -138,6 +150,7 @@
             unsynced: Vec::new(),
             starts: Vec::new(),
             shrinkages: Vec::new(),
+            blocked: Vec::new(),
             stops: Vec::new(),
             ended: BTreeSet::new(),
             answers: Vec::new(),
@@ -195,6 +208,9 @@
                 self.leased = leased.map(|worker| worker.to_string());
             }
             ControlEffect::Answer { answer, .. } => self.operator.push(answer),
+            ControlEffect::Record(FlowEvent::JobBlocked { job, data_centre, .. }) => {
+                self.blocked.push(format!("{job} by {data_centre}"));
+            }
             ControlEffect::Record(FlowEvent::WorkerShrunk {
                 worker, cpu_milli, overfull, ..
             }) => {
@@ -234,6 +250,15 @@
         self.step(ControlEvent::LiftCordon { ticket, data_centre });
     }
 
+    /// Returns the jobs that were reported to wait because of a cordon.
+    pub fn blocked(&self) -> &[String] {
+        &self.blocked
+    }
+
+    pub fn cordon_figures(&self) -> CordonFigures {
+        self.node.cordon_figures()
+    }
+
     /// Returns the number of answers to operators.
     pub fn operator_answers(&self) -> usize {
         self.operator.len()
@@ -294,8 +319,10 @@
 
     /// Connects a worker in a data centre other than the usual one, `north`.
     pub fn connect_worker_in(&mut self, session: u64, executor: &str, data_centre: &str) {
-        let (report, data_centre) = (Self::report(executor, 100, None), data_centre.to_owned());
-        self.report_worker(session, WorkerReport { data_centre, ..report });
+        let report = Self::report(executor, 100, None);
+        let labels = vec!["a".to_owned(), format!("{data_centre}-rack")];
+        let data_centre = data_centre.to_owned();
+        self.report_worker(session, WorkerReport { data_centre, labels, ..report });
         self.report_runs(session, &format!("{executor}@100"), &[]);
     }
 
