--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -36,7 +36,7 @@
         event::FlowEvent,
         job::FleetConfig,
         message::{CallerAnswer, LinkMessage},
-        state::StateError,
+        state::{DataCentreName, StateError},
     },
 };
 
@@ -46,6 +46,8 @@
 const INPUTS_PER_DECISION: usize = 256;
 /// Ticks between two requests of a joining process for a replica id.
 const JOIN_TICKS: u64 = 15;
+/// Ticks between two updates of the gauges of cordoned data centres: one second.
+const FIGURES_TICKS: u64 = 50;
 
 /// Why a control process stopped or did not start.
 #[derive(Debug, Snafu)]
@@ -126,6 +128,8 @@
     Leader(LeaderEvent),
     Configure(FleetConfig, oneshot::Sender<OperatorAnswer>),
     ReadConfig(oneshot::Sender<OperatorAnswer>),
+    Cordon(DataCentreName, oneshot::Sender<OperatorAnswer>),
+    LiftCordon(DataCentreName, oneshot::Sender<OperatorAnswer>),
 }
 
 /// Passes operators' calls to the event loop.
@@ -149,6 +153,20 @@
         let _ = self.inputs.send(ControlInput::ReadConfig(reply));
         answer.await.unwrap_or(OperatorAnswer::Unknown)
     }
+
+    /// Proposes the cordon of a data centre and returns the answer.
+    pub async fn cordon(&self, data_centre: DataCentreName) -> OperatorAnswer {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inputs.send(ControlInput::Cordon(data_centre, reply));
+        answer.await.unwrap_or(OperatorAnswer::Unknown)
+    }
+
+    /// Proposes to lift the cordon of a data centre and returns the answer.
+    pub async fn lift_cordon(&self, data_centre: DataCentreName) -> OperatorAnswer {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inputs.send(ControlInput::LiftCordon(data_centre, reply));
+        answer.await.unwrap_or(OperatorAnswer::Unknown)
+    }
 }
 
 /// Whether the process has a replica id.
@@ -258,6 +276,11 @@
                 leader.send(LinkMessage::Ping { sequence: self.ticks });
             }
         }
+        if let (Membership::Member(member), true) =
+            (&self.membership, self.ticks.is_multiple_of(FIGURES_TICKS))
+        {
+            self.log.set_cordon_figures(&member.cordon_figures());
+        }
         self.step(ControlEvent::Tick { wall_ms: wall_ms() })
     }
 
@@ -296,6 +319,14 @@
                 let ticket = self.register_reply(reply);
                 self.step(ControlEvent::ReadConfig { ticket })
             }
+            ControlInput::Cordon(data_centre, reply) => {
+                let ticket = self.register_reply(reply);
+                self.step(ControlEvent::Cordon { ticket, data_centre })
+            }
+            ControlInput::LiftCordon(data_centre, reply) => {
+                let ticket = self.register_reply(reply);
+                self.step(ControlEvent::LiftCordon { ticket, data_centre })
+            }
         }
     }
 
@@ -335,7 +366,10 @@
                     self.sessions.send(session, welcome);
                 }
             }
-            ControlEvent::Configure { ticket, .. } | ControlEvent::ReadConfig { ticket } => {
+            ControlEvent::Configure { ticket, .. }
+            | ControlEvent::ReadConfig { ticket }
+            | ControlEvent::Cordon { ticket, .. }
+            | ControlEvent::LiftCordon { ticket, .. } => {
                 let answer = OperatorAnswer::NotLeading { leader: None };
                 self.answer(ticket, answer);
             }
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        cordons::CordonWatch,
         crashes::CrashWatch,
         interference::STORE_LEARNED_INTERVAL,
         relocation::RelocationState,
@@ -54,6 +55,8 @@
     pub(super) run: RunNumber,
     pub(super) checkpoint: String,
     pub(super) percent: u8,
+    /// Whether a report has shown that the run has begun.
+    pub(super) confirmed: bool,
 }
 
 /// The state of a leader outside the log. A new leader rebuilds it from agents' reports and starts
@@ -80,6 +83,8 @@
     pub(super) suspects: SuspectTable,
     /// The executors that may have crashed.
     pub(super) crashes: CrashWatch,
+    /// The cordoned data centres.
+    pub(super) cordons: CordonWatch,
     /// The time at which learned interference goes into the log next.
     pub(super) store_learned_at: Duration,
     /// The stream to the agent of each executor.
@@ -164,6 +169,7 @@
         let suspects = SuspectTable::new(&speculative, self.now);
         let mut announced = self.member_addresses();
         announced.sort_unstable();
+        let cordons = CordonWatch::new(speculative.cordons(), self.now);
         self.leader = Some(LeaderState {
             term,
             leading_since: self.now,
@@ -178,6 +184,7 @@
             learned,
             suspects,
             crashes: CrashWatch::default(),
+            cordons,
             store_learned_at: self.now + STORE_LEARNED_INTERVAL,
             sessions: HashMap::new(),
             agents: HashMap::new(),
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -22,13 +22,16 @@
 const MEMBERS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 impl ControlNode {
-    /// Expires leases, stores learned interference and checks the membership, each when due. Does
-    /// nothing on a replica that does not lead.
+    /// Expires leases, withdraws starts in cordoned data centres, stores learned interference, moves
+    /// latency-critical runs and checks the membership, each when due. Does nothing on a replica that
+    /// does not lead.
     pub(super) fn run_periodic_checks(&mut self) {
         if self.leader.is_none() {
             return;
         }
         self.expire_leases();
+        self.check_cordons();
+        self.check_blocked_jobs();
         self.store_learned();
         self.relocate_runs();
         let due = self.leader.as_ref().is_some_and(|leader| self.now >= leader.members_check_at);
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod capacity;
+mod cordons;
 mod crashes;
 mod interference;
 mod leader;
@@ -19,7 +20,10 @@
 mod types;
 mod workers;
 
-pub use types::{ControlEffect, ControlEvent, ControlSettings, OperatorAnswer, SessionId};
+pub use {
+    cordons::CordonFigures,
+    types::{ControlEffect, ControlEvent, ControlSettings, OperatorAnswer, SessionId},
+};
 
 use {
     self::leader::LeaderState,
@@ -103,6 +107,15 @@
         Some(found.member.address)
     }
 
+    /// Returns the figures about cordoned data centres.
+    pub fn cordon_figures(&self) -> CordonFigures {
+        let data_centres = self.applied.cordons().len();
+        let leader = self.leader.as_ref();
+        leader
+            .map(|leader| leader.cordon_figures(data_centres))
+            .unwrap_or(CordonFigures { data_centres, ..CordonFigures::default() })
+    }
+
     /// Returns the addresses on which the members listen.
     pub fn member_addresses(&self) -> Vec<PeerAddress> {
         self.core.members().iter().map(|progress| progress.member.address).collect()
@@ -213,6 +226,10 @@
             ControlEvent::Closed { session } => self.close_session(session),
             ControlEvent::Configure { ticket, config } => self.handle_config(ticket, config),
             ControlEvent::ReadConfig { ticket } => self.read_config(ticket),
+            ControlEvent::Cordon { ticket, data_centre } => self.handle_cordon(ticket, data_centre),
+            ControlEvent::LiftCordon { ticket, data_centre } => {
+                self.handle_lift(ticket, data_centre);
+            }
             ControlEvent::Settle => self.settle(),
         }
         self.drain_queue();
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         job::{JobKey, RunNumber, TaskKey, WorkerIncarnation},
-        state::{EndKind, JobOutcome},
+        state::{DataCentreName, EndKind, JobOutcome},
     },
     serde::{Serialize, Serializer},
     std::fmt::Display,
@@ -43,6 +43,8 @@
     WorkerShrunk,
     /// Elsewhere, the run closes fewer workers to best-effort work.
     Relocated,
+    /// The data centre of the run's worker is cordoned, and the run's start was not confirmed.
+    DataCentreCordoned,
 }
 
 /// An event, with the inputs of the decision.
@@ -325,6 +327,46 @@
         /// The number of dropped lines.
         count: u64,
     },
+    /// A data centre is cordoned, by a cordon that is in the log.
+    CordonSet {
+        /// The data centre.
+        #[serde(serialize_with = "as_text")]
+        data_centre: DataCentreName,
+        /// Whether it was cordoned before.
+        repeated: bool,
+        /// The number of its workers whose agents are connected.
+        workers: usize,
+        /// The number of runs on these workers.
+        runs: usize,
+        /// Milliseconds from the request to its commit.
+        elapsed_ms: u64,
+    },
+    /// The cordon of a data centre is lifted, by an entry that is in the log.
+    CordonLifted {
+        /// The data centre.
+        #[serde(serialize_with = "as_text")]
+        data_centre: DataCentreName,
+        /// Whether it was not cordoned before.
+        repeated: bool,
+        /// The number of its workers whose agents are connected.
+        workers: usize,
+        /// The number of runs on these workers.
+        runs: usize,
+        /// Milliseconds from the request to its commit.
+        elapsed_ms: u64,
+    },
+    /// A job waits because only cordoned data centres have what one of its steps asks for.
+    JobBlocked {
+        /// The job.
+        #[serde(serialize_with = "as_text")]
+        job: JobKey,
+        /// The step's position in the job.
+        step: u16,
+        /// The label that the step requires; `None` if every worker of the service would do.
+        label: Option<String>,
+        /// One of the data centres.
+        data_centre: String,
+    },
 }
 
 impl FlowEvent {
@@ -371,6 +413,9 @@
             Self::CallFailed { .. } => (5050, "CallFailed"),
             Self::MessageRefused { .. } => (5051, "MessageRefused"),
             Self::LinesDropped { .. } => (5052, "LinesDropped"),
+            Self::CordonSet { .. } => (5060, "CordonSet"),
+            Self::CordonLifted { .. } => (5061, "CordonLifted"),
+            Self::JobBlocked { .. } => (5062, "JobBlocked"),
         }
     }
 }
