Count a job as pending until a run of it is known to have begun

The count also scanned all active jobs for each call.

Change: the leader keeps the jobs of which no run is known to have begun, with a count for each queue. A run has begun if an agent lists it at work, or reports an end of it that its executor has listed or that followed a confirmed start. Until an agent's list is due, a run that was ordered to a responsive executor within 1.2 s counts as begun: agents list their runs every 800 ms, longer than a short task takes, and jobs that run would be counted without this. A new leader counts a job of which it knows no run only while nothing of it is placed; failures, checkpoints, done tasks and certain crashes in the log prove a run. No format changes.

--- a/crates/workflow/src/control/calls.rs
+++ b/crates/workflow/src/control/calls.rs
@@ -57,13 +57,8 @@
         }
     }
 
-    fn count_pending(&self, rule: &QueueRule) -> CallerAnswer {
-        let Some(leader) = &self.leader else { return CallerAnswer::NotLeading };
-        let waiting = leader
-            .speculative
-            .active_jobs()
-            .filter(|(_, job)| job.queue == rule.name && job.outcome.is_none() && !job.begun);
-        CallerAnswer::Pending(waiting.count() as u64)
+    fn count_pending(&mut self, rule: &QueueRule) -> CallerAnswer {
+        self.pending_jobs(&rule.name).map_or(CallerAnswer::NotLeading, CallerAnswer::Pending)
     }
 
     /// Returns the phase of a job in the applied state, since a proposal may still fail. A job
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -5,6 +5,7 @@
         crashes::CrashWatch,
         interference::STORE_LEARNED_INTERVAL,
         types::{ControlEffect, SessionId},
+        unstarted::UnstartedJobs,
         ControlNode,
     },
     crate::{
@@ -78,6 +79,8 @@
     pub(super) suspects: SuspectTable,
     /// The executors that may have crashed.
     pub(super) crashes: CrashWatch,
+    /// The jobs of which no run is known to have begun.
+    pub(super) unstarted: UnstartedJobs,
     /// The time at which learned interference goes into the log next.
     pub(super) store_learned_at: Duration,
     /// The stream to the agent of each executor.
@@ -156,6 +159,7 @@
         let commands = vec![FlowCommand::RetainFor { retention_ms }];
         let learned = InterferenceTable::from_pairs(self.now, speculative.learned());
         let suspects = SuspectTable::new(&speculative, self.now);
+        let unstarted = UnstartedJobs::new(&speculative);
         self.leader = Some(LeaderState {
             term,
             leading_since: self.now,
@@ -170,6 +174,7 @@
             learned,
             suspects,
             crashes: CrashWatch::default(),
+            unstarted,
             store_learned_at: self.now + STORE_LEARNED_INTERVAL,
             sessions: HashMap::new(),
             agents: HashMap::new(),
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod runs;
 mod sessions;
 mod types;
+mod unstarted;
 mod workers;
 
 pub use types::{ControlEffect, ControlEvent, ControlSettings, OperatorAnswer, SessionId};
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -4,6 +4,7 @@
     super::{
         leader::PendingBatch,
         types::{ControlEffect, OperatorAnswer},
+        unstarted::added_jobs,
         ControlNode,
     },
     crate::{
@@ -34,8 +35,11 @@
         let batch = CommandBatch { elapsed_ms, commands };
         let mut ended = affected_jobs(&batch.commands);
         ended.retain(|key| leader.speculative.job(*key).is_some_and(|job| job.outcome.is_none()));
+        let added = added_jobs(&batch.commands, &leader.speculative);
         leader.speculative.apply(&batch);
+        self.count_unstarted(&batch, &added);
         commands = batch.commands;
+        let Some(leader) = &mut self.leader else { return };
         leader.replan = false;
         let placements = leader.planner.plan(PlanInputs {
             state: &leader.speculative,
@@ -82,6 +86,8 @@
         leader.ordered.insert(task, (run, now));
         leader.suspects.note_placed(task, run, now);
         leader.stopping.remove(&task);
+        self.note_placed_job(task.job, &worker);
+        let Some(leader) = &mut self.leader else { return };
         let Some(session) = leader.sessions.get(&worker.executor).copied() else { return };
         let Some(job) = leader.speculative.job(task.job) else { return };
         let failures = job.task(&task).map_or(0, |record| record.failures);
@@ -122,6 +128,7 @@
         leader.learned.forget_job(key);
         leader.suspects.forget_job(key);
         leader.crashes.forget_job(key);
+        leader.unstarted.remove(key);
         let after_ms = leader.speculative.clock_ms().saturating_sub(job.accepted_ms);
         deferred.push(ControlEffect::Record(FlowEvent::JobEnded { job: key, outcome, after_ms }));
         let runs: Vec<_> = job
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -115,6 +115,7 @@
         let checkpoint = report.checkpoint.clone();
         let progress = RunProgress { run, checkpoint, percent: report.percent };
         leader.progress.insert(task, progress);
+        self.note_listed(worker, report);
     }
 
     fn stop_unwanted(
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -227,6 +227,7 @@
             return;
         }
         self.note_certain_starts(worker, &ends);
+        self.note_begun_runs(&ends);
         let up_to = ends.iter().map(|end| end.number).max().unwrap_or(0);
         for EndReport { task, run, end, checkpoint, .. } in ends {
             let placed = self.placed_incarnation(worker, &task, run);
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod fixtures;
+mod pending;
 mod shrinking;
 mod support;
 
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -90,6 +90,7 @@
 /// A control process and the effects it has produced.
 pub struct ControlHarness {
     node: ControlNode,
+    disk: RecoveredLog,
     now: Duration,
     sequence: u64,
     syncs_paused: bool,
@@ -109,24 +110,10 @@
 impl ControlHarness {
     /// Creates a leader with one queue, at path `/q/` of host `h`.
     pub fn start() -> Self {
-        let replica = ReplicaId(1);
-        let address = PeerAddress("127.0.0.1:1".parse().unwrap());
-        let quorum = QuorumSettings {
-            replica,
-            founders: vec![GroupMember { replica, address, voter: true }],
-            election_timeout: Duration::from_millis(600),
-            heartbeat: Duration::from_millis(100),
-            batch_bytes: 1 << 20,
-            in_flight_limit: 8,
-            pending_limit: 1000,
-            snapshot_chunk: 1 << 16,
-            snapshot_every: 10_000,
-        };
-        let retention = Duration::from_secs(60);
-        let settings = ControlSettings { quorum, lease: LEASE, retention, tolerated_losses: 0 };
-        let node = ControlNode::new(settings, RecoveredLog::default(), Duration::ZERO, 1).unwrap();
+        let node = Self::node_from(RecoveredLog::default(), Duration::ZERO);
         let mut harness = Self {
             node,
+            disk: RecoveredLog::default(),
             now: Duration::ZERO,
             sequence: 0,
             syncs_paused: false,
@@ -146,6 +133,34 @@
         harness
     }
 
+    /// Kills the process and starts it again from its disk. It leads again at once, without its
+    /// streams and with nothing but the log.
+    pub fn restart_leader(&mut self) {
+        self.node = Self::node_from(self.disk.clone(), self.now);
+        while !self.node.is_leader() {
+            self.advance(STEP);
+        }
+    }
+
+    fn node_from(disk: RecoveredLog, now: Duration) -> ControlNode {
+        let replica = ReplicaId(1);
+        let address = PeerAddress("127.0.0.1:1".parse().unwrap());
+        let quorum = QuorumSettings {
+            replica,
+            founders: vec![GroupMember { replica, address, voter: true }],
+            election_timeout: Duration::from_millis(600),
+            heartbeat: Duration::from_millis(100),
+            batch_bytes: 1 << 20,
+            in_flight_limit: 8,
+            pending_limit: 1000,
+            snapshot_chunk: 1 << 16,
+            snapshot_every: 10_000,
+        };
+        let retention = Duration::from_secs(60);
+        let settings = ControlSettings { quorum, lease: LEASE, retention, tolerated_losses: 0 };
+        ControlNode::new(settings, disk, now, 1).unwrap()
+    }
+
     fn step(&mut self, event: ControlEvent) {
         let mut events = vec![event, ControlEvent::Settle];
         while !events.is_empty() {
@@ -153,6 +168,7 @@
             for event in events.drain(..) {
                 for effect in self.node.reduce(self.now, event) {
                     if let ControlEffect::Persist(batch) = effect {
+                        self.disk.apply(&batch);
                         persisted.push(batch);
                     } else {
                         self.record(effect);
@@ -305,6 +321,18 @@
         }
     }
 
+    /// Returns the number of pending jobs of the queue.
+    pub fn pending(&mut self) -> u64 {
+        self.sequence += 1;
+        let (host, path) = ("h".to_owned(), "/q/".to_owned());
+        let (sequence, call) = (self.sequence, CallerCall::Show);
+        self.send(ENTRY, LinkMessage::Call { sequence, host, path, call });
+        match self.answers.last() {
+            Some(CallerAnswer::Pending(pending)) => *pending,
+            other => panic!("{other:?}"),
+        }
+    }
+
     fn parse_incarnation(text: &str) -> WorkerIncarnation {
         let (executor, born) = text.split_once('@').unwrap();
         WorkerIncarnation { executor: Arc::from(executor), started_ms: born.parse().unwrap() }
