Refuse a job that more urgent work certainly makes too late

Cause: where urgent work exceeds what a service can finish, jobs of a less urgent priority are accepted, wait, and end after the time that counts. Their callers learn it last.

Change: for each submission to a queue with an objective, the leader compares the waiting work of more urgent priorities, divided by the rate of the service, with the longest wait after which the job can still end within three times its objective. A job is refused only if a backlog that has missed that time is observed, no task of its priority or a less urgent one was placed for 5 s, and no worker has free capacity for it. All quantities are rounded in favour of the job. The caller gets 503 with Retry-After (CallerAnswer::Overloaded), the log JobDeferred (5013), the metrics mangorouter.flow.retry.duration.

Result: thirteen tests play a load against one leader, among them one that plays each refused job again, admitted and without further load: it ends too late.

--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -222,7 +222,10 @@
 /// leader that refuses a job speaks for itself only: one that received the job before it may have
 /// accepted it under an older configuration, and its answer was lost.
 fn conclude(call: &CallerCall, forwards: u32, answer: CallerAnswer) -> Option<CallerAnswer> {
-    let refuses = matches!(answer, CallerAnswer::NoQueue | CallerAnswer::Refused);
+    let refuses = matches!(
+        answer,
+        CallerAnswer::NoQueue | CallerAnswer::Refused | CallerAnswer::Overloaded { .. }
+    );
     match (call, answer) {
         (_, CallerAnswer::Unresolved | CallerAnswer::NotLeading) => None,
         (CallerCall::Submit(_), _) if refuses && forwards > 1 => Some(CallerAnswer::Unresolved),
--- a/crates/node/src/logging/mod.rs
+++ b/crates/node/src/logging/mod.rs
@@ -112,6 +112,10 @@
                 };
                 self.observe(DurationKind::FlowJob, case, Duration::from_millis(*after_ms));
             }
+            FlowEvent::JobDeferred { retry_after_ms, .. } => {
+                let delay = Duration::from_millis(*retry_after_ms);
+                self.observe(DurationKind::FlowRetry, "overloaded", delay);
+            }
             _ => {}
         }
     }
--- a/crates/node/tests/unit/entry.rs
+++ b/crates/node/tests/unit/entry.rs
@@ -14,6 +14,9 @@
     check(submit(), 2, CallerAnswer::NoQueue, Some(CallerAnswer::Unresolved));
     check(submit(), 2, CallerAnswer::Refused, Some(CallerAnswer::Unresolved));
     check(submit(), 2, CallerAnswer::Accepted, Some(CallerAnswer::Accepted));
+    let overloaded = CallerAnswer::Overloaded { retry_after_ms: 1000 };
+    check(submit(), 2, overloaded.clone(), Some(CallerAnswer::Unresolved));
+    check(submit(), 1, overloaded.clone(), Some(overloaded));
     check(submit(), 1, CallerAnswer::NoQueue, Some(CallerAnswer::NoQueue));
     check(CallerCall::Show, 2, CallerAnswer::NoQueue, Some(CallerAnswer::NoQueue));
 }
--- a/crates/workflow/src/control/calls.rs
+++ b/crates/workflow/src/control/calls.rs
@@ -94,6 +94,9 @@
         if self.applied.job(key).is_some() {
             return Some(CallerAnswer::Accepted);
         }
+        if let Some(answer) = self.refuse_overload(key, &spec, rule) {
+            return Some(answer);
+        }
         let tasks = spec.steps.iter().map(|step| u32::from(step.count)).sum();
         let queue = rule.name.clone();
         let event = FlowEvent::JobAccepted { job: key, queue: queue.clone(), tasks, config };
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -11,7 +11,10 @@
     crate::{
         event::FlowEvent,
         job::{RunNumber, TaskKey, WorkerIncarnation},
-        plan::{InterferenceTable, Placement, PlacementPlanner, SuspectTable, WorkerTable},
+        plan::{
+            AdmissionTable, InterferenceTable, Placement, PlacementPlanner, SuspectTable,
+            WorkerTable,
+        },
         state::{FlowCommand, FlowState},
     },
     base::{ReplicaId, ReplyTicket},
@@ -79,6 +82,8 @@
     pub(super) suspects: SuspectTable,
     /// The executors that may have crashed.
     pub(super) crashes: CrashWatch,
+    /// The load of each service, by which submissions are admitted.
+    pub(super) admission: AdmissionTable,
     /// The jobs of which no run is known to have begun.
     pub(super) unstarted: UnstartedJobs,
     /// The time at which learned interference goes into the log next.
@@ -174,6 +179,7 @@
             learned,
             suspects,
             crashes: CrashWatch::default(),
+            admission: AdmissionTable::new(self.now),
             unstarted,
             store_learned_at: self.now + STORE_LEARNED_INTERVAL,
             sessions: HashMap::new(),
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! It plans on that state and withholds every effect of a proposal until the log has committed it.
 //! The speculative state ends with the leadership.
 
+mod admission;
 mod calls;
 mod capacity;
 mod crashes;
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -87,6 +87,7 @@
         leader.suspects.note_placed(task, run, now);
         leader.stopping.remove(&task);
         self.note_placed_job(task.job, &worker);
+        self.note_started_work(task.job);
         let Some(leader) = &mut self.leader else { return };
         let Some(session) = leader.sessions.get(&worker.executor).copied() else { return };
         let Some(job) = leader.speculative.job(task.job) else { return };
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -233,6 +233,7 @@
             let placed = self.placed_incarnation(worker, &task, run);
             if self.is_first_report(&placed, task, run) {
                 self.record_health(worker, task, end);
+                self.note_finished_work(&task, run, end);
             }
             self.end_run(&placed, task, run, end, checkpoint);
         }
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -138,6 +138,22 @@
         /// Milliseconds since the job was accepted.
         after_ms: u64,
     },
+    /// A job was refused because it could not end in time, and its caller was told when to retry.
+    JobDeferred {
+        /// The job.
+        #[serde(serialize_with = "as_text")]
+        job: JobKey,
+        /// The job's queue.
+        queue: String,
+        /// The time for which the job would wait at least, in milliseconds.
+        wait_ms: u64,
+        /// The longest wait after which the job could still end in time, in milliseconds.
+        limit_ms: u64,
+        /// The age of the survey of accepted work, in milliseconds.
+        survey_age_ms: u64,
+        /// The time after which the caller may retry, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// A task was placed.
     TaskPlaced {
         /// The task.
@@ -350,6 +366,7 @@
             Self::JobAccepted { .. } => (5010, "JobAccepted"),
             Self::JobRefused { .. } => (5011, "JobRefused"),
             Self::JobEnded { .. } => (5012, "JobEnded"),
+            Self::JobDeferred { .. } => (5013, "JobDeferred"),
             Self::TaskPlaced { .. } => (5020, "TaskPlaced"),
             Self::RunEnded { .. } => (5021, "RunEnded"),
             Self::RunStopped { .. } => (5022, "RunStopped"),
--- a/crates/workflow/src/message/mod.rs
+++ b/crates/workflow/src/message/mod.rs
@@ -176,6 +176,12 @@
     Unresolved,
     /// The receiver does not lead, and has done nothing.
     NotLeading,
+    /// The job is not accepted, because it could not end in time, and never runs as a result of
+    /// this request.
+    Overloaded {
+        /// The time after which the caller may submit the job again, in milliseconds.
+        retry_after_ms: u64,
+    },
 }
 
 /// An executor as its agent sees it.
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -9,6 +9,7 @@
 //! bursts of events at the cost of what has changed: a step that found no worker is offered only
 //! the workers that have changed since. `docs/decisions/scale.md` says why.
 
+mod admission;
 mod candidates;
 mod claims;
 mod interference;
@@ -24,6 +25,7 @@
 mod worker;
 
 pub use {
+    admission::{AdmissionTable, AdmissionVerdict},
     interference::{BestEffortShare, HeadroomForecast, ImageName, InterferenceTable, LearnedPair},
     relief::{assumed_demand, fits_elsewhere},
     reservations::reserved_on,
@@ -37,12 +39,12 @@
         claims::{DisplacedSteps, RoomClaims},
         order::StepRank,
         reservations::{fitting, ReservationTable},
-        score::{may_hold, StartTerms, StepRequest},
+        score::{may_hold, score_of, StartTerms, StepRequest},
         steps::{open_steps, OpenStep},
         trials::TrialTable,
     },
     crate::{
-        job::{RunNumber, StepKey, TaskKey, WorkerIncarnation},
+        job::{JobKey, JobSpec, RunNumber, StepKey, TaskKey, WorkerIncarnation},
         state::FlowState,
     },
     std::{
@@ -124,6 +126,31 @@
         self.last_full.is_none_or(|last| now.saturating_sub(last) >= FULL_PASS_INTERVAL)
     }
 
+    /// Returns whether a task of a job that is not in the state could start at once: a worker has
+    /// free capacity for it. A worker that no pass has seen counts as free.
+    pub fn has_capacity_for(
+        &self,
+        job: JobKey,
+        spec: &JobSpec,
+        service: &str,
+        inputs: PlanInputs<'_>,
+    ) -> bool {
+        let PlanInputs { state, workers, learned, suspects, time } = inputs;
+        let forecast = learned.forecast(time.now);
+        let inputs = PassInputs { state, workers, suspects, time, forecast };
+        let mut first =
+            spec.steps.iter().enumerate().filter(|(_, step)| step.depends_on.is_empty());
+        first.any(|(step, spec)| {
+            let key = StepKey { job, occurrence: 0, step: step as u16 };
+            let terms = StartTerms::Regular;
+            let request = StepRequest { key, spec, service, rack: None, terms };
+            workers.iter().any(|(executor, view)| match self.reservations.of(executor) {
+                Some(reserved) => score_of(&request, view, reserved, &inputs).is_some(),
+                None => view.accepts(service, time.now),
+            })
+        })
+    }
+
     /// Chooses a worker with enough free capacity for the waiting tasks that may start now.
     pub fn plan(&mut self, inputs: PlanInputs<'_>) -> Vec<Placement> {
         let mut changed = self.reservations.refresh(inputs.state, inputs.workers);
--- a/crates/workflow/src/plan/urgency.rs
+++ b/crates/workflow/src/plan/urgency.rs
@@ -6,7 +6,7 @@
 };
 
 /// Multiple of a job's objective up to which the job counts as late rather than missed.
-const LATE_FACTOR: f64 = 3.0;
+pub(super) const LATE_FACTOR: f64 = 3.0;
 
 /// What a job can still reach. Tasks are placed in the order of the variants.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,7 +32,7 @@
     }
     let whole = longest_chain(&record.spec, |_| true) as f64;
     let left = longest_chain(&record.spec, |step| !occurrence.steps[step].is_done()) as f64;
-    let objective = rule.stretch * whole + rule.latency_allowance_ms as f64;
+    let objective = objective_of(rule, whole);
     let end = age_ms as f64 + left;
     if end <= objective {
         JobProspect::InTime
@@ -43,9 +43,14 @@
     }
 }
 
+/// Returns the objective for the duration of a job with a chain of this length, in milliseconds.
+pub(super) fn objective_of(rule: &QueueRule, chain_ms: f64) -> f64 {
+    rule.stretch * chain_ms + rule.latency_allowance_ms as f64
+}
+
 /// Returns the estimate of the longest chain of dependent steps, in milliseconds. Steps that
 /// `counts` does not select take no time.
-fn longest_chain(spec: &JobSpec, counts: impl Fn(usize) -> bool) -> u64 {
+pub(super) fn longest_chain(spec: &JobSpec, counts: impl Fn(usize) -> bool) -> u64 {
     let mut chains: Vec<u64> = Vec::with_capacity(spec.steps.len());
     for (position, step) in spec.steps.iter().enumerate() {
         let before = step.depends_on.iter().map(|on| chains[usize::from(*on)]).max().unwrap_or(0);
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -1,6 +1,7 @@
 //! Tests of a single control process whose disk syncs at once. The test stands in for agents and
 //! entries.
 
+mod admission;
 mod crashes;
 mod fixtures;
 mod pending;
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -11,7 +11,7 @@
             ControlEffect, ControlEvent, ControlNode, ControlSettings, OperatorAnswer, SessionId,
         },
         event::FlowEvent,
-        job::{JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
+        job::{FleetConfig, JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
         message::{CallerAnswer, CallerCall, EndReport, LinkMessage, RunReport, WorkerReport},
         state::EndKind,
     },
@@ -300,11 +300,45 @@
     }
 
     fn call(&mut self, key: u64, call: CallerCall) {
+        self.call_queue("/q/", key, call);
+    }
+
+    fn call_queue(&mut self, prefix: &str, key: u64, call: CallerCall) {
         self.sequence += 1;
-        let (sequence, host, path) = (self.sequence, "h".to_owned(), format!("/q/{key:016x}"));
+        let (sequence, host, path) = (self.sequence, "h".to_owned(), format!("{prefix}{key:016x}"));
         self.send(ENTRY, LinkMessage::Call { sequence, host, path, call });
     }
 
+    /// Submits a job to the queue at a path, and returns the answer.
+    pub fn submit_to(&mut self, prefix: &str, key: u64, job: JobSpec) -> CallerAnswer {
+        self.call_queue(prefix, key, CallerCall::Submit(job));
+        self.answers.last().cloned().expect("an answer")
+    }
+
+    /// Connects a worker and submits a job before the leader has placed anything on the worker.
+    pub fn join_and_submit(
+        &mut self,
+        executor: &str,
+        prefix: &str,
+        key: u64,
+        job: JobSpec,
+    ) -> CallerAnswer {
+        let (session, worker) = (SessionId(77), Self::report(executor, 100, None));
+        let (place, incarnation) = (Arc::from(executor), worker.worker.clone());
+        let runs = LinkMessage::Runs { worker: incarnation, runs: Vec::new() };
+        let report = LinkMessage::Worker { report: worker, place };
+        for message in [report, runs] {
+            let event = ControlEvent::Message { session, message };
+            let effects = self.node.reduce(self.now, event);
+            effects.into_iter().for_each(|effect| self.record(effect));
+        }
+        self.submit_to(prefix, key, job)
+    }
+
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
     pub fn submit(&mut self, key: u64, job: JobSpec) {
         self.call(key, CallerCall::Submit(job));
     }
@@ -392,8 +426,11 @@
     }
 
     pub fn configure(&mut self, version: u64) {
-        let ticket = ReplyTicket(version);
-        let config = fleet_config(version, 2);
+        self.apply_config(fleet_config(version, 2));
+    }
+
+    pub fn apply_config(&mut self, config: FleetConfig) {
+        let ticket = ReplyTicket(config.version);
         self.step(ControlEvent::Configure { ticket, config });
     }
 
