Keep the pending verdict on an ended executor in the log

Change: the leader records the suspects of an executor that has ended in the entry that ends their runs, and settles the record in the entry that counts the crash. The record is a RecordAddress command for a name that no executor has, so that no format changes and earlier builds keep it. A new leader reads the records and suspects the tasks that have not been placed since.

--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -11,7 +11,7 @@
         job::{JobKey, RunNumber, TaskKey, WorkerIncarnation},
         message::EndReport,
         plan::{Placement, SuspectTable},
-        state::{EndKind, FlowCommand, TaskPhase},
+        state::{EndKind, FlowCommand, FlowState, TaskPhase},
     },
     indexmap::IndexMap,
     std::{
@@ -27,6 +27,11 @@
 /// Time that the runs of an executor that has ended wait for the report of the next one, which
 /// tells whether it has crashed.
 const VERDICT_TIME: Duration = Duration::from_secs(2);
+/// Prefix of the names under which pending verdicts are in the log's table of addresses. No executor
+/// has such a name, which is no part of a URL.
+const VERDICT_PREFIX: &str = "verdict pending\n";
+/// The text of a record whose verdict is known.
+const SETTLED_VERDICT: &str = "settled";
 
 /// The executor that an agent represented before its present one.
 #[derive(Debug)]
@@ -58,6 +63,43 @@
         Self { worker, address, successor: None, starting, unclear, settled }
     }
 
+    /// Reads a record of the log, without the tasks of jobs that have ended; `None` if nothing is
+    /// left, or the record is none of a pending verdict. Also returns the tasks that have not been
+    /// placed since.
+    fn from_record(name: &str, text: &str, state: &FlowState) -> Option<(Self, Vec<TaskKey>)> {
+        let address = name.strip_prefix(VERDICT_PREFIX)?;
+        let mut lines = text.lines();
+        let (started_ms, executor) = (lines.next()?.parse().ok()?, Arc::from(lines.next()?));
+        let mut lost = Self::new(WorkerIncarnation { executor, started_ms }, Arc::from(address));
+        let mut waiting = Vec::new();
+        for list in [&mut lost.starting, &mut lost.unclear] {
+            for (task, run) in lines.next()?.split(' ').filter_map(parse_run) {
+                let Some(job) = state.job(task.job).filter(|job| job.outcome.is_none()) else {
+                    continue;
+                };
+                list.push(task);
+                let record = job.task(&task).filter(|record| record.run == run);
+                if record.is_some_and(|record| record.phase == TaskPhase::Waiting) {
+                    waiting.push(task);
+                }
+            }
+        }
+        (!lost.suspects().is_empty()).then_some((lost, waiting))
+    }
+
+    /// Returns the text from which a new leader reads the record. Settled runs are left out: what
+    /// they are blamed for depends on crashes that are only in memory.
+    fn to_record(&self, state: &FlowState) -> String {
+        let run_of = |task: &TaskKey| state.task(task).map_or(RunNumber(0), |record| record.run);
+        let list = |tasks: &[TaskKey]| {
+            let runs = tasks.iter().map(|task| format!("{task}@{}", run_of(task)));
+            runs.collect::<Vec<String>>().join(" ")
+        };
+        let WorkerIncarnation { executor, started_ms } = &self.worker;
+        let (starting, unclear) = (list(&self.starting), list(&self.unclear));
+        format!("{started_ms}\n{executor}\n{starting}\n{unclear}\n.")
+    }
+
     /// Returns the tasks whose runs had not settled.
     fn suspects(&self) -> Vec<TaskKey> {
         self.starting.iter().chain(&self.unclear).copied().collect()
@@ -68,6 +110,12 @@
     }
 }
 
+/// Parses a task and its run in a record.
+fn parse_run(text: &str) -> Option<(TaskKey, RunNumber)> {
+    let (task, run) = text.split_once('@')?;
+    Some((task.parse().ok()?, RunNumber(run.parse().ok()?)))
+}
+
 /// Crashes of a task that was running again when they were confirmed. They are recorded when that
 /// run ends.
 #[derive(Debug, Clone, Copy, Default)]
@@ -89,6 +137,19 @@
 }
 
 impl CrashWatch {
+    /// Reads the pending verdicts of earlier leaders, and suspects the tasks that wait for them.
+    pub(super) fn new(state: &FlowState, suspects: &mut SuspectTable, now: Duration) -> Self {
+        let mut watch = Self::default();
+        for (name, text) in state.executor_addresses() {
+            let Some((lost, waiting)) = LostWorker::from_record(name, text, state) else {
+                continue;
+            };
+            watch.lost.insert(lost.address.clone(), lost);
+            waiting.into_iter().for_each(|task| suspects.suspect(task, now, now + VERDICT_TIME));
+        }
+        watch
+    }
+
     /// Notes the executor that an agent reports, and the one that it represented before.
     pub(super) fn note_report(
         &mut self,
@@ -208,6 +269,18 @@
                 leader.suspects.suspect(*task, now, now + VERDICT_TIME);
             }
         }
+        let lost = leader.crashes.lost.get(&address).filter(|lost| !lost.suspects().is_empty());
+        if let Some(text) = lost.map(|lost| lost.to_record(&leader.speculative)) {
+            self.record_verdict(&address, text);
+        }
+    }
+
+    /// Keeps a pending verdict in the log, in the entry that ends the runs, so that it survives the
+    /// leader. The table of addresses holds it, since every build reads and keeps that.
+    fn record_verdict(&mut self, address: &str, text: String) {
+        let executor = Arc::from(format!("{VERDICT_PREFIX}{address}"));
+        let place = Arc::from(text);
+        self.propose(FlowCommand::RecordAddress { executor, place }, Vec::new());
     }
 
     /// Counts the end of an earlier executor at an address as a crash, now that the next one has
@@ -215,6 +288,11 @@
     pub(super) fn confirm_crash(&mut self, present: &WorkerIncarnation) {
         let Some(leader) = &mut self.leader else { return };
         let Some(lost) = leader.crashes.take_preceding(present) else { return };
+        if !lost.suspects().is_empty() {
+            // Only one record can have this text, so that settled records do not accumulate.
+            self.record_verdict(&lost.address, SETTLED_VERDICT.to_owned());
+        }
+        let Some(leader) = &mut self.leader else { return };
         if lost.worker.started_ms < present.started_ms {
             self.count_crash(lost);
             return;
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -163,7 +163,8 @@
         let retention_ms = self.settings.retention.as_millis() as u64;
         let commands = vec![FlowCommand::RetainFor { retention_ms }];
         let learned = InterferenceTable::from_pairs(self.now, speculative.learned());
-        let suspects = SuspectTable::new(&speculative, self.now);
+        let mut suspects = SuspectTable::new(&speculative, self.now);
+        let crashes = CrashWatch::new(&speculative, &mut suspects, self.now);
         let unstarted = UnstartedJobs::new(&speculative);
         self.leader = Some(LeaderState {
             term,
@@ -178,7 +179,7 @@
             workers: WorkerTable::new(),
             learned,
             suspects,
-            crashes: CrashWatch::default(),
+            crashes,
             admission: AdmissionTable::new(self.now),
             unstarted,
             store_learned_at: self.now + STORE_LEARNED_INTERVAL,
--- a/crates/workflow/src/state/mod.rs
+++ b/crates/workflow/src/state/mod.rs
@@ -96,6 +96,11 @@
         self.addresses.get(executor)
     }
 
+    /// Returns the recorded address of each executor.
+    pub fn executor_addresses(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<str>)> {
+        self.addresses.iter()
+    }
+
     /// Returns a job, unless it is unknown.
     pub fn job(&self, key: JobKey) -> Option<&JobRecord> {
         self.jobs.get(&key)
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -365,6 +365,79 @@
     assert_eq!(harness.phase(0xa), "Ended(Failed)", "{:?}", harness.starts());
 }
 
+// BUDGET of issue 20: the leader was killed before the next executor had answered, and the crash was
+// never counted.
+#[rstest]
+#[case::reported_crash(None, ("e2 at A", 200), 1_002)]
+#[case::crash_under_a_run_that_had_begun(Some(EndKind::Expired), ("e2 at A", 200), 1_000_002)]
+#[case::hang(Some(EndKind::Expired), ("e1 at A", 100), 2)]
+fn a_verdict_that_was_pending_survives_the_leader(
+    #[case] end: Option<EndKind>,
+    #[case] (next, born): (&str, u64),
+    #[case] run: u32,
+) {
+    let mut harness = ControlHarness::start();
+    let task = "000000000000000a.0.0.0";
+    harness.connect_worker(1, "e1 at A", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    if let Some(end) = end {
+        harness.report_end(1, "e1 at A@100", 0, task, 1, end);
+    }
+    let worker = WorkerIncarnation { executor: Arc::from("e1 at A"), started_ms: 100 };
+    harness.send(1, LinkMessage::WorkerEnded { worker });
+    harness.restart_leader();
+    harness.connect_worker(1, next, born);
+    harness.advance(100);
+    let started = format!("{task} run {run} on {next}@{born}");
+    assert_eq!(harness.starts()[1..], [started]);
+    harness.restart_leader();
+    harness.connect_worker(1, next, born);
+    harness.report_end(1, &format!("{next}@{born}"), 1, task, run, EndKind::Stopped);
+    harness.keep_alive(1, 3000);
+    let last = format!("{task} run {} on {next}@{born}", run + 1);
+    assert_eq!(harness.starts().last(), Some(&last), "a settled verdict counts once");
+}
+
+// A task that has run again since must not be held or tried for an executor that never returns.
+#[test]
+fn an_old_verdict_suspects_no_task_that_was_placed_since() {
+    let mut harness = ControlHarness::start();
+    let task = "000000000000000a.0.0.0";
+    harness.connect_worker(1, "e1 at A", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    let worker = WorkerIncarnation { executor: Arc::from("e1 at A"), started_ms: 100 };
+    harness.send(1, LinkMessage::WorkerEnded { worker });
+    harness.connect_worker(2, "e1 at B", 100);
+    harness.keep_alive(2, 3000);
+    harness.report_runs(2, "e1 at B@100", &[(task, 2)]);
+    harness.report_draining(2, "e1 at B", 100);
+    harness.report_end(2, "e1 at B@100", 1, task, 2, EndKind::Stopped);
+    harness.restart_leader();
+    let before = harness.starts().len();
+    harness.connect_worker(2, "e1 at B", 100);
+    harness.advance(100);
+    assert!(harness.starts().len() > before, "{:?}", harness.starts());
+}
+
+// An earlier build leads on with the records, and executors at their addresses are not disturbed.
+#[test]
+fn the_record_of_a_verdict_is_an_address_that_no_executor_has() {
+    let mut state = FlowState::default();
+    let record = |executor: &str, place: &str| FlowCommand::RecordAddress {
+        executor: Arc::from(executor),
+        place: Arc::from(place),
+    };
+    let commands = vec![
+        record("e1", "A"),
+        record("verdict pending\nA", "100\ne1\n\n\n."),
+        record("verdict pending\nB", "settled"),
+        record("verdict pending\nA", "settled"),
+    ];
+    state.apply(&CommandBatch { elapsed_ms: 0, commands });
+    let names: Vec<&str> = state.executor_addresses().map(|(name, _)| &**name).collect();
+    assert_eq!(names, ["e1", "verdict pending\nA"], "settled records do not accumulate");
+}
+
 #[test]
 fn a_start_that_may_not_have_begun_counts_apart() {
     let run = RunNumber(3).after_unclear_crash();
