--- a/crates/workflow/tests/admission/mod.rs
+++ b/crates/workflow/tests/admission/mod.rs
@@ -322,6 +322,48 @@
     assert!(fleet.harness.phase(late).contains("Ended"), "the job ends in time");
 }
 
+// Urgent tasks may leave a part of each executor that they cannot use, where less urgent work runs.
+#[test]
+fn a_job_whose_priority_gets_capacity_is_not_refused() {
+    let mut fleet = LoadedFleet::new(10);
+    for key in 0..60 {
+        fleet.estimates.insert(key, 1000);
+        let wide = job(&[StepBuilder::tasks(4).cores(13).estimate(1000)]);
+        assert_eq!(fleet.harness.submit_to(URGENT, key, wide), CallerAnswer::Accepted);
+    }
+    fleet.play(20_000, &[(BULK, 0.3)]);
+    assert_eq!(fleet.refused().count(), 0, "{:?}", fleet.refused().next());
+}
+
+// Work that waits but has not missed its time is no overload, however long it will take.
+#[test]
+fn no_job_is_refused_before_a_job_has_missed_its_time() {
+    let mut fleet = LoadedFleet::new(11);
+    fleet.estimates.insert(1, 400);
+    fleet.harness.submit_to(URGENT, 1, one_step(24, 400));
+    fleet.play(8_000, &[]);
+    for key in [0xa, 0xb, 0xc] {
+        fleet.estimates.insert(key, 20_000);
+        fleet.harness.submit_to(URGENT, key, one_step(32, 20_000));
+    }
+    fleet.play(6_000, &[]);
+    let answer = fleet.harness.submit_to(BULK, 0xd, one_step(4, 400));
+    assert_eq!(answer, CallerAnswer::Accepted);
+}
+
+// A caller that repeats a call while the first one waits for the log must not hear that its job is
+// not run.
+#[test]
+fn a_job_that_is_proposed_is_not_refused() {
+    let mut fleet = overloaded(12);
+    let accepted = fleet.harness.accepted();
+    fleet.harness.pause_syncs(true);
+    fleet.harness.join_and_submit("e9", BULK, 0xa, one_step(4, 500));
+    fleet.harness.submit_to(BULK, 0xa, one_step(4, 500));
+    fleet.harness.pause_syncs(false);
+    assert_eq!(fleet.harness.accepted(), accepted + 2);
+}
+
 // A job that could start at once must be admitted however much work waits. An executor that has
 // just joined is free until the next pass.
 #[test]
