Check that no job stays pending after all jobs have ended

Cause: the number of pending jobs is kept by events, and a missed one would leave it too high for good.

Change: the fleets that play crashing executors check that it is 0 once all jobs have ended.

--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -245,6 +245,7 @@
         let starts = fleet.starts_of(&format!("{key:016x}.0.0.0"));
         assert!(starts <= 5, "seed {seed}, job {key}: {starts} starts");
     }
+    assert_eq!(fleet.harness.pending(), 0, "seed {seed}: all jobs have ended");
     fleet
 }
 
