--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -101,7 +101,10 @@
     /// before it may have carried it out under an older configuration, and its answer was lost. A
     /// process that does not lead has done nothing.
     pub(super) fn conclude(&mut self, answer: CallerAnswer) -> Option<CallerAnswer> {
-        let refuses = matches!(answer, CallerAnswer::NoQueue | CallerAnswer::Refused);
+        let refuses = matches!(
+            answer,
+            CallerAnswer::NoQueue | CallerAnswer::Refused | CallerAnswer::Overloaded { .. }
+        );
         match (&self.call, answer) {
             (_, CallerAnswer::NotLeading) => {
                 self.ticket = None;
--- a/crates/node/tests/unit/entry.rs
+++ b/crates/node/tests/unit/entry.rs
@@ -153,6 +153,9 @@
         check(call.clone(), true, CallerAnswer::Refused, Some(CallerAnswer::Unresolved));
         check(call, false, CallerAnswer::NoQueue, Some(CallerAnswer::NoQueue));
     }
+    let overloaded = CallerAnswer::Overloaded { retry_after_ms: 1000 };
+    check(submit(), true, overloaded.clone(), Some(CallerAnswer::Unresolved));
+    check(submit(), false, overloaded.clone(), Some(overloaded));
     check(submit(), true, CallerAnswer::Accepted, Some(CallerAnswer::Accepted));
     check(CallerCall::Show, true, CallerAnswer::NoQueue, Some(CallerAnswer::NoQueue));
 }
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -7,13 +7,17 @@
         interference::STORE_LEARNED_INTERVAL,
         relocation::RelocationState,
         types::{ControlEffect, OperatorAnswer, SessionId},
+        unstarted::UnstartedJobs,
         ControlNode,
     },
     crate::{
         event::FlowEvent,
         job::{RunNumber, TaskKey, WorkerIncarnation},
         message::{CallerAnswer, LinkMessage},
-        plan::{InterferenceTable, Placement, PlacementPlanner, SuspectTable, WorkerTable},
+        plan::{
+            AdmissionTable, InterferenceTable, Placement, PlacementPlanner, SuspectTable,
+            WorkerTable,
+        },
         state::{FlowCommand, FlowState},
     },
     base::{PeerAddress, ReplicaId, ReplyTicket},
@@ -85,6 +89,10 @@
     pub(super) crashes: CrashWatch,
     /// The cordoned data centres.
     pub(super) cordons: CordonWatch,
+    /// The load of each service, by which submissions are admitted.
+    pub(super) admission: AdmissionTable,
+    /// The jobs of which no run is known to have begun.
+    pub(super) unstarted: UnstartedJobs,
     /// The time at which learned interference goes into the log next.
     pub(super) store_learned_at: Duration,
     /// The stream to the agent of each executor.
@@ -166,7 +174,9 @@
         let retention_ms = self.settings.retention.as_millis() as u64;
         let commands = vec![FlowCommand::RetainFor { retention_ms }];
         let learned = InterferenceTable::from_pairs(self.now, speculative.learned());
-        let suspects = SuspectTable::new(&speculative, self.now);
+        let mut suspects = SuspectTable::new(&speculative, self.now);
+        let crashes = CrashWatch::new(&speculative, &mut suspects, self.now);
+        let unstarted = UnstartedJobs::new(&speculative);
         let mut announced = self.member_addresses();
         announced.sort_unstable();
         let cordons = CordonWatch::new(speculative.cordons(), self.now);
@@ -183,8 +193,10 @@
             workers: WorkerTable::new(),
             learned,
             suspects,
-            crashes: CrashWatch::default(),
+            crashes,
             cordons,
+            admission: AdmissionTable::new(self.now),
+            unstarted,
             store_learned_at: self.now + STORE_LEARNED_INTERVAL,
             sessions: HashMap::new(),
             agents: HashMap::new(),
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! It plans on that state and withholds every effect of a proposal until the log has committed it.
 //! The speculative state ends with the leadership.
 
+mod admission;
 mod calls;
 mod capacity;
 mod cordons;
@@ -18,6 +19,7 @@
 mod runs;
 mod sessions;
 mod types;
+mod unstarted;
 mod workers;
 
 pub use {
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -120,6 +120,7 @@
         let confirmed = before.is_some_and(|before| before.confirmed) || is_confirmed(report);
         let progress = RunProgress { run, checkpoint, percent: report.percent, confirmed };
         leader.progress.insert(task, progress);
+        self.note_listed(worker, report);
     }
 
     fn stop_unwanted(
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -228,11 +228,13 @@
             return;
         }
         self.note_certain_starts(worker, &ends);
+        self.note_begun_runs(&ends);
         let up_to = ends.iter().map(|end| end.number).max().unwrap_or(0);
         for EndReport { task, run, end, checkpoint, .. } in ends {
             let placed = self.placed_incarnation(worker, &task, run);
             if self.is_first_report(&placed, task, run) {
                 self.record_health(worker, task, end);
+                self.note_finished_work(&task, run, end);
             }
             self.end_run(&placed, task, run, end, checkpoint);
         }
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -9,6 +9,7 @@
 //! bursts of events at the cost of what has changed: a step that found no worker is offered only
 //! the workers that have changed since. `docs/decisions/scale.md` says why.
 
+mod admission;
 mod affinity;
 mod candidates;
 mod claims;
@@ -26,6 +27,7 @@
 mod worker;
 
 pub use {
+    admission::{AdmissionTable, AdmissionVerdict},
     interference::{BestEffortShare, HeadroomForecast, ImageName, InterferenceTable, LearnedPair},
     relief::{assumed_demand, fits_elsewhere},
     relocation::RunMove,
@@ -42,12 +44,12 @@
         order::StepRank,
         relocation::{MoveSearch, MoveTable},
         reservations::{fitting, ReservationTable},
-        score::{may_hold, may_run, StartTerms, StepRequest},
+        score::{may_hold, may_run, score_of, StartTerms, StepRequest},
         steps::{open_steps, OpenStep},
         trials::TrialTable,
     },
     crate::{
-        job::{RunNumber, StepKey, TaskKey, WorkerIncarnation},
+        job::{JobKey, JobSpec, RunNumber, StepKey, TaskKey, WorkerIncarnation},
         state::FlowState,
     },
     std::{
@@ -156,6 +158,31 @@
         self.moves.add(task, target, until);
     }
 
+    /// Returns whether a task of a job that is not in the state could start at once: a worker has
+    /// free capacity for it. A worker that no pass has seen counts as free.
+    pub fn has_capacity_for(
+        &self,
+        job: JobKey,
+        spec: &JobSpec,
+        service: &str,
+        inputs: PlanInputs<'_>,
+    ) -> bool {
+        let PlanInputs { state, workers, learned, suspects, time } = inputs;
+        let forecast = learned.forecast(time.now);
+        let inputs = PassInputs { state, workers, suspects, time, forecast, affinity: None };
+        let mut first =
+            spec.steps.iter().enumerate().filter(|(_, step)| step.depends_on.is_empty());
+        first.any(|(step, spec)| {
+            let key = StepKey { job, occurrence: 0, step: step as u16 };
+            let terms = StartTerms::Regular;
+            let request = StepRequest { key, spec, service, rack: None, terms };
+            workers.iter().any(|(executor, view)| match self.reservations.of(executor) {
+                Some(reserved) => score_of(&request, view, reserved, &inputs).is_some(),
+                None => view.accepts(service, time.now),
+            })
+        })
+    }
+
     /// Chooses a worker with enough free capacity for the waiting tasks that may start now.
     pub fn plan(&mut self, inputs: PlanInputs<'_>) -> Vec<Placement> {
         let mut changed = self.reservations.refresh(inputs.state, inputs.workers);
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -1,9 +1,11 @@
 //! Tests of a single control process whose disk syncs at once. The test stands in for agents and
 //! entries.
 
+mod admission;
 mod cordons;
 mod crashes;
 mod fixtures;
+mod pending;
 mod shrinking;
 mod support;
 
--- a/crates/workflow/tests/cordons/mod.rs
+++ b/crates/workflow/tests/cordons/mod.rs
@@ -112,7 +112,7 @@
     let mut harness = start_ordered();
     harness.submit(0xb, job(&[StepBuilder::tasks(1)]));
     harness.cordon("north");
-    harness.restart();
+    harness.restart_leader();
     harness.report_capacity(1, "e1", 100, (16, 64_000));
     assert_eq!(harness.starts().len(), 2, "nothing is ordered before the agent lists its runs");
     harness.report_progress(1, "e1@100", &[(FIRST, 50), (SECOND, 0)]);
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -12,7 +12,7 @@
             OperatorAnswer, SessionId,
         },
         event::FlowEvent,
-        job::{JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
+        job::{FleetConfig, JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
         message::{CallerAnswer, CallerCall, EndReport, LinkMessage, RunReport, WorkerReport},
         state::{EndKind, FlowState},
     },
@@ -101,7 +101,6 @@
 /// A control process and the effects it has produced.
 pub struct ControlHarness {
     node: ControlNode,
-    settings: ControlSettings,
     disk: RecoveredLog,
     now: Duration,
     sequence: u64,
@@ -125,27 +124,10 @@
 impl ControlHarness {
     /// Creates a leader with one queue, at path `/q/` of host `h`.
     pub fn start() -> Self {
-        let replica = ReplicaId(1);
-        let address = PeerAddress("127.0.0.1:1".parse().unwrap());
-        let quorum = QuorumSettings {
-            replica,
-            founders: vec![GroupMember { replica, address, voter: true }],
-            election_timeout: Duration::from_millis(600),
-            heartbeat: Duration::from_millis(100),
-            batch_bytes: 1 << 20,
-            in_flight_limit: 8,
-            pending_limit: 1000,
-            snapshot_chunk: 1 << 16,
-            snapshot_every: 10_000,
-        };
-        let retention = Duration::from_secs(60);
-        let settings = ControlSettings { quorum, lease: LEASE, retention, tolerated_losses: 0 };
-        let disk = RecoveredLog::default();
-        let node = ControlNode::new(settings.clone(), disk.clone(), Duration::ZERO, 1).unwrap();
+        let node = Self::node_from(RecoveredLog::default(), Duration::ZERO);
         let mut harness = Self {
             node,
-            settings,
-            disk,
+            disk: RecoveredLog::default(),
             now: Duration::ZERO,
             sequence: 0,
             syncs_paused: false,
@@ -167,6 +149,34 @@
         harness
     }
 
+    /// Kills the process and starts it again from its disk. It leads again at once, without its
+    /// streams and with nothing but the log.
+    pub fn restart_leader(&mut self) {
+        self.node = Self::node_from(self.disk.clone(), self.now);
+        while !self.node.is_leader() {
+            self.advance(STEP);
+        }
+    }
+
+    fn node_from(disk: RecoveredLog, now: Duration) -> ControlNode {
+        let replica = ReplicaId(1);
+        let address = PeerAddress("127.0.0.1:1".parse().unwrap());
+        let quorum = QuorumSettings {
+            replica,
+            founders: vec![GroupMember { replica, address, voter: true }],
+            election_timeout: Duration::from_millis(600),
+            heartbeat: Duration::from_millis(100),
+            batch_bytes: 1 << 20,
+            in_flight_limit: 8,
+            pending_limit: 1000,
+            snapshot_chunk: 1 << 16,
+            snapshot_every: 10_000,
+        };
+        let retention = Duration::from_secs(60);
+        let settings = ControlSettings { quorum, lease: LEASE, retention, tolerated_losses: 0 };
+        ControlNode::new(settings, disk, now, 1).unwrap()
+    }
+
     fn step(&mut self, event: ControlEvent) {
         let mut events = vec![event, ControlEvent::Settle];
         while !events.is_empty() {
@@ -238,15 +248,6 @@
         }
     }
 
-    /// Restarts the process from its disk and lets it gain leadership. All streams have ended.
-    pub fn restart(&mut self) {
-        let (settings, disk) = (self.settings.clone(), self.disk.clone());
-        self.node = ControlNode::new(settings, disk, self.now, 2).unwrap();
-        while !self.node.is_leader() {
-            self.advance(STEP);
-        }
-    }
-
     /// Asks for the cordon of a data centre and returns the last answer to an operator.
     pub fn cordon(&mut self, data_centre: &str) -> Option<&OperatorAnswer> {
         let (ticket, data_centre) = (ReplyTicket(2000), data_centre.parse().unwrap());
@@ -393,19 +394,23 @@
     }
 
     fn call(&mut self, key: u64, call: CallerCall) {
-        let message = self.call_message(key, call);
+        self.call_queue("/q/", key, call);
+    }
+
+    fn call_queue(&mut self, prefix: &str, key: u64, call: CallerCall) {
+        let message = self.call_message(prefix, key, call);
         self.send(ENTRY, message);
     }
 
-    fn call_message(&mut self, key: u64, call: CallerCall) -> LinkMessage {
+    fn call_message(&mut self, prefix: &str, key: u64, call: CallerCall) -> LinkMessage {
         self.sequence += 1;
-        let (sequence, host, path) = (self.sequence, "h".to_owned(), format!("/q/{key:016x}"));
+        let (sequence, host, path) = (self.sequence, "h".to_owned(), format!("{prefix}{key:016x}"));
         LinkMessage::Call { sequence, host, path, call }
     }
 
     /// Submits a job, and fails the oldest sync before the job is proposed. Requires paused syncs.
     pub fn submit_and_fail_sync(&mut self, key: u64, job: JobSpec) {
-        let message = self.call_message(key, CallerCall::Submit(job));
+        let message = self.call_message("/q/", key, CallerCall::Submit(job));
         let submission = ControlEvent::Message { session: SessionId(ENTRY), message };
         let failure = ControlEvent::PersistFailed { number: self.unsynced[0].number };
         for event in [submission, failure] {
@@ -414,6 +419,36 @@
         }
     }
 
+    /// Submits a job to the queue at a path, and returns the answer.
+    pub fn submit_to(&mut self, prefix: &str, key: u64, job: JobSpec) -> CallerAnswer {
+        self.call_queue(prefix, key, CallerCall::Submit(job));
+        self.answers.last().cloned().expect("an answer")
+    }
+
+    /// Connects a worker and submits a job before the leader has placed anything on the worker.
+    pub fn join_and_submit(
+        &mut self,
+        executor: &str,
+        prefix: &str,
+        key: u64,
+        job: JobSpec,
+    ) -> CallerAnswer {
+        let (session, worker) = (SessionId(77), Self::report(executor, 100, None));
+        let (place, incarnation) = (Arc::from(executor), worker.worker.clone());
+        let runs = LinkMessage::Runs { worker: incarnation, runs: Vec::new() };
+        let report = LinkMessage::Worker { report: worker, place };
+        for message in [report, runs] {
+            let event = ControlEvent::Message { session, message };
+            let effects = self.node.reduce(self.now, event);
+            effects.into_iter().for_each(|effect| self.record(effect));
+        }
+        self.submit_to(prefix, key, job)
+    }
+
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
     pub fn submit(&mut self, key: u64, job: JobSpec) {
         self.call(key, CallerCall::Submit(job));
     }
@@ -430,6 +465,18 @@
         }
     }
 
+    /// Returns the number of pending jobs of the queue.
+    pub fn pending(&mut self) -> u64 {
+        self.sequence += 1;
+        let (host, path) = ("h".to_owned(), "/q/".to_owned());
+        let (sequence, call) = (self.sequence, CallerCall::Show);
+        self.send(ENTRY, LinkMessage::Call { sequence, host, path, call });
+        match self.answers.last() {
+            Some(CallerAnswer::Pending(pending)) => *pending,
+            other => panic!("{other:?}"),
+        }
+    }
+
     fn parse_incarnation(text: &str) -> WorkerIncarnation {
         let (executor, born) = text.split_once('@').unwrap();
         WorkerIncarnation { executor: Arc::from(executor), started_ms: born.parse().unwrap() }
@@ -489,8 +536,11 @@
     }
 
     pub fn configure(&mut self, version: u64) {
-        let ticket = ReplyTicket(version);
-        let config = fleet_config(version, 2);
+        self.apply_config(fleet_config(version, 2));
+    }
+
+    pub fn apply_config(&mut self, config: FleetConfig) {
+        let ticket = ReplyTicket(config.version);
         self.step(ControlEvent::Configure { ticket, config });
     }
 
