Add a table of observed run times

Cause: callers' estimates are off by up to a factor of 1.9 and are used as they are in the order of steps, in the headroom span and in the remaining time of runs.

Change: plan/durations.rs keeps, in logarithms and within fixed bounds, the error of each queue's estimates, the lengths of its steps and images, and the runs of each step that have ended or report percent. A forecast weights the three by precision; with an empty table it is the estimate. Nothing uses the table yet.

--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -11,6 +11,7 @@
 
 mod candidates;
 mod claims;
+mod durations;
 mod interference;
 mod order;
 mod relief;
@@ -24,6 +25,7 @@
 mod worker;
 
 pub use {
+    durations::{DurationTable, QueueSummary, RemainingTimes, RunForecast, RunOrigin, RunReading},
     interference::{BestEffortShare, HeadroomForecast, ImageName, InterferenceTable, LearnedPair},
     relief::{assumed_demand, fits_elsewhere},
     reservations::reserved_on,
