Decide by observed run times

Change: the leader feeds the table from placements, run lists and ends (control/durations.rs). The forecasts are used for prospect and remaining work, for the span of best-effort tasks, and for the remaining time of runs in relief and evacuate_worker (RemainingTimes). An occurrence whose steps are all done is passed over before anything is computed for it. RunProgress loses its percent, which the table now holds. In two test files the planner's inputs gain an empty table; no check is changed.

Result: new tests of the order of two jobs, with and without observations, and of a draining worker with runs whose estimates are too long and too short.

--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         crashes::CrashWatch,
+        durations::DURATIONS_LOG_INTERVAL,
         interference::STORE_LEARNED_INTERVAL,
         types::{ControlEffect, SessionId},
         ControlNode,
@@ -10,7 +11,10 @@
     crate::{
         event::FlowEvent,
         job::{RunNumber, TaskKey, WorkerIncarnation},
-        plan::{InterferenceTable, Placement, PlacementPlanner, SuspectTable, WorkerTable},
+        plan::{
+            DurationTable, InterferenceTable, Placement, PlacementPlanner, SuspectTable,
+            WorkerTable,
+        },
         state::{FlowCommand, FlowState},
     },
     base::{ReplicaId, ReplyTicket},
@@ -51,7 +55,6 @@
 pub(super) struct RunProgress {
     pub(super) run: RunNumber,
     pub(super) checkpoint: String,
-    pub(super) percent: u8,
 }
 
 /// The state of a leader outside the log. A new leader rebuilds it from agents' reports and starts
@@ -76,6 +79,10 @@
     pub(super) learned: InterferenceTable,
     /// The tasks that may have crashed an executor.
     pub(super) suspects: SuspectTable,
+    /// The observed run times.
+    pub(super) durations: DurationTable,
+    /// The time of the next log lines about observed run times.
+    pub(super) report_durations_at: Duration,
     /// The executors that may have crashed.
     pub(super) crashes: CrashWatch,
     /// The time at which learned interference goes into the log next.
@@ -169,6 +176,8 @@
             workers: WorkerTable::new(),
             learned,
             suspects,
+            durations: DurationTable::default(),
+            report_durations_at: self.now + DURATIONS_LOG_INTERVAL,
             crashes: CrashWatch::default(),
             store_learned_at: self.now + STORE_LEARNED_INTERVAL,
             sessions: HashMap::new(),
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -30,6 +30,7 @@
         }
         self.expire_leases();
         self.store_learned();
+        self.report_durations();
         let due = self.leader.as_ref().is_some_and(|leader| self.now >= leader.members_check_at);
         if due {
             self.check_members();
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod capacity;
 mod crashes;
+mod durations;
 mod interference;
 mod leader;
 mod members;
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -42,6 +42,7 @@
             workers: &leader.workers,
             learned: &leader.learned,
             suspects: &leader.suspects,
+            durations: &leader.durations,
             time: PlanTime { now, wall_ms },
         });
         for placement in placements {
@@ -70,7 +71,7 @@
         commands: &mut Vec<FlowCommand>,
         deferred: &mut Vec<ControlEffect>,
     ) {
-        let now = self.now;
+        let (now, wall_ms) = (self.now, self.wall_ms);
         let Some(leader) = &mut self.leader else { return };
         let Placement { task, run, worker } = placement;
         let command = FlowCommand::Place { task, run, worker: worker.clone() };
@@ -81,6 +82,7 @@
         commands.extend(batch.commands);
         leader.ordered.insert(task, (run, now));
         leader.suspects.note_placed(task, run, now);
+        leader.watch_run(&task, run, &worker, (Some(now), wall_ms));
         leader.stopping.remove(&task);
         let Some(session) = leader.sessions.get(&worker.executor).copied() else { return };
         let Some(job) = leader.speculative.job(task.job) else { return };
@@ -122,6 +124,7 @@
         leader.learned.forget_job(key);
         leader.suspects.forget_job(key);
         leader.crashes.forget_job(key);
+        leader.durations.forget_job(key, &job.queue, &job.spec.steps);
         let after_ms = leader.speculative.clock_ms().saturating_sub(job.accepted_ms);
         deferred.push(ControlEffect::Record(FlowEvent::JobEnded { job: key, outcome, after_ms }));
         let runs: Vec<_> = job
--- a/crates/workflow/src/control/relief.rs
+++ b/crates/workflow/src/control/relief.rs
@@ -19,8 +19,8 @@
 const RELIEF_DELAY: Duration = Duration::from_millis(2000);
 /// Time between two moves from one worker: the first one has to take effect.
 const RELIEF_INTERVAL: Duration = Duration::from_millis(1000);
-/// Remaining time of a task, in milliseconds, below which its end is awaited.
-const SOON_MS: u64 = 2000;
+/// Remaining time of a task below which its end is awaited.
+const SOON: Duration = Duration::from_millis(2000);
 /// Time that a stop may take. After it, the run counts as running again.
 const STOP_TIMEOUT: Duration = Duration::from_millis(3000);
 
@@ -67,10 +67,12 @@
     /// Returns the runs on a worker, except those that are being stopped or end soon.
     fn staying_runs(&self, worker: &WorkerIncarnation) -> Vec<StayingRun<'_>> {
         let Some(leader) = &self.leader else { return Vec::new() };
+        let times = leader.remaining_times(self.now);
         let staying = leader.placements_on(worker).into_iter().filter_map(|placement| {
             let job = leader.speculative.job(placement.task.job)?;
             let spec = job.step_spec(&placement.task)?;
-            let stays = !self.is_stopping(&placement) && !self.ends_soon(&placement, spec);
+            let ends_soon = times.left(&placement.task, spec) < SOON;
+            let stays = !self.is_stopping(&placement) && !ends_soon;
             stays.then_some(StayingRun { placement, job, spec })
         });
         staying.collect()
@@ -83,13 +85,6 @@
         })
     }
 
-    fn ends_soon(&self, placement: &Placement, spec: &StepSpec) -> bool {
-        let progress = self.leader.as_ref().and_then(|leader| leader.progress.get(&placement.task));
-        let percent = progress.map_or(0, |progress| progress.percent.min(100));
-        let left_ms = spec.estimate_ms / 100 * u64::from(100 - percent);
-        !spec.lasting && left_ms < SOON_MS
-    }
-
     /// Returns the run whose move costs least of those that hold what the worker lacks: best-effort
     /// ones first, then those of the least urgent priority, those that do not last, and the latest;
     /// latency-critical ones come last.
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -51,6 +51,7 @@
         } else if !listed && self.is_overfull(&placement.worker.executor) {
             self.withdraw_order(&placement);
         } else if let Some(order) = self.start_order(&placement) {
+            self.note_repeated_start(&placement, listed);
             let message = LinkMessage::Start(order);
             let effect = ControlEffect::Send { session, message };
             if self.may_send(&effect) {
@@ -91,6 +92,7 @@
         for report in &runs {
             self.check_run(session, worker, report);
         }
+        self.learn_durations(worker, &runs);
         self.repeat_lost_orders(session, worker, &runs);
         self.learn_interference(worker, &runs);
         self.relieve_worker(worker);
@@ -113,7 +115,7 @@
             leader.suspects.note_at_work(task, run, self.now);
         }
         let checkpoint = report.checkpoint.clone();
-        let progress = RunProgress { run, checkpoint, percent: report.percent };
+        let progress = RunProgress { run, checkpoint };
         leader.progress.insert(task, progress);
     }
 
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -49,7 +49,7 @@
             leader.workers.shift_remove(&earlier.executor);
         }
         let known = leader.sessions.insert(executor.clone(), session) == Some(session);
-        let draining = report.drain_left_ms.is_some();
+        let (draining, responsive) = (report.drain_left_ms.is_some(), report.responsive);
         match leader.workers.get_mut(&executor).filter(|view| *view.incarnation() == worker) {
             Some(view) => view.report = report,
             None => {
@@ -61,6 +61,9 @@
         self.record(event);
         self.renew_lease(session);
         self.record_address(&worker, place);
+        if !known || !responsive {
+            self.distrust_durations(&worker);
+        }
         if !known {
             self.repeat_orders(session, &worker);
         }
@@ -120,15 +123,14 @@
     fn evacuate_worker(&mut self, worker: &WorkerIncarnation) {
         let Some(leader) = &self.leader else { return };
         let Some(view) = leader.workers.get(&worker.executor) else { return };
-        let left_ms = view.report.drain_left_ms.unwrap_or(0);
+        let drain_left = Duration::from_millis(view.report.drain_left_ms.unwrap_or(0));
+        let times = leader.remaining_times(self.now);
         let mut evacuated = Vec::new();
         for placement in leader.placements_on(worker) {
             let task = placement.task;
             let spec = leader.speculative.job(task.job).and_then(|job| job.step_spec(&task));
             let Some(spec) = spec else { continue };
-            let percent = leader.progress.get(&task).map_or(0, |progress| progress.percent);
-            let left = spec.estimate_ms / 100 * u64::from(100 - percent.min(100));
-            if spec.lasting || left > left_ms {
+            if spec.lasting || times.left(&task, spec) > drain_left {
                 evacuated.push(placement);
             }
         }
@@ -293,6 +295,7 @@
         end: EndKind,
         checkpoint: String,
     ) {
+        self.learn_end(worker, &task, run, end);
         let Some(leader) = &mut self.leader else { return };
         let progress = leader.progress.get(&task).filter(|progress| progress.run == run);
         let known = progress.map(|progress| progress.checkpoint.clone()).unwrap_or_default();
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -153,6 +153,17 @@
         /// The number of earlier runs of the task that failed.
         failures: u32,
     },
+    /// The leader has learned from the run times of a queue.
+    RunTimesLearned {
+        /// The queue.
+        queue: String,
+        /// The number of steps that this leader has learned from.
+        steps: u64,
+        /// The typical deviation of callers' estimates from the observed run times, in percent.
+        estimate_error_percent: u32,
+        /// The same of the forecasts that were made when the first task of a step was placed.
+        forecast_error_percent: u32,
+    },
     /// A run has ended.
     RunEnded {
         /// The task.
@@ -350,6 +361,7 @@
             Self::JobAccepted { .. } => (5010, "JobAccepted"),
             Self::JobRefused { .. } => (5011, "JobRefused"),
             Self::JobEnded { .. } => (5012, "JobEnded"),
+            Self::RunTimesLearned { .. } => (5014, "RunTimesLearned"),
             Self::TaskPlaced { .. } => (5020, "TaskPlaced"),
             Self::RunEnded { .. } => (5021, "RunEnded"),
             Self::RunStopped { .. } => (5022, "RunStopped"),
--- a/crates/workflow/src/plan/durations.rs
+++ b/crates/workflow/src/plan/durations.rs
@@ -525,7 +525,8 @@
         worker: &WorkerIncarnation,
     ) {
         if self.warm.len() < EXECUTORS_LIMIT || self.warm.contains_key(&worker.executor) {
-            self.warm.insert(worker.executor.clone(), worker.started_ms);
+            let started_ms = self.warm.entry(worker.executor.clone()).or_default();
+            *started_ms = worker.started_ms.max(*started_ms);
         }
         let Some(watched) = self.runs.get(task).filter(|watched| watched.run == run).copied()
         else {
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -85,6 +85,8 @@
     pub learned: &'a InterferenceTable,
     /// The tasks that may have crashed an executor.
     pub suspects: &'a SuspectTable,
+    /// The observed run times.
+    pub durations: &'a DurationTable,
     /// The time of the pass.
     pub time: PlanTime,
 }
@@ -136,11 +138,11 @@
             self.last_full = Some(inputs.time.now);
             blocked.clear();
         }
-        let mut steps = open_steps(inputs.state, inputs.time);
+        let mut steps = open_steps(inputs.state, inputs.durations, inputs.time);
         steps.sort_by_cached_key(StepRank::new);
-        let PlanInputs { state, workers, learned, suspects, time } = inputs;
+        let PlanInputs { state, workers, learned, suspects, durations, time } = inputs;
         let forecast = learned.forecast(time.now);
-        let inputs = &PassInputs { state, workers, suspects, time, forecast };
+        let inputs = &PassInputs { state, workers, suspects, durations, time, forecast };
         self.trials.refresh(state, workers, suspects, time.now);
         let claims = RoomClaims::new(self.trials.positions(workers).collect());
         let trials = &mut self.trials;
@@ -174,6 +176,7 @@
     state: &'a FlowState,
     workers: &'a WorkerTable,
     suspects: &'a SuspectTable,
+    durations: &'a DurationTable,
     time: PlanTime,
     forecast: HeadroomForecast<'a>,
 }
@@ -203,14 +206,15 @@
         if workers.is_some_and(BTreeSet::is_empty) && !step.is_displaced() && !suspected {
             return false;
         }
-        let PassInputs { workers: table, time, .. } = self.inputs;
+        let PassInputs { workers: table, durations, time, .. } = self.inputs;
         let spec = step.spec();
         let service = step.rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
         let rack = self.reservations.rack_for(step.tasks(), spec, service, table, time.now);
         let starving = self.is_starving(step, service);
         let terms = if starving { StartTerms::Starving } else { StartTerms::Regular };
         let (key, rack) = (step.step_key(), rack.as_deref());
-        let request = StepRequest { key, spec, service, rack, terms };
+        let span = durations.expected(key, &step.record.queue, spec).length;
+        let request = StepRequest { key, spec, service, rack, span, terms };
         let on_trial = if suspected { self.place_on_trial(step, &request) } else { 0 };
         let regular = regular_tasks(self.inputs.suspects, step).count();
         let mut placed = self.place_tasks(step, &request, regular, workers);
--- a/crates/workflow/src/plan/order.rs
+++ b/crates/workflow/src/plan/order.rs
@@ -6,10 +6,7 @@
 //! least work left before the others, since that lets most jobs end in time.
 
 use {
-    super::{
-        steps::OpenStep,
-        urgency::{remaining_work, JobProspect},
-    },
+    super::{steps::OpenStep, urgency::JobProspect},
     crate::job::JobKey,
 };
 
@@ -30,7 +27,7 @@
             priority: step.record.priority,
             settled: !step.is_displaced(),
             prospect: step.prospect,
-            remaining_work: remaining_work(step.record, step.occurrence),
+            remaining_work: step.remaining_work,
             job: step.job,
         }
     }
--- a/crates/workflow/src/plan/relief.rs
+++ b/crates/workflow/src/plan/relief.rs
@@ -21,7 +21,9 @@
     now: Duration,
 ) -> bool {
     let key = task.step_key();
-    let request = StepRequest { key, spec, service, rack: None, terms: StartTerms::Regular };
+    // Whether a task may run does not depend on its length.
+    let span = Duration::from_millis(spec.estimate_ms);
+    let request = StepRequest { key, spec, service, rack: None, span, terms: StartTerms::Regular };
     let others = workers.iter().filter(|(other, view)| *other != executor && !view.is_suspect(now));
     let mut reserved = others.map(|(other, view)| (view, WorkerReservations::new(state, other)));
     reserved.any(|(view, reserved)| may_run(&request, view, &reserved, now))
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -56,6 +56,8 @@
     pub(super) service: &'a str,
     /// The rack on which the tasks run faster.
     pub(super) rack: Option<&'a str>,
+    /// The forecast length of a run, for which latency-critical tasks beside it need headroom.
+    pub(super) span: Duration,
     pub(super) terms: StartTerms,
 }
 
@@ -148,11 +150,11 @@
         return 0.0;
     }
     let present = reserved.best_effort_shares(capacity_of(worker));
-    let span = Duration::from_millis(request.spec.estimate_ms);
     let share = request.spec.demand.cpu_milli as f64 / capacity_of(worker);
     let added = BestEffortShare { image: request.spec.image_name(), share };
     let strain = |(step, image): (&StepKey, &ImageName)| {
-        let spare = forecast.least_headroom(span, *step, image, &present) - PLANNED_HEADROOM;
+        let spare =
+            forecast.least_headroom(request.span, *step, image, &present) - PLANNED_HEADROOM;
         let taken = forecast.taken(image, &added).max(MIN_TAKEN_HEADROOM);
         if spare > 0.0 {
             taken / spare
--- a/crates/workflow/src/plan/steps.rs
+++ b/crates/workflow/src/plan/steps.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        urgency::{prospect_of, JobProspect},
+        durations::DurationTable,
+        urgency::{expected_lengths, prospect_of, remaining_work, JobProspect},
         PlanTime,
     },
     crate::{
@@ -18,6 +19,8 @@
     pub(super) occurrence: u32,
     step: u16,
     pub(super) prospect: JobProspect,
+    /// The remaining work of the occurrence, in thousandths of core-milliseconds.
+    pub(super) remaining_work: u64,
     /// The configured rule of the job's queue, if the queue is configured.
     pub(super) rule: Option<&'a QueueRule>,
 }
@@ -54,7 +57,11 @@
 }
 
 /// Returns the steps whose dependencies are done, and whose time has come.
-pub(super) fn open_steps(state: &FlowState, time: PlanTime) -> Vec<OpenStep<'_>> {
+pub(super) fn open_steps<'a>(
+    state: &'a FlowState,
+    durations: &DurationTable,
+    time: PlanTime,
+) -> Vec<OpenStep<'a>> {
     let mut open = Vec::new();
     for (job, record) in state.active_jobs() {
         if record.outcome.is_some() || record.unfinished == record.placed {
@@ -62,6 +69,9 @@
         }
         let rule = state.config().and_then(|config| config.queue(&record.queue));
         for (occurrence, steps) in record.occurrences.iter().enumerate() {
+            if steps.steps.iter().all(StepRecord::is_done) {
+                continue;
+            }
             let due = record.spec.due_ms(occurrence as u32);
             if due.is_some_and(|due| due > time.wall_ms) {
                 continue;
@@ -70,12 +80,22 @@
                 Some(due) => time.wall_ms.saturating_sub(due),
                 None => state.clock_ms().saturating_sub(record.accepted_ms),
             };
-            let prospect = prospect_of(record, steps, rule, age_ms);
+            let lengths = expected_lengths((job, record), occurrence as u32, durations);
+            let prospect = prospect_of(record, steps, &lengths, rule, age_ms);
+            let remaining_work = remaining_work(record, steps, &lengths);
             for (step, spec) in record.spec.steps.iter().enumerate() {
                 let tasks = &steps.steps[step];
                 if !tasks.is_done() && steps.is_open(spec) {
                     let (occurrence, step) = (occurrence as u32, step as u16);
-                    open.push(OpenStep { job, record, occurrence, step, prospect, rule });
+                    open.push(OpenStep {
+                        job,
+                        record,
+                        occurrence,
+                        step,
+                        prospect,
+                        remaining_work,
+                        rule,
+                    });
                 }
             }
         }
--- a/crates/workflow/src/plan/urgency.rs
+++ b/crates/workflow/src/plan/urgency.rs
@@ -1,8 +1,11 @@
 //! Judges what a job can still reach, which decides whose tasks are placed first.
 
-use crate::{
-    job::{JobSpec, QueueRule},
-    state::{JobRecord, OccurrenceRecord},
+use {
+    super::durations::DurationTable,
+    crate::{
+        job::{JobKey, JobSpec, QueueRule, StepKey},
+        state::{JobRecord, OccurrenceRecord},
+    },
 };
 
 /// Multiple of a job's objective up to which the job counts as late rather than missed.
@@ -19,10 +22,25 @@
     Missed,
 }
 
+/// Returns the forecast length of a run of each step, in milliseconds.
+pub(super) fn expected_lengths(
+    (job, record): (JobKey, &JobRecord),
+    occurrence: u32,
+    durations: &DurationTable,
+) -> Vec<u64> {
+    let steps = record.spec.steps.iter().enumerate();
+    let lengths = steps.map(|(step, spec)| {
+        let key = StepKey { job, occurrence, step: step as u16 };
+        durations.expected(key, &record.queue, spec).length.as_millis() as u64
+    });
+    lengths.collect()
+}
+
 /// Judges an occurrence by its age and its longest remaining chain of work.
 pub(super) fn prospect_of(
     record: &JobRecord,
     occurrence: &OccurrenceRecord,
+    lengths: &[u64],
     rule: Option<&QueueRule>,
     age_ms: u64,
 ) -> JobProspect {
@@ -30,8 +48,9 @@
     if record.spec.steps.iter().any(|step| step.lasting) {
         return JobProspect::InTime;
     }
-    let whole = longest_chain(&record.spec, |_| true) as f64;
-    let left = longest_chain(&record.spec, |step| !occurrence.steps[step].is_done()) as f64;
+    let whole = longest_chain(&record.spec, lengths, |_| true) as f64;
+    let open = |step: usize| !occurrence.steps[step].is_done();
+    let left = longest_chain(&record.spec, lengths, open) as f64;
     let objective = rule.stretch * whole + rule.latency_allowance_ms as f64;
     let end = age_ms as f64 + left;
     if end <= objective {
@@ -43,24 +62,28 @@
     }
 }
 
-/// Returns the estimate of the longest chain of dependent steps, in milliseconds. Steps that
+/// Returns the forecast of the longest chain of dependent steps, in milliseconds. Steps that
 /// `counts` does not select take no time.
-fn longest_chain(spec: &JobSpec, counts: impl Fn(usize) -> bool) -> u64 {
+fn longest_chain(spec: &JobSpec, lengths: &[u64], counts: impl Fn(usize) -> bool) -> u64 {
     let mut chains: Vec<u64> = Vec::with_capacity(spec.steps.len());
     for (position, step) in spec.steps.iter().enumerate() {
         let before = step.depends_on.iter().map(|on| chains[usize::from(*on)]).max().unwrap_or(0);
-        let own = if counts(position) { step.estimate_ms } else { 0 };
+        let own = if counts(position) { lengths[position] } else { 0 };
         chains.push(before.saturating_add(own));
     }
     chains.into_iter().max().unwrap_or(0)
 }
 
 /// Returns the remaining work of an occurrence, in thousandths of core-milliseconds.
-pub(super) fn remaining_work(record: &JobRecord, occurrence: u32) -> u64 {
-    let steps = &record.occurrences[occurrence as usize].steps;
-    let left = record.spec.steps.iter().zip(steps).map(|(spec, step)| {
+pub(super) fn remaining_work(
+    record: &JobRecord,
+    occurrence: &OccurrenceRecord,
+    lengths: &[u64],
+) -> u64 {
+    let steps = record.spec.steps.iter().zip(&occurrence.steps);
+    let left = steps.zip(lengths).map(|((spec, step), length)| {
         let tasks = step.tasks.len() as u64 - u64::from(step.done);
-        tasks.saturating_mul(spec.estimate_ms).saturating_mul(spec.demand.cpu_milli)
+        tasks.saturating_mul(*length).saturating_mul(spec.demand.cpu_milli)
     });
     left.fold(0, u64::saturating_add)
 }
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod fixtures;
+mod run_times;
 mod shrinking;
 mod support;
 
--- a/crates/workflow/tests/durations.rs
+++ b/crates/workflow/tests/durations.rs
@@ -5,8 +5,15 @@
     rstest::rstest,
     std::{sync::Arc, time::Duration},
     workflow::{
-        job::{JobKey, RunNumber, StepKey, StepSpec, TaskDemand, TaskKey, WorkerIncarnation},
-        plan::{DurationTable, RunOrigin, RunReading},
+        job::{
+            JobKey, JobSpec, RunNumber, StepKey, StepSpec, TaskDemand, TaskKey, WorkerIncarnation,
+        },
+        message::WorkerReport,
+        plan::{
+            DurationTable, InterferenceTable, PlacementPlanner, PlanInputs, PlanTime, RunOrigin,
+            RunReading, SuspectTable, WorkerTable, WorkerView,
+        },
+        state::{CommandBatch, FlowCommand, FlowState, Submission},
     },
 };
 
@@ -245,3 +252,49 @@
     assert!(!table.is_watched(&task_of(39_999, 0), RUN));
     assert!(table.take_summaries().len() <= 256);
 }
+
+// The one free core went to the job that its caller estimates shorter, although the jobs of that
+// queue last longer.
+#[rstest]
+#[case::nothing_observed(0, 1)]
+#[case::observed(20, 2)]
+fn the_job_with_less_work_by_its_queue_comes_first(#[case] observed: u64, #[case] first: u64) {
+    let queues = [("slow", 0.8, 1.6), ("fast", 1.0, 0.4)];
+    let (mut table, mut state) = (DurationTable::default(), FlowState::default());
+    for (job, (queue, estimate, length)) in (1..).zip(queues) {
+        let spec = step_of(1, estimate);
+        for number in 0..observed {
+            let (task, placed) = (task_of(100 * job + number, 0), seconds(number as f64));
+            table.watch((&task, RUN), queue, &spec, origin(&worker(), placed));
+            let end = placed + seconds(length);
+            table.note_done(end, (&task, RUN), queue, &spec, &worker());
+        }
+        let spec = Arc::new(JobSpec { steps: vec![spec], ..JobSpec::default() });
+        let (job, queue, service) = (JobKey(job), queue.to_owned(), "s".to_owned());
+        let (priority, attempt_limit) = (0, 1);
+        let submission = Submission { job, queue, service, priority, attempt_limit, spec };
+        let commands = vec![FlowCommand::Submit(submission)];
+        state.apply(&CommandBatch { elapsed_ms: 0, commands });
+    }
+    let mut view = WorkerView::new(WorkerReport {
+        worker: worker(),
+        service: "s".to_owned(),
+        data_centre: "north".to_owned(),
+        capacity: step_of(1, 1.0).demand,
+        labels: Vec::new(),
+        drain_left_ms: None,
+        responsive: true,
+    });
+    (view.listed, view.lease_until) = (true, Duration::MAX);
+    let workers = WorkerTable::from([(worker().executor, view)]);
+    let placements = PlacementPlanner::default().plan(PlanInputs {
+        state: &state,
+        workers: &workers,
+        learned: &InterferenceTable::default(),
+        suspects: &SuspectTable::default(),
+        durations: &table,
+        time: PlanTime { now: seconds(1.0), wall_ms: LATER_MS },
+    });
+    let placed: Vec<u64> = placements.iter().map(|placement| placement.task.job.0).collect();
+    assert_eq!(placed, [first]);
+}
--- a/crates/workflow/tests/planning.rs
+++ b/crates/workflow/tests/planning.rs
@@ -11,8 +11,8 @@
         job::{JobKey, JobSpec, RunNumber, StepSpec, TaskDemand, TaskKey, WorkerIncarnation},
         message::WorkerReport,
         plan::{
-            InterferenceTable, Placement, PlacementPlanner, PlanInputs, PlanTime, SuspectTable,
-            WorkerTable, WorkerView,
+            DurationTable, InterferenceTable, Placement, PlacementPlanner, PlanInputs, PlanTime,
+            SuspectTable, WorkerTable, WorkerView,
         },
         state::{
             CommandBatch, CommandOutcome, EndKind, FlowCommand, FlowState, Submission, TaskPhase,
@@ -51,6 +51,7 @@
     workers: WorkerTable,
     learned: InterferenceTable,
     suspects: SuspectTable,
+    durations: DurationTable,
     planner: PlacementPlanner,
     now: Duration,
     jobs: u64,
@@ -69,6 +70,7 @@
             workers,
             learned: InterferenceTable::default(),
             suspects: SuspectTable::default(),
+            durations: DurationTable::default(),
             planner: PlacementPlanner::default(),
             now: Duration::ZERO,
             jobs: 0,
@@ -88,6 +90,7 @@
             workers: &self.workers,
             learned: &self.learned,
             suspects: &self.suspects,
+            durations: &self.durations,
             time: PlanTime { now: self.now, wall_ms: 0 },
         }
     }
--- a/crates/workflow/tests/waiting.rs
+++ b/crates/workflow/tests/waiting.rs
@@ -17,8 +17,8 @@
         job::{JobKey, JobSpec, RunNumber, StepSpec, TaskDemand, TaskKey, WorkerIncarnation},
         message::WorkerReport,
         plan::{
-            BestEffortShare, ImageName, InterferenceTable, PlacementPlanner, PlanInputs, PlanTime,
-            SuspectTable, WorkerTable, WorkerView,
+            BestEffortShare, DurationTable, ImageName, InterferenceTable, PlacementPlanner,
+            PlanInputs, PlanTime, SuspectTable, WorkerTable, WorkerView,
         },
         state::{
             CommandBatch, CommandOutcome, EndKind, FlowCommand, FlowState, JobRecord, Submission,
@@ -91,6 +91,7 @@
     workers: WorkerTable,
     learned: InterferenceTable,
     suspects: SuspectTable,
+    durations: DurationTable,
     planner: PlacementPlanner,
     now: Duration,
     /// The headroom of a serving task with nothing beside it, and how far it swings.
@@ -109,6 +110,7 @@
             workers: WorkerTable::new(),
             learned: InterferenceTable::default(),
             suspects: SuspectTable::default(),
+            durations: DurationTable::default(),
             planner: PlacementPlanner::default(),
             now: Duration::ZERO,
             level: 3.0,
@@ -195,6 +197,7 @@
             workers: &self.workers,
             learned: &self.learned,
             suspects: &self.suspects,
+            durations: &self.durations,
             time,
         });
         for placement in placements {
