Merge observed run times

Admission keeps judging by callers' estimates, whose error it allows for. Moves of latency-critical runs need the percent of lasting runs, which the table of lengths does not watch, so the leader keeps it.

--- a/crates/workflow/src/control/admission.rs
+++ b/crates/workflow/src/control/admission.rs
@@ -30,6 +30,7 @@
             workers: &leader.workers,
             learned: &leader.learned,
             suspects: &leader.suspects,
+            durations: &leader.durations,
             time: PlanTime { now, wall_ms },
         };
         let verdict = leader.admission.judge(key, spec, rule, inputs)?;
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -34,6 +34,7 @@
         self.check_blocked_jobs();
         self.store_learned();
         self.relocate_runs();
+        self.report_durations();
         let due = self.leader.as_ref().is_some_and(|leader| self.now >= leader.members_check_at);
         if due {
             self.check_members();
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod capacity;
 mod cordons;
 mod crashes;
+mod durations;
 mod interference;
 mod leader;
 mod members;
--- a/crates/workflow/src/plan/relocation.rs
+++ b/crates/workflow/src/plan/relocation.rs
@@ -90,7 +90,8 @@
 impl<'a> ServingStep<'a> {
     fn request(&self) -> StepRequest<'a> {
         let Self { key, spec, service, .. } = *self;
-        StepRequest { key, spec, service, rack: None, terms: StartTerms::Regular }
+        let (rack, span, terms) = (None, Duration::ZERO, StartTerms::Regular);
+        StepRequest { key, spec, service, rack, span, terms }
     }
 }
 
