--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -4,6 +4,7 @@
     super::{
         cordons::CordonWatch,
         crashes::CrashWatch,
+        durations::DURATIONS_LOG_INTERVAL,
         interference::STORE_LEARNED_INTERVAL,
         relocation::RelocationState,
         types::{ControlEffect, OperatorAnswer, SessionId},
@@ -15,8 +16,8 @@
         job::{RunNumber, TaskKey, WorkerIncarnation},
         message::{CallerAnswer, LinkMessage},
         plan::{
-            AdmissionTable, InterferenceTable, Placement, PlacementPlanner, SuspectTable,
-            WorkerTable,
+            AdmissionTable, DurationTable, InterferenceTable, Placement, PlacementPlanner,
+            SuspectTable, WorkerTable,
         },
         state::{FlowCommand, FlowState},
     },
@@ -58,6 +59,7 @@
 pub(super) struct RunProgress {
     pub(super) run: RunNumber,
     pub(super) checkpoint: String,
+    /// The progress, or 100 for a lasting run while it works.
     pub(super) percent: u8,
     /// Whether a report has shown that the run has begun.
     pub(super) confirmed: bool,
@@ -85,6 +87,10 @@
     pub(super) learned: InterferenceTable,
     /// The tasks that may have crashed an executor.
     pub(super) suspects: SuspectTable,
+    /// The observed run times.
+    pub(super) durations: DurationTable,
+    /// The time of the next log lines about observed run times.
+    pub(super) report_durations_at: Duration,
     /// The executors that may have crashed.
     pub(super) crashes: CrashWatch,
     /// The cordoned data centres.
@@ -193,6 +199,8 @@
             workers: WorkerTable::new(),
             learned,
             suspects,
+            durations: DurationTable::default(),
+            report_durations_at: self.now + DURATIONS_LOG_INTERVAL,
             crashes,
             cordons,
             admission: AdmissionTable::new(self.now),
--- a/crates/workflow/src/control/relocation.rs
+++ b/crates/workflow/src/control/relocation.rs
@@ -69,6 +69,7 @@
             workers: &leader.workers,
             learned: &leader.learned,
             suspects: &leader.suspects,
+            durations: &leader.durations,
             time: PlanTime { now, wall_ms },
         };
         let may_move = |placement: &Placement| self.may_relocate(placement);
@@ -103,8 +104,8 @@
             return false;
         };
         let settled = !leader.relocations.moved.contains_key(&key);
-        let working =
-            leader.progress.get(&key).is_some_and(|progress| progress.percent >= WORKING_PERCENT);
+        let progress = leader.progress.get(&key);
+        let working = progress.is_some_and(|progress| progress.percent >= WORKING_PERCENT);
         let stopping = leader.stopping.keys().any(|task| task.step_key() == step_key);
         let step = &job.occurrences[key.occurrence as usize].steps[usize::from(key.step)];
         let complete = step.tasks.iter().all(|task| matches!(task.phase, TaskPhase::Placed(_)));
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -53,6 +53,7 @@
         } else if let Some(reason) = barrier {
             self.withdraw_order(&placement, reason);
         } else if let Some(order) = self.start_order(&placement) {
+            self.note_repeated_start(&placement, listed);
             let message = LinkMessage::Start(order);
             let effect = ControlEffect::Send { session, message };
             if self.may_send(&effect) {
@@ -93,6 +94,7 @@
         for report in &runs {
             self.check_run(session, worker, report);
         }
+        self.learn_durations(worker, &runs);
         self.repeat_lost_orders(session, worker, &runs);
         self.withdraw_unconfirmed(worker);
         self.learn_interference(worker, &runs);
--- a/crates/workflow/src/plan/admission.rs
+++ b/crates/workflow/src/plan/admission.rs
@@ -9,7 +9,8 @@
 use {
     super::{
         urgency::{
-            longest_chain, objective_of, prospect_of, remaining_work, JobProspect, LATE_FACTOR,
+            estimated_lengths, longest_chain, objective_of, prospect_of, remaining_work,
+            JobProspect, LATE_FACTOR,
         },
         worker::WorkerTable,
         PlanInputs,
@@ -177,7 +178,7 @@
         let now = inputs.time.now;
         let exempt = |step: &StepSpec| step.lasting || step.demand.cpu_milli == 0;
         let exempt = spec.schedule.is_some() || spec.steps.iter().any(exempt);
-        let chain = longest_chain(spec, |_| true) as f64;
+        let chain = longest_chain(spec, &estimated_lengths(spec), |_| true) as f64;
         let early = now.saturating_sub(self.since) < START_GRACE;
         if exempt || early || chain == 0.0 || !has_objective(rule) {
             return None;
@@ -258,7 +259,8 @@
             entry.work = entry.work.saturating_add(work);
             if work > 0 && rule.is_some_and(has_objective) {
                 let age_ms = state.clock_ms().saturating_sub(job.accepted_ms);
-                let prospect = prospect_of(job, &job.occurrences[0], rule, age_ms);
+                let lengths = estimated_lengths(&job.spec);
+                let prospect = prospect_of(job, &job.occurrences[0], &lengths, rule, age_ms);
                 entry.missed |= prospect == JobProspect::Missed;
             }
         }
@@ -296,7 +298,9 @@
 fn waiting_work(job: &JobRecord) -> u64 {
     let task = |step: &StepSpec| step.estimate_ms.saturating_mul(step.demand.cpu_milli);
     let largest = job.spec.steps.iter().map(task).max().unwrap_or(0);
-    remaining_work(job, 0).saturating_sub(largest.saturating_mul(u64::from(job.placed)))
+    let lengths = estimated_lengths(&job.spec);
+    let remaining = remaining_work(job, &job.occurrences[0], &lengths);
+    remaining.saturating_sub(largest.saturating_mul(u64::from(job.placed)))
 }
 
 /// Returns at most the processors that the placed tasks of a job have reserved, lasting tasks
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -13,6 +13,7 @@
 mod affinity;
 mod candidates;
 mod claims;
+mod durations;
 mod interference;
 mod order;
 mod relief;
@@ -28,6 +29,7 @@
 
 pub use {
     admission::{AdmissionTable, AdmissionVerdict},
+    durations::{DurationTable, QueueSummary, RemainingTimes, RunForecast, RunOrigin, RunReading},
     interference::{BestEffortShare, HeadroomForecast, ImageName, InterferenceTable, LearnedPair},
     relief::{assumed_demand, fits_elsewhere},
     relocation::RunMove,
@@ -90,6 +92,8 @@
     pub learned: &'a InterferenceTable,
     /// The tasks that may have crashed an executor.
     pub suspects: &'a SuspectTable,
+    /// The observed run times.
+    pub durations: &'a DurationTable,
     /// The time of the pass.
     pub time: PlanTime,
 }
@@ -167,15 +171,17 @@
         service: &str,
         inputs: PlanInputs<'_>,
     ) -> bool {
-        let PlanInputs { state, workers, learned, suspects, time } = inputs;
+        let PlanInputs { state, workers, learned, suspects, durations, time } = inputs;
         let forecast = learned.forecast(time.now);
-        let inputs = PassInputs { state, workers, suspects, time, forecast, affinity: None };
+        let affinity = None;
+        let inputs = PassInputs { state, workers, suspects, durations, time, forecast, affinity };
         let mut first =
             spec.steps.iter().enumerate().filter(|(_, step)| step.depends_on.is_empty());
         first.any(|(step, spec)| {
             let key = StepKey { job, occurrence: 0, step: step as u16 };
             let terms = StartTerms::Regular;
-            let request = StepRequest { key, spec, service, rack: None, terms };
+            let span = Duration::from_millis(spec.estimate_ms);
+            let request = StepRequest { key, spec, service, rack: None, span, terms };
             workers.iter().any(|(executor, view)| match self.reservations.of(executor) {
                 Some(reserved) => score_of(&request, view, reserved, &inputs).is_some(),
                 None => view.accepts(service, time.now),
@@ -193,9 +199,9 @@
             self.last_full = Some(inputs.time.now);
             blocked.clear();
         }
-        let mut steps = open_steps(inputs.state, inputs.time);
+        let mut steps = open_steps(inputs.state, inputs.durations, inputs.time);
         steps.sort_by_cached_key(StepRank::new);
-        let PlanInputs { state, workers, learned, suspects, time } = inputs;
+        let PlanInputs { state, workers, learned, suspects, durations, time } = inputs;
         let forecast = learned.forecast(time.now);
         let serving = |step: &OpenStep<'_>| {
             step.spec().latency_target_ms.is_some() && step.waiting().next().is_some()
@@ -205,7 +211,7 @@
             .any(serving)
             .then(|| AffinityTable::new(learned, workers, &self.reservations))
             .flatten();
-        let inputs = &PassInputs { state, workers, suspects, time, forecast, affinity };
+        let inputs = &PassInputs { state, workers, suspects, durations, time, forecast, affinity };
         self.moves.refresh(workers, time.now);
         self.trials.refresh(state, workers, suspects, time.now);
         let mut claims = RoomClaims::new(self.trials.positions(workers).collect());
@@ -246,6 +252,7 @@
     state: &'a FlowState,
     workers: &'a WorkerTable,
     suspects: &'a SuspectTable,
+    durations: &'a DurationTable,
     time: PlanTime,
     forecast: HeadroomForecast<'a>,
     /// Present if latency-critical tasks wait and something is known about the images.
@@ -278,14 +285,15 @@
         if workers.is_some_and(BTreeSet::is_empty) && !step.is_displaced() && !suspected {
             return false;
         }
-        let PassInputs { workers: table, time, .. } = self.inputs;
+        let PassInputs { workers: table, durations, time, .. } = self.inputs;
         let spec = step.spec();
         let service = step.rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
         let rack = self.reservations.rack_for(step.tasks(), spec, service, table, time.now);
         let starving = self.is_starving(step, service);
         let terms = if starving { StartTerms::Starving } else { StartTerms::Regular };
         let (key, rack) = (step.step_key(), rack.as_deref());
-        let request = StepRequest { key, spec, service, rack, terms };
+        let span = durations.expected(key, &step.record.queue, spec).length;
+        let request = StepRequest { key, spec, service, rack, span, terms };
         let on_trial = if suspected { self.place_on_trial(step, &request) } else { 0 };
         let regular = self.regular_tasks(step).count();
         let mut placed = self.place_tasks(step, &request, regular, workers);
@@ -309,7 +317,8 @@
         let PassInputs { workers, time, .. } = self.inputs;
         let (key, spec, rack) = (step.step_key(), step.spec(), None);
         let service = step.rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
-        let request = StepRequest { key, spec, service, rack, terms: StartTerms::Regular };
+        let (span, terms) = (Duration::ZERO, StartTerms::Regular);
+        let request = StepRequest { key, spec, service, rack, span, terms };
         for index in step.waiting() {
             let task = step.key(index);
             let Some(target) = self.moves.target_of(&task) else { continue };
--- a/crates/workflow/tests/relocation.rs
+++ b/crates/workflow/tests/relocation.rs
@@ -14,8 +14,8 @@
         job::{JobKey, JobSpec, RunNumber, StepSpec, TaskDemand, TaskKey, WorkerIncarnation},
         message::WorkerReport,
         plan::{
-            InterferenceTable, LearnedPair, Placement, PlacementPlanner, PlanInputs, PlanTime,
-            RunMove, SuspectTable, WorkerTable, WorkerView,
+            DurationTable, InterferenceTable, LearnedPair, Placement, PlacementPlanner, PlanInputs,
+            PlanTime, RunMove, SuspectTable, WorkerTable, WorkerView,
         },
         state::{CommandBatch, CommandOutcome, EndKind, FlowCommand, FlowState, Submission},
     },
@@ -49,6 +49,7 @@
     workers: WorkerTable,
     learned: InterferenceTable,
     suspects: SuspectTable,
+    durations: DurationTable,
     planner: PlacementPlanner,
     now: Duration,
     jobs: u64,
@@ -61,6 +62,7 @@
             workers: WorkerTable::new(),
             learned: InterferenceTable::from_pairs(Duration::ZERO, learned),
             suspects: SuspectTable::default(),
+            durations: DurationTable::default(),
             planner: PlacementPlanner::default(),
             now: Duration::ZERO,
             jobs: 0,
@@ -96,6 +98,7 @@
             workers: &self.workers,
             learned: &self.learned,
             suspects: &self.suspects,
+            durations: &self.durations,
             time: PlanTime { now: self.now, wall_ms: 0 },
         }
     }
