Keep capacity for work that needs much of it at once

Cause: large tasks and gangs wait while small tasks take each core that comes free, and wide best-effort steps while smaller jobs of their priority arrive. Change: the planner derives reservations with backfill in each pass, for at most four steps and a quarter of a service's workers, from forecasts of the ends of runs, and serves a step that has waited for three chains or 5 s first in its priority. Claims of displaced tasks share the table of held workers; lasting and latency-critical tasks, and trials, no longer wait for reservations. PlanInputs has a forecaster, which existing planning tests supply as CallerEstimates.

--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod interference;
 mod leader;
+mod lookahead;
 mod members;
 mod operator;
 mod proposals;
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         leader::PendingBatch,
+        lookahead::LeaderRuns,
         types::{ControlEffect, OperatorAnswer},
         ControlNode,
     },
@@ -42,8 +43,11 @@
             workers: &leader.workers,
             learned: &leader.learned,
             suspects: &leader.suspects,
+            forecaster: &LeaderRuns { ordered: &leader.ordered, progress: &leader.progress, now },
             time: PlanTime { now, wall_ms },
         });
+        let events = leader.planner.take_events();
+        events.into_iter().for_each(|event| self.record(event));
         for placement in placements {
             self.place(placement, &mut commands, &mut deferred);
         }
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -43,6 +43,20 @@
     WorkerShrunk,
 }
 
+/// The reason why capacity is no longer kept for a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+pub enum ReservationEnd {
+    /// All tasks of the step have started.
+    Met,
+    /// The capacity has not come free within twice the forecast time.
+    GivenUp,
+    /// Other steps come first, or the waiting part of the step has become small.
+    Superseded,
+    /// The job has ended.
+    JobEnded,
+}
+
 /// An event, with the inputs of the decision.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize)]
@@ -179,6 +193,32 @@
         /// The reason.
         reason: StopReason,
     },
+    /// Capacity of workers is kept for a step that needs much at once.
+    ReservationMade {
+        /// The first waiting task of the step.
+        #[serde(serialize_with = "as_text")]
+        task: TaskKey,
+        /// The number of waiting tasks.
+        tasks: usize,
+        /// The number of workers.
+        workers: usize,
+        /// The forecast time until the first task, or the whole gang, can start, in milliseconds.
+        ready_ms: u64,
+        /// The time that the job has waited, in milliseconds.
+        waited_ms: u64,
+    },
+    /// Capacity is no longer kept for a step.
+    ReservationDropped {
+        /// The task that [`FlowEvent::ReservationMade`] named.
+        #[serde(serialize_with = "as_text")]
+        task: TaskKey,
+        /// The number of tasks that were waiting when capacity was last kept.
+        tasks: usize,
+        /// The reason.
+        end: ReservationEnd,
+        /// The time for which capacity was kept, in milliseconds.
+        held_ms: u64,
+    },
     /// An agent has described a worker: for the first time, after a change, or to a new leader.
     WorkerSeen {
         /// The worker.
@@ -356,6 +396,8 @@
             Self::StartRefused { .. } => (5023, "StartRefused"),
             Self::ExecutorCrashed { .. } => (5024, "ExecutorCrashed"),
             Self::TaskGivenUp { .. } => (5025, "TaskGivenUp"),
+            Self::ReservationMade { .. } => (5026, "ReservationMade"),
+            Self::ReservationDropped { .. } => (5027, "ReservationDropped"),
             Self::WorkerSeen { .. } => (5030, "WorkerSeen"),
             Self::WorkerUnreachable { .. } => (5031, "WorkerUnreachable"),
             Self::WorkerLost { .. } => (5032, "WorkerLost"),
--- a/crates/workflow/src/plan/candidates.rs
+++ b/crates/workflow/src/plan/candidates.rs
@@ -5,9 +5,9 @@
 
 use {
     super::{
-        claims::RoomClaims,
+        claims::{BackfillTerms, RoomClaims},
         reservations::{ReservationTable, WorkerReservations},
-        score::{score_of, StartTerms, StepRequest, FAILED_HERE_PENALTY},
+        score::{score_of, StepRequest, FAILED_HERE_PENALTY},
         worker::WorkerView,
         PassInputs,
     },
@@ -43,6 +43,7 @@
 pub(super) struct CandidateQueue<'a> {
     request: &'a StepRequest<'a>,
     inputs: &'a PassInputs<'a>,
+    backfill: BackfillTerms<'a>,
     /// The present score by position in the worker table; `None` for a worker that may not run a
     /// task of the step.
     scores: Vec<Option<f64>>,
@@ -51,7 +52,7 @@
 }
 
 impl<'a> CandidateQueue<'a> {
-    /// Scores the workers at the given positions, or all, except those that are claimed for others.
+    /// Scores the workers at the given positions, or all, except those that are held for others.
     pub(super) fn new(
         request: &'a StepRequest<'a>,
         inputs: &'a PassInputs<'a>,
@@ -61,10 +62,9 @@
     ) -> Self {
         let count = inputs.workers.len();
         let (scores, queue) = (vec![None; count], BinaryHeap::new());
-        let mut candidates = Self { request, inputs, scores, queue };
-        // Best-effort tasks reserve no processors and may run on a claimed worker.
-        let ignores_claims = request.spec.filler || request.terms == StartTerms::Stranded;
-        let open = |position: &usize| claims.is_open(*position, ignores_claims);
+        let backfill = BackfillTerms::new(request, inputs, claims);
+        let mut candidates = Self { request, inputs, backfill, scores, queue };
+        let open = |position: &usize| claims.is_open(*position, &backfill);
         match positions {
             Some(positions) => {
                 let open = positions.iter().copied().filter(open);
@@ -106,10 +106,16 @@
         position: usize,
         task: &TaskKey,
         reservations: &mut ReservationTable,
+        claims: &mut RoomClaims,
     ) -> WorkerIncarnation {
         let worker = self.inputs.workers[position].incarnation().clone();
         reservations.reserve(&worker, task, self.request.spec);
-        self.rescore(position, reservations);
+        claims.take(position, &self.backfill);
+        if claims.is_open(position, &self.backfill) {
+            self.rescore(position, reservations);
+        } else {
+            self.scores[position] = None;
+        }
         worker
     }
 
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -11,7 +11,9 @@
 
 mod candidates;
 mod claims;
+mod forecast;
 mod interference;
+mod lookahead;
 mod order;
 mod relief;
 mod reservations;
@@ -24,6 +26,7 @@
 mod worker;
 
 pub use {
+    forecast::{left_by_progress, CallerEstimates, RunForecaster},
     interference::{BestEffortShare, HeadroomForecast, ImageName, InterferenceTable, LearnedPair},
     relief::{assumed_demand, fits_elsewhere},
     reservations::reserved_on,
@@ -35,13 +38,15 @@
     self::{
         candidates::CandidateQueue,
         claims::{DisplacedSteps, RoomClaims},
-        order::StepRank,
+        lookahead::LookaheadTable,
+        order::{StepRank, StepTurn},
         reservations::{fitting, ReservationTable},
         score::{may_hold, StartTerms, StepRequest},
         steps::{open_steps, OpenStep},
         trials::TrialTable,
     },
     crate::{
+        event::FlowEvent,
         job::{RunNumber, StepKey, TaskKey, WorkerIncarnation},
         state::FlowState,
     },
@@ -83,6 +88,8 @@
     pub learned: &'a InterferenceTable,
     /// The tasks that may have crashed an executor.
     pub suspects: &'a SuspectTable,
+    /// How long runs still take.
+    pub forecaster: &'a dyn RunForecaster,
     /// The time of the pass.
     pub time: PlanTime,
 }
@@ -108,6 +115,8 @@
     displaced: DisplacedSteps,
     /// The executors on which suspected jobs are tried.
     trials: TrialTable,
+    /// What is kept for steps that need much capacity at once.
+    lookahead: LookaheadTable,
     /// Executors that changed in another way than by their placements since the last pass.
     touched: BTreeSet<Arc<str>>,
     last_full: Option<Duration>,
@@ -124,24 +133,38 @@
         self.last_full.is_none_or(|last| now.saturating_sub(last) >= FULL_PASS_INTERVAL)
     }
 
+    /// Returns the events of the passes since the last call.
+    pub fn take_events(&mut self) -> Vec<FlowEvent> {
+        self.lookahead.take_events()
+    }
+
     /// Chooses a worker with enough free capacity for the waiting tasks that may start now.
     pub fn plan(&mut self, inputs: PlanInputs<'_>) -> Vec<Placement> {
         let mut changed = self.reservations.refresh(inputs.state, inputs.workers);
         let touched = std::mem::take(&mut self.touched);
         changed.extend(touched.iter().filter_map(|executor| inputs.workers.get_index_of(executor)));
         let mut blocked = std::mem::take(&mut self.blocked);
-        if self.is_full_pass_due(inputs.time.now) {
+        let full = self.is_full_pass_due(inputs.time.now);
+        if full {
             self.last_full = Some(inputs.time.now);
             blocked.clear();
+            self.lookahead.drop_ended(inputs.state, inputs.time.now);
         }
-        let mut steps = open_steps(inputs.state, inputs.time);
-        steps.sort_by_cached_key(StepRank::new);
-        let PlanInputs { state, workers, learned, suspects, time } = inputs;
+        let held = self.lookahead.begin_pass(inputs.workers, &changed, full);
+        changed.extend(held);
+        let PlanInputs { state, workers, learned, suspects, forecaster, time } = inputs;
         let forecast = learned.forecast(time.now);
-        let inputs = &PassInputs { state, workers, suspects, time, forecast };
+        let inputs = &PassInputs { state, workers, suspects, forecaster, time, forecast };
+        let mut steps = open_steps(state, time);
+        let turns = self.lookahead.turns(&steps, inputs);
+        let turn = |step: &OpenStep<'_>| turns.get(&step.step_key()).copied();
+        let regular = StepTurn::Regular;
+        steps.sort_by_cached_key(|step| StepRank::new(step, turn(step).unwrap_or(regular)));
         self.trials.refresh(state, workers, suspects, time.now);
-        let claims = RoomClaims::new(self.trials.positions(workers).collect());
+        let due = turns.keys().copied().collect();
+        let claims = RoomClaims::new(self.trials.positions(workers).collect(), due);
         let trials = &mut self.trials;
+        let lookahead = &mut self.lookahead;
         let reservations = &mut self.reservations;
         let earlier = std::mem::take(&mut self.displaced);
         let displaced = &mut self.displaced;
@@ -152,11 +175,16 @@
             earlier,
             displaced,
             trials,
+            lookahead,
             claims,
             loads,
             placements,
         };
-        for step in &steps {
+        let mut priority = None;
+        for (rank, step) in steps.iter().enumerate() {
+            if priority.replace(step.record.priority) != Some(step.record.priority) {
+                pass.renew_reservations(&steps[rank..]);
+            }
             let known = blocked.contains(&step.step_key()) && !step.spec().gang;
             let workers = known.then_some(&changed);
             if !pass.place_step(step, workers) {
@@ -172,6 +200,7 @@
     state: &'a FlowState,
     workers: &'a WorkerTable,
     suspects: &'a SuspectTable,
+    forecaster: &'a dyn RunForecaster,
     time: PlanTime,
     forecast: HeadroomForecast<'a>,
 }
@@ -184,6 +213,7 @@
     earlier: DisplacedSteps,
     displaced: &'a mut DisplacedSteps,
     trials: &'a mut TrialTable,
+    lookahead: &'a mut LookaheadTable,
     claims: RoomClaims,
     /// The reserved share of each service's processors when the pass first asked for it.
     loads: BTreeMap<String, f64>,
@@ -191,6 +221,37 @@
 }
 
 impl PlanPass<'_> {
+    /// Keeps capacity for the steps of the first one's priority for which the last passes did, before
+    /// any of these is served: work that ranks first by its little work would take it.
+    fn renew_reservations(&mut self, steps: &[OpenStep<'_>]) {
+        let Some(first) = steps.first().filter(|_| self.lookahead.is_active()) else { return };
+        let priority = first.record.priority;
+        for step in steps.iter().take_while(|step| step.record.priority == priority) {
+            let key = step.step_key();
+            if !self.lookahead.is_watched(&key) {
+                continue;
+            }
+            let (spec, service) = (step.spec(), step.service());
+            let starving = self.is_starving(step, service);
+            let terms = if starving { StartTerms::Starving } else { StartTerms::Regular };
+            let request = StepRequest { key, spec, service, rack: None, terms };
+            let left = regular_tasks(self.inputs.suspects, step).count();
+            self.reserve_for(step, &request, left, false);
+        }
+    }
+
+    fn reserve_for(
+        &mut self,
+        step: &OpenStep<'_>,
+        request: &StepRequest<'_>,
+        left: usize,
+        served: bool,
+    ) {
+        let (reservations, claims) = (&*self.reservations, &mut self.claims);
+        let terms = (request, left, served);
+        self.lookahead.reserve(step, terms, self.inputs, reservations, claims);
+    }
+
     /// Places the waiting tasks of a step on the given workers, or on any. Returns whether no task
     /// is left waiting.
     fn place_step(&mut self, step: &OpenStep<'_>, workers: Option<&BTreeSet<usize>>) -> bool {
@@ -198,12 +259,16 @@
             return true;
         }
         let suspected = may_need_trial(self.inputs.suspects, step);
-        if workers.is_some_and(BTreeSet::is_empty) && !step.is_displaced() && !suspected {
-            return false;
+        let unchanged = workers.is_some_and(BTreeSet::is_empty);
+        if unchanged && !step.is_displaced() && !suspected {
+            let left = regular_tasks(self.inputs.suspects, step).count();
+            if !self.lookahead.may_reserve(step, left, self.inputs) {
+                return false;
+            }
         }
         let PassInputs { workers: table, time, .. } = self.inputs;
         let spec = step.spec();
-        let service = step.rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
+        let service = step.service();
         let rack = self.reservations.rack_for(step.tasks(), spec, service, table, time.now);
         let starving = self.is_starving(step, service);
         let terms = if starving { StartTerms::Starving } else { StartTerms::Regular };
@@ -220,6 +285,10 @@
         let displaced = left > 0 && !spec.gang && step.is_displaced();
         if displaced && self.displaced.add(key, time.now, &self.earlier) {
             self.claims.add(&request, left, self.inputs, self.reservations);
+        } else if left > 0 && !displaced {
+            self.reserve_for(step, &request, left, true);
+        } else if left == 0 {
+            self.claims.release(&key);
         }
         on_trial + left == 0
     }
@@ -304,7 +373,7 @@
             // All tasks of a step have the same demand: if one does not fit, none does.
             let Some(worker) = best else { break };
             let run = record.run.next();
-            let worker = queue.reserve(worker, &task, self.reservations);
+            let worker = queue.reserve(worker, &task, self.reservations, &mut self.claims);
             self.placements.push(Placement { task, run, worker });
             placed += 1;
         }
@@ -320,15 +389,17 @@
         }
         let run = tasks.iter().map(|task| task.run).max().unwrap_or_default().next();
         let mut members = Vec::new();
+        let held = self.claims.clone();
         for index in 0..tasks.len() {
             let task = step.key(index);
             let Some(worker) = queue.best_for_retry(&task) else {
                 for Placement { task, worker, .. } in &members {
                     self.reservations.release(worker, task, step.spec());
                 }
+                self.claims = held;
                 return 0;
             };
-            let worker = queue.reserve(worker, &task, self.reservations);
+            let worker = queue.reserve(worker, &task, self.reservations, &mut self.claims);
             members.push(Placement { task, run, worker });
         }
         self.placements.extend(members);
--- a/crates/workflow/src/plan/reservations.rs
+++ b/crates/workflow/src/plan/reservations.rs
@@ -116,7 +116,7 @@
         *self.steps.entry(key.step_key()).or_default() += 1;
     }
 
-    fn remove(&mut self, key: &TaskKey, spec: &StepSpec) {
+    pub(super) fn remove(&mut self, key: &TaskKey, spec: &StepSpec) {
         let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand;
         self.demand.memory_mb -= memory_mb;
         self.demand.accelerators -= accelerators;
--- a/crates/workflow/src/plan/steps.rs
+++ b/crates/workflow/src/plan/steps.rs
@@ -27,6 +27,11 @@
         &self.record.spec.steps[usize::from(self.step)]
     }
 
+    /// Returns the service whose workers run the tasks.
+    pub(super) fn service(&self) -> &'a str {
+        self.rule.map_or(self.record.service.as_str(), |rule| rule.service.as_str())
+    }
+
     pub(super) fn tasks(&self) -> &'a StepRecord {
         &self.record.occurrences[self.occurrence as usize].steps[usize::from(self.step)]
     }
--- a/crates/workflow/src/plan/trials.rs
+++ b/crates/workflow/src/plan/trials.rs
@@ -157,7 +157,7 @@
         let candidates = inputs.workers.iter().enumerate().filter_map(|(position, entry)| {
             let (executor, worker) = entry;
             let reserved = reservations.of(executor)?;
-            let open = !claims.contains(position) && usable(worker, reserved);
+            let open = !claims.is_claimed(position) && usable(worker, reserved);
             let idle = reserved.is_empty();
             let lacks_room = fitting(worker, reserved, request.spec) == 0;
             let address = inputs.state.executor_address_of(executor);
--- a/crates/workflow/src/plan/urgency.rs
+++ b/crates/workflow/src/plan/urgency.rs
@@ -45,7 +45,7 @@
 
 /// Returns the estimate of the longest chain of dependent steps, in milliseconds. Steps that
 /// `counts` does not select take no time.
-fn longest_chain(spec: &JobSpec, counts: impl Fn(usize) -> bool) -> u64 {
+pub(super) fn longest_chain(spec: &JobSpec, counts: impl Fn(usize) -> bool) -> u64 {
     let mut chains: Vec<u64> = Vec::with_capacity(spec.steps.len());
     for (position, step) in spec.steps.iter().enumerate() {
         let before = step.depends_on.iter().map(|on| chains[usize::from(*on)]).max().unwrap_or(0);
--- a/crates/workflow/tests/planning.rs
+++ b/crates/workflow/tests/planning.rs
@@ -11,8 +11,8 @@
         job::{JobKey, JobSpec, RunNumber, StepSpec, TaskDemand, TaskKey, WorkerIncarnation},
         message::WorkerReport,
         plan::{
-            InterferenceTable, Placement, PlacementPlanner, PlanInputs, PlanTime, SuspectTable,
-            WorkerTable, WorkerView,
+            CallerEstimates, InterferenceTable, Placement, PlacementPlanner, PlanInputs, PlanTime,
+            SuspectTable, WorkerTable, WorkerView,
         },
         state::{
             CommandBatch, CommandOutcome, EndKind, FlowCommand, FlowState, Submission, TaskPhase,
@@ -88,6 +88,7 @@
             workers: &self.workers,
             learned: &self.learned,
             suspects: &self.suspects,
+            forecaster: &CallerEstimates,
             time: PlanTime { now: self.now, wall_ms: 0 },
         }
     }
--- a/crates/workflow/tests/waiting.rs
+++ b/crates/workflow/tests/waiting.rs
@@ -17,8 +17,8 @@
         job::{JobKey, JobSpec, RunNumber, StepSpec, TaskDemand, TaskKey, WorkerIncarnation},
         message::WorkerReport,
         plan::{
-            BestEffortShare, ImageName, InterferenceTable, PlacementPlanner, PlanInputs, PlanTime,
-            SuspectTable, WorkerTable, WorkerView,
+            BestEffortShare, CallerEstimates, ImageName, InterferenceTable, PlacementPlanner,
+            PlanInputs, PlanTime, SuspectTable, WorkerTable, WorkerView,
         },
         state::{
             CommandBatch, CommandOutcome, EndKind, FlowCommand, FlowState, JobRecord, Submission,
@@ -195,6 +195,7 @@
             workers: &self.workers,
             learned: &self.learned,
             suspects: &self.suspects,
+            forecaster: &CallerEstimates,
             time,
         });
         for placement in placements {
