Report reservations, bound the looks of a pass, and cover more loads

Cause: operators need to see why a job waits beside free processors, and steps that fit on no worker took the few looks of each pass from others.

--- a/crates/node/src/logging/mod.rs
+++ b/crates/node/src/logging/mod.rs
@@ -13,7 +13,11 @@
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
     telemetry::metrics::{CounterKind, DurationKind, MetricsError, ProcessMetrics},
-    workflow::{event::FlowEvent, job::RunNumber, state::JobOutcome},
+    workflow::{
+        event::{FlowEvent, ReservationEnd},
+        job::RunNumber,
+        state::JobOutcome,
+    },
 };
 
 /// The most lines that a process writes in a second: about twice what a process of the largest
@@ -112,6 +116,16 @@
                 };
                 self.observe(DurationKind::FlowJob, case, Duration::from_millis(*after_ms));
             }
+            FlowEvent::ReservationDropped { end, held_ms, .. } => {
+                let case = match end {
+                    ReservationEnd::Met => "met",
+                    ReservationEnd::GivenUp => "given_up",
+                    ReservationEnd::Superseded => "superseded",
+                    ReservationEnd::JobEnded => "job_ended",
+                };
+                let held = Duration::from_millis(*held_ms);
+                self.observe(DurationKind::FlowReservation, case, held);
+            }
             _ => {}
         }
     }
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -38,6 +38,7 @@
         DiskSync "mangorouter.control.sync.duration" "s" "Time to write and sync a batch of the log.";
         FlowStart "mangorouter.flow.start.duration" "s" "Time from the acceptance of a job to the placement of its tasks, by first or later run.";
         FlowJob "mangorouter.flow.job.duration" "s" "Time from the acceptance of a job to its end, by outcome.";
+        FlowReservation "mangorouter.flow.reservation.duration" "s" "Time for which placement kept capacity for a step that needs much at once, by reason of the end.";
         PlacementWait "mangorouter.control.placement.duration" "s" "Time that tasks waited for placement, by priority.";
     }
 }
--- a/crates/workflow/src/plan/lookahead.rs
+++ b/crates/workflow/src/plan/lookahead.rs
@@ -33,7 +33,7 @@
 /// Time for which a step waits for room that comes by itself. It is the allowance that callers add
 /// to the objective of large jobs; short tasks end in less.
 const RESERVE_DELAY_MS: u64 = 1000;
-/// The most steps for which one pass reserves capacity. It bounds the cost of a pass.
+/// The most steps for which one pass looks at the workers. It bounds the cost of a pass.
 const RESERVATIONS_LIMIT: usize = 4;
 /// Divisor of a service's workers that gives the most on which one pass holds capacity, unless it is
 /// for a gang, which cannot start on fewer than it needs. Other work loses at most this share.
@@ -61,6 +61,9 @@
 /// The most doublings of the forecasts of a step whose reservations were given up: three allow for
 /// estimates that are off by far more than the usual factor of 1.9.
 const CORRECTIONS_LIMIT: u32 = 3;
+/// Time until workers are looked at again for a step that fits on none of them. Such steps would
+/// otherwise take the few looks of each pass from others.
+const UNPLACEABLE_PERIOD: Duration = Duration::from_secs(1);
 /// Time without renewal after which a reservation counts as ended. Steps that take turns at being
 /// among the first would otherwise fill the log.
 const LINGER: Duration = Duration::from_secs(1);
@@ -136,6 +139,10 @@
     turns: BTreeMap<JobKey, JobTurn>,
     /// The executors on which the last pass held capacity.
     held: Vec<Arc<str>>,
+    /// The steps that will not fit on what is known to end, with the time of the next look.
+    unplaceable: BTreeMap<StepKey, Duration>,
+    /// How often the present pass has looked at all workers, so far.
+    looks: usize,
     /// The steps for which the present pass has kept capacity, so far.
     reserved: BTreeSet<StepKey>,
     /// The number of workers of each service on which the present pass holds capacity, so far.
@@ -153,6 +160,7 @@
         full: bool,
     ) -> Vec<usize> {
         self.reserved.clear();
+        self.looks = 0;
         self.held_counts.clear();
         if full {
             self.runs.clear();
@@ -270,8 +278,16 @@
         if self.reserved.contains(&key) || !self.may_reserve(step, left, inputs) {
             return;
         }
-        let mut slots = self.find_slots(request, left, inputs, reservations, claims);
+        let most = self.worker_limit(request, left, inputs);
+        if most == 0 {
+            return;
+        }
+        self.looks += 1;
+        let mut slots = self.find_slots((request, left, most), inputs, reservations, claims);
         let now = inputs.time.now;
+        if slots.is_empty() {
+            self.unplaceable.insert(key, now + UNPLACEABLE_PERIOD);
+        }
         if served {
             slots.retain(|slot| request.spec.gang || slot.ready_at > now);
             if slots.last().is_some_and(|slot| slot.ready_at <= now) {
@@ -319,7 +335,10 @@
         inputs: &PassInputs<'_>,
     ) -> bool {
         let early = age_ms(step, inputs) < RESERVE_DELAY_MS;
-        if early || left == 0 || self.reserved.len() >= RESERVATIONS_LIMIT {
+        if early || left == 0 || self.looks >= RESERVATIONS_LIMIT {
+            return false;
+        }
+        if self.unplaceable.contains_key(&step.step_key()) {
             return false;
         }
         let watch = self.watches.get(&step.step_key());
@@ -366,19 +385,33 @@
         size
     }
 
+    /// Returns the most workers on which a step may hold capacity, beside the other reservations of
+    /// the pass.
+    fn worker_limit(
+        &mut self,
+        request: &StepRequest<'_>,
+        left: usize,
+        inputs: &PassInputs<'_>,
+    ) -> usize {
+        if request.spec.gang {
+            return left;
+        }
+        let held = self.held_counts.get(request.service).copied().unwrap_or(0);
+        let share = self.size_of(request.service, inputs).workers / HELD_WORKERS_DIVISOR;
+        share.max(1).saturating_sub(held)
+    }
+
     /// Finds the earliest slots for the waiting tasks of a step: for each of them while the limit
     /// of workers permits, or for a whole gang. Looks at each worker once. Returns none for a gang
     /// that cannot start on what will be free.
     fn find_slots(
         &mut self,
-        request: &StepRequest<'_>,
-        left: usize,
+        (request, left, most): (&StepRequest<'_>, usize, usize),
         inputs: &PassInputs<'_>,
         reservations: &ReservationTable,
         claims: &RoomClaims,
     ) -> Vec<TaskSlot> {
         let (spec, now) = (request.spec, inputs.time.now);
-        let size = self.size_of(request.service, inputs);
         let mut slots = Vec::new();
         for (position, (executor, worker)) in inputs.workers.iter().enumerate() {
             let Some(reserved) = reservations.of(executor) else { continue };
@@ -396,9 +429,6 @@
             slots.extend(times.into_iter().map(|ready_at| TaskSlot { ready_at, position }));
         }
         slots.sort_unstable();
-        let held = self.held_counts.get(request.service).copied().unwrap_or(0);
-        let allowed = (size.workers / HELD_WORKERS_DIVISOR).max(1).saturating_sub(held);
-        let most = if spec.gang { left } else { allowed };
         let mut checks = 0;
         slots.retain(|slot| {
             let Some((executor, worker)) = inputs.workers.get_index(slot.position) else {
@@ -474,6 +504,7 @@
 
     /// Removes what is remembered of reservations that passes no longer make.
     pub(super) fn drop_ended(&mut self, state: &FlowState, now: Duration) {
+        self.unplaceable.retain(|_, until| now < *until);
         let events = &mut self.events;
         self.watches.retain(|_, watch| {
             let last = watch.retry_at.unwrap_or(watch.seen);
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -465,6 +465,21 @@
     assert_eq!(harness.starts().len(), before + 3);
 }
 
+// The forecast of a reservation counted the whole estimate of runs that had begun long ago.
+#[test]
+fn a_reservation_is_forecast_from_the_starts_of_runs() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.submit(0x1, job(&[StepBuilder::tasks(4).cores(4).estimate(5000)]));
+    harness.submit(0xa, job(&[StepBuilder::tasks(2).cores(3).gang().estimate(1000)]));
+    (0..3).for_each(|_| harness.keep_alive(1, 400));
+    let [(task, ready_ms)] = &harness.reservations[..] else {
+        panic!("{:?}", harness.reservations)
+    };
+    assert_eq!(task, "000000000000000a.0.0.0");
+    assert!((3700..=4000).contains(ready_ms), "{ready_ms} ms after a wait of 1 s and more");
+}
+
 // An agent repeats the ends that it has no acknowledgement for to each leader and after each
 // reconnection. One failed run that was reported often enough made its worker suspect.
 #[test]
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -96,6 +96,8 @@
     unsynced: Vec<PersistBatch>,
     starts: Vec<String>,
     shrinkages: Vec<String>,
+    /// The tasks for which capacity was reserved, and the forecasts in milliseconds.
+    pub reservations: Vec<(String, u64)>,
     stops: Vec<String>,
     /// Tasks that were reported as ended.
     ended: BTreeSet<String>,
@@ -133,6 +135,7 @@
             unsynced: Vec::new(),
             starts: Vec::new(),
             shrinkages: Vec::new(),
+            reservations: Vec::new(),
             stops: Vec::new(),
             ended: BTreeSet::new(),
             answers: Vec::new(),
@@ -194,6 +197,9 @@
             }) => {
                 self.shrinkages.push(format!("{worker} to {cpu_milli}, overfull {overfull}"));
             }
+            ControlEffect::Record(FlowEvent::ReservationMade { task, ready_ms, .. }) => {
+                self.reservations.push((task.to_string(), ready_ms));
+            }
             _ => {}
         }
     }
