--- a/crates/workflow/src/control/admission.rs
+++ b/crates/workflow/src/control/admission.rs
@@ -6,7 +6,7 @@
         event::FlowEvent,
         job::{JobKey, JobSpec, QueueRule, RunNumber, TaskKey},
         message::CallerAnswer,
-        plan::{PlanInputs, PlanTime},
+        plan::{CallerEstimates, PlanInputs, PlanTime},
         state::{EndKind, FlowCommand, FlowState, JobRecord},
     },
 };
@@ -31,6 +31,7 @@
             learned: &leader.learned,
             suspects: &leader.suspects,
             durations: &leader.durations,
+            forecaster: &CallerEstimates,
             time: PlanTime { now, wall_ms },
         };
         let verdict = leader.admission.judge(key, spec, rule, inputs)?;
--- a/crates/workflow/src/control/relief.rs
+++ b/crates/workflow/src/control/relief.rs
@@ -71,7 +71,7 @@
         let staying = leader.placements_on(worker).into_iter().filter_map(|placement| {
             let job = leader.speculative.job(placement.task.job)?;
             let spec = job.step_spec(&placement.task)?;
-            let ends_soon = times.left(&placement.task, spec) < SOON;
+            let ends_soon = times.remaining(&placement.task, spec) < SOON;
             let stays = !self.is_stopping(&placement) && !ends_soon;
             stays.then_some(StayingRun { placement, job, spec })
         });
--- a/crates/workflow/src/control/relocation.rs
+++ b/crates/workflow/src/control/relocation.rs
@@ -10,7 +10,7 @@
     crate::{
         event::StopReason,
         job::{StepKey, TaskKey},
-        plan::{Placement, PlanInputs, PlanTime, RunMove},
+        plan::{CallerEstimates, Placement, PlanInputs, PlanTime, RunMove},
         state::TaskPhase,
     },
     std::{collections::BTreeMap, time::Duration},
@@ -70,6 +70,7 @@
             learned: &leader.learned,
             suspects: &leader.suspects,
             durations: &leader.durations,
+            forecaster: &CallerEstimates,
             time: PlanTime { now, wall_ms },
         };
         let may_move = |placement: &Placement| self.may_relocate(placement);
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -131,7 +131,7 @@
             let task = placement.task;
             let spec = leader.speculative.job(task.job).and_then(|job| job.step_spec(&task));
             let Some(spec) = spec else { continue };
-            if spec.lasting || times.left(&task, spec) > drain_left {
+            if spec.lasting || times.remaining(&task, spec) > drain_left {
                 evacuated.push(placement);
             }
         }
--- a/crates/workflow/src/plan/durations.rs
+++ b/crates/workflow/src/plan/durations.rs
@@ -8,6 +8,7 @@
 //! `docs/design/run-times.md` gives the model and its bounds.
 
 use {
+    super::forecast::{left_by_progress, RunForecaster},
     crate::{
         job::{JobKey, RunNumber, StepKey, StepSpec, TaskKey, WorkerIncarnation},
         state::FlowState,
@@ -416,6 +417,13 @@
         Some(Duration::from_millis((left - elapsed).max(least).round() as u64))
     }
 
+    /// Returns the time since a run was placed, or last reported to have done nothing; `None` if
+    /// neither is known.
+    fn age_of(&self, task: &TaskKey, now: Duration) -> Option<Duration> {
+        let since = self.runs.get(task)?.idle_until?;
+        Some(now.saturating_sub(since))
+    }
+
     /// Returns the last percent that a run has reported.
     pub fn percent(&self, task: &TaskKey) -> u8 {
         let last = self.runs.get(task).and_then(|run| run.last);
@@ -675,17 +683,35 @@
 impl RemainingTimes<'_> {
     /// Returns the remaining time of a placed run: by what was observed, or else by the caller's
     /// estimate and the run's percent. A lasting run does not end by itself.
-    pub fn left(&self, task: &TaskKey, spec: &StepSpec) -> Duration {
+    pub fn remaining(&self, task: &TaskKey, spec: &StepSpec) -> Duration {
         if spec.lasting {
             return Duration::MAX;
         }
-        let job = self.state.job(task.job);
-        let left = job.and_then(|job| self.durations.left(task, &job.queue, spec, self.now));
-        left.unwrap_or_else(|| {
+        self.observed(task, spec).unwrap_or_else(|| {
             let percent = u64::from(100 - self.durations.percent(task));
             Duration::from_millis(spec.estimate_ms / 100 * percent)
         })
     }
+
+    fn observed(&self, task: &TaskKey, spec: &StepSpec) -> Option<Duration> {
+        let job = self.state.job(task.job)?;
+        self.durations.left(task, &job.queue, spec, self.now)
+    }
+}
+
+impl RunForecaster for RemainingTimes<'_> {
+    fn left(&self, task: &TaskKey, spec: &StepSpec) -> Duration {
+        self.observed(task, spec).unwrap_or_else(|| {
+            let age = self.durations.age_of(task, self.now);
+            left_by_progress(spec, age, self.durations.percent(task))
+        })
+    }
+
+    fn length(&self, step: StepKey, spec: &StepSpec) -> Duration {
+        let job = self.state.job(step.job);
+        let expected = job.map(|job| self.durations.expected(step, &job.queue, spec).length);
+        expected.unwrap_or(Duration::from_millis(spec.estimate_ms))
+    }
 }
 
 /// Returns the history of a queue, which may be new, unless there are too many.
