--- a/crates/workflow/tests/cordons/mod.rs
+++ b/crates/workflow/tests/cordons/mod.rs
@@ -122,6 +122,20 @@
     assert_eq!(harness.cordon("north"), Some(&OperatorAnswer::Accepted), "a repeated request");
 }
 
+// The executor itself is late: its next incarnation begins a run that was ordered for the earlier one.
+#[test]
+fn a_run_that_the_next_incarnation_has_begun_late_goes_on() {
+    let mut harness = start_ordered();
+    harness.cordon("north");
+    harness.announce_incarnation(1, "e1", 200);
+    harness.report_runs(1, "e1@200", &[(FIRST, 1)]);
+    harness.keep_alive(1, 2400);
+    harness.report_runs(1, "e1@200", &[(FIRST, 1)]);
+    assert!(harness.stops().is_empty(), "{:?}", harness.stops());
+    harness.report_end(1, "e1@200", 1, FIRST, 1, EndKind::Done);
+    assert_eq!(harness.phase(0xa), "Ended(Succeeded)");
+}
+
 // An executor of a cordoned data centre that joins, begins anew, or has moved there.
 #[test]
 fn a_worker_that_reports_a_cordoned_data_centre_gets_nothing() {
@@ -238,3 +252,13 @@
     assert_eq!(fields(&state), 8);
     assert!(FlowState::from_snapshot(&snapshot).unwrap().cordons().is_empty());
 }
+
+// A build that does not know a command must halt instead of passing over it.
+#[test]
+fn an_entry_with_an_unknown_command_cannot_be_decoded() {
+    let command = FlowCommand::Cordon { data_centre: "north".parse().unwrap() };
+    let mut bytes = CommandBatch { elapsed_ms: 1, commands: vec![command] }.to_bytes();
+    let name = bytes.windows(6).position(|part| part == b"Cordon").unwrap();
+    bytes[name] = b'X';
+    assert!(CommandBatch::from_bytes(&bytes).is_err());
+}
