Lose starts for a while in the schedules with cordons

Cause: without the stop of unconfirmed starts, the schedules with cordons still passed. No start stayed pending at an agent for long enough to begin after the bound.

Change: in these schedules executors lose all starts for 12 s now and then, so that agents repeat a start from before a cordon.

--- a/crates/workflow/tests/world/agents.rs
+++ b/crates/workflow/tests/world/agents.rs
@@ -148,7 +148,9 @@
     /// Delivers a call to the executor. A call without an answer may be carried out up to 3 s
     /// later, or never while executors shrink.
     pub(super) fn order(&mut self, agent: usize, call: ExecutorCall, answered: bool) {
-        if !answered && self.shrinking && self.random.chance(LOST_CALLS) {
+        let is_start = matches!(call, ExecutorCall::Start { .. });
+        let lost = is_start && self.loses_starts(agent);
+        if lost || !answered && self.shrinking && self.random.chance(LOST_CALLS) {
             self.lose_call(agent, call);
             return;
         }
--- a/crates/workflow/tests/world/cordons.rs
+++ b/crates/workflow/tests/world/cordons.rs
@@ -2,7 +2,7 @@
 //! there meanwhile.
 
 use {
-    super::{FleetWorld, CONTROLS},
+    super::{FleetWorld, AGENTS, CONTROLS},
     base::{ReplyTicket, SeededRandom},
     std::{collections::BTreeMap, time::Duration},
     workflow::control::{ControlEvent, OperatorAnswer},
@@ -14,6 +14,10 @@
 /// the time after which it is checked.
 const CORDON_CHANCE: f64 = 0.004;
 const LIFT_CHANCE: f64 = 0.001;
+/// The chance in a step that an executor begins to lose starts, and for how long: its agent repeats a
+/// start from before a cordon until after the time from which nothing starts.
+const LOSING_CHANCE: f64 = 0.004;
+const LOSING_TIME: Duration = Duration::from_millis(12_000);
 /// The chance in a step that a request is sent, until one is answered.
 const REQUEST_CHANCE: f64 = 0.2;
 /// Steps after the faults within which every request has to be acknowledged.
@@ -42,6 +46,8 @@
     intentions: BTreeMap<&'static str, Intention>,
     requests: BTreeMap<ReplyTicket, &'static str>,
     last_ticket: ReplyTicket,
+    /// The time until which each executor loses starts.
+    losing_until: [Duration; AGENTS],
 }
 
 impl CordonOperator {
@@ -52,6 +58,7 @@
             intentions: DATA_CENTRES.into_iter().map(intention).collect(),
             requests: BTreeMap::new(),
             last_ticket: ReplyTicket(1000),
+            losing_until: [Duration::ZERO; AGENTS],
         }
     }
 
@@ -88,6 +95,11 @@
     /// they are acknowledged.
     pub(super) fn operate(&mut self) {
         let Some(operator) = &mut self.operator else { return };
+        for until in &mut operator.losing_until {
+            if *until < self.now && operator.random.chance(LOSING_CHANCE) {
+                *until = self.now + LOSING_TIME;
+            }
+        }
         let mut requests = Vec::new();
         for data_centre in DATA_CENTRES {
             let wanted = &operator.intentions[data_centre];
@@ -132,6 +144,12 @@
         panic!("seed {}: a request about a data centre was not acknowledged", self.seed);
     }
 
+    /// Returns whether an executor loses starts.
+    pub(super) fn loses_starts(&self, agent: usize) -> bool {
+        let operator = self.operator.as_ref().filter(|_| self.faults);
+        operator.is_some_and(|operator| self.now < operator.losing_until[agent])
+    }
+
     /// Checks a start that an agent sent to its executor and that began there. When the executor
     /// carries it out does not count.
     pub(super) fn check_cordon(&self, agent: usize, sent: Duration) {
