--- a/crates/node/src/logging/mod.rs
+++ b/crates/node/src/logging/mod.rs
@@ -13,7 +13,12 @@
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
     telemetry::metrics::{CounterKind, DurationKind, GaugeKind, MetricsError, ProcessMetrics},
-    workflow::{control::CordonFigures, event::FlowEvent, job::RunNumber, state::JobOutcome},
+    workflow::{
+        control::CordonFigures,
+        event::{FlowEvent, ReservationEnd},
+        job::RunNumber,
+        state::JobOutcome,
+    },
 };
 
 /// The most lines that a process writes in a second: about twice what a process of the largest
@@ -116,6 +121,16 @@
                 let delay = Duration::from_millis(*retry_after_ms);
                 self.observe(DurationKind::FlowRetry, "overloaded", delay);
             }
+            FlowEvent::ReservationDropped { end, held_ms, .. } => {
+                let case = match end {
+                    ReservationEnd::Met => "met",
+                    ReservationEnd::GivenUp => "given_up",
+                    ReservationEnd::Superseded => "superseded",
+                    ReservationEnd::JobEnded => "job_ended",
+                };
+                let held = Duration::from_millis(*held_ms);
+                self.observe(DurationKind::FlowReservation, case, held);
+            }
             _ => {}
         }
     }
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -11,7 +11,7 @@
         event::{FlowEvent, StopReason},
         job::JobKey,
         message::{LinkMessage, StartOrder},
-        plan::{Placement, PlanInputs, PlanTime},
+        plan::{Placement, PlanInputs, PlanTime, RemainingTimes},
         state::{CommandBatch, CommandOutcome, FlowCommand, FlowState},
     },
     base::ReplyTicket,
@@ -41,14 +41,18 @@
         commands = batch.commands;
         let Some(leader) = &mut self.leader else { return };
         leader.replan = false;
+        let (durations, state) = (&leader.durations, &leader.speculative);
         let placements = leader.planner.plan(PlanInputs {
-            state: &leader.speculative,
+            state,
             workers: &leader.workers,
             learned: &leader.learned,
             suspects: &leader.suspects,
-            durations: &leader.durations,
+            durations,
+            forecaster: &RemainingTimes { durations, state, now },
             time: PlanTime { now, wall_ms },
         });
+        let events = leader.planner.take_events();
+        events.into_iter().for_each(|event| self.record(event));
         for placement in placements {
             self.place(placement, &mut commands, &mut deferred);
         }
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -14,7 +14,9 @@
 mod candidates;
 mod claims;
 mod durations;
+mod forecast;
 mod interference;
+mod lookahead;
 mod order;
 mod relief;
 mod relocation;
@@ -30,6 +32,7 @@
 pub use {
     admission::{AdmissionTable, AdmissionVerdict},
     durations::{DurationTable, QueueSummary, RemainingTimes, RunForecast, RunOrigin, RunReading},
+    forecast::{left_by_progress, CallerEstimates, RunForecaster},
     interference::{BestEffortShare, HeadroomForecast, ImageName, InterferenceTable, LearnedPair},
     relief::{assumed_demand, fits_elsewhere},
     relocation::RunMove,
@@ -43,7 +46,8 @@
         affinity::AffinityTable,
         candidates::CandidateQueue,
         claims::{DisplacedSteps, RoomClaims},
-        order::StepRank,
+        lookahead::LookaheadTable,
+        order::{StepRank, StepTurn},
         relocation::{MoveSearch, MoveTable},
         reservations::{fitting, ReservationTable},
         score::{may_hold, may_run, score_of, StartTerms, StepRequest},
@@ -51,6 +55,7 @@
         trials::TrialTable,
     },
     crate::{
+        event::FlowEvent,
         job::{JobKey, JobSpec, RunNumber, StepKey, TaskKey, WorkerIncarnation},
         state::FlowState,
     },
@@ -94,6 +99,8 @@
     pub suspects: &'a SuspectTable,
     /// The observed run times.
     pub durations: &'a DurationTable,
+    /// How long runs still take.
+    pub forecaster: &'a dyn RunForecaster,
     /// The time of the pass.
     pub time: PlanTime,
 }
@@ -121,6 +128,8 @@
     trials: TrialTable,
     /// The tasks that move to another worker.
     moves: MoveTable,
+    /// What is kept for steps that need much capacity at once.
+    lookahead: LookaheadTable,
     /// Executors that changed in another way than by their placements since the last pass.
     touched: BTreeSet<Arc<str>>,
     last_full: Option<Duration>,
@@ -171,10 +180,19 @@
         service: &str,
         inputs: PlanInputs<'_>,
     ) -> bool {
-        let PlanInputs { state, workers, learned, suspects, durations, time } = inputs;
+        let PlanInputs { state, workers, learned, suspects, durations, forecaster, time } = inputs;
         let forecast = learned.forecast(time.now);
         let affinity = None;
-        let inputs = PassInputs { state, workers, suspects, durations, time, forecast, affinity };
+        let inputs = PassInputs {
+            state,
+            workers,
+            suspects,
+            durations,
+            forecaster,
+            time,
+            forecast,
+            affinity,
+        };
         let mut first =
             spec.steps.iter().enumerate().filter(|(_, step)| step.depends_on.is_empty());
         first.any(|(step, spec)| {
@@ -189,20 +207,28 @@
         })
     }
 
+    /// Returns the events of the passes since the last call.
+    pub fn take_events(&mut self) -> Vec<FlowEvent> {
+        self.lookahead.take_events()
+    }
+
     /// Chooses a worker with enough free capacity for the waiting tasks that may start now.
     pub fn plan(&mut self, inputs: PlanInputs<'_>) -> Vec<Placement> {
         let mut changed = self.reservations.refresh(inputs.state, inputs.workers);
         let touched = std::mem::take(&mut self.touched);
         changed.extend(touched.iter().filter_map(|executor| inputs.workers.get_index_of(executor)));
         let mut blocked = std::mem::take(&mut self.blocked);
-        if self.is_full_pass_due(inputs.time.now) {
+        let full = self.is_full_pass_due(inputs.time.now);
+        if full {
             self.last_full = Some(inputs.time.now);
             blocked.clear();
+            self.lookahead.drop_ended(inputs.state, inputs.time.now);
         }
-        let mut steps = open_steps(inputs.state, inputs.durations, inputs.time);
-        steps.sort_by_cached_key(StepRank::new);
-        let PlanInputs { state, workers, learned, suspects, durations, time } = inputs;
+        let held = self.lookahead.begin_pass(inputs.workers, &changed, full);
+        changed.extend(held);
+        let PlanInputs { state, workers, learned, suspects, durations, forecaster, time } = inputs;
         let forecast = learned.forecast(time.now);
+        let mut steps = open_steps(state, durations, time);
         let serving = |step: &OpenStep<'_>| {
             step.spec().latency_target_ms.is_some() && step.waiting().next().is_some()
         };
@@ -211,13 +237,28 @@
             .any(serving)
             .then(|| AffinityTable::new(learned, workers, &self.reservations))
             .flatten();
-        let inputs = &PassInputs { state, workers, suspects, durations, time, forecast, affinity };
+        let inputs = &PassInputs {
+            state,
+            workers,
+            suspects,
+            durations,
+            forecaster,
+            time,
+            forecast,
+            affinity,
+        };
+        let turns = self.lookahead.turns(&steps, inputs);
+        let turn = |step: &OpenStep<'_>| turns.get(&step.step_key()).copied();
+        let regular = StepTurn::Regular;
+        steps.sort_by_cached_key(|step| StepRank::new(step, turn(step).unwrap_or(regular)));
         self.moves.refresh(workers, time.now);
         self.trials.refresh(state, workers, suspects, time.now);
-        let mut claims = RoomClaims::new(self.trials.positions(workers).collect());
+        let due = turns.keys().copied().collect();
+        let mut claims = RoomClaims::new(self.trials.positions(workers).collect(), due);
         claims.keep(self.moves.targets(workers));
         let moves = &mut self.moves;
         let trials = &mut self.trials;
+        let lookahead = &mut self.lookahead;
         let reservations = &mut self.reservations;
         let earlier = std::mem::take(&mut self.displaced);
         let displaced = &mut self.displaced;
@@ -229,6 +270,7 @@
             displaced,
             trials,
             moves,
+            lookahead,
             claims,
             loads,
             placements,
@@ -236,7 +278,11 @@
         for step in &steps {
             pass.place_moving(step);
         }
-        for step in &steps {
+        let mut priority = None;
+        for (rank, step) in steps.iter().enumerate() {
+            if priority.replace(step.record.priority) != Some(step.record.priority) {
+                pass.renew_reservations(&steps[rank..]);
+            }
             let known = blocked.contains(&step.step_key()) && !step.spec().gang;
             let workers = known.then_some(&changed);
             if !pass.place_step(step, workers) {
@@ -253,6 +299,7 @@
     workers: &'a WorkerTable,
     suspects: &'a SuspectTable,
     durations: &'a DurationTable,
+    forecaster: &'a dyn RunForecaster,
     time: PlanTime,
     forecast: HeadroomForecast<'a>,
     /// Present if latency-critical tasks wait and something is known about the images.
@@ -268,6 +315,7 @@
     displaced: &'a mut DisplacedSteps,
     trials: &'a mut TrialTable,
     moves: &'a mut MoveTable,
+    lookahead: &'a mut LookaheadTable,
     claims: RoomClaims,
     /// The reserved share of each service's processors when the pass first asked for it.
     loads: BTreeMap<String, f64>,
@@ -275,6 +323,38 @@
 }
 
 impl PlanPass<'_> {
+    /// Keeps capacity for the steps of the first one's priority for which the last passes did, before
+    /// any of these is served: work that ranks first by its little work would take it.
+    fn renew_reservations(&mut self, steps: &[OpenStep<'_>]) {
+        let Some(first) = steps.first().filter(|_| self.lookahead.is_active()) else { return };
+        let priority = first.record.priority;
+        for step in steps.iter().take_while(|step| step.record.priority == priority) {
+            let key = step.step_key();
+            if !self.lookahead.is_watched(&key) {
+                continue;
+            }
+            let (spec, service) = (step.spec(), step.service());
+            let starving = self.is_starving(step, service);
+            let terms = if starving { StartTerms::Starving } else { StartTerms::Regular };
+            let span = self.inputs.durations.expected(key, &step.record.queue, spec).length;
+            let request = StepRequest { key, spec, service, rack: None, span, terms };
+            let left = self.regular_tasks(step).count();
+            self.reserve_for(step, &request, left, false);
+        }
+    }
+
+    fn reserve_for(
+        &mut self,
+        step: &OpenStep<'_>,
+        request: &StepRequest<'_>,
+        left: usize,
+        served: bool,
+    ) {
+        let (reservations, claims) = (&*self.reservations, &mut self.claims);
+        let terms = (request, left, served);
+        self.lookahead.reserve(step, terms, self.inputs, reservations, claims);
+    }
+
     /// Places the waiting tasks of a step on the given workers, or on any. Returns whether no task
     /// is left waiting.
     fn place_step(&mut self, step: &OpenStep<'_>, workers: Option<&BTreeSet<usize>>) -> bool {
@@ -282,12 +362,16 @@
             return true;
         }
         let suspected = may_need_trial(self.inputs.suspects, step);
-        if workers.is_some_and(BTreeSet::is_empty) && !step.is_displaced() && !suspected {
-            return false;
+        let unchanged = workers.is_some_and(BTreeSet::is_empty);
+        if unchanged && !step.is_displaced() && !suspected {
+            let left = self.regular_tasks(step).count();
+            if !self.lookahead.may_reserve(step, left, self.inputs) {
+                return false;
+            }
         }
         let PassInputs { workers: table, durations, time, .. } = self.inputs;
         let spec = step.spec();
-        let service = step.rule.map_or(step.record.service.as_str(), |rule| rule.service.as_str());
+        let service = step.service();
         let rack = self.reservations.rack_for(step.tasks(), spec, service, table, time.now);
         let starving = self.is_starving(step, service);
         let terms = if starving { StartTerms::Starving } else { StartTerms::Regular };
@@ -305,6 +389,10 @@
         let displaced = left > 0 && !spec.gang && step.is_displaced();
         if displaced && self.displaced.add(key, time.now, &self.earlier) {
             self.claims.add(&request, left, self.inputs, self.reservations);
+        } else if left > 0 && !displaced {
+            self.reserve_for(step, &request, left, true);
+        } else if left == 0 {
+            self.claims.release(&key);
         }
         on_trial + left == 0
     }
@@ -426,7 +514,7 @@
             // All tasks of a step have the same demand: if one does not fit, none does.
             let Some(worker) = best else { break };
             let run = record.run.next();
-            let worker = queue.reserve(worker, &task, self.reservations);
+            let worker = queue.reserve(worker, &task, self.reservations, &mut self.claims);
             self.placements.push(Placement { task, run, worker });
             placed += 1;
         }
@@ -442,15 +530,17 @@
         }
         let run = tasks.iter().map(|task| task.run).max().unwrap_or_default().next();
         let mut members = Vec::new();
+        let held = self.claims.clone();
         for index in 0..tasks.len() {
             let task = step.key(index);
             let Some(worker) = queue.best_for_retry(&task) else {
                 for Placement { task, worker, .. } in &members {
                     self.reservations.release(worker, task, step.spec());
                 }
+                self.claims = held;
                 return 0;
             };
-            let worker = queue.reserve(worker, &task, self.reservations);
+            let worker = queue.reserve(worker, &task, self.reservations, &mut self.claims);
             members.push(Placement { task, run, worker });
         }
         self.placements.extend(members);
--- a/crates/workflow/tests/durations.rs
+++ b/crates/workflow/tests/durations.rs
@@ -10,8 +10,8 @@
         },
         message::WorkerReport,
         plan::{
-            DurationTable, InterferenceTable, PlacementPlanner, PlanInputs, PlanTime, RunOrigin,
-            RunReading, SuspectTable, WorkerTable, WorkerView,
+            CallerEstimates, DurationTable, InterferenceTable, PlacementPlanner, PlanInputs,
+            PlanTime, RunOrigin, RunReading, SuspectTable, WorkerTable, WorkerView,
         },
         state::{CommandBatch, FlowCommand, FlowState, Submission},
     },
@@ -293,6 +293,7 @@
         learned: &InterferenceTable::default(),
         suspects: &SuspectTable::default(),
         durations: &table,
+        forecaster: &CallerEstimates,
         time: PlanTime { now: seconds(1.0), wall_ms: LATER_MS },
     });
     let placed: Vec<u64> = placements.iter().map(|placement| placement.task.job.0).collect();
--- a/crates/workflow/tests/planning.rs
+++ b/crates/workflow/tests/planning.rs
@@ -11,8 +11,8 @@
         job::{JobKey, JobSpec, RunNumber, StepSpec, TaskDemand, TaskKey, WorkerIncarnation},
         message::WorkerReport,
         plan::{
-            DurationTable, InterferenceTable, Placement, PlacementPlanner, PlanInputs, PlanTime,
-            SuspectTable, WorkerTable, WorkerView,
+            CallerEstimates, DurationTable, InterferenceTable, Placement, PlacementPlanner,
+            PlanInputs, PlanTime, SuspectTable, WorkerTable, WorkerView,
         },
         state::{
             CommandBatch, CommandOutcome, EndKind, FlowCommand, FlowState, Submission, TaskPhase,
@@ -91,6 +91,7 @@
             learned: &self.learned,
             suspects: &self.suspects,
             durations: &self.durations,
+            forecaster: &CallerEstimates,
             time: PlanTime { now: self.now, wall_ms: 0 },
         }
     }
--- a/crates/workflow/tests/relocation.rs
+++ b/crates/workflow/tests/relocation.rs
@@ -14,8 +14,8 @@
         job::{JobKey, JobSpec, RunNumber, StepSpec, TaskDemand, TaskKey, WorkerIncarnation},
         message::WorkerReport,
         plan::{
-            DurationTable, InterferenceTable, LearnedPair, Placement, PlacementPlanner, PlanInputs,
-            PlanTime, RunMove, SuspectTable, WorkerTable, WorkerView,
+            CallerEstimates, DurationTable, InterferenceTable, LearnedPair, Placement,
+            PlacementPlanner, PlanInputs, PlanTime, RunMove, SuspectTable, WorkerTable, WorkerView,
         },
         state::{CommandBatch, CommandOutcome, EndKind, FlowCommand, FlowState, Submission},
     },
@@ -99,6 +99,7 @@
             learned: &self.learned,
             suspects: &self.suspects,
             durations: &self.durations,
+            forecaster: &CallerEstimates,
             time: PlanTime { now: self.now, wall_ms: 0 },
         }
     }
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -109,6 +109,8 @@
     starts: Vec<String>,
     shrinkages: Vec<String>,
     blocked: Vec<String>,
+    /// The tasks for which capacity was reserved, and the forecasts in milliseconds.
+    pub reservations: Vec<(String, u64)>,
     stops: Vec<String>,
     /// Tasks that were reported as ended.
     ended: BTreeSet<String>,
@@ -134,6 +136,7 @@
             unsynced: Vec::new(),
             starts: Vec::new(),
             shrinkages: Vec::new(),
+            reservations: Vec::new(),
             blocked: Vec::new(),
             stops: Vec::new(),
             ended: BTreeSet::new(),
@@ -236,6 +239,9 @@
             }) => {
                 self.shrinkages.push(format!("{worker} to {cpu_milli}, overfull {overfull}"));
             }
+            ControlEffect::Record(FlowEvent::ReservationMade { task, ready_ms, .. }) => {
+                self.reservations.push((task.to_string(), ready_ms));
+            }
             _ => {}
         }
     }
--- a/crates/workflow/tests/waiting.rs
+++ b/crates/workflow/tests/waiting.rs
@@ -17,8 +17,8 @@
         job::{JobKey, JobSpec, RunNumber, StepSpec, TaskDemand, TaskKey, WorkerIncarnation},
         message::WorkerReport,
         plan::{
-            BestEffortShare, DurationTable, ImageName, InterferenceTable, PlacementPlanner,
-            PlanInputs, PlanTime, SuspectTable, WorkerTable, WorkerView,
+            BestEffortShare, CallerEstimates, DurationTable, ImageName, InterferenceTable,
+            PlacementPlanner, PlanInputs, PlanTime, SuspectTable, WorkerTable, WorkerView,
         },
         state::{
             CommandBatch, CommandOutcome, EndKind, FlowCommand, FlowState, JobRecord, Submission,
@@ -198,6 +198,7 @@
             learned: &self.learned,
             suspects: &self.suspects,
             durations: &self.durations,
+            forecaster: &CallerEstimates,
             time,
         });
         for placement in placements {
