Look ahead for best-effort work only if it is configured

Change: the setting look_ahead of control names the work, by default that which reserves processors.

--- a/crates/node/src/control/member.rs
+++ b/crates/node/src/control/member.rs
@@ -69,6 +69,7 @@
             lease: setup.lease,
             retention: setup.retention,
             tolerated_losses: setup.tolerated_losses,
+            look_ahead: setup.look_ahead,
         };
         let seed = election_seed(&setup.name);
         let node = ControlNode::new(settings, recovered, now, seed).context(CoreSnafu)?;
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -36,6 +36,7 @@
         event::FlowEvent,
         job::FleetConfig,
         message::{CallerAnswer, LinkMessage},
+        plan::LookaheadScope,
         state::{DataCentreName, StateError},
     },
 };
@@ -118,6 +119,8 @@
     pub retention: Duration,
     /// How many members may be lost at once.
     pub tolerated_losses: usize,
+    /// The work for which placement looks ahead.
+    pub look_ahead: LookaheadScope,
 }
 
 enum ControlInput {
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -195,7 +195,7 @@
             pending: PendingBatch { commands, deferred: Vec::new() },
             in_flight: BTreeMap::new(),
             replan: true,
-            planner: PlacementPlanner::default(),
+            planner: PlacementPlanner::new(self.settings.look_ahead),
             workers: WorkerTable::new(),
             learned,
             suspects,
--- a/crates/workflow/src/control/types.rs
+++ b/crates/workflow/src/control/types.rs
@@ -5,6 +5,7 @@
         event::FlowEvent,
         job::FleetConfig,
         message::LinkMessage,
+        plan::LookaheadScope,
         state::{DataCentreName, StateError},
     },
     base::{PeerAddress, ReplicaId, ReplyTicket},
@@ -28,6 +29,8 @@
     pub retention: Duration,
     /// The number of voters that may be lost at once while the group keeps working.
     pub tolerated_losses: usize,
+    /// The work for which placement looks ahead.
+    pub look_ahead: LookaheadScope,
 }
 
 /// An event for the control reducer.
--- a/crates/workflow/src/plan/lookahead.rs
+++ b/crates/workflow/src/plan/lookahead.rs
@@ -22,6 +22,7 @@
         job::{JobKey, StepKey, TaskDemand, TaskKey},
         state::{FlowState, TaskPhase},
     },
+    serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -69,6 +70,19 @@
 const LINGER: Duration = Duration::from_secs(1);
 /// The most workers whose headroom one reservation forecasts.
 const HEADROOM_CHECKS: usize = 64;
+
+/// The work for which look-ahead keeps capacity and gives turns.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LookaheadScope {
+    /// Work that reserves processors.
+    #[default]
+    Reserving,
+    /// Best-effort work as well. The longest waits get shorter, and fewer jobs end in time.
+    All,
+}
+
 /// What the workers of a service offer.
 #[derive(Debug, Clone, Copy, Default)]
 struct ServiceSize {
@@ -132,6 +146,7 @@
 /// reservations themselves are derived in each pass.
 #[derive(Debug, Default)]
 pub(super) struct LookaheadTable {
+    scope: LookaheadScope,
     /// The runs on each worker that was looked at since its placements changed, first end first.
     runs: HashMap<Arc<str>, Vec<ForecastRun>>,
     sizes: BTreeMap<String, ServiceSize>,
@@ -151,6 +166,10 @@
 }
 
 impl LookaheadTable {
+    pub(super) fn new(scope: LookaheadScope) -> Self {
+        Self { scope, ..Self::default() }
+    }
+
     /// Begins a pass, given the workers that have changed since the last one. Returns the positions
     /// of the workers that the last pass held: other tasks may have become able to start there.
     pub(super) fn begin_pass(
@@ -354,6 +373,9 @@
     /// most wait.
     fn is_demanding(&mut self, step: &OpenStep<'_>, left: usize, inputs: &PassInputs<'_>) -> bool {
         let spec = step.spec();
+        if spec.filler && self.scope == LookaheadScope::Reserving {
+            return false;
+        }
         let ServiceSize { largest, workers, .. } = self.size_of(step.service(), inputs);
         let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand;
         let is_large = |asked: u64, largest: u64| {
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -34,6 +34,7 @@
     durations::{DurationTable, QueueSummary, RemainingTimes, RunForecast, RunOrigin, RunReading},
     forecast::{left_by_progress, CallerEstimates, RunForecaster},
     interference::{BestEffortShare, HeadroomForecast, ImageName, InterferenceTable, LearnedPair},
+    lookahead::LookaheadScope,
     relief::{assumed_demand, fits_elsewhere},
     relocation::RunMove,
     reservations::reserved_on,
@@ -136,6 +137,11 @@
 }
 
 impl PlacementPlanner {
+    /// Creates a planner that looks ahead for the given work.
+    pub fn new(scope: LookaheadScope) -> Self {
+        Self { lookahead: LookaheadTable::new(scope), ..Self::default() }
+    }
+
     /// Notes that a worker may have become able to receive tasks.
     pub fn touch(&mut self, executor: &Arc<str>) {
         self.touched.insert(executor.clone());
--- a/crates/workflow/tests/lookahead.rs
+++ b/crates/workflow/tests/lookahead.rs
@@ -15,8 +15,8 @@
         },
         message::WorkerReport,
         plan::{
-            left_by_progress, DurationTable, InterferenceTable, PlacementPlanner, PlanInputs,
-            PlanTime, RunForecaster, SuspectTable, WorkerTable, WorkerView,
+            left_by_progress, DurationTable, InterferenceTable, LookaheadScope, PlacementPlanner,
+            PlanInputs, PlanTime, RunForecaster, SuspectTable, WorkerTable, WorkerView,
         },
         state::{CommandBatch, CommandOutcome, EndKind, FlowCommand, FlowState, Submission},
     },
@@ -87,7 +87,7 @@
             learned: InterferenceTable::default(),
             suspects: SuspectTable::default(),
             durations: DurationTable::default(),
-            planner: PlacementPlanner::default(),
+            planner: PlacementPlanner::new(LookaheadScope::All),
             now: Duration::ZERO,
             jobs: 0,
             spans: BTreeMap::new(),
@@ -313,6 +313,28 @@
     }
 }
 
+// Turns of best-effort jobs that were late already made jobs late that could have been in time.
+#[rstest]
+#[case::by_default(LookaheadScope::default(), false)]
+#[case::if_configured(LookaheadScope::All, true)]
+fn capacity_is_kept_for_best_effort_work_only_if_configured(
+    #[case] scope: LookaheadScope,
+    #[case] kept: bool,
+) {
+    let narrow = best_effort(tasks(4, 7000, 1700));
+    let mut fleet = BusyFleet::new(1, 8);
+    fleet.planner = PlacementPlanner::new(scope);
+    for pass in 0..120 {
+        if pass == 60 {
+            let wide = best_effort(tasks(20, 7000, 1700));
+            fleet.submit(LARGE, 2, vec![wide], Duration::from_millis(1700));
+        }
+        offer_small(&mut fleet, 2, &narrow, Estimates::True);
+        fleet.pass();
+    }
+    assert_eq!(fleet.reservations_made() > 0, kept);
+}
+
 // A job that could no longer end in the time that counts ranked behind all others for good.
 #[test]
 fn a_job_that_is_too_late_has_its_turn() {
@@ -470,7 +492,7 @@
         fleet.submit_next(2, vec![nowhere], RUNS);
     }
     (0..24).for_each(|_| fleet.pass());
-    fleet.planner = PlacementPlanner::default();
+    fleet.planner = PlacementPlanner::new(LookaheadScope::All);
     fleet.events.clear();
     (0..30).for_each(|_| fleet.pass());
     assert!(fleet.reservations_made() > 0);
@@ -489,7 +511,7 @@
     let dropped = |event: &FlowEvent| matches!(event, FlowEvent::ReservationDropped { .. });
     assert!(fleet.events.iter().all(dropped) && fleet.events.len() == 1);
     drain(&mut fleet, None);
-    fleet.planner = PlacementPlanner::default();
+    fleet.planner = PlacementPlanner::new(LookaheadScope::All);
     fleet.pass();
     assert_eq!(fleet.reservations_made(), 1);
 }
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -14,6 +14,7 @@
         event::FlowEvent,
         job::{FleetConfig, JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
         message::{CallerAnswer, CallerCall, EndReport, LinkMessage, RunReport, WorkerReport},
+        plan::LookaheadScope,
         state::{EndKind, FlowState},
     },
 };
@@ -176,7 +177,13 @@
             snapshot_every: 10_000,
         };
         let retention = Duration::from_secs(60);
-        let settings = ControlSettings { quorum, lease: LEASE, retention, tolerated_losses: 0 };
+        let settings = ControlSettings {
+            quorum,
+            lease: LEASE,
+            retention,
+            tolerated_losses: 0,
+            look_ahead: LookaheadScope::All,
+        };
         ControlNode::new(settings, disk, now, 1).unwrap()
     }
 
--- a/crates/workflow/tests/world/mod.rs
+++ b/crates/workflow/tests/world/mod.rs
@@ -24,6 +24,7 @@
         event::FlowEvent,
         job::{JobKey, JobSpec, StepSpec, TaskDemand, TaskKey, WorkerIncarnation},
         message::{CallerAnswer, CallerCall, LinkMessage},
+        plan::LookaheadScope,
         state::JobPhase,
     },
 };
@@ -160,7 +161,13 @@
         snapshot_every: 60,
     };
     let retention = Duration::from_secs(3600);
-    let settings = ControlSettings { quorum, lease: LEASE, retention, tolerated_losses: 1 };
+    let settings = ControlSettings {
+        quorum,
+        lease: LEASE,
+        retention,
+        tolerated_losses: 1,
+        look_ahead: LookaheadScope::All,
+    };
     ControlNode::new(settings, disk.clone(), now, seed).unwrap()
 }
 
