--- a/crates/workflow/src/control/relocation.rs
+++ b/crates/workflow/src/control/relocation.rs
@@ -2,7 +2,7 @@
 //! work.
 //!
 //! It answers best-effort work that waits for headroom although processors are idle. The planner
-//! chooses the moves (`plan/affinity.rs`); this module decides when a service can bear one. See
+//! chooses the moves (`plan/relocation.rs`); this module decides when a service can bear one. See
 //! `docs/design/affinity.md`.
 
 use {
