Move no task while another of its step is not at work

Cause, by reading: a check for moves took a step as complete once all its tasks were placed.

Change: every task of the step has to be at work in its present run. Each move writes RunRelocated with its target and gain.

--- a/crates/workflow/src/control/relocation.rs
+++ b/crates/workflow/src/control/relocation.rs
@@ -1,17 +1,17 @@
 //! Moves latency-critical runs between workers, so that more of the fleet is open to best-effort
 //! work.
 //!
-//! It answers best-effort work that waits for headroom although processors are idle. The planner
+//! It answers best-effort work that lacks headroom although processors are idle. The planner
 //! chooses the moves (`plan/relocation.rs`); this module decides when a service can bear one. See
 //! `docs/design/affinity.md`.
 
 use {
     super::ControlNode,
     crate::{
-        event::StopReason,
+        event::{FlowEvent, StopReason},
         job::{StepKey, TaskKey},
         plan::{CallerEstimates, Placement, PlanInputs, PlanTime, RunMove},
-        state::TaskPhase,
+        state::{TaskPhase, TaskRecord},
     },
     std::{collections::BTreeMap, time::Duration},
 };
@@ -49,7 +49,7 @@
 
 impl ControlNode {
     /// Stops the latency-critical runs that are better off on another worker, when a check is due
-    /// and best-effort work waits. Placement then starts them there.
+    /// and a job with best-effort work has not ended. Placement then starts them there.
     pub(super) fn relocate_runs(&mut self) {
         let (now, wall_ms) = (self.now, self.wall_ms);
         let Some(leader) = &mut self.leader else { return };
@@ -75,16 +75,28 @@
         };
         let may_move = |placement: &Placement| self.may_relocate(placement);
         let moves = leader.planner.choose_moves(inputs, limit, may_move);
-        for RunMove { placement, target } in moves {
-            let stop = self.stop_run(&placement, StopReason::Relocated);
-            if let Some(leader) = self.leader.as_mut().filter(|_| !stop.is_empty()) {
-                leader.relocations.moved.insert(placement.task, now);
-                leader.planner.keep_target(placement.task, target, now + MOVE_TIME);
-            }
-            self.effects.extend(stop);
+        for run_move in moves {
+            self.start_move(run_move);
         }
     }
 
+    /// Stops a run that moves, and keeps its target. Does nothing if the run's worker can't be
+    /// reached.
+    fn start_move(&mut self, RunMove { placement, target, gain }: RunMove) {
+        let now = self.now;
+        let stop = self.stop_run(&placement, StopReason::Relocated);
+        if stop.is_empty() {
+            return;
+        }
+        let Some(leader) = &mut self.leader else { return };
+        let Placement { task, run, worker } = placement;
+        leader.relocations.moved.insert(task, now);
+        leader.planner.keep_target(task, target.clone(), now + MOVE_TIME);
+        let gain_percent = (gain * 100.0).round() as u32;
+        self.record(FlowEvent::RunRelocated { task, run, worker, target, gain_percent });
+        self.effects.extend(stop);
+    }
+
     fn has_best_effort_work(&self) -> bool {
         let Some(leader) = &self.leader else { return false };
         let open = leader.speculative.active_jobs().filter(|(_, job)| job.outcome.is_none());
@@ -105,17 +117,18 @@
             return false;
         };
         let settled = !leader.relocations.moved.contains_key(&key);
-        let progress = leader.progress.get(&key);
-        let working = progress.is_some_and(|progress| progress.percent >= WORKING_PERCENT);
         let stopping = leader.stopping.keys().any(|task| task.step_key() == step_key);
         let step = &job.occurrences[key.occurrence as usize].steps[usize::from(key.step)];
-        let complete = step.tasks.iter().all(|task| matches!(task.phase, TaskPhase::Placed(_)));
+        // A moved task that is slow to start is still absent after `MOVE_TIME`.
+        let is_at_work = |(index, task): (usize, &TaskRecord)| {
+            let progress = leader.progress.get(&TaskKey { index: index as u16, ..key });
+            matches!(task.phase, TaskPhase::Placed(_))
+                && progress.is_some_and(|progress| {
+                    progress.run == task.run && progress.percent >= WORKING_PERCENT
+                })
+        };
+        let complete = step.tasks.iter().enumerate().all(is_at_work);
         let budget = spec.disruption_budget.is_none_or(|budget| budget > 0);
-        settled
-            && working
-            && complete
-            && budget
-            && !stopping
-            && !leader.relocations.is_moving(step_key, now)
+        settled && complete && budget && !stopping && !leader.relocations.is_moving(step_key, now)
     }
 }
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -9,7 +9,7 @@
         state::{DataCentreName, EndKind, JobOutcome},
     },
     serde::{Serialize, Serializer},
-    std::fmt::Display,
+    std::{fmt::Display, sync::Arc},
 };
 
 /// The reason why control considers a worker's runs ended without a report of their ends.
@@ -250,6 +250,23 @@
         /// The time for which capacity was kept, in milliseconds.
         held_ms: u64,
     },
+    /// A latency-critical run is stopped to be moved.
+    RunRelocated {
+        /// The task.
+        #[serde(serialize_with = "as_text")]
+        task: TaskKey,
+        /// The run.
+        #[serde(serialize_with = "as_text")]
+        run: RunNumber,
+        /// The worker that it leaves.
+        #[serde(serialize_with = "as_text")]
+        worker: WorkerIncarnation,
+        /// The executor that takes the task.
+        target: Arc<str>,
+        /// What the move, with the one in exchange for it, opens to best-effort work, in percent of
+        /// an average worker.
+        gain_percent: u32,
+    },
     /// An agent has described a worker: for the first time, after a change, or to a new leader.
     WorkerSeen {
         /// The worker.
@@ -471,6 +488,7 @@
             Self::TaskGivenUp { .. } => (5025, "TaskGivenUp"),
             Self::ReservationMade { .. } => (5026, "ReservationMade"),
             Self::ReservationDropped { .. } => (5027, "ReservationDropped"),
+            Self::RunRelocated { .. } => (5028, "RunRelocated"),
             Self::WorkerSeen { .. } => (5030, "WorkerSeen"),
             Self::WorkerUnreachable { .. } => (5031, "WorkerUnreachable"),
             Self::WorkerLost { .. } => (5032, "WorkerLost"),
--- a/crates/workflow/src/plan/admission.rs
+++ b/crates/workflow/src/plan/admission.rs
@@ -25,8 +25,8 @@
     },
 };
 
-/// Time at the start of a leadership in which no job is refused: the rate of finished work has to
-/// be measured first.
+/// Time at the start of a leadership in which no job is refused: a new leader does not know the rate
+/// at which work ends.
 const START_GRACE: Duration = Duration::from_secs(5);
 /// Age after which the survey of accepted work is renewed.
 const SURVEY_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/workflow/src/plan/relocation.rs
+++ b/crates/workflow/src/plan/relocation.rs
@@ -30,12 +30,15 @@
 const TARGETS_LIMIT: usize = 128;
 
 /// A run that moves, and the executor to which it moves.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RunMove {
     /// The run to stop.
     pub placement: Placement,
     /// The executor that takes the task.
     pub target: Arc<str>,
+    /// What the move, with the one in exchange for it, opens to best-effort work: 1 for an average
+    /// worker.
+    pub gain: f64,
 }
 
 /// The tasks that are moving, each with its target and the time until which the target is kept.
@@ -163,9 +166,10 @@
                 None => None,
             };
             self.used_workers.extend([step.position, exchange.target]);
-            moves.extend(self.move_to(&step, run, exchange.target));
+            let Exchange { gain, target, .. } = exchange;
+            moves.extend(self.move_to(&step, run, target, gain));
             if let Some((partner, run)) = back {
-                moves.extend(self.move_to(&partner, run, step.position));
+                moves.extend(self.move_to(&partner, run, step.position, gain));
             }
         }
         moves
@@ -176,10 +180,11 @@
         step: &ServingStep<'a>,
         placement: Placement,
         target: usize,
+        gain: f64,
     ) -> Option<RunMove> {
         self.used_steps.insert(step.key);
         let (executor, _) = self.inputs.workers.get_index(target)?;
-        Some(RunMove { placement, target: executor.clone() })
+        Some(RunMove { placement, target: executor.clone(), gain })
     }
 
     fn is_used(&self, step: &ServingStep<'a>) -> bool {
--- a/crates/workflow/tests/relocation.rs
+++ b/crates/workflow/tests/relocation.rs
@@ -162,7 +162,7 @@
     fn choose_moves(&mut self) -> Vec<RunMove> {
         self.plan();
         let moves = self.planner.choose_moves(self.inputs(), usize::MAX, |_| true);
-        for RunMove { placement, target } in &moves {
+        for RunMove { placement, target, .. } in &moves {
             self.planner.keep_target(placement.task, target.clone(), self.now + MOVE_TIME);
         }
         moves
@@ -218,7 +218,7 @@
     assert_eq!(fleet.plan(), BTreeMap::new(), "after the first of two stops");
     fleet.stop(moves[1].placement.clone());
     let placed = fleet.plan();
-    for RunMove { placement, target } in &moves {
+    for RunMove { placement, target, .. } in &moves {
         assert_eq!(placed.get(&placement.task), Some(&target.to_string()));
     }
     assert_eq!(placed.get(&short), None);
@@ -229,7 +229,7 @@
 fn a_moving_task_whose_target_is_lost_starts_elsewhere_at_once() {
     let mut fleet = mixed_fleet(2);
     let moves = fleet.choose_moves();
-    let RunMove { placement, target } = moves[0].clone();
+    let RunMove { placement, target, .. } = moves[0].clone();
     fleet.stop(placement.clone());
     fleet.workers.shift_remove(&target);
     fleet.add_worker(2);
--- a/crates/workflow/tests/world/cordons.rs
+++ b/crates/workflow/tests/world/cordons.rs
@@ -9,7 +9,7 @@
 };
 
 /// The time after the acknowledgement of a cordon from which nothing starts, as operators state it.
-const EVACUATION_TIME: Duration = Duration::from_millis(5000);
+const CORDON_BOUND: Duration = Duration::from_millis(5000);
 /// The chances in a step that a cordon is set, and that one is lifted: it mostly lasts longer than
 /// the time after which it is checked.
 const CORDON_CHANCE: f64 = 0.004;
@@ -158,7 +158,7 @@
         let Some(since) = operator.intentions[data_centre].cordoned_since else { return };
         let late = sent.saturating_sub(since);
         assert!(
-            late <= EVACUATION_TIME,
+            late <= CORDON_BOUND,
             "seed {} at {:?}: a run starts in {data_centre} {late:?} after its cordon",
             self.seed,
             self.now
