--- a/crates/workflow/tests/moves/mod.rs
+++ b/crates/workflow/tests/moves/mod.rs
@@ -66,7 +66,8 @@
     for _ in 0..reports {
         list_runs(harness, moved_percent);
         harness.advance(REPORT_MS);
-        for stop in harness.stops()[*ends as usize..].to_vec() {
+        let stops = harness.stops()[*ends as usize..].to_vec();
+        for stop in stops {
             *ends += 1;
             let (task, run) = stop.split_once(" run ").unwrap();
             let key: TaskKey = task.parse().unwrap();
