Let the planner say why a task waits

Cause: an operator who looks at a task that is not placed can't tell which of the planner's conditions keeps it waiting.

The planner keeps what the last pass held for others. No decision changes.

--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -47,6 +47,41 @@
     DataCentreCordoned,
 }
 
+/// The reason why a task of an open step is not placed. Of the workers, the one that is nearest to
+/// taking the task decides: the greatest cause.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize)]
+pub enum WaitCause {
+    /// An executor has crashed under the task's job, and the job is held until more is known.
+    HeldAfterCrash,
+    /// The suspected job waits for an executor on which it is tried, or until the runs of other jobs
+    /// there have settled.
+    Trial,
+    /// The task moves to a worker that is kept for it, and does not fit there yet.
+    MoveTarget,
+    /// Another member of the task's gang is still placed, or done.
+    GangMemberPlaced,
+    /// No worker of the service accepts tasks: all are draining, unresponsive, cordoned, without a
+    /// lease, or have not listed their runs.
+    NoWorker,
+    /// No worker that accepts tasks has the label that the step requires.
+    RequiredLabel,
+    /// The other workers run as many tasks of the step as they may.
+    WorkerLimit,
+    /// No worker has the idle processors that a best-effort task needs.
+    IdleProcessors,
+    /// No worker has enough free capacity.
+    FreeCapacity,
+    /// The latency-critical tasks of the other workers have no headroom for a best-effort task.
+    Headroom,
+    /// The other workers are kept for a trial, a move, a displaced task or a reservation.
+    HeldForOthers,
+    /// Workers take members of the gang, and not all of them at once.
+    GangCapacity,
+    /// A worker takes the task, and the last pass did not place it.
+    NotOffered,
+}
+
 /// The reason why capacity is no longer kept for a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize)]
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -28,6 +28,7 @@
 mod swing;
 mod trials;
 mod urgency;
+mod wait_cause;
 mod worker;
 
 pub use {
@@ -40,6 +41,7 @@
     relocation::RunMove,
     reservations::reserved_on,
     suspects::SuspectTable,
+    wait_cause::{waiting_tasks, WaitingTask},
     worker::{WorkerTable, WorkerView},
 };
 
@@ -120,6 +122,8 @@
     moves: MoveTable,
     /// What is kept for steps that need much capacity at once.
     lookahead: LookaheadTable,
+    /// What the last pass kept for others, as it was at the end of the pass.
+    claims: RoomClaims,
     /// Executors that changed in another way than by their placements since the last pass.
     touched: BTreeSet<Arc<str>>,
     last_full: Option<Duration>,
@@ -263,6 +267,8 @@
                 self.blocked.insert(step.step_key());
             }
         }
-        pass.placements
+        let PlanPass { claims, placements, .. } = pass;
+        self.claims = claims;
+        placements
     }
 }
--- a/crates/workflow/src/plan/pass.rs
+++ b/crates/workflow/src/plan/pass.rs
@@ -220,19 +220,14 @@
     /// has capacity.
     fn is_starving(&mut self, step: &OpenStep<'_>, service: &str) -> bool {
         let PassInputs { state, workers, time, .. } = self.inputs;
-        let waited = state.clock_ms().saturating_sub(step.record.accepted_ms);
-        if step.record.placed > 0 || waited <= STARVATION_MS {
-            return false;
-        }
-        let load = match self.loads.get(service) {
+        starves(step, state, || match self.loads.get(service) {
             Some(load) => *load,
             None => {
                 let load = self.reservations.load_of(service, workers, time.now);
                 self.loads.insert(service.to_owned(), load);
                 load
             }
-        };
-        load < STARVATION_LOAD
+        })
     }
 
     /// Returns the waiting tasks of a step that may start on any worker: they need no trial, and no
@@ -280,7 +275,7 @@
     /// many it has started.
     fn place_gang(&mut self, step: &OpenStep<'_>, queue: &mut CandidateQueue<'_>) -> usize {
         let tasks = &step.tasks().tasks;
-        if step.waiting().count() != tasks.len() {
+        if !step.waits_as_whole() {
             return 0;
         }
         let run = tasks.iter().map(|task| task.run).max().unwrap_or_default().next();
@@ -303,6 +298,13 @@
     }
 }
 
+/// Returns whether a job is past the starvation age and has nothing placed while the reserved share
+/// of its service's processors, which `load` computes, leaves capacity.
+pub(super) fn starves(step: &OpenStep<'_>, state: &FlowState, load: impl FnOnce() -> f64) -> bool {
+    let waited = state.clock_ms().saturating_sub(step.record.accepted_ms);
+    step.record.placed == 0 && waited > STARVATION_MS && load() < STARVATION_LOAD
+}
+
 /// Returns whether a step may have tasks that start only in a trial of their job. The members of a
 /// gang need several executors at once and are not tried.
 fn may_need_trial(suspects: &SuspectTable, step: &OpenStep<'_>) -> bool {
@@ -311,6 +313,6 @@
 
 /// Returns whether a task starts only in a trial: a suspected one, and any other of its job, unless
 /// it lasts.
-fn needs_trial(suspects: &SuspectTable, step: &OpenStep<'_>, task: &TaskKey) -> bool {
+pub(super) fn needs_trial(suspects: &SuspectTable, step: &OpenStep<'_>, task: &TaskKey) -> bool {
     may_need_trial(suspects, step) && (!step.spec().lasting || suspects.is_suspect(task))
 }
--- a/crates/workflow/src/plan/score.rs
+++ b/crates/workflow/src/plan/score.rs
@@ -8,7 +8,10 @@
         worker::WorkerView,
         PassInputs,
     },
-    crate::job::{StepKey, StepSpec},
+    crate::{
+        event::WaitCause,
+        job::{StepKey, StepSpec},
+    },
     std::time::Duration,
 };
 
@@ -81,13 +84,7 @@
     inputs: &PassInputs<'_>,
 ) -> Option<f64> {
     let now = inputs.time.now;
-    if !may_run(request, worker, reserved, now) {
-        return None;
-    }
-    let strain = strain_of(request, worker, reserved, &inputs.forecast);
-    if strain > 1.0 && !request.is_starving() {
-        return None;
-    }
+    let strain = admit(request, worker, reserved, inputs).ok()?;
     let elsewhere = request.rack.is_some_and(|rack| worker.rack() != Some(rack));
     let mut score = if request.spec.filler {
         best_effort_score(request, worker, reserved, strain)
@@ -99,15 +96,50 @@
     Some(score)
 }
 
+/// Returns how much a task of the step would strain the latency-critical tasks on a worker, or a
+/// reason why the worker doesn't take it. What operators are told of a waiting task and what
+/// placement decides are thus the same.
+#[inline]
+pub(super) fn admit(
+    request: &StepRequest<'_>,
+    worker: &WorkerView,
+    reserved: &WorkerReservations,
+    inputs: &PassInputs<'_>,
+) -> Result<f64, WaitCause> {
+    fit(request, worker, reserved, inputs.time.now)?;
+    let strain = strain_of(request, worker, reserved, &inputs.forecast);
+    if strain > 1.0 && !request.is_starving() {
+        return Err(WaitCause::Headroom);
+    }
+    Ok(strain)
+}
+
 pub(super) fn may_run(
     request: &StepRequest<'_>,
     worker: &WorkerView,
     reserved: &WorkerReservations,
     now: Duration,
 ) -> bool {
-    has_processors(request, worker, reserved)
-        && may_hold(request, worker, reserved, now)
-        && fitting(worker, reserved, request.spec) > 0
+    fit(request, worker, reserved, now).is_ok()
+}
+
+/// Returns a reason why a task of the step can't start on a worker, whatever it would slow there. The
+/// check that excludes most workers comes first.
+#[inline]
+fn fit(
+    request: &StepRequest<'_>,
+    worker: &WorkerView,
+    reserved: &WorkerReservations,
+    now: Duration,
+) -> Result<(), WaitCause> {
+    if !has_processors(request, worker, reserved) {
+        return Err(WaitCause::IdleProcessors);
+    }
+    hold(request, worker, reserved, now)?;
+    if fitting(worker, reserved, request.spec) == 0 {
+        return Err(WaitCause::FreeCapacity);
+    }
+    Ok(())
 }
 
 /// Returns whether a worker has the processors that a best-effort task needs to start: idle ones, or
@@ -128,17 +160,36 @@
 }
 
 /// Returns whether a worker may run a task of the step as soon as it has the free capacity.
+#[inline]
 pub(super) fn may_hold(
     request: &StepRequest<'_>,
     worker: &WorkerView,
     reserved: &WorkerReservations,
     now: Duration,
 ) -> bool {
+    hold(request, worker, reserved, now).is_ok()
+}
+
+/// Returns a reason why a worker doesn't run tasks of the step, whatever capacity is free.
+#[inline]
+pub(super) fn hold(
+    request: &StepRequest<'_>,
+    worker: &WorkerView,
+    reserved: &WorkerReservations,
+    now: Duration,
+) -> Result<(), WaitCause> {
     let spec = request.spec;
+    if !worker.accepts(request.service, now) {
+        return Err(WaitCause::NoWorker);
+    }
     let label = spec.required_label.as_ref();
-    let labelled = label.is_none_or(|label| worker.report.labels.contains(label));
-    let below = spec.per_worker_limit.is_none_or(|limit| reserved.of_step(&request.key) < limit);
-    worker.accepts(request.service, now) && labelled && below
+    if label.is_some_and(|label| !worker.report.labels.contains(label)) {
+        return Err(WaitCause::RequiredLabel);
+    }
+    if spec.per_worker_limit.is_some_and(|limit| reserved.of_step(&request.key) >= limit) {
+        return Err(WaitCause::WorkerLimit);
+    }
+    Ok(())
 }
 
 /// Returns the largest part of any latency-critical step's spare headroom that one more best-effort
--- a/crates/workflow/src/plan/steps.rs
+++ b/crates/workflow/src/plan/steps.rs
@@ -55,6 +55,11 @@
         self.spec().lasting && self.tasks().tasks.iter().any(displaced)
     }
 
+    /// Returns whether no task of the step is placed or done, as the start of a gang requires.
+    pub(super) fn waits_as_whole(&self) -> bool {
+        self.waiting().count() == self.tasks().tasks.len()
+    }
+
     pub(super) fn waiting(&self) -> impl Iterator<Item = usize> + 'a {
         let tasks = self.tasks().tasks.iter().enumerate();
         tasks.filter(|(_, task)| task.phase == TaskPhase::Waiting).map(|(index, _)| index)
