Report tasks that don't run

Cause: the lines of the leader tell when a run ends and when the next one is placed, and nothing in between. A task that placement passes over, a run whose end is lost and a member that keeps its gang waiting look the same: silence.

Change: the leader writes `TaskWaiting` for a task that has waited for 4 s with nothing of its job placed, or after the loss of a run: the planner's cause, how the last run has ended, why this leader has stopped it, and whether the log holds the end. A new leader says `BeforeLeadership`: the log holds neither the kind of the end nor who has stopped the run. `RunUnconfirmed` tells of a placed run that no list has shown at work for 5 s, or that goes on 5 s after the order to stop it, with what is heard of its agent. Both are looked for every 2 s, at most 6 lines each, and repeated every 15 s. Two gauges count the jobs and the runs. No decision changes.

Evidence: tests/observing has a stopped run, the same before a new leadership and before the commit, a run that can't be stopped, one that vanishes from the lists, a gang that waits for such a member, a lasting task that is held after crashes, and five jobs of which nothing is placed; each has a line of its own.

--- a/crates/node/src/control/member.rs
+++ b/crates/node/src/control/member.rs
@@ -17,7 +17,9 @@
         time::Duration,
     },
     tokio::sync::mpsc::UnboundedSender,
-    workflow::control::{ControlEffect, ControlEvent, ControlNode, ControlSettings, CordonFigures},
+    workflow::control::{
+        ControlEffect, ControlEvent, ControlNode, ControlSettings, CordonFigures, WaitFigures,
+    },
 };
 
 /// Covers several disk syncs and round trips between data centres. A lost leader is replaced within
@@ -89,6 +91,10 @@
         self.node.cordon_figures()
     }
 
+    pub(super) fn wait_figures(&self) -> WaitFigures {
+        self.node.wait_figures()
+    }
+
     pub(super) fn persist(&self, batch: PersistBatch) {
         // The thread outlives its member: the send fails only while the process ends.
         let _ = self.batches.send(batch);
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -47,7 +47,7 @@
 const INPUTS_PER_DECISION: usize = 256;
 /// Ticks between two requests of a joining process for a replica id.
 const JOIN_TICKS: u64 = 15;
-/// Ticks between two updates of the gauges of cordoned data centres: one second.
+/// Ticks between two updates of the gauges of the leader: one second.
 const FIGURES_TICKS: u64 = 50;
 
 /// Why a control process stopped or did not start.
@@ -283,6 +283,7 @@
             (&self.membership, self.ticks.is_multiple_of(FIGURES_TICKS))
         {
             self.log.set_cordon_figures(&member.cordon_figures());
+            self.log.set_wait_figures(&member.wait_figures());
         }
         self.step(ControlEvent::Tick { wall_ms: wall_ms() })
     }
--- a/crates/node/src/logging/mod.rs
+++ b/crates/node/src/logging/mod.rs
@@ -14,7 +14,7 @@
     },
     telemetry::metrics::{CounterKind, DurationKind, GaugeKind, MetricsError, ProcessMetrics},
     workflow::{
-        control::CordonFigures,
+        control::{CordonFigures, WaitFigures},
         event::{FlowEvent, ReservationEnd},
         job::RunNumber,
         state::JobOutcome,
@@ -153,6 +153,12 @@
         }
     }
 
+    /// Sets the gauges of tasks that do not run.
+    pub fn set_wait_figures(&self, figures: &WaitFigures) {
+        self.metrics.set(GaugeKind::WaitingJobs, figures.waiting_jobs as u64);
+        self.metrics.set(GaugeKind::UnconfirmedRuns, figures.unconfirmed_runs as u64);
+    }
+
     /// Returns all metrics of the process in the Prometheus text format.
     pub fn export_metrics(&self) -> Result<String, MetricsError> {
         self.metrics.export()
--- a/crates/workflow/src/control/capacity.rs
+++ b/crates/workflow/src/control/capacity.rs
@@ -76,7 +76,10 @@
         };
         let StartOrder { worker, task, run, .. } = order;
         let Some(reason) = self.start_barrier(&worker.executor) else { return false };
-        let worker = worker.clone();
+        let (worker, now) = (worker.clone(), self.now);
+        if let Some(leader) = &mut self.leader {
+            leader.endings.note_stop(*task, *run, reason, now);
+        }
         self.record(FlowEvent::RunStopped {
             task: *task,
             run: *run,
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -5,10 +5,13 @@
         cordons::CordonWatch,
         crashes::CrashWatch,
         durations::DURATIONS_LOG_INTERVAL,
+        endings::EndingTable,
         interference::STORE_LEARNED_INTERVAL,
         relocation::RelocationState,
         types::{ControlEffect, OperatorAnswer, SessionId},
+        unconfirmed::UnconfirmedRuns,
         unstarted::UnstartedJobs,
+        waiting::WaitWatch,
         ControlNode,
     },
     crate::{
@@ -63,6 +66,8 @@
     pub(super) percent: u8,
     /// Whether a report has shown that the run has begun.
     pub(super) confirmed: bool,
+    /// The time of the report.
+    pub(super) listed_at: Duration,
 }
 
 /// The state of a leader outside the log. A new leader rebuilds it from agents' reports and starts
@@ -99,6 +104,11 @@
     pub(super) admission: AdmissionTable,
     /// The jobs of which no run is known to have begun.
     pub(super) unstarted: UnstartedJobs,
+    /// Who has stopped which run, and how runs have ended.
+    pub(super) endings: EndingTable,
+    /// The tasks that wait, and the placed runs that nobody confirms.
+    pub(super) waiting: WaitWatch,
+    pub(super) unconfirmed: UnconfirmedRuns,
     /// The time at which learned interference goes into the log next.
     pub(super) store_learned_at: Duration,
     /// The stream to the agent of each executor.
@@ -205,6 +215,9 @@
             cordons,
             admission: AdmissionTable::new(self.now),
             unstarted,
+            endings: EndingTable::default(),
+            waiting: WaitWatch::new(self.now),
+            unconfirmed: UnconfirmedRuns::new(self.now),
             store_learned_at: self.now + STORE_LEARNED_INTERVAL,
             sessions: HashMap::new(),
             agents: HashMap::new(),
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -32,6 +32,7 @@
         self.expire_leases();
         self.check_cordons();
         self.check_blocked_jobs();
+        self.check_unconfirmed_runs();
         self.store_learned();
         self.relocate_runs();
         self.report_durations();
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod cordons;
 mod crashes;
 mod durations;
+mod endings;
 mod interference;
 mod leader;
 mod members;
@@ -17,10 +18,13 @@
 mod proposals;
 mod relief;
 mod relocation;
+mod run_timers;
 mod runs;
 mod sessions;
 mod types;
+mod unconfirmed;
 mod unstarted;
+mod waiting;
 mod workers;
 
 pub use {
@@ -45,6 +49,15 @@
     },
 };
 
+/// The figures about tasks that do not run, for metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WaitFigures {
+    /// The jobs that have waited for long with nothing placed, or for a task that has lost its run.
+    pub waiting_jobs: usize,
+    /// The placed runs that have been unconfirmed for long.
+    pub unconfirmed_runs: usize,
+}
+
 /// A member of the control group.
 #[derive(Debug)]
 pub struct ControlNode {
@@ -119,6 +132,15 @@
             .unwrap_or(CordonFigures { data_centres, ..CordonFigures::default() })
     }
 
+    /// Returns the figures about tasks that do not run; 0 while this replica does not lead.
+    pub fn wait_figures(&self) -> WaitFigures {
+        let figures = self.leader.as_ref().map(|leader| WaitFigures {
+            waiting_jobs: leader.waiting.jobs,
+            unconfirmed_runs: leader.unconfirmed.runs,
+        });
+        figures.unwrap_or_default()
+    }
+
     /// Returns the addresses on which the members listen.
     pub fn member_addresses(&self) -> Vec<PeerAddress> {
         self.core.members().iter().map(|progress| progress.member.address).collect()
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -42,7 +42,7 @@
         let Some(leader) = &mut self.leader else { return };
         leader.replan = false;
         let (durations, state) = (&leader.durations, &leader.speculative);
-        let placements = leader.planner.plan(PlanInputs {
+        let inputs = PlanInputs {
             state,
             workers: &leader.workers,
             learned: &leader.learned,
@@ -50,8 +50,13 @@
             durations,
             forecaster: &RemainingTimes { durations, state, now },
             time: PlanTime { now, wall_ms },
-        });
-        let events = leader.planner.take_events();
+        };
+        let placements = leader.planner.plan(inputs);
+        let mut events = leader.planner.take_events();
+        if due {
+            let (planned, endings) = ((&leader.planner, inputs), &leader.endings);
+            events.extend(leader.waiting.check(planned, &placements, endings, &self.applied));
+        }
         events.into_iter().for_each(|event| self.record(event));
         for placement in placements {
             self.place(placement, &mut commands, &mut deferred);
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -83,7 +83,9 @@
         }
         self.settle_earlier_incarnations(worker, &runs);
         self.confirm_crash(worker);
+        let now = self.now;
         if let Some(leader) = &mut self.leader {
+            leader.unconfirmed.note_list(&worker.executor, now);
             if let Some(view) = leader.workers.get_mut(&worker.executor) {
                 if !std::mem::replace(&mut view.listed, true) {
                     leader.planner.touch(&worker.executor);
@@ -120,7 +122,8 @@
         let checkpoint = report.checkpoint.clone();
         let before = leader.progress.get(&task).filter(|before| before.run == run);
         let confirmed = before.is_some_and(|before| before.confirmed) || is_confirmed(report);
-        let progress = RunProgress { run, checkpoint, percent: report.percent, confirmed };
+        let (percent, listed_at) = (report.percent, self.now);
+        let progress = RunProgress { run, checkpoint, percent, confirmed, listed_at };
         leader.progress.insert(task, progress);
         self.note_listed(worker, report);
     }
@@ -138,8 +141,9 @@
         if last_stop.is_some_and(|(_, at)| now.saturating_sub(*at) < STOP_REPEAT) {
             return;
         }
-        leader.stopping.insert(task, (run, now));
         let reason = StopReason::Superseded;
+        leader.stopping.insert(task, (run, now));
+        leader.endings.note_stop(task, run, reason, now);
         self.record(FlowEvent::RunStopped { task, run, worker: worker.clone(), reason });
         let message = LinkMessage::Stop { worker: worker.clone(), task, run };
         self.effects.push(ControlEffect::Send { session, message });
@@ -191,6 +195,7 @@
             return Vec::new();
         };
         leader.stopping.insert(task, (run, now));
+        leader.endings.note_stop(task, run, reason, now);
         let event = FlowEvent::RunStopped { task, run, worker: worker.clone(), reason };
         let message = LinkMessage::Stop { worker, task, run };
         vec![ControlEffect::Record(event), ControlEffect::Send { session, message }]
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -299,7 +299,9 @@
         checkpoint: String,
     ) {
         self.learn_end(worker, &task, run, end);
+        let now = self.now;
         let Some(leader) = &mut self.leader else { return };
+        leader.endings.note_end(&leader.speculative, worker, (task, run, end), now);
         let progress = leader.progress.get(&task).filter(|progress| progress.run == run);
         let known = progress.map(|progress| progress.checkpoint.clone()).unwrap_or_default();
         let checkpoint = if checkpoint.is_empty() { known } else { checkpoint };
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -82,6 +82,31 @@
     NotOffered,
 }
 
+/// How the last run of a waiting task has ended, as far as the leader knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+pub enum LastRunEnd {
+    /// The task was never placed.
+    NeverPlaced,
+    /// The log held the end when this leadership began. It does not hold how the run has ended, nor
+    /// who has stopped it.
+    BeforeLeadership,
+    /// This leader has recorded the end.
+    Recorded(EndKind),
+}
+
+/// What a leader hears of a worker's agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+pub enum AgentPresence {
+    /// The agent is connected and represents the incarnation.
+    Connected,
+    /// The agent represents another incarnation of the executor.
+    OtherIncarnation,
+    /// No agent represents the executor.
+    Absent,
+}
+
 /// The reason why capacity is no longer kept for a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize)]
@@ -233,6 +258,55 @@
         /// The same of the forecasts that were made when the first task of a step was placed.
         forecast_error_percent: u32,
     },
+    /// A task waits although its step is open.
+    TaskWaiting {
+        /// The task.
+        #[serde(serialize_with = "as_text")]
+        task: TaskKey,
+        /// The task's last run; 0 for none.
+        run: RunNumber,
+        /// The time for which this leader has known that the task waits, in milliseconds.
+        waited_ms: u64,
+        /// Why the last pass did not place the task.
+        cause: WaitCause,
+        /// How the last run has ended.
+        last_end: LastRunEnd,
+        /// Why this leader has stopped that run; `None` if it has not.
+        stopped_for: Option<StopReason>,
+        /// Whether the log holds that the task waits; if not, the end of the run is only proposed.
+        logged: bool,
+    },
+    /// A placed run is not confirmed: no list shows it at work, or a stop has not ended it.
+    RunUnconfirmed {
+        /// The task.
+        #[serde(serialize_with = "as_text")]
+        task: TaskKey,
+        /// The run.
+        run: RunNumber,
+        /// The worker on which the run is placed.
+        #[serde(serialize_with = "as_text")]
+        worker: WorkerIncarnation,
+        /// The time for which the run has been so, in milliseconds.
+        unconfirmed_ms: u64,
+        /// Whether the log holds the placement; if not, it is only proposed.
+        logged: bool,
+        /// Whether this leader has ordered the run.
+        ordered: bool,
+        /// Whether this leader has seen the run at work.
+        at_work: bool,
+        /// The age of the last list with the run, in milliseconds; `None` if there was none.
+        listed_ms_ago: Option<u64>,
+        /// Why this leader has ordered the run to stop; `None` if it has not.
+        stopped_for: Option<StopReason>,
+        /// What the leader hears of the worker's agent.
+        agent: AgentPresence,
+        /// The age of the last list of the executor's runs, in milliseconds; `None` if there was
+        /// none.
+        list_ms_ago: Option<u64>,
+        /// The time until the worker's lease expires, in milliseconds; 0 if this leader knows of
+        /// none.
+        lease_left_ms: u64,
+    },
     /// A run has ended.
     RunEnded {
         /// The task.
@@ -524,6 +598,7 @@
             Self::ReservationMade { .. } => (5026, "ReservationMade"),
             Self::ReservationDropped { .. } => (5027, "ReservationDropped"),
             Self::RunRelocated { .. } => (5028, "RunRelocated"),
+            Self::TaskWaiting { .. } => (5029, "TaskWaiting"),
             Self::WorkerSeen { .. } => (5030, "WorkerSeen"),
             Self::WorkerUnreachable { .. } => (5031, "WorkerUnreachable"),
             Self::WorkerLost { .. } => (5032, "WorkerLost"),
@@ -532,6 +607,7 @@
             Self::ExecutorSilent { .. } => (5035, "ExecutorSilent"),
             Self::FillersPaced { .. } => (5036, "FillersPaced"),
             Self::WorkerShrunk { .. } => (5037, "WorkerShrunk"),
+            Self::RunUnconfirmed { .. } => (5038, "RunUnconfirmed"),
             Self::MemberChange { .. } => (5040, "MemberChange"),
             Self::StorageFailed { .. } => (5041, "StorageFailed"),
             Self::CallFailed { .. } => (5050, "CallFailed"),
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod fixtures;
 mod moves;
+mod observing;
 mod pending;
 mod run_times;
 mod shrinking;
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -9,7 +9,7 @@
     workflow::{
         control::{
             ControlEffect, ControlEvent, ControlNode, ControlSettings, CordonFigures,
-            OperatorAnswer, SessionId,
+            OperatorAnswer, SessionId, WaitFigures,
         },
         event::FlowEvent,
         job::{FleetConfig, JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
@@ -99,6 +99,25 @@
     JobSpec { payload: "work".to_owned(), steps, schedule: None }
 }
 
+/// Returns the text of an event about a task that does not run.
+fn idle_line(event: &FlowEvent) -> Option<String> {
+    match event {
+        FlowEvent::TaskWaiting { task, run, cause, last_end, stopped_for, logged, .. } => {
+            let waits = format!("{cause:?}, {last_end:?}, stopped for {stopped_for:?}");
+            Some(format!("{task} run {run} waits: {waits}, logged {logged}"))
+        }
+        FlowEvent::RunUnconfirmed {
+            task, run, at_work, listed_ms_ago, stopped_for, agent, ..
+        } => {
+            let listed = listed_ms_ago.is_some_and(|age| age < 1000);
+            let seen = format!("at work {at_work}, listed {listed}");
+            let stopped = format!("stopped for {stopped_for:?}");
+            Some(format!("{task} run {run} unconfirmed: {seen}, {stopped}, {agent:?}"))
+        }
+        _ => None,
+    }
+}
+
 /// A control process and the effects it has produced.
 pub struct ControlHarness {
     node: ControlNode,
@@ -110,6 +129,8 @@
     starts: Vec<String>,
     shrinkages: Vec<String>,
     blocked: Vec<String>,
+    /// The lines about tasks that do not run.
+    idle_lines: Vec<String>,
     /// The tasks for which capacity was reserved, and the forecasts in milliseconds.
     pub reservations: Vec<(String, u64)>,
     stops: Vec<String>,
@@ -139,6 +160,7 @@
             shrinkages: Vec::new(),
             reservations: Vec::new(),
             blocked: Vec::new(),
+            idle_lines: Vec::new(),
             stops: Vec::new(),
             ended: BTreeSet::new(),
             answers: Vec::new(),
@@ -249,6 +271,7 @@
             ControlEffect::Record(FlowEvent::ReservationMade { task, ready_ms, .. }) => {
                 self.reservations.push((task.to_string(), ready_ms));
             }
+            ControlEffect::Record(event) => self.idle_lines.extend(idle_line(&event)),
             _ => {}
         }
     }
@@ -279,6 +302,15 @@
         &self.blocked
     }
 
+    /// Returns the lines about tasks that do not run.
+    pub fn idle_lines(&self) -> &[String] {
+        &self.idle_lines
+    }
+
+    pub fn wait_figures(&self) -> WaitFigures {
+        self.node.wait_figures()
+    }
+
     pub fn cordon_figures(&self) -> CordonFigures {
         self.node.cordon_figures()
     }
