--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -47,6 +47,66 @@
     DataCentreCordoned,
 }
 
+/// The reason why a task of an open step is not placed. Of the workers, the one that is nearest to
+/// taking the task decides: the greatest cause.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize)]
+pub enum WaitCause {
+    /// An executor has crashed under the task's job, and the job is held until more is known.
+    HeldAfterCrash,
+    /// The suspected job waits for an executor on which it is tried, or until the runs of other jobs
+    /// there have settled.
+    Trial,
+    /// The task moves to a worker that is kept for it, and does not fit there yet.
+    MoveTarget,
+    /// Another member of the task's gang is still placed, or done.
+    GangMemberPlaced,
+    /// No worker of the service accepts tasks: all are draining, unresponsive, cordoned, without a
+    /// lease, or have not listed their runs.
+    NoWorker,
+    /// No worker that accepts tasks has the label that the step requires.
+    RequiredLabel,
+    /// The other workers run as many tasks of the step as they may.
+    WorkerLimit,
+    /// No worker has the idle processors that a best-effort task needs.
+    IdleProcessors,
+    /// No worker has enough free capacity.
+    FreeCapacity,
+    /// The latency-critical tasks of the other workers have no headroom for a best-effort task.
+    Headroom,
+    /// The other workers are kept for a trial, a move, a displaced task or a reservation.
+    HeldForOthers,
+    /// Workers take members of the gang, and not all of them at once.
+    GangCapacity,
+    /// A worker takes the task, and the last pass did not place it.
+    NotOffered,
+}
+
+/// How the last run of a waiting task has ended, as far as the leader knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+pub enum LastRunEnd {
+    /// The task was never placed.
+    NeverPlaced,
+    /// The log held the end when this leadership began. It does not hold how the run has ended, nor
+    /// who has stopped it.
+    BeforeLeadership,
+    /// This leader has recorded the end.
+    Recorded(EndKind),
+}
+
+/// What a leader hears of a worker's agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+pub enum AgentPresence {
+    /// The agent is connected and represents the incarnation.
+    Connected,
+    /// The agent represents another incarnation of the executor.
+    OtherIncarnation,
+    /// No agent represents the executor.
+    Absent,
+}
+
 /// The reason why capacity is no longer kept for a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize)]
@@ -198,6 +258,55 @@
         /// The same of the forecasts that were made when the first task of a step was placed.
         forecast_error_percent: u32,
     },
+    /// A task waits although its step is open.
+    TaskWaiting {
+        /// The task.
+        #[serde(serialize_with = "as_text")]
+        task: TaskKey,
+        /// The task's last run; 0 for none.
+        run: RunNumber,
+        /// The time for which this leader has known that the task waits, in milliseconds.
+        waited_ms: u64,
+        /// Why the last pass did not place the task.
+        cause: WaitCause,
+        /// How the last run has ended.
+        last_end: LastRunEnd,
+        /// Why this leader has stopped that run; `None` if it has not.
+        stopped_for: Option<StopReason>,
+        /// Whether the log holds that the task waits; if not, the end of the run is only proposed.
+        logged: bool,
+    },
+    /// A placed run is not confirmed: no list shows it at work, or a stop has not ended it.
+    RunUnconfirmed {
+        /// The task.
+        #[serde(serialize_with = "as_text")]
+        task: TaskKey,
+        /// The run.
+        run: RunNumber,
+        /// The worker on which the run is placed.
+        #[serde(serialize_with = "as_text")]
+        worker: WorkerIncarnation,
+        /// The time for which the run has been so, in milliseconds.
+        unconfirmed_ms: u64,
+        /// Whether the log holds the placement; if not, it is only proposed.
+        logged: bool,
+        /// Whether this leader has ordered the run.
+        ordered: bool,
+        /// Whether this leader has seen the run at work.
+        at_work: bool,
+        /// The age of the last list with the run, in milliseconds; `None` if there was none.
+        listed_ms_ago: Option<u64>,
+        /// Why this leader has ordered the run to stop; `None` if it has not.
+        stopped_for: Option<StopReason>,
+        /// What the leader hears of the worker's agent.
+        agent: AgentPresence,
+        /// The age of the last list of the executor's runs, in milliseconds; `None` if there was
+        /// none.
+        list_ms_ago: Option<u64>,
+        /// The time until the worker's lease expires, in milliseconds; 0 if this leader knows of
+        /// none.
+        lease_left_ms: u64,
+    },
     /// A run has ended.
     RunEnded {
         /// The task.
@@ -489,6 +598,7 @@
             Self::ReservationMade { .. } => (5026, "ReservationMade"),
             Self::ReservationDropped { .. } => (5027, "ReservationDropped"),
             Self::RunRelocated { .. } => (5028, "RunRelocated"),
+            Self::TaskWaiting { .. } => (5029, "TaskWaiting"),
             Self::WorkerSeen { .. } => (5030, "WorkerSeen"),
             Self::WorkerUnreachable { .. } => (5031, "WorkerUnreachable"),
             Self::WorkerLost { .. } => (5032, "WorkerLost"),
@@ -497,6 +607,7 @@
             Self::ExecutorSilent { .. } => (5035, "ExecutorSilent"),
             Self::FillersPaced { .. } => (5036, "FillersPaced"),
             Self::WorkerShrunk { .. } => (5037, "WorkerShrunk"),
+            Self::RunUnconfirmed { .. } => (5038, "RunUnconfirmed"),
             Self::MemberChange { .. } => (5040, "MemberChange"),
             Self::StorageFailed { .. } => (5041, "StorageFailed"),
             Self::CallFailed { .. } => (5050, "CallFailed"),
