Say why a job has failed

Cause: `JobEnded` names the outcome alone.

Change: a job that fails leaves `JobFailed` before its `JobEnded`: the task, its counted failures beside the limit of attempts, how many of them were written off because executors crash under the task, and the crashes that its run number counts. The task is found by the rule that fails the job.

Evidence: tests/observing tells a job that fails twice (2 of 2, none written off) from one under which two executors crash (2 of 2, both written off).

--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod crashes;
 mod durations;
 mod endings;
+mod failures;
 mod interference;
 mod leader;
 mod members;
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        failures::failure_event,
         leader::PendingBatch,
         types::{ControlEffect, OperatorAnswer},
         unstarted::added_jobs,
@@ -62,7 +63,7 @@
             self.place(placement, &mut commands, &mut deferred);
         }
         for job in ended {
-            self.finish_job(job, &mut deferred);
+            self.finish_job(job, &commands, &mut deferred);
         }
         if commands.is_empty() {
             self.effects.append(&mut deferred);
@@ -132,8 +133,14 @@
         })
     }
 
-    /// Logs the end of a job and stops its remaining runs.
-    fn finish_job(&mut self, key: JobKey, deferred: &mut Vec<ControlEffect>) {
+    /// Logs the end of a job, which an entry with these commands has brought, and stops its
+    /// remaining runs.
+    fn finish_job(
+        &mut self,
+        key: JobKey,
+        commands: &[FlowCommand],
+        deferred: &mut Vec<ControlEffect>,
+    ) {
         let Some(leader) = &mut self.leader else { return };
         let Some(job) = leader.speculative.job(key) else { return };
         let Some(outcome) = job.outcome else { return };
@@ -143,6 +150,8 @@
         leader.unstarted.remove(key);
         leader.durations.forget_job(key, &job.queue, &job.spec.steps);
         let after_ms = leader.speculative.clock_ms().saturating_sub(job.accepted_ms);
+        let failure = failure_event(key, job, commands);
+        deferred.extend(failure.map(ControlEffect::Record));
         deferred.push(ControlEffect::Record(FlowEvent::JobEnded { job: key, outcome, after_ms }));
         let runs: Vec<_> = job
             .placed_tasks(key)
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -258,6 +258,25 @@
         /// The same of the forecasts that were made when the first task of a step was placed.
         forecast_error_percent: u32,
     },
+    /// A job has failed because one of its tasks has used up its attempts.
+    JobFailed {
+        /// The task.
+        #[serde(serialize_with = "as_text")]
+        task: TaskKey,
+        /// The task's last run.
+        run: RunNumber,
+        /// The number of failures that are counted for the task.
+        failures: u32,
+        /// The number of failures that fails the job.
+        attempt_limit: u32,
+        /// The failures that are no failed runs: the attempts that were left when the task was given
+        /// up because executors crash under it.
+        written_off: u32,
+        /// The number of executors that have crashed under the task.
+        crashes: u32,
+        /// The number of executors that have crashed when the task may have begun.
+        unclear_crashes: u32,
+    },
     /// A task waits although its step is open.
     TaskWaiting {
         /// The task.
@@ -589,6 +608,7 @@
             Self::JobEnded { .. } => (5012, "JobEnded"),
             Self::JobDeferred { .. } => (5013, "JobDeferred"),
             Self::RunTimesLearned { .. } => (5014, "RunTimesLearned"),
+            Self::JobFailed { .. } => (5015, "JobFailed"),
             Self::TaskPlaced { .. } => (5020, "TaskPlaced"),
             Self::RunEnded { .. } => (5021, "RunEnded"),
             Self::RunStopped { .. } => (5022, "RunStopped"),
--- a/crates/workflow/src/state/record.rs
+++ b/crates/workflow/src/state/record.rs
@@ -175,6 +175,15 @@
         occurrence.steps.get_mut(usize::from(key.step))?.tasks.get_mut(usize::from(key.index))
     }
 
+    /// Returns the task that has used up its attempts, by which the job has failed. A lasting task
+    /// has no limit.
+    pub fn exhausted_task(&self, job: JobKey) -> Option<(TaskKey, &TaskRecord)> {
+        self.tasks(job).find(|(key, task)| {
+            let lasting = self.step_spec(key).is_some_and(|step| step.lasting);
+            !lasting && task.failures >= self.attempt_limit
+        })
+    }
+
     /// Returns the step of a task.
     pub fn step_spec(&self, key: &TaskKey) -> Option<&StepSpec> {
         self.spec.steps.get(usize::from(key.step))
--- a/crates/workflow/src/state/transition.rs
+++ b/crates/workflow/src/state/transition.rs
@@ -152,7 +152,7 @@
         if ended_now {
             job.outcome = Some(JobOutcome::Succeeded);
         }
-        let exhausted = job.outcome.is_none() && is_exhausted(job, key);
+        let exhausted = job.outcome.is_none() && job.exhausted_task(key).is_some();
         if exhausted {
             job.outcome = Some(JobOutcome::Failed);
         }
@@ -201,13 +201,6 @@
     task.phase == TaskPhase::Waiting && run > task.run && occurrence.is_open(spec)
 }
 
-fn is_exhausted(job: &JobRecord, key: JobKey) -> bool {
-    job.tasks(key).any(|(task_key, task)| {
-        let lasting = job.step_spec(&task_key).is_some_and(|step| step.lasting);
-        !lasting && task.failures >= job.attempt_limit
-    })
-}
-
 fn end_current(job: &mut JobRecord, key: &TaskKey, end: EndKind, checkpoint: &str) {
     let Some(spec) = job.step_spec(key) else { return };
     let (lasting, gang) = (spec.lasting, spec.gang);
--- a/crates/workflow/tests/observing/mod.rs
+++ b/crates/workflow/tests/observing/mod.rs
@@ -66,6 +66,8 @@
     Unstoppable,
     /// The lists of its agent no longer show it.
     Vanished,
+    /// It fails, and so does the next one.
+    Failed,
 }
 
 #[rstest]
@@ -86,10 +88,13 @@
     "1 unconfirmed: at work true, listed true, stopped for Some(WorkerDraining), Connected"
 )]
 #[case(RunFate::Vanished, "1 unconfirmed: at work true, listed false, stopped for None, Connected")]
+#[case(RunFate::Failed, "2 failed 2 of 2, written off 0, crashes 0")]
 fn a_task_that_does_not_run_says_what_became_of_its_run(#[case] fate: RunFate, #[case] line: &str) {
-    let mut harness = started(StepBuilder::tasks(1).lasting());
+    let step = StepBuilder::tasks(1);
+    let fails = matches!(fate, RunFate::Failed);
+    let mut harness = started(if fails { step } else { step.lasting() });
     list_for(&mut harness, 800, &[TASK]);
-    if !matches!(fate, RunFate::Vanished) {
+    if !matches!(fate, RunFate::Vanished | RunFate::Failed) {
         harness.report_draining(1, "e1", 100);
     }
     harness.pause_syncs(matches!(fate, RunFate::StoppedUncommitted));
@@ -97,6 +102,10 @@
         RunFate::Stopped | RunFate::StoppedEarlier | RunFate::StoppedUncommitted => {
             harness.report_end(1, WORKER, 1, TASK, 1, EndKind::Stopped);
         }
+        RunFate::Failed => {
+            harness.report_end(1, WORKER, 1, TASK, 1, EndKind::Failed);
+            harness.report_end(1, WORKER, 2, TASK, 2, EndKind::Failed);
+        }
         RunFate::Unstoppable | RunFate::Vanished => {}
     }
     if matches!(fate, RunFate::StoppedEarlier) {
@@ -151,6 +160,7 @@
 }
 
 #[rstest]
+#[case::job(StepBuilder::tasks(1), 2, "run 2000004 failed 2 of 2, written off 2, crashes 2")]
 #[case::lasting(
     StepBuilder::tasks(1).lasting(),
     5,
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -114,6 +114,12 @@
             let stopped = format!("stopped for {stopped_for:?}");
             Some(format!("{task} run {run} unconfirmed: {seen}, {stopped}, {agent:?}"))
         }
+        FlowEvent::JobFailed {
+            task, run, failures, attempt_limit, written_off, crashes, ..
+        } => {
+            let failed = format!("failed {failures} of {attempt_limit}");
+            Some(format!("{task} run {run} {failed}, written off {written_off}, crashes {crashes}"))
+        }
         _ => None,
     }
 }
