Count a failed run of a gang as one attempt

Applying `End` counts an attempt for all members whenever a member ends as `Failed`. The leader now records the first such end of a run as `Failed` and the others as `GangBroken`; the log line still says what the executor said.

--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -410,7 +410,7 @@
 
     /// Records a run that never starts: it is placed and ended in one entry of the log, so that no
     /// order for it goes out.
-    fn use_up_run(
+    pub(super) fn use_up_run(
         &mut self,
         worker: &WorkerIncarnation,
         task: TaskKey,
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -13,7 +13,7 @@
     },
     crate::{
         event::FlowEvent,
-        job::{RunNumber, TaskKey, WorkerIncarnation},
+        job::{RunNumber, StepKey, TaskKey, WorkerIncarnation},
         message::{CallerAnswer, LinkMessage},
         plan::{
             AdmissionTable, DurationTable, InterferenceTable, Placement, PlacementPlanner,
@@ -34,6 +34,8 @@
 pub(super) struct PendingBatch {
     pub(super) commands: Vec<FlowCommand>,
     pub(super) deferred: Vec<ControlEffect>,
+    /// The runs that the commands count as failed. The members of a gang share theirs.
+    pub(super) failed_runs: BTreeSet<(StepKey, RunNumber)>,
 }
 
 impl PendingBatch {
@@ -192,7 +194,7 @@
             counted_until: self.now,
             unproposed_ms: 0,
             speculative,
-            pending: PendingBatch { commands, deferred: Vec::new() },
+            pending: PendingBatch { commands, ..PendingBatch::default() },
             in_flight: BTreeMap::new(),
             replan: true,
             planner: PlacementPlanner::new(self.settings.look_ahead),
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod cordons;
 mod crashes;
 mod durations;
+mod gangs;
 mod interference;
 mod leader;
 mod members;
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -28,7 +28,7 @@
         if leader.pending.commands.is_empty() && !leader.replan && !due {
             return;
         }
-        let PendingBatch { mut commands, mut deferred } = std::mem::take(&mut leader.pending);
+        let PendingBatch { mut commands, mut deferred, .. } = std::mem::take(&mut leader.pending);
         let elapsed_ms = now.saturating_sub(leader.counted_until).as_millis() as u64;
         leader.counted_until += Duration::from_millis(elapsed_ms);
         leader.unproposed_ms += elapsed_ms;
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -298,6 +298,7 @@
         end: EndKind,
         checkpoint: String,
     ) {
+        let first = self.is_first_report(worker, task, run);
         self.learn_end(worker, &task, run, end);
         let Some(leader) = &mut self.leader else { return };
         let progress = leader.progress.get(&task).filter(|progress| progress.run == run);
@@ -309,8 +310,13 @@
         leader.stopping.remove(&task);
         let worker = worker.clone();
         let event = FlowEvent::RunEnded { task, run, worker: worker.clone(), end };
-        let command = FlowCommand::End { task, run, worker: worker.clone(), end, checkpoint };
+        let recorded = self.end_to_record(&task, run, end);
+        let command =
+            FlowCommand::End { task, run, worker: worker.clone(), end: recorded, checkpoint };
         self.propose(command, vec![ControlEffect::Record(event)]);
+        if first && recorded == EndKind::Failed {
+            self.note_failed_run(&worker, task, run);
+        }
         if end != EndKind::Done {
             self.record_owed(&worker, task);
         }
--- a/crates/workflow/src/job/ids.rs
+++ b/crates/workflow/src/job/ids.rs
@@ -99,7 +99,8 @@
 ///
 /// Its thousands count the executors that have crashed when the task may have begun there, and its
 /// millions those under which it had begun for certain. Every replica and every earlier build thus
-/// keeps the counts with the task. `docs/decisions/crashes.md` says why.
+/// keeps the counts with the task. `docs/decisions/crashes.md` says why. The member of a gang that
+/// counts as the cause of a failed run has the number after that run, see `docs/decisions/gangs.md`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 #[serde(transparent)]
@@ -127,6 +128,18 @@
         Self(self.0.saturating_add(RUNS_PER_UNCLEAR_CRASH))
     }
 
+    /// Returns the number by which a member of a gang shows that this run is counted as failed.
+    pub fn after_counted_failure(self) -> Self {
+        self.next()
+    }
+
+    /// Returns whether this number of a gang's member shows that a run is counted as failed. Crashes
+    /// that were counted before or after do not matter.
+    pub fn counts_failure_of(self, run: Self) -> bool {
+        let later = self.0.checked_sub(run.0);
+        later.is_some_and(|later| later % RUNS_PER_UNCLEAR_CRASH == 1)
+    }
+
     /// Returns the number of executors that have crashed under the task.
     pub fn crashes(self) -> u32 {
         self.0 / RUNS_PER_CRASH
--- a/crates/workflow/src/state/record.rs
+++ b/crates/workflow/src/state/record.rs
@@ -166,8 +166,7 @@
 
     /// Returns a task of the job.
     pub fn task(&self, key: &TaskKey) -> Option<&TaskRecord> {
-        let occurrence = self.occurrences.get(key.occurrence as usize)?;
-        occurrence.steps.get(usize::from(key.step))?.tasks.get(usize::from(key.index))
+        self.step_record(key)?.tasks.get(usize::from(key.index))
     }
 
     pub(super) fn task_mut(&mut self, key: &TaskKey) -> Option<&mut TaskRecord> {
@@ -175,6 +174,12 @@
         occurrence.steps.get_mut(usize::from(key.step))?.tasks.get_mut(usize::from(key.index))
     }
 
+    /// Returns the record of a task's step.
+    pub fn step_record(&self, key: &TaskKey) -> Option<&StepRecord> {
+        let occurrence = self.occurrences.get(key.occurrence as usize)?;
+        occurrence.steps.get(usize::from(key.step))
+    }
+
     /// Returns the step of a task.
     pub fn step_spec(&self, key: &TaskKey) -> Option<&StepSpec> {
         self.spec.steps.get(usize::from(key.step))
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -5,6 +5,7 @@
 mod cordons;
 mod crashes;
 mod fixtures;
+mod gangs;
 mod moves;
 mod pending;
 mod run_times;
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use {
     crate::fixtures::fleet_config,
     base::{EventReducer, PeerAddress, ReplicaId, ReplyTicket},
-    quorum::{GroupMember, PersistBatch, QuorumSettings, RecoveredLog},
+    quorum::{GroupMember, LogSnapshot, PersistBatch, QuorumSettings, RecoveredLog},
     std::{collections::BTreeSet, sync::Arc, time::Duration},
     workflow::{
         control::{
@@ -113,6 +113,7 @@
     /// The tasks for which capacity was reserved, and the forecasts in milliseconds.
     pub reservations: Vec<(String, u64)>,
     stops: Vec<String>,
+    ends_logged: Vec<String>,
     /// Tasks that were reported as ended.
     ended: BTreeSet<String>,
     answers: Vec<CallerAnswer>,
@@ -140,6 +141,7 @@
             reservations: Vec::new(),
             blocked: Vec::new(),
             stops: Vec::new(),
+            ends_logged: Vec::new(),
             ended: BTreeSet::new(),
             answers: Vec::new(),
             recorded_up_to: 0,
@@ -162,12 +164,25 @@
         }
     }
 
-    fn node_from(disk: RecoveredLog, now: Duration) -> ControlNode {
-        let replica = ReplicaId(1);
+    /// Replaces the log by a snapshot of the applied state. All entries must be applied.
+    pub fn compact_log(&mut self) {
+        let Some(last) = self.disk.entries.last() else { return };
+        let (index, term) = (last.index, last.term);
+        let (members, retired) = (Self::founders(), Vec::new());
+        let data = self.node.applied().to_snapshot().into();
+        self.disk.snapshot = Some(LogSnapshot { index, term, members, retired, data });
+        self.disk.entries.clear();
+    }
+
+    fn founders() -> Vec<GroupMember> {
         let address = PeerAddress("127.0.0.1:1".parse().unwrap());
+        vec![GroupMember { replica: ReplicaId(1), address, voter: true }]
+    }
+
+    fn node_from(disk: RecoveredLog, now: Duration) -> ControlNode {
         let quorum = QuorumSettings {
-            replica,
-            founders: vec![GroupMember { replica, address, voter: true }],
+            replica: ReplicaId(1),
+            founders: Self::founders(),
             election_timeout: Duration::from_millis(600),
             heartbeat: Duration::from_millis(100),
             batch_bytes: 1 << 20,
@@ -238,6 +253,9 @@
                 self.welcomes.push((session.0, ports));
             }
             ControlEffect::Answer { answer, .. } => self.operator.push(answer),
+            ControlEffect::Record(FlowEvent::RunEnded { task, run, end, .. }) => {
+                self.ends_logged.push(format!("{task} run {run} {end:?}"));
+            }
             ControlEffect::Record(FlowEvent::JobBlocked { job, data_centre, .. }) => {
                 self.blocked.push(format!("{job} by {data_centre}"));
             }
@@ -495,6 +513,20 @@
         WorkerIncarnation { executor: Arc::from(executor), started_ms: born.parse().unwrap() }
     }
 
+    /// Reports ends in one message: each with its number, task, run and kind.
+    pub fn report_ends(&mut self, session: u64, worker: &str, ends: &[(u64, &str, u32, EndKind)]) {
+        let report = |(number, task, run, end): &(u64, &str, u32, EndKind)| EndReport {
+            number: *number,
+            task: task.parse().unwrap(),
+            run: RunNumber(*run),
+            end: *end,
+            checkpoint: String::new(),
+        };
+        let worker = Self::parse_incarnation(worker);
+        let ends = ends.iter().map(report).collect();
+        self.send(session, LinkMessage::Ends { worker, ends });
+    }
+
     pub fn report_end(
         &mut self,
         session: u64,
@@ -587,6 +619,11 @@
         &self.stops
     }
 
+    /// Returns the logged ends of runs.
+    pub fn ends_logged(&self) -> &[String] {
+        &self.ends_logged
+    }
+
     pub fn recorded_up_to(&self) -> u64 {
         self.recorded_up_to
     }
