Let a repeated end change nothing of the run after it

Agents repeat the ends that they have no acknowledgement for, to each leader and after each reconnection. Each report dropped what the leader knew of the task, also when a later run had begun: its checkpoint, so that the work was done again if its worker was lost before the next list; the time of its order; its stop. Each report also wrote a line `RunEnded`, so that the log of an incident counts ends that there never were, and put a command without effect into the log.

The leader now forgets a run only if the task has no later one, proposes an end only if the log or a proposal has not ended the run, and writes a line when it hears of an end for the first time. The command without effect also held the acknowledgement back until the first report was committed. Effects without a command of their own now wait for the last proposal instead.

--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -19,7 +19,7 @@
             AdmissionTable, DurationTable, InterferenceTable, Placement, PlacementPlanner,
             SuspectTable, WorkerTable,
         },
-        state::{FlowCommand, FlowState},
+        state::{EndKind, FlowCommand, FlowState},
     },
     base::{PeerAddress, ReplicaId, ReplyTicket},
     std::{
@@ -156,6 +156,18 @@
             .is_some_and(|view| view.report.drain_left_ms.is_none())
     }
 
+    /// Forgets what is known of a run that has ended, unless the task has a later run. Returns
+    /// whether anything was.
+    pub(super) fn forget_run(&mut self, task: &TaskKey, run: RunNumber, end: EndKind) -> bool {
+        if self.speculative.task(task).is_some_and(|record| record.run != run) {
+            return false;
+        }
+        self.suspects.forget_run(task, end == EndKind::Done);
+        self.stopping.remove(task);
+        let (ordered, progress) = (self.ordered.remove(task), self.progress.remove(task));
+        ordered.is_some() || progress.is_some()
+    }
+
     /// Returns the placements on an incarnation.
     pub(super) fn placements_on(&self, worker: &WorkerIncarnation) -> Vec<Placement> {
         let placed = self.speculative.placed_tasks(worker);
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -59,11 +59,13 @@
         for job in ended {
             self.finish_job(job, &mut deferred);
         }
+        let Some(leader) = &mut self.leader else { return };
         if commands.is_empty() {
-            self.effects.append(&mut deferred);
+            // An end that is reported again may be in an entry that is not committed yet.
+            let last = leader.in_flight.values_mut().next_back();
+            last.unwrap_or(&mut self.effects).append(&mut deferred);
             return;
         }
-        let Some(leader) = &mut self.leader else { return };
         let elapsed_ms = std::mem::take(&mut leader.unproposed_ms);
         let data = CommandBatch { elapsed_ms, commands }.to_bytes();
         let ticket = self.next_ticket();
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -289,7 +289,8 @@
         }
     }
 
-    /// Proposes the end of a run, with its newest known checkpoint.
+    /// Proposes the end of a run, with its newest known checkpoint, unless the log or a proposal has
+    /// ended the run already: agents repeat ends, and one end stands for a whole gang that is done.
     pub(super) fn end_run(
         &mut self,
         worker: &WorkerIncarnation,
@@ -303,18 +304,21 @@
         let Some(leader) = &mut self.leader else { return };
         let progress = leader.progress.get(&task).filter(|progress| progress.run == run);
         let known = progress.map(|progress| progress.checkpoint.clone()).unwrap_or_default();
-        let checkpoint = if checkpoint.is_empty() { known } else { checkpoint };
-        leader.progress.remove(&task);
-        leader.suspects.forget_run(&task, end == EndKind::Done);
-        leader.ordered.remove(&task);
-        leader.stopping.remove(&task);
+        let watched = leader.forget_run(&task, run, end);
         let worker = worker.clone();
-        let event = FlowEvent::RunEnded { task, run, worker: worker.clone(), end };
+        if first || watched {
+            let event = FlowEvent::RunEnded { task, run, worker: worker.clone(), end };
+            leader.pending.deferred.push(ControlEffect::Record(event));
+        }
+        if !first {
+            return;
+        }
+        let checkpoint = if checkpoint.is_empty() { known } else { checkpoint };
         let recorded = self.end_to_record(&task, run, end);
         let command =
             FlowCommand::End { task, run, worker: worker.clone(), end: recorded, checkpoint };
-        self.propose(command, vec![ControlEffect::Record(event)]);
-        if first && recorded == EndKind::Failed {
+        self.propose(command, Vec::new());
+        if recorded == EndKind::Failed {
             self.note_failed_run(&worker, task, run);
         }
         if end != EndKind::Done {
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod cordons;
 mod crashes;
+mod ends;
 mod fixtures;
 mod gangs;
 mod moves;
