Count a failed run of a gang once against its worker

A worker on which a gang of three failed in one message was avoided for four seconds, as after three failed runs in a row; a gang of 16 did the same with one report after the other. Each member's end counted as a failure of its worker, although one member ends the run of all.

A run of a gang counts against the worker of the member whose end counts as the attempt. The other members are still remembered as failed on their workers, so that a retry prefers other ones. Both cases of the test failed before.

--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -10,7 +10,7 @@
         event::{FlowEvent, LossReason, StopReason},
         job::{RunNumber, TaskKey, WorkerIncarnation},
         message::{EndReport, LinkMessage, RunReport, WorkerReport},
-        plan::{Placement, WorkerView},
+        plan::{FailureHistory, Placement, WorkerView},
         state::{EndKind, FlowCommand, TaskPhase},
     },
     std::{collections::BTreeSet, sync::Arc, time::Duration},
@@ -235,7 +235,7 @@
         for EndReport { task, run, end, checkpoint, .. } in ends {
             let placed = self.placed_incarnation(worker, &task, run);
             if self.is_first_report(&placed, task, run) {
-                self.record_health(worker, task, end);
+                self.record_health(worker, task, run, end);
                 self.note_finished_work(&task, run, end);
             }
             self.end_run(&placed, task, run, end, checkpoint);
@@ -271,15 +271,26 @@
         current && !leader.pending.ends(&task, run)
     }
 
-    fn record_health(&mut self, worker: &WorkerIncarnation, task: TaskKey, end: EndKind) {
+    fn record_health(
+        &mut self,
+        worker: &WorkerIncarnation,
+        task: TaskKey,
+        run: RunNumber,
+        end: EndKind,
+    ) {
         let now = self.now;
         let Some(leader) = &mut self.leader else { return };
-        let failed_elsewhere = leader.speculative.task(&task).is_some_and(|task| task.failures > 0);
+        let failures = leader.speculative.task(&task).map_or(0, |record| record.failures);
+        let history = match failures {
+            _ if leader.is_failure_counted(&task, run) => FailureHistory::SameRun,
+            0 => FailureHistory::First,
+            _ => FailureHistory::Repeated,
+        };
         let Some(view) = leader.workers.get_mut(&worker.executor) else { return };
         let before = view.is_suspect(now);
         match end {
             EndKind::Done => view.record_completion(),
-            EndKind::Failed => view.record_failure(now, task, failed_elsewhere),
+            EndKind::Failed => view.record_failure(now, task, history),
             EndKind::Refused => view.record_refusal(now),
             EndKind::Stopped | EndKind::Expired | EndKind::GangBroken | EndKind::GangIncomplete => {
             }
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -40,7 +40,7 @@
     relocation::RunMove,
     reservations::reserved_on,
     suspects::SuspectTable,
-    worker::{WorkerTable, WorkerView},
+    worker::{FailureHistory, WorkerTable, WorkerView},
 };
 
 use {
--- a/crates/workflow/src/plan/worker.rs
+++ b/crates/workflow/src/plan/worker.rs
@@ -20,6 +20,17 @@
 /// Without it, the worker would receive the refused task again at once.
 const REFUSAL_PERIOD: Duration = Duration::from_millis(500);
 
+/// What is known about a task whose run has failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailureHistory {
+    /// The task has not failed before.
+    First,
+    /// The task has failed before, on any worker.
+    Repeated,
+    /// The run is that of a gang, whose failure another member has reported.
+    SameRun,
+}
+
 /// The leader's view of one worker.
 #[derive(Debug, Clone)]
 pub struct WorkerView {
@@ -87,8 +98,12 @@
     }
 
     /// Records a failed run.
-    pub fn record_failure(&mut self, now: Duration, task: TaskKey, failed_elsewhere: bool) {
-        self.failures += if failed_elsewhere { REPEATED_FAILURE_WEIGHT } else { 1.0 };
+    pub fn record_failure(&mut self, now: Duration, task: TaskKey, history: FailureHistory) {
+        self.failures += match history {
+            FailureHistory::First => 1.0,
+            FailureHistory::Repeated => REPEATED_FAILURE_WEIGHT,
+            FailureHistory::SameRun => 0.0,
+        };
         self.failed_tasks.insert(task, now);
         if self.failed_tasks.len() > FAILED_TASKS_KEPT {
             let oldest = self.failed_tasks.iter().min_by_key(|(_, at)| **at).map(|(key, _)| *key);
--- a/crates/workflow/tests/gangs/mod.rs
+++ b/crates/workflow/tests/gangs/mod.rs
@@ -114,3 +114,20 @@
     let line = |index| format!("{} run 1 Failed", member(index));
     assert_eq!(harness.ends_logged(), [line(0), line(1)]);
 }
+
+// Each member that failed counted as a failure of its worker, which was then avoided after a single
+// run.
+#[rstest]
+#[case::one_message(Interlude::OneMessage)]
+#[case::one_by_one(Interlude::Nothing)]
+fn a_failed_run_of_a_gang_counts_once_against_its_worker(#[case] interlude: Interlude) {
+    const WHOLE_WORKER: u16 = 16;
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(WHOLE_WORKER).gang()]));
+    harness.connect_worker(2, "e2", 100);
+    let ends: Vec<_> = (0..WHOLE_WORKER).map(|index| (index, EndKind::Failed)).collect();
+    report_ends(&mut harness, &ends, interlude);
+    assert_eq!(harness.phase(0xa), "Running");
+    assert!(harness.suspected_workers().is_empty(), "{:?}", harness.suspected_workers());
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -114,6 +114,7 @@
     pub reservations: Vec<(String, u64)>,
     stops: Vec<String>,
     ends_logged: Vec<String>,
+    suspected_workers: Vec<String>,
     /// Tasks that were reported as ended.
     ended: BTreeSet<String>,
     answers: Vec<CallerAnswer>,
@@ -142,6 +143,7 @@
             blocked: Vec::new(),
             stops: Vec::new(),
             ends_logged: Vec::new(),
+            suspected_workers: Vec::new(),
             ended: BTreeSet::new(),
             answers: Vec::new(),
             recorded_up_to: 0,
@@ -256,6 +258,9 @@
             ControlEffect::Record(FlowEvent::RunEnded { task, run, end, .. }) => {
                 self.ends_logged.push(format!("{task} run {run} {end:?}"));
             }
+            ControlEffect::Record(FlowEvent::WorkerSuspect { worker }) => {
+                self.suspected_workers.push(worker.to_string());
+            }
             ControlEffect::Record(FlowEvent::JobBlocked { job, data_centre, .. }) => {
                 self.blocked.push(format!("{job} by {data_centre}"));
             }
@@ -624,6 +629,11 @@
         &self.ends_logged
     }
 
+    /// Returns the workers that were logged as failing too often.
+    pub fn suspected_workers(&self) -> &[String] {
+        &self.suspected_workers
+    }
+
     pub fn recorded_up_to(&self) -> u64 {
         self.recorded_up_to
     }
