Report ends until they are recorded, and never past one that is not

A run could stay placed in the log for ever although its executor had listed its end, while the lease of the worker went on. Its task never started again, and with it no other member of its gang.

Agents sent an end once on a stream, and again only with the full report on the next one. A leader drops ends while a stream does not represent the worker: after the late messages of an earlier stream and its end, for example, until the agent describes its executor again. If that description is the next message because the executor drains or shrinks, the answer to the next ping grants a lease and nobody reports the end again. Worse, the leader acknowledges the highest number of a message, so that the next end acknowledged the dropped one too. The agent and the executor forgot it, and the log never held it.

An agent now reports ends again after a second without an acknowledgement, and each report holds all ends without one, so that the highest number stands for all below it. Both tests failed before: the end was reported once, and the second report held the second end alone.

--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -32,6 +32,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(800);
 /// The same interval while the agent watches latencies, from which control learns.
 const WATCHING_INTERVAL: Duration = Duration::from_millis(350);
+/// Time after which the agent reports ends again for which it has no acknowledgement: the leader may
+/// have dropped them, because it did not know the agent's stream.
+const ENDS_REPEAT: Duration = Duration::from_millis(1000);
 /// Bits of a fencing token that hold the millisecond at which an incarnation began: enough until
 /// 2039, and few enough for 4,096 terms in the integers that every JSON reader accepts.
 const INCARNATION_BITS: u32 = 41;
@@ -58,6 +61,8 @@
     recorded: u64,
     /// Ends that control has not recorded.
     ends: BTreeMap<u64, EndReport>,
+    /// The time at which the agent last reported these ends.
+    ends_reported: Duration,
     listed_runs: Vec<RunReport>,
     poll_sent: Option<Duration>,
     next_poll: Duration,
@@ -139,6 +144,7 @@
             self.ping();
         }
         self.check_silence();
+        self.repeat_ends();
         self.repeat_orders();
         self.poll_executor();
     }
@@ -203,9 +209,8 @@
             return;
         }
         let report = executor.report.clone();
-        let (worker, ends) = (report.worker.clone(), executor.ends.values().cloned().collect());
         self.send_description(report);
-        self.send_ends(worker, ends);
+        self.report_ends();
         self.report_runs();
     }
 
@@ -220,6 +225,27 @@
         }
     }
 
+    /// Reports all ends that control has not recorded: it acknowledges the highest number of a report,
+    /// and may have dropped an earlier one.
+    fn report_ends(&mut self) {
+        let now = self.now;
+        let Some(executor) = &mut self.executor else { return };
+        executor.ends_reported = now;
+        let ends = executor.ends.values().cloned().collect();
+        let worker = executor.report.worker.clone();
+        self.send_ends(worker, ends);
+    }
+
+    fn repeat_ends(&mut self) {
+        let now = self.now;
+        let due = self.executor.as_ref().is_some_and(|executor| {
+            executor.reached && now.saturating_sub(executor.ends_reported) >= ENDS_REPEAT
+        });
+        if due {
+            self.report_ends();
+        }
+    }
+
     /// Lists every run that is on the executor or about to start.
     fn report_runs(&mut self) {
         let now = self.now;
@@ -268,6 +294,7 @@
             expires_at: polling::expiry_of(self.now, self.now + self.settings.lease),
             recorded: 0,
             ends: BTreeMap::new(),
+            ends_reported: self.now,
             listed_runs: Vec::new(),
             poll_sent: None,
             next_poll: self.now,
--- a/crates/workflow/src/agent/polling.rs
+++ b/crates/workflow/src/agent/polling.rs
@@ -191,7 +191,8 @@
             .into_iter()
             .filter(|end| end.number > acknowledged && !executor.ends.contains_key(&end.number))
             .collect();
-        executor.ends.extend(new_ends.iter().map(|end| (end.number, end.clone())));
+        let news = !new_ends.is_empty();
+        executor.ends.extend(new_ends.into_iter().map(|end| (end.number, end)));
         let same_runs =
             executor.listed_runs.len() == view.running.len()
                 && executor.listed_runs.iter().zip(&view.running).all(|(old, new)| {
@@ -206,8 +207,8 @@
             self.record(FlowEvent::ExecutorReached { worker: worker.clone() });
             self.report_all();
             self.ping();
-        } else {
-            self.send_ends(worker.clone(), new_ends);
+        } else if news {
+            self.report_ends();
         }
         self.settle_runs(asked);
         if due || !same_runs {
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -207,6 +207,11 @@
         self.step(AgentEvent::StopAnswered { worker, task, run, stopped });
     }
 
+    fn acknowledge(&mut self, up_to: u64) {
+        let recorded = LinkMessage::EndsRecorded { worker: incarnation(), up_to };
+        self.step(AgentEvent::LeaderMessage(recorded));
+    }
+
     fn advance(&mut self, milliseconds: u64) {
         self.now += Duration::from_millis(milliseconds);
         self.step(AgentEvent::Tick);
@@ -300,13 +305,43 @@
     harness.step(AgentEvent::LeaderLost);
     harness.connect_leader(2);
     assert_eq!(harness.reports(), ["1 Done", "1 Done"]);
-    let noted = LinkMessage::EndsRecorded { worker: incarnation(), up_to: 1 };
-    harness.step(AgentEvent::LeaderMessage(noted));
+    harness.acknowledge(1);
     harness.step(AgentEvent::LeaderLost);
     harness.connect_leader(3);
     assert_eq!(harness.reports().len(), 2);
 }
 
+// A leader drops the ends that arrive while the stream represents no worker to it, and learned of
+// them only on the next stream: until then, the log kept their runs as placed.
+#[test]
+fn an_end_without_an_acknowledgement_is_reported_again_on_the_same_stream() {
+    let mut harness = AgentHarness::start();
+    harness.answer_poll(&[], &[end_report(1, 1, EndKind::Done)]);
+    harness.advance(900);
+    assert_eq!(harness.reports(), ["1 Done"]);
+    harness.advance(200);
+    assert_eq!(harness.reports(), ["1 Done", "1 Done"]);
+    harness.acknowledge(1);
+    harness.advance(2000);
+    assert_eq!(harness.reports().len(), 2);
+}
+
+// The leader acknowledges the highest number of a message. An end that it had dropped before was
+// acknowledged with the next one, and its run was placed for ever.
+#[test]
+fn a_report_of_ends_holds_all_that_are_not_acknowledged() {
+    let mut harness = AgentHarness::start();
+    let first = end_report(1, 1, EndKind::Done);
+    harness.answer_poll(&[], std::slice::from_ref(&first));
+    harness.advance(110);
+    harness.answer_poll(&[], &[first, end_report(2, 2, EndKind::Failed)]);
+    assert_eq!(harness.reports(), ["1 Done", "1 Done", "2 Failed"]);
+    harness.acknowledge(1);
+    harness.advance(110);
+    harness.answer_poll(&[], &[end_report(2, 2, EndKind::Failed), end_report(3, 3, EndKind::Done)]);
+    assert_eq!(harness.reports()[3..], ["2 Failed", "3 Done"]);
+}
+
 #[test]
 fn without_a_leader_the_executor_is_granted_no_more_than_the_lease() {
     let mut harness = AgentHarness::start();
