Settle a started run that its executor lists nowhere

An agent lists every run that has an order as a run on its executor. One that the executor had confirmed, and then listed neither as running nor as ended, stayed on that list for ever: control took it for a run about to begin and kept it placed. Its task never started again, and a gang with such a member waited as a whole.

After two seconds of lists without the run, the agent stops it, which keeps the executor from starting it late, and reports it as stopped once a later list does not hold it either. A single list without the run changes nothing. The test failed before: no stop was sent.

--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -19,6 +19,9 @@
 /// Time that the agent remembers a run reported as never begun: control may order it again until it
 /// has the report in its log.
 const CLOSED_RETENTION: Duration = Duration::from_secs(30);
+/// Time after which a run that has started, and that the executor lists neither as running nor as
+/// ended, is settled by a stop. A single list may be incomplete.
+const UNLISTED_TIMEOUT: Duration = Duration::from_millis(2000);
 /// Pause before the agent repeats a confirmed stop for a run that is still listed.
 const STOP_AGAIN: Duration = Duration::from_millis(1000);
 
@@ -29,8 +32,9 @@
     Starting,
     /// A start is due at this time, either the first one or the repetition of an unanswered one.
     StartAgain(Duration),
-    /// The executor has the run; its lists report the rest.
-    Started,
+    /// The executor has the run; its lists report the rest. They, or the start, last showed it at
+    /// this time.
+    Started(Duration),
     /// The executor's lists, requested after this time, decide the outcome of the run.
     Unclear(Duration),
     /// A stop is in transit.
@@ -148,7 +152,8 @@
             self.refuse_run(task, run, reason);
             return;
         }
-        let phase = if listed { OrderPhase::Started } else { OrderPhase::StartAgain(self.now) };
+        let now = self.now;
+        let phase = if listed { OrderPhase::Started(now) } else { OrderPhase::StartAgain(now) };
         self.runs.orders.insert((task, run), RunOrder::new(phase, Some(order)));
         self.repeat_orders();
     }
@@ -163,7 +168,7 @@
             return;
         }
         let entry = self.runs.orders.entry((task, run));
-        let order = entry.or_insert(RunOrder::new(OrderPhase::Started, None));
+        let order = entry.or_insert(RunOrder::new(OrderPhase::Started(self.now), None));
         let stopping = matches!(
             order.phase,
             OrderPhase::Stopping | OrderPhase::StopAgain(_) | OrderPhase::Stopped(_)
@@ -242,7 +247,7 @@
             return;
         }
         match verdict {
-            StartVerdict::Started => self.runs.set(key, OrderPhase::Started),
+            StartVerdict::Started => self.runs.set(key, OrderPhase::Started(self.now)),
             StartVerdict::Refused(_) if self.runs.is_unanswered(key) => {
                 self.runs.set(key, OrderPhase::StopAgain(self.now));
                 self.repeat_orders();
@@ -305,7 +310,7 @@
         let worker = executor.report.worker.clone();
         let begun = self.runs.orders.iter().filter(|((task, run), order)| {
             let ended = executor.ends.values().any(|end| end.is_of(*task, *run));
-            order.phase == OrderPhase::Started && !order.unanswered && !ended
+            matches!(order.phase, OrderPhase::Started(_)) && !order.unanswered && !ended
         });
         let ends: Vec<EndReport> = begun
             .map(|((task, run), _)| EndReport {
@@ -327,7 +332,7 @@
         let ended = |task, run| executor.ends.values().any(|end| end.is_of(task, run));
         let mut settled = Vec::new();
         let mut never_began = Vec::new();
-        let mut again = Vec::new();
+        let mut changed = Vec::new();
         for ((task, run), order) in &self.runs.orders {
             let key = (*task, *run);
             if ended(*task, *run) {
@@ -335,8 +340,15 @@
                 continue;
             }
             let listed = running(*task, *run);
+            let started = OrderPhase::Started(asked);
             match order.phase {
-                OrderPhase::Unclear(since) if listed && since < asked => again.push((key, false)),
+                OrderPhase::Started(_) if listed => changed.push((key, started)),
+                OrderPhase::Started(shown) if asked.saturating_sub(shown) >= UNLISTED_TIMEOUT => {
+                    changed.push((key, OrderPhase::StopAgain(now)));
+                }
+                OrderPhase::Unclear(since) if listed && since < asked => {
+                    changed.push((key, started));
+                }
                 OrderPhase::Unclear(since) if since < asked => {
                     never_began.push((key, EndKind::Refused));
                 }
@@ -344,7 +356,7 @@
                     never_began.push((key, EndKind::Stopped));
                 }
                 OrderPhase::Stopped(since) if now.saturating_sub(since) >= STOP_AGAIN => {
-                    again.push((key, true));
+                    changed.push((key, OrderPhase::StopAgain(now)));
                 }
                 _ => {}
             }
@@ -352,8 +364,7 @@
         for key in settled {
             self.runs.orders.remove(&key);
         }
-        for (key, stop) in again {
-            let phase = if stop { OrderPhase::StopAgain(now) } else { OrderPhase::Started };
+        for (key, phase) in changed {
             self.runs.set(key, phase);
         }
         for ((task, run), end) in never_began {
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -281,6 +281,32 @@
     assert_eq!(harness.reports(), ["1 Done"]);
 }
 
+// An executor may have forgotten an end that the agent could not read. The agent went on listing the
+// run as about to start, and control kept it as placed.
+#[test]
+fn a_started_run_that_the_executor_lists_nowhere_is_settled_by_a_stop() {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.answer_start(1, StartVerdict::Started);
+    let answer_polls = |harness: &mut AgentHarness, running: &[RunReport], count: usize| {
+        for _ in 0..count {
+            harness.answer_poll(running, &[]);
+            harness.advance(500);
+            harness.renew();
+        }
+    };
+    answer_polls(&mut harness, &[run_report(1)], 8);
+    answer_polls(&mut harness, &[], 3);
+    answer_polls(&mut harness, &[run_report(1)], 1);
+    answer_polls(&mut harness, &[], 3);
+    assert_eq!(harness.calls, ["start 1"], "a list may be incomplete");
+    answer_polls(&mut harness, &[], 2);
+    assert_eq!(harness.calls, ["start 1", "stop 1"]);
+    harness.answer_stop(1, true);
+    answer_polls(&mut harness, &[], 3);
+    assert_eq!(harness.reports(), ["1 Stopped"]);
+}
+
 #[test]
 fn a_stop_is_repeated_until_confirmed_and_the_end_comes_from_the_lists() {
     let mut harness = AgentHarness::start();
