Give up an executor whose next incarnation never describes itself

Where another incarnation answered an agent's call and then sent no heartbeat, because it crashed as well or speaks to nobody, the worker stayed in the leader's table for ever. The agent had no executor and dropped every order without a word, but its pings renewed the lease of the former executor: what the log placed there never ended, gangs with a member there never started again, and more tasks were placed there.

The agent now says at once that the executor does not answer, so that nothing more is placed there, and reports its end when its last lease has expired, as for a silent executor, unless the next one has described itself by then. The test failed before: the description still said that the executor answers, and no end was reported.

--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -69,6 +69,15 @@
     last_report: Duration,
 }
 
+/// An executor that has ended, as another incarnation has answered or described itself.
+#[derive(Debug)]
+struct FormerExecutor {
+    worker: WorkerIncarnation,
+    /// The time at which control may consider the runs of the executor ended, if nothing has
+    /// described itself by then.
+    expires_at: Duration,
+}
+
 /// The agent of one executor.
 #[derive(Debug)]
 pub struct AgentNode {
@@ -85,8 +94,8 @@
     /// The ping whose answer shows that the leader knows the executor's capacity, which has shrunk.
     unconfirmed_shrink: Option<u64>,
     executor: Option<ExecutorState>,
-    /// The last known incarnation, while the executor has not described the next one.
-    former_incarnation: Option<WorkerIncarnation>,
+    /// The last known executor, while the next one has not described itself.
+    former: Option<FormerExecutor>,
     runs: RunTable,
     throttle: BestEffortThrottle,
     effects: Vec<AgentEffect>,
@@ -106,7 +115,7 @@
             next_ping: now,
             unconfirmed_shrink: None,
             executor: None,
-            former_incarnation: None,
+            former: None,
             runs: RunTable::default(),
             throttle: BestEffortThrottle::default(),
             effects: Vec::new(),
@@ -144,6 +153,7 @@
             self.ping();
         }
         self.check_silence();
+        self.check_former();
         self.repeat_ends();
         self.repeat_orders();
         self.poll_executor();
@@ -276,7 +286,8 @@
                 return;
             }
             Some((incarnation, _)) => {
-                self.former_incarnation = Some(incarnation.clone());
+                let worker = incarnation.clone();
+                self.former = Some(FormerExecutor { worker, expires_at: self.now });
                 self.report_ended_runs();
             }
             None => {}
@@ -307,7 +318,7 @@
     /// control settles its runs by the lists of the new incarnation, which may have carried out an
     /// order for the former one. Under another id that is not possible.
     fn report_former_ended(&mut self, worker: &WorkerIncarnation) {
-        let former = self.former_incarnation.take();
+        let former = self.former.take().map(|former| former.worker);
         if let Some(worker) = former.filter(|former| former.executor != worker.executor) {
             self.send(LinkMessage::WorkerEnded { worker });
         }
--- a/crates/workflow/src/agent/polling.rs
+++ b/crates/workflow/src/agent/polling.rs
@@ -3,12 +3,12 @@
 use {
     super::{
         types::{AgentEffect, CallFailure, ExecutorView},
-        AgentNode, ExecutorState, REPORT_INTERVAL, WATCHING_INTERVAL,
+        AgentNode, ExecutorState, FormerExecutor, REPORT_INTERVAL, WATCHING_INTERVAL,
     },
     crate::{
         event::FlowEvent,
         job::WorkerIncarnation,
-        message::{EndReport, LinkMessage},
+        message::{EndReport, LinkMessage, WorkerReport},
     },
     std::time::Duration,
 };
@@ -129,13 +129,28 @@
     }
 
     /// Handles an answer from another incarnation at the executor's address. That incarnation sends
-    /// its description later.
+    /// its description later, if it lives that long. Until then, control places nothing more here.
     fn handle_other_incarnation(&mut self, worker: &WorkerIncarnation) {
         self.report_ended_runs();
-        self.executor = None;
+        let Some(executor) = self.executor.take() else { return };
         self.reset_lease();
         self.runs = super::orders::RunTable::default();
-        self.former_incarnation = Some(worker.clone());
+        let expires_at = executor.expires_at;
+        self.former = Some(FormerExecutor { worker: worker.clone(), expires_at });
+        if executor.reached {
+            self.send_description(WorkerReport { responsive: false, ..executor.report });
+        }
+    }
+
+    /// Gives up an executor that no other has followed, as a silent one: without a report, the pings
+    /// of the agent would renew its lease for ever.
+    pub(super) fn check_former(&mut self) {
+        let now = self.now;
+        let expired = self.former.take_if(|former| now > former.expires_at);
+        if let Some(FormerExecutor { worker, .. }) = expired {
+            self.send(LinkMessage::WorkerEnded { worker });
+            self.effects.push(AgentEffect::Reconnect);
+        }
     }
 
     fn handle_missing_answer(&mut self, reason: &str) {
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -27,6 +27,8 @@
     calls: Vec<String>,
     sent: Vec<String>,
     introductions: usize,
+    /// Whether the last description said that the executor answers.
+    described_as_responsive: bool,
 }
 
 fn incarnation() -> WorkerIncarnation {
@@ -54,8 +56,18 @@
         let node =
             AgentNode::new(AgentSettings { lease: LEASE, executor_address: Arc::from("a1") }, now);
         let (polls, deadlines, fences, calls, sent) = Default::default();
-        let mut harness =
-            Self { node, now, polls, deadlines, fences, calls, sent, introductions: 0 };
+        let (introductions, described_as_responsive) = (0, false);
+        let mut harness = Self {
+            node,
+            now,
+            polls,
+            deadlines,
+            fences,
+            calls,
+            sent,
+            introductions,
+            described_as_responsive,
+        };
         harness.report_heartbeat(1, None);
         harness.connect_leader(1);
         harness.step(AgentEvent::Tick);
@@ -90,7 +102,10 @@
                 AgentEffect::Send(LinkMessage::Ping { sequence }) => {
                     self.sent.push(format!("ping {sequence}"));
                 }
-                AgentEffect::Send(LinkMessage::Worker { .. }) => self.introductions += 1,
+                AgentEffect::Send(LinkMessage::Worker { report, .. }) => {
+                    self.introductions += 1;
+                    self.described_as_responsive = report.responsive;
+                }
                 AgentEffect::Reconnect => self.sent.push("reconnect".to_owned()),
                 AgentEffect::Send(_) | AgentEffect::Record(_) => {}
             }
@@ -174,8 +189,12 @@
     }
 
     fn leave_poll_unanswered(&mut self) {
+        self.fail_poll(CallFailure::Unanswered("no answer".to_owned()));
+    }
+
+    fn fail_poll(&mut self, failure: CallFailure) {
         let asked = self.polls.pop().expect("a poll is in progress");
-        let result = Err(CallFailure::Unanswered("no answer".to_owned()));
+        let result = Err(failure);
         self.step(AgentEvent::PollAnswered { worker: incarnation(), asked, result });
     }
 
@@ -471,6 +490,27 @@
     assert_eq!(harness.reports(), ["1 Refused", "1 Refused"]);
 }
 
+// The lease of an executor was renewed for ever after another incarnation had answered once at its
+// address and had not described itself: its runs never ended, and more were placed there.
+#[test]
+fn an_executor_whose_next_incarnation_never_describes_itself_is_given_up() {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.answer_start(1, StartVerdict::Failed(CallFailure::OtherIncarnation));
+    harness.fail_poll(CallFailure::OtherIncarnation);
+    assert!(!harness.described_as_responsive, "nothing more is placed there");
+    for _ in 0..30 {
+        harness.advance(100);
+        harness.renew();
+    }
+    assert!(harness.reports().is_empty(), "its lease may last");
+    for _ in 0..10 {
+        harness.advance(100);
+        harness.renew();
+    }
+    assert_eq!(harness.reports(), ["gone", "reconnect"]);
+}
+
 // Schedule seed 1068: the agent's previous process had granted a lease.
 #[test]
 fn a_new_process_waits_for_one_lease_before_it_gives_its_executor_up() {
