Stop the members that are left of a gang's run

A gang whose run had lost a member, for example by a refused start, kept the others waiting on their executors until these gave up, and started again only then. The leader even repeated the lost orders of the other members: each began a run that could only end as `alone`, with no disruption near.

Nothing connected the end of one member with the rest of its run. The leader now stops the members that an agent still lists once the log or a proposal has ended another one, and withdraws their lost orders. A stop is repeated while the run is listed, so that a lost one doesn't leave the gang waiting. What was learned from the list, such as a checkpoint, is kept.

Both cases of the test failed before: no stop was sent, and with the lost orders both starts were repeated.

--- a/crates/workflow/src/control/gangs.rs
+++ b/crates/workflow/src/control/gangs.rs
@@ -1,4 +1,5 @@
-//! Failed runs of gangs. A run of a gang is one attempt, whichever of its members end as failed.
+//! Ends of gangs. A run of a gang is one attempt, whichever of its members end as failed, and over as
+//! soon as one of them has ended.
 //!
 //! The log counts an attempt for each end that it records as failed, so that the leader records only
 //! the first one of a run. It marks that run as counted in the run number of the member, by a run
@@ -25,6 +26,17 @@
         marked || self.pending.failed_runs.contains(&(task.step_key(), run))
     }
 
+    /// Returns whether a member of a placed task's gang has ended the present run. The rest of the run
+    /// is of no use: its members would wait for the one that is missing.
+    pub(super) fn is_gang_broken(&self, task: &TaskKey) -> bool {
+        let Some(job) = self.speculative.job(task.job) else { return false };
+        let gang = job.step_spec(task).is_some_and(|spec| spec.gang);
+        let step = job.step_record(task).filter(|_| gang);
+        step.is_some_and(|step| {
+            step.tasks.iter().any(|member| !matches!(member.phase, TaskPhase::Placed(_)))
+        })
+    }
+
     /// Returns whether another member of a task's gang is placed as this run, and not about to end.
     fn has_placed_member(&self, task: &TaskKey, run: RunNumber) -> bool {
         let Some(job) = self.speculative.job(task.job) else { return false };
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -39,17 +39,19 @@
     }
 
     /// Repeats the order for a placement, or withdraws it if the worker has become too small for
-    /// one more run or is cordoned. The order for a listed run only tells the worker's agent about it.
+    /// one more run or is cordoned, or if the run is over. The order for a listed run only tells the
+    /// worker's agent about it.
     fn repeat_order(&mut self, session: SessionId, placement: Placement, listed: bool) {
         let now = self.now;
         let Placement { task, run, .. } = placement;
         let ended = self.speculative_job_ended(&task);
-        if let Some(leader) = &mut self.leader {
-            leader.ordered.insert(task, (run, now));
-        }
+        let Some(leader) = &mut self.leader else { return };
+        leader.ordered.insert(task, (run, now));
+        let broken = leader.is_gang_broken(&task);
         let barrier = self.start_barrier(&placement.worker.executor).filter(|_| !listed);
-        if ended {
-            self.stop_unwanted(session, &placement.worker, task, run);
+        if ended || broken {
+            let reason = if ended { StopReason::Superseded } else { StopReason::GangBroken };
+            self.stop_unwanted(session, &placement.worker, (task, run), reason);
         } else if let Some(reason) = barrier {
             self.withdraw_order(&placement, reason);
         } else if let Some(order) = self.start_order(&placement) {
@@ -111,7 +113,7 @@
             here && record.run == run
         });
         if !expected {
-            self.stop_unwanted(session, worker, task, run);
+            self.stop_unwanted(session, worker, (task, run), StopReason::Superseded);
             return;
         }
         if report.percent > 0 || report.figure > 0 {
@@ -122,15 +124,19 @@
         let confirmed = before.is_some_and(|before| before.confirmed) || is_confirmed(report);
         let progress = RunProgress { run, checkpoint, percent: report.percent, confirmed };
         leader.progress.insert(task, progress);
+        let broken = leader.is_gang_broken(&task);
         self.note_listed(worker, report);
+        if broken {
+            self.stop_unwanted(session, worker, (task, run), StopReason::GangBroken);
+        }
     }
 
     fn stop_unwanted(
         &mut self,
         session: SessionId,
         worker: &WorkerIncarnation,
-        task: TaskKey,
-        run: RunNumber,
+        (task, run): (TaskKey, RunNumber),
+        reason: StopReason,
     ) {
         let now = self.now;
         let Some(leader) = &mut self.leader else { return };
@@ -139,7 +145,6 @@
             return;
         }
         leader.stopping.insert(task, (run, now));
-        let reason = StopReason::Superseded;
         self.record(FlowEvent::RunStopped { task, run, worker: worker.clone(), reason });
         let message = LinkMessage::Stop { worker: worker.clone(), task, run };
         self.effects.push(ControlEffect::Send { session, message });
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -35,6 +35,8 @@
     JobEnded,
     /// The log does not place the run on this worker, or the run's job has ended.
     Superseded,
+    /// Another member of the run's gang has ended.
+    GangBroken,
     /// The run's worker drains.
     WorkerDraining,
     /// The run keeps a latency-critical task beside it above its target.
--- a/crates/workflow/tests/gangs/mod.rs
+++ b/crates/workflow/tests/gangs/mod.rs
@@ -3,7 +3,7 @@
 use {
     crate::support::{job, ControlHarness, StepBuilder},
     rstest::rstest,
-    workflow::{job::RunNumber, state::EndKind},
+    workflow::{job::RunNumber, message::LinkMessage, state::EndKind},
 };
 
 const WORKER: &str = "e1@100";
@@ -131,3 +131,39 @@
     assert_eq!(harness.phase(0xa), "Running");
     assert!(harness.suspected_workers().is_empty(), "{:?}", harness.suspected_workers());
 }
+
+// A member whose start arrives after another one has ended waits on its executor for a gang that
+// never comes together, and keeps the gang from starting again for that long.
+#[rstest]
+#[case::listed(&[(1, 1), (2, 1)])]
+#[case::lost_orders(&[])]
+fn the_members_that_are_left_of_a_run_are_stopped(#[case] listed: &[(u16, u32)]) {
+    let mut harness = start_gang();
+    let names: Vec<(String, u32)> = listed.iter().map(|(at, run)| (member(*at), *run)).collect();
+    let listed: Vec<(&str, u32)> = names.iter().map(|(task, run)| (&**task, *run)).collect();
+    harness.advance(1400);
+    harness.report_end(1, WORKER, 0, &member(0), 1, EndKind::Refused);
+    harness.report_runs(1, WORKER, &listed);
+    assert_eq!(harness.stops(), [1, 2].map(|index| format!("{} run 1", member(index))));
+    assert_eq!(harness.starts().len(), usize::from(MEMBERS), "{:?}", harness.starts());
+    report_ends(
+        &mut harness,
+        &[(1, EndKind::Stopped), (2, EndKind::GangBroken)],
+        Interlude::Nothing,
+    );
+    harness.advance(1000);
+    harness.send(1, LinkMessage::Ping { sequence: 1 });
+    harness.advance(1000);
+    assert_eq!(harness.starts().len(), 2 * usize::from(MEMBERS), "{:?}", harness.starts());
+}
+
+#[test]
+fn the_members_of_a_whole_gang_are_not_stopped() {
+    let mut harness = start_gang();
+    let names = [0, 1, 2].map(member);
+    let listed: Vec<(&str, u32)> = names.iter().map(|task| (&**task, 1)).collect();
+    harness.report_runs(1, WORKER, &listed);
+    harness.report_end(1, WORKER, 1, &names[0], 1, EndKind::Done);
+    assert!(harness.stops().is_empty(), "{:?}", harness.stops());
+    assert_eq!(harness.phase(0xa), "Ended(Succeeded)");
+}
