Leave a stream to the leader that takes no more messages

An agent dropped a message that its stream could not take, and went on with the stream. If that was the description of an executor that had shrunk or begun to drain, the leader kept the earlier one, and the answer to the next ping was taken for its confirmation. Reports about starts that were refused were lost as well.

`LinkSender::send` returns false when the stream has ended or its queue is full, and the agent ignored that. It now leaves the stream, as its contract asks, and reports everything on the next one. The test, which fills the queue of a stream, failed before: the agent kept the stream.

--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -219,18 +219,21 @@
                 tokio::task::spawn_local(self.port.throttle(request, percent));
             }
             AgentEffect::Send(message) => {
-                if let Some(leader) = &self.leader {
-                    leader.send(message);
+                if self.leader.as_ref().is_some_and(|leader| !leader.send(message)) {
+                    self.leave_stream();
                 }
             }
-            AgentEffect::Reconnect => {
-                self.leader = None;
-                self.reconnect.notify_waiters();
-            }
+            AgentEffect::Reconnect => self.leave_stream(),
             AgentEffect::Record(event) => self.log.record(&event),
         }
     }
 
+    /// Ends the stream to the leader and asks for a new one, on which the agent reports everything.
+    fn leave_stream(&mut self) {
+        self.leader = None;
+        self.reconnect.notify_waiters();
+    }
+
     fn spawn(&self, call: impl Future<Output = AgentEvent> + 'static) {
         let inputs = self.inputs.clone();
         tokio::task::spawn_local(async move {
@@ -239,3 +242,7 @@
         });
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/agent.rs"]
+mod tests;
