Keep a worker that another stream represents by now

A stream that had represented an executor and reports another one took the first executor out of the leader's table, also when another stream represented it by then. Its tasks got no orders and nothing was placed there until its agent had learned from the next ping that the leader did not know it. The leader now removes the executor only if the stream still represents it. The test failed before: the other stream's ping granted no lease.

--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -44,7 +44,10 @@
             FormerWorker { worker: former, draining, successor }
         });
         leader.crashes.note_report(place, &worker, former);
-        if let Some(earlier) = before.filter(|earlier| earlier.executor != executor) {
+        let own = |earlier: &WorkerIncarnation| {
+            earlier.executor != executor && leader.sessions.get(&earlier.executor) == Some(&session)
+        };
+        if let Some(earlier) = before.filter(own) {
             leader.sessions.remove(&earlier.executor);
             leader.workers.shift_remove(&earlier.executor);
         }
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -262,6 +262,18 @@
     assert_eq!(harness.leased.as_deref(), Some("e1@100"));
 }
 
+// An agent whose executor was replaced took the worker of another stream with it, which had the id
+// of the first executor by then: its tasks were not ordered until the agent reported again.
+#[test]
+fn a_stream_that_moves_to_another_executor_leaves_the_worker_of_another_stream() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.connect_worker(2, "e1", 100);
+    harness.connect_worker(1, "e2 at b", 200);
+    harness.send(2, LinkMessage::Ping { sequence: 1 });
+    assert_eq!(harness.leased.as_deref(), Some("e1@100"));
+}
+
 #[test]
 fn of_two_waiting_jobs_the_one_with_less_work_left_comes_first() {
     let mut harness = ControlHarness::start();
