Play the loss of an end with a leader and an agent, and log it

The harness of a control process now hands out what it sends, so that a test can connect a real agent. The test lets the last messages of a stream arrive after those of the next one, ends a run in the moment in which no stream represents the worker, and describes the executor anew.

The leader drops ends that arrive on a stream which doesn't represent their worker; that now leaves a line in the log.

--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -230,6 +230,9 @@
         ends: Vec<EndReport>,
     ) {
         if !self.is_agent_stream(session, worker) {
+            let reason = format!("{} ends of {worker}, which it does not represent", ends.len());
+            let from = format!("stream {}", session.0);
+            self.record(FlowEvent::MessageRefused { from, reason });
             return;
         }
         self.note_certain_starts(worker, &ends);
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -11,6 +11,7 @@
 mod pending;
 mod run_times;
 mod shrinking;
+mod streams;
 mod support;
 
 use {
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -108,6 +108,8 @@
     syncs_paused: bool,
     unsynced: Vec<PersistBatch>,
     starts: Vec<String>,
+    /// The messages that nobody has taken, with their streams.
+    sent: Vec<(u64, LinkMessage)>,
     shrinkages: Vec<String>,
     blocked: Vec<String>,
     /// The tasks for which capacity was reserved, and the forecasts in milliseconds.
@@ -138,6 +140,7 @@
             syncs_paused: false,
             unsynced: Vec::new(),
             starts: Vec::new(),
+            sent: Vec::new(),
             shrinkages: Vec::new(),
             reservations: Vec::new(),
             blocked: Vec::new(),
@@ -231,6 +234,9 @@
     }
 
     fn record(&mut self, effect: ControlEffect) {
+        if let ControlEffect::Send { session, message } = &effect {
+            self.sent.push((session.0, message.clone()));
+        }
         match effect {
             ControlEffect::Send { message: LinkMessage::Start(order), .. } => {
                 self.starts.push(format!("{} run {} on {}", order.task, order.run, order.worker));
@@ -604,6 +610,15 @@
         }
     }
 
+    /// Takes the messages that were sent on a stream.
+    pub fn take_sent(&mut self, session: u64) -> Vec<LinkMessage> {
+        let (taken, left) =
+            std::mem::take(&mut self.sent).into_iter().partition(|(at, _)| *at == session);
+        self.sent = left;
+        let taken: Vec<(u64, LinkMessage)> = taken;
+        taken.into_iter().map(|(_, message)| message).collect()
+    }
+
     pub fn starts(&self) -> &[String] {
         &self.starts
     }
