--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -32,6 +32,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(800);
 /// The same interval while the agent watches latencies, from which control learns.
 const WATCHING_INTERVAL: Duration = Duration::from_millis(350);
+/// Time after which the agent reports ends again for which it has no acknowledgement: the leader may
+/// have dropped them, because it did not know the agent's stream.
+const ENDS_REPEAT: Duration = Duration::from_millis(1000);
 /// Bits of a fencing token that hold the millisecond at which an incarnation began: enough until
 /// 2039, and few enough for 4,096 terms in the integers that every JSON reader accepts.
 const INCARNATION_BITS: u32 = 41;
@@ -58,12 +61,23 @@
     recorded: u64,
     /// Ends that control has not recorded.
     ends: BTreeMap<u64, EndReport>,
+    /// The time at which the agent last reported these ends.
+    ends_reported: Duration,
     listed_runs: Vec<RunReport>,
     poll_sent: Option<Duration>,
     next_poll: Duration,
     last_report: Duration,
 }
 
+/// An executor that has ended, as another incarnation has answered or described itself.
+#[derive(Debug)]
+struct FormerExecutor {
+    worker: WorkerIncarnation,
+    /// The time at which control may consider the runs of the executor ended, if nothing has
+    /// described itself by then.
+    expires_at: Duration,
+}
+
 /// The agent of one executor.
 #[derive(Debug)]
 pub struct AgentNode {
@@ -80,8 +94,8 @@
     /// The ping whose answer shows that the leader knows the executor's capacity, which has shrunk.
     unconfirmed_shrink: Option<u64>,
     executor: Option<ExecutorState>,
-    /// The last known incarnation, while the executor has not described the next one.
-    former_incarnation: Option<WorkerIncarnation>,
+    /// The last known executor, while the next one has not described itself.
+    former: Option<FormerExecutor>,
     runs: RunTable,
     throttle: BestEffortThrottle,
     effects: Vec<AgentEffect>,
@@ -101,7 +115,7 @@
             next_ping: now,
             unconfirmed_shrink: None,
             executor: None,
-            former_incarnation: None,
+            former: None,
             runs: RunTable::default(),
             throttle: BestEffortThrottle::default(),
             effects: Vec::new(),
@@ -139,6 +153,8 @@
             self.ping();
         }
         self.check_silence();
+        self.check_former();
+        self.repeat_ends();
         self.repeat_orders();
         self.poll_executor();
     }
@@ -203,9 +219,8 @@
             return;
         }
         let report = executor.report.clone();
-        let (worker, ends) = (report.worker.clone(), executor.ends.values().cloned().collect());
         self.send_description(report);
-        self.send_ends(worker, ends);
+        self.report_ends();
         self.report_runs();
     }
 
@@ -220,6 +235,27 @@
         }
     }
 
+    /// Reports all ends that control has not recorded: it acknowledges the highest number of a report,
+    /// and may have dropped an earlier one.
+    fn report_ends(&mut self) {
+        let now = self.now;
+        let Some(executor) = &mut self.executor else { return };
+        executor.ends_reported = now;
+        let ends = executor.ends.values().cloned().collect();
+        let worker = executor.report.worker.clone();
+        self.send_ends(worker, ends);
+    }
+
+    fn repeat_ends(&mut self) {
+        let now = self.now;
+        let due = self.executor.as_ref().is_some_and(|executor| {
+            executor.reached && now.saturating_sub(executor.ends_reported) >= ENDS_REPEAT
+        });
+        if due {
+            self.report_ends();
+        }
+    }
+
     /// Lists every run that is on the executor or about to start.
     fn report_runs(&mut self) {
         let now = self.now;
@@ -250,7 +286,8 @@
                 return;
             }
             Some((incarnation, _)) => {
-                self.former_incarnation = Some(incarnation.clone());
+                let worker = incarnation.clone();
+                self.former = Some(FormerExecutor { worker, expires_at: self.now });
                 self.report_ended_runs();
             }
             None => {}
@@ -268,6 +305,7 @@
             expires_at: polling::expiry_of(self.now, self.now + self.settings.lease),
             recorded: 0,
             ends: BTreeMap::new(),
+            ends_reported: self.now,
             listed_runs: Vec::new(),
             poll_sent: None,
             next_poll: self.now,
@@ -280,7 +318,7 @@
     /// control settles its runs by the lists of the new incarnation, which may have carried out an
     /// order for the former one. Under another id that is not possible.
     fn report_former_ended(&mut self, worker: &WorkerIncarnation) {
-        let former = self.former_incarnation.take();
+        let former = self.former.take().map(|former| former.worker);
         if let Some(worker) = former.filter(|former| former.executor != worker.executor) {
             self.send(LinkMessage::WorkerEnded { worker });
         }
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -16,13 +16,13 @@
     },
     crate::{
         event::FlowEvent,
-        job::{RunNumber, TaskKey, WorkerIncarnation},
+        job::{RunNumber, StepKey, TaskKey, WorkerIncarnation},
         message::{CallerAnswer, LinkMessage},
         plan::{
             AdmissionTable, DurationTable, InterferenceTable, Placement, PlacementPlanner,
             SuspectTable, WorkerTable,
         },
-        state::{FlowCommand, FlowState},
+        state::{EndKind, FlowCommand, FlowState},
     },
     base::{PeerAddress, ReplicaId, ReplyTicket},
     std::{
@@ -37,6 +37,8 @@
 pub(super) struct PendingBatch {
     pub(super) commands: Vec<FlowCommand>,
     pub(super) deferred: Vec<ControlEffect>,
+    /// The runs that the commands count as failed. The members of a gang share theirs.
+    pub(super) failed_runs: BTreeSet<(StepKey, RunNumber)>,
 }
 
 impl PendingBatch {
@@ -164,6 +166,18 @@
             .is_some_and(|view| view.report.drain_left_ms.is_none())
     }
 
+    /// Forgets what is known of a run that has ended, unless the task has a later run. Returns
+    /// whether anything was.
+    pub(super) fn forget_run(&mut self, task: &TaskKey, run: RunNumber, end: EndKind) -> bool {
+        if self.speculative.task(task).is_some_and(|record| record.run != run) {
+            return false;
+        }
+        self.suspects.forget_run(task, end == EndKind::Done);
+        self.stopping.remove(task);
+        let (ordered, progress) = (self.ordered.remove(task), self.progress.remove(task));
+        ordered.is_some() || progress.is_some()
+    }
+
     /// Returns the placements on an incarnation.
     pub(super) fn placements_on(&self, worker: &WorkerIncarnation) -> Vec<Placement> {
         let placed = self.speculative.placed_tasks(worker);
@@ -202,7 +216,7 @@
             counted_until: self.now,
             unproposed_ms: 0,
             speculative,
-            pending: PendingBatch { commands, deferred: Vec::new() },
+            pending: PendingBatch { commands, ..PendingBatch::default() },
             in_flight: BTreeMap::new(),
             replan: true,
             planner: PlacementPlanner::new(self.settings.look_ahead),
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod durations;
 mod endings;
 mod failures;
+mod gangs;
 mod interference;
 mod leader;
 mod members;
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -29,7 +29,7 @@
         if leader.pending.commands.is_empty() && !leader.replan && !due {
             return;
         }
-        let PendingBatch { mut commands, mut deferred } = std::mem::take(&mut leader.pending);
+        let PendingBatch { mut commands, mut deferred, .. } = std::mem::take(&mut leader.pending);
         let elapsed_ms = now.saturating_sub(leader.counted_until).as_millis() as u64;
         leader.counted_until += Duration::from_millis(elapsed_ms);
         leader.unproposed_ms += elapsed_ms;
@@ -65,11 +65,13 @@
         for job in ended {
             self.finish_job(job, &commands, &mut deferred);
         }
+        let Some(leader) = &mut self.leader else { return };
         if commands.is_empty() {
-            self.effects.append(&mut deferred);
+            // An end that is reported again may be in an entry that is not committed yet.
+            let last = leader.in_flight.values_mut().next_back();
+            last.unwrap_or(&mut self.effects).append(&mut deferred);
             return;
         }
-        let Some(leader) = &mut self.leader else { return };
         let elapsed_ms = std::mem::take(&mut leader.unproposed_ms);
         let data = CommandBatch { elapsed_ms, commands }.to_bytes();
         let ticket = self.next_ticket();
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -10,7 +10,7 @@
         event::{FlowEvent, LossReason, StopReason},
         job::{RunNumber, TaskKey, WorkerIncarnation},
         message::{EndReport, LinkMessage, RunReport, WorkerReport},
-        plan::{Placement, WorkerView},
+        plan::{FailureHistory, Placement, WorkerView},
         state::{EndKind, FlowCommand, TaskPhase},
     },
     std::{collections::BTreeSet, sync::Arc, time::Duration},
@@ -44,7 +44,10 @@
             FormerWorker { worker: former, draining, successor }
         });
         leader.crashes.note_report(place, &worker, former);
-        if let Some(earlier) = before.filter(|earlier| earlier.executor != executor) {
+        let own = |earlier: &WorkerIncarnation| {
+            earlier.executor != executor && leader.sessions.get(&earlier.executor) == Some(&session)
+        };
+        if let Some(earlier) = before.filter(own) {
             leader.sessions.remove(&earlier.executor);
             leader.workers.shift_remove(&earlier.executor);
         }
@@ -227,6 +230,9 @@
         ends: Vec<EndReport>,
     ) {
         if !self.is_agent_stream(session, worker) {
+            let reason = format!("{} ends of {worker}, which it does not represent", ends.len());
+            let from = format!("stream {}", session.0);
+            self.record(FlowEvent::MessageRefused { from, reason });
             return;
         }
         self.note_certain_starts(worker, &ends);
@@ -235,7 +241,7 @@
         for EndReport { task, run, end, checkpoint, .. } in ends {
             let placed = self.placed_incarnation(worker, &task, run);
             if self.is_first_report(&placed, task, run) {
-                self.record_health(worker, task, end);
+                self.record_health(worker, task, run, end);
                 self.note_finished_work(&task, run, end);
             }
             self.end_run(&placed, task, run, end, checkpoint);
@@ -271,15 +277,26 @@
         current && !leader.pending.ends(&task, run)
     }
 
-    fn record_health(&mut self, worker: &WorkerIncarnation, task: TaskKey, end: EndKind) {
+    fn record_health(
+        &mut self,
+        worker: &WorkerIncarnation,
+        task: TaskKey,
+        run: RunNumber,
+        end: EndKind,
+    ) {
         let now = self.now;
         let Some(leader) = &mut self.leader else { return };
-        let failed_elsewhere = leader.speculative.task(&task).is_some_and(|task| task.failures > 0);
+        let failures = leader.speculative.task(&task).map_or(0, |record| record.failures);
+        let history = match failures {
+            _ if leader.is_failure_counted(&task, run) => FailureHistory::SameRun,
+            0 => FailureHistory::First,
+            _ => FailureHistory::Repeated,
+        };
         let Some(view) = leader.workers.get_mut(&worker.executor) else { return };
         let before = view.is_suspect(now);
         match end {
             EndKind::Done => view.record_completion(),
-            EndKind::Failed => view.record_failure(now, task, failed_elsewhere),
+            EndKind::Failed => view.record_failure(now, task, history),
             EndKind::Refused => view.record_refusal(now),
             EndKind::Stopped | EndKind::Expired | EndKind::GangBroken | EndKind::GangIncomplete => {
             }
@@ -289,7 +306,8 @@
         }
     }
 
-    /// Proposes the end of a run, with its newest known checkpoint.
+    /// Proposes the end of a run, with its newest known checkpoint, unless the log or a proposal has
+    /// ended the run already: agents repeat ends, and one end stands for a whole gang that is done.
     pub(super) fn end_run(
         &mut self,
         worker: &WorkerIncarnation,
@@ -298,21 +316,30 @@
         end: EndKind,
         checkpoint: String,
     ) {
+        let first = self.is_first_report(worker, task, run);
         self.learn_end(worker, &task, run, end);
         let now = self.now;
         let Some(leader) = &mut self.leader else { return };
         leader.endings.note_end(&leader.speculative, worker, (task, run, end), now);
         let progress = leader.progress.get(&task).filter(|progress| progress.run == run);
         let known = progress.map(|progress| progress.checkpoint.clone()).unwrap_or_default();
-        let checkpoint = if checkpoint.is_empty() { known } else { checkpoint };
-        leader.progress.remove(&task);
-        leader.suspects.forget_run(&task, end == EndKind::Done);
-        leader.ordered.remove(&task);
-        leader.stopping.remove(&task);
+        let watched = leader.forget_run(&task, run, end);
         let worker = worker.clone();
-        let event = FlowEvent::RunEnded { task, run, worker: worker.clone(), end };
-        let command = FlowCommand::End { task, run, worker: worker.clone(), end, checkpoint };
-        self.propose(command, vec![ControlEffect::Record(event)]);
+        if first || watched {
+            let event = FlowEvent::RunEnded { task, run, worker: worker.clone(), end };
+            leader.pending.deferred.push(ControlEffect::Record(event));
+        }
+        if !first {
+            return;
+        }
+        let checkpoint = if checkpoint.is_empty() { known } else { checkpoint };
+        let recorded = self.end_to_record(&task, run, end);
+        let command =
+            FlowCommand::End { task, run, worker: worker.clone(), end: recorded, checkpoint };
+        self.propose(command, Vec::new());
+        if recorded == EndKind::Failed {
+            self.note_failed_run(&worker, task, run);
+        }
         if end != EndKind::Done {
             self.record_owed(&worker, task);
         }
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -42,7 +42,7 @@
     reservations::reserved_on,
     suspects::SuspectTable,
     wait_cause::{waiting_tasks, WaitingTask},
-    worker::{WorkerTable, WorkerView},
+    worker::{FailureHistory, WorkerTable, WorkerView},
 };
 
 use {
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -27,6 +27,8 @@
     calls: Vec<String>,
     sent: Vec<String>,
     introductions: usize,
+    /// Whether the last description said that the executor answers.
+    described_as_responsive: bool,
 }
 
 fn incarnation() -> WorkerIncarnation {
@@ -54,8 +56,18 @@
         let node =
             AgentNode::new(AgentSettings { lease: LEASE, executor_address: Arc::from("a1") }, now);
         let (polls, deadlines, fences, calls, sent) = Default::default();
-        let mut harness =
-            Self { node, now, polls, deadlines, fences, calls, sent, introductions: 0 };
+        let (introductions, described_as_responsive) = (0, false);
+        let mut harness = Self {
+            node,
+            now,
+            polls,
+            deadlines,
+            fences,
+            calls,
+            sent,
+            introductions,
+            described_as_responsive,
+        };
         harness.report_heartbeat(1, None);
         harness.connect_leader(1);
         harness.step(AgentEvent::Tick);
@@ -90,7 +102,10 @@
                 AgentEffect::Send(LinkMessage::Ping { sequence }) => {
                     self.sent.push(format!("ping {sequence}"));
                 }
-                AgentEffect::Send(LinkMessage::Worker { .. }) => self.introductions += 1,
+                AgentEffect::Send(LinkMessage::Worker { report, .. }) => {
+                    self.introductions += 1;
+                    self.described_as_responsive = report.responsive;
+                }
                 AgentEffect::Reconnect => self.sent.push("reconnect".to_owned()),
                 AgentEffect::Send(_) | AgentEffect::Record(_) => {}
             }
@@ -174,8 +189,12 @@
     }
 
     fn leave_poll_unanswered(&mut self) {
+        self.fail_poll(CallFailure::Unanswered("no answer".to_owned()));
+    }
+
+    fn fail_poll(&mut self, failure: CallFailure) {
         let asked = self.polls.pop().expect("a poll is in progress");
-        let result = Err(CallFailure::Unanswered("no answer".to_owned()));
+        let result = Err(failure);
         self.step(AgentEvent::PollAnswered { worker: incarnation(), asked, result });
     }
 
@@ -207,6 +226,11 @@
         self.step(AgentEvent::StopAnswered { worker, task, run, stopped });
     }
 
+    fn acknowledge(&mut self, up_to: u64) {
+        let recorded = LinkMessage::EndsRecorded { worker: incarnation(), up_to };
+        self.step(AgentEvent::LeaderMessage(recorded));
+    }
+
     fn advance(&mut self, milliseconds: u64) {
         self.now += Duration::from_millis(milliseconds);
         self.step(AgentEvent::Tick);
@@ -276,6 +300,32 @@
     assert_eq!(harness.reports(), ["1 Done"]);
 }
 
+// An executor may have forgotten an end that the agent could not read. The agent went on listing the
+// run as about to start, and control kept it as placed.
+#[test]
+fn a_started_run_that_the_executor_lists_nowhere_is_settled_by_a_stop() {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.answer_start(1, StartVerdict::Started);
+    let answer_polls = |harness: &mut AgentHarness, running: &[RunReport], count: usize| {
+        for _ in 0..count {
+            harness.answer_poll(running, &[]);
+            harness.advance(500);
+            harness.renew();
+        }
+    };
+    answer_polls(&mut harness, &[run_report(1)], 8);
+    answer_polls(&mut harness, &[], 3);
+    answer_polls(&mut harness, &[run_report(1)], 1);
+    answer_polls(&mut harness, &[], 3);
+    assert_eq!(harness.calls, ["start 1"], "a list may be incomplete");
+    answer_polls(&mut harness, &[], 2);
+    assert_eq!(harness.calls, ["start 1", "stop 1"]);
+    harness.answer_stop(1, true);
+    answer_polls(&mut harness, &[], 3);
+    assert_eq!(harness.reports(), ["1 Stopped"]);
+}
+
 #[test]
 fn a_stop_is_repeated_until_confirmed_and_the_end_comes_from_the_lists() {
     let mut harness = AgentHarness::start();
@@ -300,13 +350,43 @@
     harness.step(AgentEvent::LeaderLost);
     harness.connect_leader(2);
     assert_eq!(harness.reports(), ["1 Done", "1 Done"]);
-    let noted = LinkMessage::EndsRecorded { worker: incarnation(), up_to: 1 };
-    harness.step(AgentEvent::LeaderMessage(noted));
+    harness.acknowledge(1);
     harness.step(AgentEvent::LeaderLost);
     harness.connect_leader(3);
     assert_eq!(harness.reports().len(), 2);
 }
 
+// A leader drops the ends that arrive while the stream represents no worker to it, and learned of
+// them only on the next stream: until then, the log kept their runs as placed.
+#[test]
+fn an_end_without_an_acknowledgement_is_reported_again_on_the_same_stream() {
+    let mut harness = AgentHarness::start();
+    harness.answer_poll(&[], &[end_report(1, 1, EndKind::Done)]);
+    harness.advance(900);
+    assert_eq!(harness.reports(), ["1 Done"]);
+    harness.advance(200);
+    assert_eq!(harness.reports(), ["1 Done", "1 Done"]);
+    harness.acknowledge(1);
+    harness.advance(2000);
+    assert_eq!(harness.reports().len(), 2);
+}
+
+// The leader acknowledges the highest number of a message. An end that it had dropped before was
+// acknowledged with the next one, and its run was placed for ever.
+#[test]
+fn a_report_of_ends_holds_all_that_are_not_acknowledged() {
+    let mut harness = AgentHarness::start();
+    let first = end_report(1, 1, EndKind::Done);
+    harness.answer_poll(&[], std::slice::from_ref(&first));
+    harness.advance(110);
+    harness.answer_poll(&[], &[first, end_report(2, 2, EndKind::Failed)]);
+    assert_eq!(harness.reports(), ["1 Done", "1 Done", "2 Failed"]);
+    harness.acknowledge(1);
+    harness.advance(110);
+    harness.answer_poll(&[], &[end_report(2, 2, EndKind::Failed), end_report(3, 3, EndKind::Done)]);
+    assert_eq!(harness.reports()[3..], ["2 Failed", "3 Done"]);
+}
+
 #[test]
 fn without_a_leader_the_executor_is_granted_no_more_than_the_lease() {
     let mut harness = AgentHarness::start();
@@ -410,6 +490,27 @@
     assert_eq!(harness.reports(), ["1 Refused", "1 Refused"]);
 }
 
+// The lease of an executor was renewed for ever after another incarnation had answered once at its
+// address and had not described itself: its runs never ended, and more were placed there.
+#[test]
+fn an_executor_whose_next_incarnation_never_describes_itself_is_given_up() {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.answer_start(1, StartVerdict::Failed(CallFailure::OtherIncarnation));
+    harness.fail_poll(CallFailure::OtherIncarnation);
+    assert!(!harness.described_as_responsive, "nothing more is placed there");
+    for _ in 0..30 {
+        harness.advance(100);
+        harness.renew();
+    }
+    assert!(harness.reports().is_empty(), "its lease may last");
+    for _ in 0..10 {
+        harness.advance(100);
+        harness.renew();
+    }
+    assert_eq!(harness.reports(), ["gone", "reconnect"]);
+}
+
 // Schedule seed 1068: the agent's previous process had granted a lease.
 #[test]
 fn a_new_process_waits_for_one_lease_before_it_gives_its_executor_up() {
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use {
     crate::fixtures::fleet_config,
     base::{EventReducer, PeerAddress, ReplicaId, ReplyTicket},
-    quorum::{GroupMember, PersistBatch, QuorumSettings, RecoveredLog},
+    quorum::{GroupMember, LogSnapshot, PersistBatch, QuorumSettings, RecoveredLog},
     std::{collections::BTreeSet, sync::Arc, time::Duration},
     workflow::{
         control::{
@@ -133,6 +133,8 @@
     syncs_paused: bool,
     unsynced: Vec<PersistBatch>,
     starts: Vec<String>,
+    /// The messages that nobody has taken, with their streams.
+    sent: Vec<(u64, LinkMessage)>,
     shrinkages: Vec<String>,
     blocked: Vec<String>,
     /// The lines about tasks that do not run.
@@ -140,6 +142,8 @@
     /// The tasks for which capacity was reserved, and the forecasts in milliseconds.
     pub reservations: Vec<(String, u64)>,
     stops: Vec<String>,
+    ends_logged: Vec<String>,
+    suspected_workers: Vec<String>,
     /// Tasks that were reported as ended.
     ended: BTreeSet<String>,
     answers: Vec<CallerAnswer>,
@@ -163,11 +167,14 @@
             syncs_paused: false,
             unsynced: Vec::new(),
             starts: Vec::new(),
+            sent: Vec::new(),
             shrinkages: Vec::new(),
             reservations: Vec::new(),
             blocked: Vec::new(),
             idle_lines: Vec::new(),
             stops: Vec::new(),
+            ends_logged: Vec::new(),
+            suspected_workers: Vec::new(),
             ended: BTreeSet::new(),
             answers: Vec::new(),
             recorded_up_to: 0,
@@ -190,12 +197,25 @@
         }
     }
 
-    fn node_from(disk: RecoveredLog, now: Duration) -> ControlNode {
-        let replica = ReplicaId(1);
+    /// Replaces the log by a snapshot of the applied state. All entries must be applied.
+    pub fn compact_log(&mut self) {
+        let Some(last) = self.disk.entries.last() else { return };
+        let (index, term) = (last.index, last.term);
+        let (members, retired) = (Self::founders(), Vec::new());
+        let data = self.node.applied().to_snapshot().into();
+        self.disk.snapshot = Some(LogSnapshot { index, term, members, retired, data });
+        self.disk.entries.clear();
+    }
+
+    fn founders() -> Vec<GroupMember> {
         let address = PeerAddress("127.0.0.1:1".parse().unwrap());
+        vec![GroupMember { replica: ReplicaId(1), address, voter: true }]
+    }
+
+    fn node_from(disk: RecoveredLog, now: Duration) -> ControlNode {
         let quorum = QuorumSettings {
-            replica,
-            founders: vec![GroupMember { replica, address, voter: true }],
+            replica: ReplicaId(1),
+            founders: Self::founders(),
             election_timeout: Duration::from_millis(600),
             heartbeat: Duration::from_millis(100),
             batch_bytes: 1 << 20,
@@ -242,6 +262,9 @@
     }
 
     fn record(&mut self, effect: ControlEffect) {
+        if let ControlEffect::Send { session, message } = &effect {
+            self.sent.push((session.0, message.clone()));
+        }
         match effect {
             ControlEffect::Send { message: LinkMessage::Start(order), .. } => {
                 self.starts.push(format!("{} run {} on {}", order.task, order.run, order.worker));
@@ -266,6 +289,12 @@
                 self.welcomes.push((session.0, ports));
             }
             ControlEffect::Answer { answer, .. } => self.operator.push(answer),
+            ControlEffect::Record(FlowEvent::RunEnded { task, run, end, .. }) => {
+                self.ends_logged.push(format!("{task} run {run} {end:?}"));
+            }
+            ControlEffect::Record(FlowEvent::WorkerSuspect { worker }) => {
+                self.suspected_workers.push(worker.to_string());
+            }
             ControlEffect::Record(FlowEvent::JobBlocked { job, data_centre, .. }) => {
                 self.blocked.push(format!("{job} by {data_centre}"));
             }
@@ -533,6 +562,20 @@
         WorkerIncarnation { executor: Arc::from(executor), started_ms: born.parse().unwrap() }
     }
 
+    /// Reports ends in one message: each with its number, task, run and kind.
+    pub fn report_ends(&mut self, session: u64, worker: &str, ends: &[(u64, &str, u32, EndKind)]) {
+        let report = |(number, task, run, end): &(u64, &str, u32, EndKind)| EndReport {
+            number: *number,
+            task: task.parse().unwrap(),
+            run: RunNumber(*run),
+            end: *end,
+            checkpoint: String::new(),
+        };
+        let worker = Self::parse_incarnation(worker);
+        let ends = ends.iter().map(report).collect();
+        self.send(session, LinkMessage::Ends { worker, ends });
+    }
+
     pub fn report_end(
         &mut self,
         session: u64,
@@ -605,6 +648,15 @@
         }
     }
 
+    /// Takes the messages that were sent on a stream.
+    pub fn take_sent(&mut self, session: u64) -> Vec<LinkMessage> {
+        let (taken, left) =
+            std::mem::take(&mut self.sent).into_iter().partition(|(at, _)| *at == session);
+        self.sent = left;
+        let taken: Vec<(u64, LinkMessage)> = taken;
+        taken.into_iter().map(|(_, message)| message).collect()
+    }
+
     pub fn starts(&self) -> &[String] {
         &self.starts
     }
@@ -625,6 +677,16 @@
         &self.stops
     }
 
+    /// Returns the logged ends of runs.
+    pub fn ends_logged(&self) -> &[String] {
+        &self.ends_logged
+    }
+
+    /// Returns the workers that were logged as failing too often.
+    pub fn suspected_workers(&self) -> &[String] {
+        &self.suspected_workers
+    }
+
     pub fn recorded_up_to(&self) -> u64 {
         self.recorded_up_to
     }
