Fail no job for crashes that their addresses explain

Callers saw an accepted job shown as failed although none of its tasks had failed. Two crashes of executors around its starts, the last with no other suspect, used up the attempts that it had left.

Cause: every crash around a run that had just begun was held against the task, wherever it was. Executors that go down and up by turns thus made suspects of the jobs that had begun there. A trial then preferred the executor with the fewest tasks, one that had just come back from a crash and was about to crash again, and that second crash was the proof. Starts of the task that had settled between two crashes changed nothing.

Crashes are now kept with their addresses and suspects. A task that settles or completes is cleared of the crashes before, and what is left without a suspect speaks against the address, as do crashes with nothing running. A crash proves little at such an address and nothing where executors crash again and again, and trials avoid these addresses. The log counts a crash at an address with crashes of its own as unclear. Its format stays.

a_crash_that_is_confirmed_late_counts_when_the_next_run_ends told that both crashes count by the job's failure after the second one. That limit is what failed innocent jobs. It now tells it by the count in the run number, and by the failure after the third crash.

--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -21,9 +21,6 @@
     },
 };
 
-/// The number of executors that have crashed under a task when it is given up. The last of them must
-/// have had no other suspect.
-const CRASH_LIMIT: u32 = 2;
 /// Time that the runs of an executor that has ended wait for the report of the next one, which
 /// tells whether it has crashed.
 const VERDICT_TIME: Duration = Duration::from_secs(2);
@@ -105,6 +102,15 @@
         self.starting.iter().chain(&self.unclear).copied().collect()
     }
 
+    /// Forgets the suspects that have settled elsewhere since: their starts crash nothing.
+    fn drop_settled_since(&mut self, suspects: &SuspectTable, state: &FlowState) {
+        let settled = |task: &TaskKey| {
+            state.task(task).is_some_and(|record| suspects.is_settled(task, record.run))
+        };
+        self.starting.retain(|task| !settled(task));
+        self.unclear.retain(|task| !settled(task));
+    }
+
     fn runs(&self) -> usize {
         self.starting.len() + self.unclear.len() + self.settled.len()
     }
@@ -186,6 +192,15 @@
         self.lost.shift_remove_index(found).map(|(_, lost)| lost)
     }
 
+    /// Removes what preceded an executor, and returns its address if it had crashed.
+    fn take_idle_crash(&mut self, present: &WorkerIncarnation) -> Option<Arc<str>> {
+        let mut formers = self.formers.iter();
+        let found = formers.position(|(_, former)| former.successor == *present)?;
+        let (address, former) = self.formers.shift_remove_index(found)?;
+        let crashed = !former.draining && former.worker.started_ms < present.started_ms;
+        crashed.then_some(address)
+    }
+
     /// Forgets the tasks of a job that has ended.
     pub(super) fn forget_job(&mut self, job: JobKey) {
         self.owed.retain(|task, _| task.job != job);
@@ -236,7 +251,7 @@
         let open = runs.iter().filter(|placed| !leader.pending.ends(&placed.task, placed.run));
         let runs: Vec<(TaskKey, RunNumber)> =
             open.map(|placed| (placed.task, placed.run)).collect();
-        if !seen || runs.is_empty() {
+        if !seen {
             return;
         }
         self.note_lost(worker, &runs, |lost| &mut lost.unclear);
@@ -257,6 +272,11 @@
         else {
             return;
         };
+        // Without runs, a record only tells that the executor was there: an earlier verdict that is
+        // still pending stays.
+        if !runs.is_empty() || !leader.crashes.lost.contains_key(&address) {
+            leader.crashes.lost_mut(&address, worker);
+        }
         for (task, run) in runs {
             let lost = leader.crashes.lost_mut(&address, worker);
             if leader.suspects.is_settled(task, *run) {
@@ -287,7 +307,14 @@
     /// listed its runs. An executor that answers again had not crashed.
     pub(super) fn confirm_crash(&mut self, present: &WorkerIncarnation) {
         let Some(leader) = &mut self.leader else { return };
-        let Some(lost) = leader.crashes.take_preceding(present) else { return };
+        let idle = leader.crashes.take_idle_crash(present);
+        let Some(lost) = leader.crashes.take_preceding(present) else {
+            // Nothing ran there, so that the crash speaks against the address.
+            if let Some(address) = idle {
+                leader.suspects.ledger.note_crash(&address, Vec::new(), self.now);
+            }
+            return;
+        };
         if !lost.suspects().is_empty() {
             // Only one record can have this text, so that settled records do not accumulate.
             self.record_verdict(&lost.address, SETTLED_VERDICT.to_owned());
@@ -305,38 +332,49 @@
         }
     }
 
-    /// Counts a crash for the tasks that are blamed, and gives up one of them if it is certain.
-    fn count_crash(&mut self, lost: LostWorker) {
+    /// Counts a crash for the tasks that are blamed, and gives up one of them if it is proven to
+    /// crash executors.
+    fn count_crash(&mut self, mut lost: LostWorker) {
+        let now = self.now;
         let Some(leader) = &mut self.leader else { return };
         let runs = lost.runs();
+        lost.drop_settled_since(&leader.suspects, &leader.speculative);
         let suspects = match lost.suspects() {
             suspects if suspects.is_empty() => leader.suspects.blame_settled(&lost.settled),
             suspects => suspects,
         };
         let jobs: BTreeSet<JobKey> = suspects.iter().map(|task| task.job).collect();
         let one_job = jobs.len() == 1;
-        for job in jobs {
-            leader.suspects.note_crash_at(job, &lost.address);
-        }
         // A start that may not have begun proves something only if its job was on trial.
         let tried = |task: &TaskKey| {
             leader.speculative.task(task).is_some_and(|task| task.run.suspicions() > 0)
         };
-        let (certain, unclear): (Vec<TaskKey>, Vec<TaskKey>) = suspects.iter().partition(|task| {
+        let is_certain = |task: &TaskKey| {
             lost.starting.contains(task) || one_job && lost.unclear.contains(task) && tried(task)
-        });
+        };
+        let blamed: Vec<(TaskKey, bool)> =
+            suspects.iter().map(|task| (*task, is_certain(task))).collect();
+        let earlier = |task: &TaskKey| leader.speculative.task(task).map(|task| task.run.crashes());
+        for task in &suspects {
+            leader.suspects.ledger.note_earlier(*task, earlier(task).unwrap_or(0));
+        }
+        // The log counts only crashes that prove something to the next leader.
+        let unreliable = leader.suspects.ledger.is_unreliable(&lost.address, now);
+        leader.suspects.ledger.note_crash(&lost.address, blamed.clone(), now);
         let worker = lost.worker;
         self.record(FlowEvent::ExecutorCrashed { worker: worker.clone(), runs, suspects, one_job });
-        for task in unclear {
-            self.count_crash_of(&worker, task, OwedCount { unclear: 1, ..OwedCount::default() });
-        }
         let mut worst = None;
-        for task in certain {
-            let count = OwedCount { crashes: 1, ..OwedCount::default() };
+        for (task, certain) in blamed {
+            let mut count = OwedCount::default();
+            let counted =
+                if certain && !unreliable { &mut count.crashes } else { &mut count.unclear };
+            *counted = 1;
             let crashes = self.count_crash_of(&worker, task, count);
-            worst = worst.max(crashes.map(|crashes| (crashes, task)));
+            let Some(leader) = &self.leader else { return };
+            if certain && one_job && leader.suspects.ledger.is_proven(&task, now) {
+                worst = worst.max(crashes.map(|crashes| (crashes, task)));
+            }
         }
-        let worst = worst.filter(|(crashes, _)| one_job && *crashes >= CRASH_LIMIT);
         if let Some((crashes, task)) = worst {
             self.give_up(&worker, task, crashes);
         }
@@ -359,23 +397,27 @@
         owed.crashes += count.crashes;
         owed.unclear += count.unclear;
         let crashes = run.crashes() + owed.crashes;
-        let pause = if lasting { SuspectTable::lasting_pause(crashes) } else { Duration::ZERO };
+        let suspicions = run.suspicions() + owed.crashes + owed.unclear;
+        let pause = if lasting {
+            SuspectTable::lasting_pause(crashes)
+        } else {
+            SuspectTable::unproven_pause(suspicions)
+        };
         leader.suspects.suspect(task, now, now + pause);
         self.record_owed(worker, task);
         Some(crashes)
     }
 
     /// Fails a job because of one of its tasks. Lasting tasks have no limit of attempts: they only
-    /// wait longer after each crash. If all crashes were at one address, the executor there may be
-    /// at fault.
+    /// wait longer after each crash.
     fn give_up(&mut self, worker: &WorkerIncarnation, task: TaskKey, crashes: u32) {
         let Some(leader) = &mut self.leader else { return };
         let Some(job) = leader.speculative.job(task.job) else { return };
         let lasting = job.step_spec(&task).is_none_or(|spec| spec.lasting);
-        let one_executor = leader.suspects.crashed_at_one_address(task.job);
-        if lasting || one_executor || job.outcome.is_some() {
+        if lasting || job.outcome.is_some() {
             return;
         }
+        leader.suspects.ledger.convict(&task);
         leader.crashes.owed.entry(task).or_default().given_up = true;
         self.record(FlowEvent::TaskGivenUp { task, crashes, worker: worker.clone() });
         self.record_owed(worker, task);
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -13,6 +13,7 @@
 mod affinity;
 mod candidates;
 mod claims;
+mod crash_ledger;
 mod durations;
 mod forecast;
 mod interference;
--- a/crates/workflow/src/plan/suspects.rs
+++ b/crates/workflow/src/plan/suspects.rs
@@ -7,13 +7,13 @@
 //! `docs/decisions/crashes.md` has the design.
 
 use {
+    super::crash_ledger::CrashLedger,
     crate::{
         job::{JobKey, RunNumber, TaskKey},
         state::{FlowState, TaskPhase},
     },
     std::{
         collections::{BTreeMap, HashMap},
-        sync::Arc,
         time::Duration,
     },
 };
@@ -27,13 +27,18 @@
 const SETTLE_GROWTH_LIMIT: u32 = 4;
 /// Crashes without another suspect after which settled runs are blamed: one may have any cause.
 const BYSTANDER_CRASHES: u32 = 2;
-/// Addresses of crashes that are remembered for each job.
-const ADDRESSES_KEPT: usize = 4;
 /// Pause before a lasting task starts again after the second crash under it. Doubles with each
 /// further one.
 const LASTING_PAUSE: Duration = Duration::from_secs(1);
 /// Limit of the doublings of that pause.
 const LASTING_PAUSE_DOUBLINGS: u32 = 6;
+/// Crashes around any other task that have proven nothing and after which it waits for its next
+/// trial.
+const UNPROVEN_CRASHES: u32 = 5;
+/// Pause before that trial. Doubles with each further crash.
+const UNPROVEN_PAUSE: Duration = Duration::from_secs(4);
+/// Limit of the doublings of that pause.
+const UNPROVEN_PAUSE_DOUBLINGS: u32 = 2;
 
 /// The time from a run's placement, or its first report, to the last report that lists it at work.
 #[derive(Debug, Clone, Copy)]
@@ -59,8 +64,8 @@
     suspects: BTreeMap<TaskKey, SuspectRecord>,
     /// The number of crashes around tasks whose runs had settled, where no run had just begun.
     bystanders: BTreeMap<TaskKey, u32>,
-    /// The addresses at which executors have crashed around a job, the latest last.
-    addresses: BTreeMap<JobKey, Vec<Arc<str>>>,
+    /// Which executors have crashed where, and under which tasks.
+    pub ledger: CrashLedger,
 }
 
 impl SuspectTable {
@@ -83,7 +88,7 @@
     }
 
     /// Notes that an executor lists a run at work. A task whose run has settled is no longer
-    /// suspected.
+    /// suspected, and cleared of the crashes before.
     pub fn note_at_work(&mut self, task: TaskKey, run: RunNumber, now: Duration) {
         let age = self.ages.entry(task).or_insert(RunAge { run, first: now, last: now });
         if age.run != run {
@@ -92,6 +97,7 @@
         age.last = now;
         if self.suspects.contains_key(&task) && self.is_settled(&task, run) {
             self.suspects.remove(&task);
+            self.ledger.clear(task);
         }
     }
 
@@ -101,6 +107,7 @@
         if done {
             self.suspects.remove(task);
             self.bystanders.remove(task);
+            self.ledger.forget_task(task);
         }
     }
 
@@ -109,7 +116,7 @@
         self.suspects.retain(|task, _| task.job != job);
         self.bystanders.retain(|task, _| task.job != job);
         self.ages.retain(|task, _| task.job != job);
-        self.addresses.remove(&job);
+        self.ledger.forget_job(job);
     }
 
     /// Returns whether a run has been at work for so long that its start has crashed nothing.
@@ -142,6 +149,14 @@
         }
     }
 
+    /// Returns how long another task waits after a crash around it.
+    pub fn unproven_pause(suspicions: u32) -> Duration {
+        match suspicions.checked_sub(UNPROVEN_CRASHES) {
+            None => Duration::ZERO,
+            Some(doublings) => UNPROVEN_PAUSE * 2_u32.pow(doublings.min(UNPROVEN_PAUSE_DOUBLINGS)),
+        }
+    }
+
     /// Chooses the tasks to blame for a crash around settled runs only: those that an executor has
     /// crashed around before.
     pub fn blame_settled(&mut self, tasks: &[TaskKey]) -> Vec<TaskKey> {
@@ -156,26 +171,6 @@
         blamed
     }
 
-    /// Notes the address of an executor that has crashed around a job.
-    pub fn note_crash_at(&mut self, job: JobKey, address: &Arc<str>) {
-        let addresses = self.addresses.entry(job).or_default();
-        addresses.push(address.clone());
-        if addresses.len() > ADDRESSES_KEPT {
-            addresses.remove(0);
-        }
-    }
-
-    /// Returns whether an executor at an address has crashed around a job.
-    pub fn has_crashed_at(&self, job: JobKey, address: &str) -> bool {
-        self.addresses.get(&job).is_some_and(|all| all.iter().any(|other| &**other == address))
-    }
-
-    /// Returns whether several executors have crashed around a job, all at the same address.
-    pub fn crashed_at_one_address(&self, job: JobKey) -> bool {
-        let Some(addresses) = self.addresses.get(&job) else { return false };
-        addresses.len() > 1 && addresses.iter().all(|address| *address == addresses[0])
-    }
-
     /// Returns whether a task is suspected: it has not settled since an executor crashed under it.
     pub fn is_suspect(&self, task: &TaskKey) -> bool {
         self.suspects.contains_key(task)
--- a/crates/workflow/src/plan/trials.rs
+++ b/crates/workflow/src/plan/trials.rs
@@ -161,10 +161,11 @@
             let idle = reserved.is_empty();
             let lacks_room = fitting(worker, reserved, request.spec) == 0;
             let address = inputs.state.executor_address_of(executor);
-            let crashed = address.is_some_and(|at| inputs.suspects.has_crashed_at(job, at));
+            let crashes = address.map(|at| inputs.suspects.ledger.trial_rank(job, at, now));
+            let (against, others) = crashes.unwrap_or_default();
             let unsettled = trial.unsettled_on(worker, inputs);
             let (lasting, tasks) = (reserved.lasting_tasks(), reserved.tasks());
-            let rank = (crashed, lacks_room, unsettled, lasting, tasks, position);
+            let rank = (against, lacks_room, others, unsettled, lasting, tasks, position);
             (open && (idle || may_disturb)).then_some(rank)
         });
         let (.., position) = candidates.min()?;
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -108,12 +108,18 @@
     most_down: usize,
     /// The rounds until each crashed executor is back.
     down: Vec<u32>,
+    /// The number of addresses, from the first one, whose executors crash without a cause.
+    flapping: usize,
 }
 
 /// Time between two rounds.
 const ROUND_MS: u64 = 300;
 /// Rounds until a crashed executor is back.
 const ROUNDS_DOWN: u32 = 10;
+/// Rounds that a flapping executor stays up, on average.
+const ROUNDS_UP: usize = 5;
+/// Rounds until all jobs have ended beside flapping executors.
+const ROUNDS_BESIDE_FLAPPING: u32 = 150;
 /// Rounds that a run takes.
 const ROUNDS_OF_WORK: u64 = 4;
 
@@ -129,6 +135,7 @@
             crashes: 0,
             most_down: 0,
             down: vec![0; executors],
+            flapping: 0,
         };
         (0..executors).for_each(|at| fleet.connect(at));
         fleet
@@ -188,6 +195,10 @@
         self.harness.advance(ROUND_MS);
         self.carry_out_starts(deadly);
         for at in 0..self.born.len() {
+            let flaps = at < self.flapping && self.random.below(ROUNDS_UP) == 0;
+            if flaps && self.down[at] == 0 {
+                self.crash(at);
+            }
             if self.down[at] == 0 {
                 self.report(at);
             } else {
@@ -225,16 +236,23 @@
 /// Plays jobs of which the given ones have a task that crashes each executor which starts it.
 /// Returns the fleet after all jobs have ended.
 fn check_deadly_jobs(seed: u64, deadly_jobs: &[u64]) -> CrashingFleet {
+    check_deadly_jobs_beside(seed, deadly_jobs, 0)
+}
+
+fn check_deadly_jobs_beside(seed: u64, deadly_jobs: &[u64], flapping: usize) -> CrashingFleet {
     let deadly = |task: &str, _: usize| {
         let of_job = |key: &u64| task == format!("{key:016x}.0.0.0");
         deadly_jobs.iter().any(of_job)
     };
     let mut fleet = CrashingFleet::new(8, seed);
+    fleet.flapping = flapping;
     for key in 1..=24 {
         fleet.harness.submit(key, job(&[StepBuilder::tasks(4), StepBuilder::tasks(2).after(0)]));
         fleet.play_round(&deadly);
     }
-    for _ in 0..400 {
+    // An outcome is not kept for long while the log's clock advances.
+    let rounds = if flapping > 0 { ROUNDS_BESIDE_FLAPPING } else { 400 };
+    for _ in 0..rounds {
         fleet.play_round(&deadly);
     }
     for key in 1..=24 {
@@ -273,6 +291,13 @@
     }
 }
 
+#[test]
+fn flapping_executors_neither_fail_innocent_jobs_nor_hide_a_deadly_one() {
+    for seed in 80..100 {
+        check_deadly_jobs_beside(seed, &[5], 3);
+    }
+}
+
 #[test]
 fn an_address_where_every_executor_crashes_fails_no_job() {
     for seed in 60..65 {
@@ -290,6 +315,136 @@
     }
 }
 
+/// Executors of one service that crash and come back, each with an agent, for jobs of one task.
+struct FlappingFleet {
+    harness: ControlHarness,
+    born: Vec<u64>,
+}
+
+impl FlappingFleet {
+    fn new(executors: usize) -> Self {
+        let mut fleet = Self { harness: ControlHarness::start(), born: vec![100; executors] };
+        (0..executors).for_each(|at| fleet.connect(at));
+        fleet
+    }
+
+    fn worker(&self, at: usize) -> (String, u64) {
+        (format!("e{} at {at}", self.born[at]), self.born[at])
+    }
+
+    fn connect(&mut self, at: usize) {
+        let (name, born) = self.worker(at);
+        self.harness.connect_worker(at as u64 + 1, &name, born);
+    }
+
+    /// Crashes an executor and starts the next one at its address. The agent reports the starts that
+    /// the executor had confirmed.
+    fn crash(&mut self, at: usize, begun: &[(String, u32)]) {
+        let (name, born) = self.worker(at);
+        for (task, run) in begun {
+            let worker = format!("{name}@{born}");
+            self.harness.report_end(at as u64 + 1, &worker, 0, task, *run, EndKind::Expired);
+        }
+        self.born[at] += 1;
+        self.connect(at);
+    }
+
+    /// Returns the address, the task and the run of the last start.
+    fn last_start(&self) -> (usize, String, u32) {
+        let start = self.harness.starts().last().expect("a start");
+        let (task, rest) = start.split_once(" run ").unwrap();
+        let (run, worker) = rest.split_once(" on ").unwrap();
+        let at = (0..self.born.len()).find(|at| {
+            let (name, born) = self.worker(*at);
+            worker == format!("{name}@{born}")
+        });
+        (at.expect("a running executor"), task.to_owned(), run.parse().unwrap())
+    }
+
+    /// Crashes the executor on which a task was started last, with that start just begun.
+    fn crash_under_last_start(&mut self) -> usize {
+        let (at, task, run) = self.last_start();
+        self.crash(at, &[(task, run)]);
+        self.wait(400);
+        at
+    }
+
+    /// Lists the last start at work until it has settled.
+    fn settle_last_start(&mut self) -> (usize, String, u32) {
+        let (at, task, run) = self.last_start();
+        let (name, born) = self.worker(at);
+        for _ in 0..20 {
+            self.harness.report_runs(at as u64 + 1, &format!("{name}@{born}"), &[(&task, run)]);
+            self.wait(200);
+        }
+        (at, task, run)
+    }
+
+    fn wait(&mut self, milliseconds: u64) {
+        for _ in 0..milliseconds / 200 {
+            self.harness.advance(200);
+            let sessions = 1..=self.born.len() as u64;
+            sessions.for_each(|at| self.harness.send(at, LinkMessage::Ping { sequence: 1 }));
+        }
+    }
+}
+
+// Issue 34: a job was shown as failed, and none of its tasks had failed.
+#[test]
+fn a_job_does_not_fail_because_two_flapping_executors_crash_around_it() {
+    let mut fleet = FlappingFleet::new(4);
+    fleet.harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    let first = fleet.crash_under_last_start();
+    let second = fleet.crash_under_last_start();
+    assert_ne!(first, second);
+    assert_eq!(fleet.harness.phase(0xa), "Running", "{:?}", fleet.harness.starts());
+}
+
+#[test]
+fn a_trial_does_not_begin_where_an_executor_has_crashed_with_nothing_on_it() {
+    let mut fleet = FlappingFleet::new(5);
+    (0..3).for_each(|at| fleet.crash(at, &[]));
+    for key in 1..=2 {
+        fleet.harness.submit(key, job(&[StepBuilder::tasks(1).cores(9).estimate(60_000)]));
+        let (at, ..) = fleet.settle_last_start();
+        assert!(at >= 3, "the sound executors are busy: {:?}", fleet.harness.starts());
+    }
+    fleet.harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    let first = fleet.crash_under_last_start();
+    let trial = fleet.harness.starts().iter().rfind(|start| start.starts_with("000000000000000a"));
+    let sound = if first == 3 { "on e100 at 4@100" } else { "on e100 at 3@100" };
+    assert!(trial.unwrap().ends_with(sound), "{:?}", fleet.harness.starts());
+}
+
+#[test]
+fn crashes_of_executors_that_crash_without_a_job_do_not_fail_it() {
+    let mut fleet = FlappingFleet::new(3);
+    (0..3).for_each(|at| fleet.crash(at, &[]));
+    fleet.harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    for crashes in 1..=4 {
+        fleet.crash_under_last_start();
+        let phase = fleet.harness.phase(0xa);
+        assert_eq!(phase, "Running", "{crashes} crashes: {:?}", fleet.harness.starts());
+    }
+    let last = fleet.harness.starts().last().unwrap();
+    assert!(last.contains(" run 4005 "), "each crash counts as unclear: {last}");
+}
+
+#[test]
+fn a_job_whose_task_settled_between_the_crashes_does_not_fail() {
+    let mut fleet = FlappingFleet::new(6);
+    fleet.harness.submit(0xa, job(&[StepBuilder::tasks(1).estimate(60_000)]));
+    for crashes in 1..=4 {
+        fleet.crash_under_last_start();
+        let phase = fleet.harness.phase(0xa);
+        assert_eq!(phase, "Running", "{crashes} crashes: {:?}", fleet.harness.starts());
+        let (at, task, run) = fleet.settle_last_start();
+        let (name, born) = fleet.worker(at);
+        let worker = format!("{name}@{born}");
+        fleet.harness.report_end(at as u64 + 1, &worker, crashes, &task, run, EndKind::Stopped);
+    }
+}
+
 #[test]
 fn nothing_starts_beside_a_job_on_trial() {
     let mut harness = ControlHarness::start();
@@ -362,7 +517,13 @@
     harness.connect_worker(1, "e2 at A", 200);
     harness.report_end(2, "e1 at B@100", 0, "000000000000000a.0.0.0", 2, EndKind::Expired);
     harness.send(2, LinkMessage::WorkerEnded { worker: worker("e1 at B") });
+    harness.connect_worker(3, "e1 at C", 100);
     harness.connect_worker(2, "e2 at B", 200);
+    harness.advance(100);
+    let started = "000000000000000a.0.0.0 run 2000003 on e1 at C@100".to_owned();
+    assert_eq!(harness.starts().last(), Some(&started), "both crashes count");
+    harness.report_end(3, "e1 at C@100", 0, "000000000000000a.0.0.0", 2_000_003, EndKind::Expired);
+    harness.connect_worker(3, "e2 at C", 200);
     assert_eq!(harness.phase(0xa), "Ended(Failed)", "{:?}", harness.starts());
 }
 
@@ -399,6 +560,22 @@
     assert_eq!(harness.starts().last(), Some(&last), "a settled verdict counts once");
 }
 
+#[test]
+fn a_pending_verdict_survives_the_end_of_the_next_executor() {
+    let mut harness = ControlHarness::start();
+    let ended = |name: &str, started_ms| LinkMessage::WorkerEnded {
+        worker: WorkerIncarnation { executor: Arc::from(name), started_ms },
+    };
+    harness.connect_worker(1, "e1 at A", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    harness.send(1, ended("e1 at A", 100));
+    harness.announce_incarnation(1, "e2 at A", 200);
+    harness.send(1, ended("e2 at A", 200));
+    harness.connect_worker(1, "e3 at A", 300);
+    harness.advance(100);
+    assert_eq!(harness.starts()[1..], ["000000000000000a.0.0.0 run 1002 on e3 at A@300"]);
+}
+
 // A task that has run again since must not be held or tried for an executor that never returns.
 #[test]
 fn an_old_verdict_suspects_no_task_that_was_placed_since() {
