Give a deadly task up at its third crash when one was shared

Cause: the first start of a suspected job may be beside others, so that its crash weighed as little as one at an address with crashes of its own, and three crashes weighed thirteen of the fifteen that a proof needs.

A crash beside other suspects now weighs four, and a proof needs fourteen: three crashes, one of them shared. Two shared ones and one alone still prove nothing, nor do four at addresses with one crash of their own.

--- a/crates/workflow/src/plan/crash_ledger.rs
+++ b/crates/workflow/src/plan/crash_ledger.rs
@@ -20,11 +20,13 @@
 const CRASHES_KEPT: usize = 1024;
 /// Weight of a crash under one job alone, at an address without crashes of its own.
 const WITNESSED_WEIGHT: u32 = 5;
-/// Weight of a crash under several jobs, of another one at the same address, and of one where an
-/// executor has crashed for another reason once.
+/// Weight of a crash under several jobs.
+const SHARED_WEIGHT: u32 = 4;
+/// Weight of another crash at the same address, and of one where an executor has crashed for another
+/// reason once.
 const WEAK_WEIGHT: u32 = 3;
-/// Weight of the crashes that prove that a task crashes its executors.
-const PROOF_WEIGHT: u32 = 3 * WITNESSED_WEIGHT;
+/// Weight of the crashes that prove that a task crashes its executors: of three, one of them shared.
+const PROOF_WEIGHT: u32 = 2 * WITNESSED_WEIGHT + SHARED_WEIGHT;
 /// The number of addresses that a proof needs, since one may be at fault itself.
 const PROOF_ADDRESSES: usize = 2;
 
@@ -127,8 +129,11 @@
                 continue;
             }
             let first = addresses.insert(&*record.address);
-            let witnessed = first && own == 0 && record.suspects_only(task.job);
-            weight += if witnessed { WITNESSED_WEIGHT } else { WEAK_WEIGHT };
+            weight += match first && own == 0 {
+                true if record.suspects_only(task.job) => WITNESSED_WEIGHT,
+                true => SHARED_WEIGHT,
+                false => WEAK_WEIGHT,
+            };
         }
         weight >= PROOF_WEIGHT && addresses.len() + earlier as usize >= PROOF_ADDRESSES
     }
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -351,7 +351,13 @@
 
     /// Returns the address, the task and the run of the last start.
     fn last_start(&self) -> (usize, String, u32) {
-        let start = self.harness.starts().last().expect("a start");
+        self.last_start_of("")
+    }
+
+    /// Returns the same of the last start of a job.
+    fn last_start_of(&self, job: &str) -> (usize, String, u32) {
+        let start = self.harness.starts().iter().rfind(|start| start.starts_with(job));
+        let start = start.expect("a start");
         let (task, rest) = start.split_once(" run ").unwrap();
         let (run, worker) = rest.split_once(" on ").unwrap();
         let at = (0..self.born.len()).find(|at| {
@@ -389,6 +395,27 @@
     }
 }
 
+// BUDGET on the shrunk day: three counted crashes, the first beside other jobs, were no proof.
+#[test]
+fn a_deadly_job_is_given_up_at_its_third_crash_although_it_first_crashed_beside_another() {
+    let mut fleet = FlappingFleet::new(8);
+    let (deadly, other) = ("000000000000000a", "000000000000000b");
+    fleet.harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    fleet.harness.submit(0xb, job(&[StepBuilder::tasks(1).estimate(60_000)]));
+    let starts = [deadly, other].map(|job| fleet.last_start_of(job));
+    assert_eq!(starts[0].0, starts[1].0, "both start on one executor");
+    let begun = starts.clone().map(|(_, task, run)| (task, run));
+    fleet.crash(starts[0].0, &begun);
+    for _ in 0..2 {
+        assert_eq!(fleet.harness.phase(0xa), "Running");
+        fleet.wait(2000);
+        let (at, task, run) = fleet.last_start_of(deadly);
+        fleet.crash(at, &[(task, run)]);
+    }
+    assert_eq!(fleet.harness.phase(0xa), "Ended(Failed)", "{:?}", fleet.harness.starts());
+    assert_eq!(fleet.harness.phase(0xb), "Running");
+}
+
 // Issue 34: a job was shown as failed, and none of its tasks had failed.
 #[test]
 fn a_job_does_not_fail_because_two_flapping_executors_crash_around_it() {
