Count a crash whose agent restarted before the next executor came

Cause: an executor takes about three seconds to come back. If its agent restarted meanwhile, the next executor was reported on a new stream and nobody had reported the end of the former one, so that the crash was taken for the loss of the machine.

An agent that still reports its executor as silent was there when the executor went: a machine takes both at once. The leader now remembers the silent executor of each address until that executor answers, and counts what follows it as a crash. A machine's loss, drains and executors that answer again are not counted, as before.

--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -9,7 +9,7 @@
     crate::{
         event::{FlowEvent, LossReason},
         job::{JobKey, RunNumber, TaskKey, WorkerIncarnation},
-        message::EndReport,
+        message::{EndReport, WorkerReport},
         plan::{Placement, SuspectTable},
         state::{EndKind, FlowCommand, FlowState, TaskPhase},
     },
@@ -140,6 +140,8 @@
     /// By address.
     lost: IndexMap<Arc<str>, LostWorker>,
     owed: BTreeMap<TaskKey, OwedCount>,
+    /// The executors that do not answer their agents, by address.
+    silent: IndexMap<Arc<str>, WorkerIncarnation>,
 }
 
 impl CrashWatch {
@@ -156,14 +158,25 @@
         watch
     }
 
-    /// Notes the executor that an agent reports, and the one that it represented before.
+    /// Notes the executor that an agent reports, and the one that it represented before. An agent
+    /// that restarts knows nothing of the former one, but the agent before it has told whether that
+    /// one still answered: an executor that is lost with its agent goes silent together with it.
     pub(super) fn note_report(
         &mut self,
         address: &Arc<str>,
-        present: &WorkerIncarnation,
+        report: &WorkerReport,
         former: Option<FormerWorker>,
     ) {
-        if let Some(former) = former {
+        let present = &report.worker;
+        let silent = self.silent.shift_remove(address).filter(|silent| silent != present);
+        let silent = silent.map(|worker| {
+            let successor = present.clone();
+            FormerWorker { worker, draining: false, successor }
+        });
+        if !report.responsive && report.drain_left_ms.is_none() {
+            self.silent.insert(address.clone(), present.clone());
+        }
+        if let Some(former) = former.or(silent) {
             self.formers.insert(address.clone(), former);
         }
         if let Some(lost) = self.lost.get_mut(address) {
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -43,7 +43,7 @@
             let (draining, successor) = (leader.is_draining(&former), worker.clone());
             FormerWorker { worker: former, draining, successor }
         });
-        leader.crashes.note_report(place, &worker, former);
+        leader.crashes.note_report(place, &report, former);
         if let Some(earlier) = before.filter(|earlier| earlier.executor != executor) {
             leader.sessions.remove(&earlier.executor);
             leader.workers.shift_remove(&earlier.executor);
