Decode each row of an executor's lists on its own

One odd row made the whole list unreadable, at every poll, for as long as it was there. The agent took that for no answer: it stopped extending the lease, and the runs lapsed although their rows were sound. Orders failed as well, since each new connection is identified by the same lists ("the response does not identify the process at the address").

Cause: the rows were collected into one `Result`, and the library refuses a document that nests deeper than 128 levels as a whole.

A row that can't be decoded is left out and logged once for each reason, at most 16 for an incarnation.

An odd end is not acknowledged by itself, because its number need not be the executor's; the next recorded end covers it. While the executor lists an end that can't be read, or that it was told to forget, it answers at once, and the agent now pauses between polls as it does for ends that are not recorded. A run that was stopped is not reported as never begun while an odd row names its task.

With the pause or the check of the task taken out, the tests of the agent fail ("the next poll waits"; "1 Stopped").

--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -10,13 +10,18 @@
 mod shrink;
 mod throttle;
 mod types;
+mod unreadable;
 
 pub use types::{
-    AgentEffect, AgentEvent, AgentSettings, CallFailure, ExecutorView, StartRefusal, StartVerdict,
+    AgentEffect, AgentEvent, AgentSettings, CallFailure, ExecutorView, RunList, StartRefusal,
+    StartVerdict, UnreadableRow,
 };
 
 use {
-    self::{orders::RunTable, polling::LeaseClock, throttle::BestEffortThrottle},
+    self::{
+        orders::RunTable, polling::LeaseClock, throttle::BestEffortThrottle,
+        unreadable::UnreadableRows,
+    },
     crate::{
         event::FlowEvent,
         job::WorkerIncarnation,
@@ -59,7 +64,10 @@
     /// Ends that control has not recorded.
     ends: BTreeMap<u64, EndReport>,
     listed_runs: Vec<RunReport>,
+    unreadable: UnreadableRows,
     poll_sent: Option<Duration>,
+    /// The number of the last end that the executor was told to forget.
+    acknowledged: u64,
     next_poll: Duration,
     last_report: Duration,
 }
@@ -269,7 +277,9 @@
             recorded: 0,
             ends: BTreeMap::new(),
             listed_runs: Vec::new(),
+            unreadable: UnreadableRows::default(),
             poll_sent: None,
+            acknowledged: 0,
             next_poll: self.now,
             last_report: self.now,
         });
--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -335,12 +335,14 @@
                 continue;
             }
             let listed = running(*task, *run);
+            // A run that no readable row lists may be in one that can't be read.
+            let absent = !listed && !executor.unreadable.name(*task);
             match order.phase {
                 OrderPhase::Unclear(since) if listed && since < asked => again.push((key, false)),
-                OrderPhase::Unclear(since) if since < asked => {
+                OrderPhase::Unclear(since) if absent && since < asked => {
                     never_began.push((key, EndKind::Refused));
                 }
-                OrderPhase::Stopped(since) if !listed && since < asked => {
+                OrderPhase::Stopped(since) if absent && since < asked => {
                     never_began.push((key, EndKind::Stopped));
                 }
                 OrderPhase::Stopped(since) if now.saturating_sub(since) >= STOP_AGAIN => {
--- a/crates/workflow/src/agent/polling.rs
+++ b/crates/workflow/src/agent/polling.rs
@@ -21,8 +21,8 @@
 const POLL_WAIT: Duration = Duration::from_millis(900);
 /// The same wait while the agent watches latencies, whose figures cover half a second.
 const WATCHING_WAIT: Duration = Duration::from_millis(400);
-/// Pause before the next poll while control has not recorded all ends, since the executor then
-/// answers at once.
+/// Pause before the next poll while the executor lists ends that control has not recorded, that
+/// can't be read, or that it should have forgotten: it then answers at once.
 const UNRECORDED_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a poll without a usable answer.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
@@ -51,7 +51,7 @@
     /// that a deadline computed at full speed could lie beyond the lease.
     fn deadline_ms(&self, until: Duration) -> u64 {
         let left = until.saturating_sub(self.at).mul_f64(1.0 - CLOCK_DRIFT);
-        self.executor_ms + left.as_millis() as u64
+        self.executor_ms.saturating_add(left.as_millis() as u64)
     }
 }
 
@@ -86,6 +86,7 @@
             (true, false) => POLL_WAIT,
         };
         executor.poll_sent = Some(now);
+        executor.acknowledged = executor.recorded;
         let (worker, acknowledged) = (executor.report.worker.clone(), executor.recorded);
         self.effects.push(AgentEffect::Poll { worker, fence, acknowledged, deadline_ms, wait });
     }
@@ -180,16 +181,19 @@
         view: ExecutorView,
     ) {
         let now = self.now;
+        self.note_unreadable(view.unreadable);
         let Some(executor) = &mut self.executor else { return };
         executor.clock = Some(LeaseClock { executor_ms: view.clock_ms, at: now });
         executor.silent_since = None;
         let responsive = std::mem::replace(&mut executor.report.responsive, true);
         let first = !std::mem::replace(&mut executor.reached, true) || !responsive;
-        let acknowledged = executor.recorded;
+        let kept = view.finished.iter().any(|end| end.number <= executor.acknowledged);
+        let answers_at_once = kept || executor.unreadable.has_ends();
+        let recorded = executor.recorded;
         let new_ends: Vec<EndReport> = view
             .finished
             .into_iter()
-            .filter(|end| end.number > acknowledged && !executor.ends.contains_key(&end.number))
+            .filter(|end| end.number > recorded && !executor.ends.contains_key(&end.number))
             .collect();
         executor.ends.extend(new_ends.iter().map(|end| (end.number, end.clone())));
         let same_runs =
@@ -201,7 +205,8 @@
         let interval =
             if self.throttle.is_watching() { WATCHING_INTERVAL } else { REPORT_INTERVAL };
         let due = now.saturating_sub(executor.last_report) >= interval;
-        executor.next_poll = if executor.ends.is_empty() { now } else { now + UNRECORDED_PAUSE };
+        let idle = executor.ends.is_empty() && !answers_at_once;
+        executor.next_poll = if idle { now } else { now + UNRECORDED_PAUSE };
         if first {
             self.record(FlowEvent::ExecutorReached { worker: worker.clone() });
             self.report_all();
--- a/crates/workflow/src/agent/types.rs
+++ b/crates/workflow/src/agent/types.rs
@@ -29,6 +29,28 @@
     pub running: Vec<RunReport>,
     /// Ended runs that the executor may not forget yet.
     pub finished: Vec<EndReport>,
+    /// The rows of both lists that can't be decoded.
+    pub unreadable: Vec<UnreadableRow>,
+}
+
+/// A list of an executor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RunList {
+    /// The current runs.
+    Running,
+    /// The ended runs.
+    Finished,
+}
+
+/// A row of an executor's list that can't be decoded. It stands for no run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnreadableRow {
+    /// The list that contains the row.
+    pub list: RunList,
+    /// The task that the row names, if that much can be read.
+    pub task: Option<TaskKey>,
+    /// What can't be read, in bounded length.
+    pub reason: String,
 }
 
 /// The reason why a call to the executor failed.
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -2,12 +2,14 @@
 
 use {
     base::EventReducer,
+    rstest::rstest,
     std::{sync::Arc, time::Duration},
     workflow::{
         agent::{
-            AgentEffect, AgentEvent, AgentNode, AgentSettings, CallFailure, ExecutorView,
-            StartRefusal, StartVerdict,
+            AgentEffect, AgentEvent, AgentNode, AgentSettings, CallFailure, ExecutorView, RunList,
+            StartRefusal, StartVerdict, UnreadableRow,
         },
+        event::FlowEvent,
         job::{RunNumber, TaskDemand, TaskKey, WorkerIncarnation},
         message::{EndReport, LinkMessage, RunReport, StartOrder, WorkerReport},
         state::EndKind,
@@ -27,6 +29,10 @@
     calls: Vec<String>,
     sent: Vec<String>,
     introductions: usize,
+    /// The number of the last end that each poll acknowledged.
+    acknowledged: Vec<u64>,
+    /// The reasons for which messages were refused.
+    refused: Vec<String>,
 }
 
 fn incarnation() -> WorkerIncarnation {
@@ -54,8 +60,19 @@
         let node =
             AgentNode::new(AgentSettings { lease: LEASE, executor_address: Arc::from("a1") }, now);
         let (polls, deadlines, fences, calls, sent) = Default::default();
-        let mut harness =
-            Self { node, now, polls, deadlines, fences, calls, sent, introductions: 0 };
+        let (introductions, acknowledged, refused) = Default::default();
+        let mut harness = Self {
+            node,
+            now,
+            polls,
+            deadlines,
+            fences,
+            calls,
+            sent,
+            introductions,
+            acknowledged,
+            refused,
+        };
         harness.report_heartbeat(1, None);
         harness.connect_leader(1);
         harness.step(AgentEvent::Tick);
@@ -67,7 +84,8 @@
     fn step(&mut self, event: AgentEvent) {
         for effect in self.node.reduce(self.now, event) {
             match effect {
-                AgentEffect::Poll { deadline_ms, fence, .. } => {
+                AgentEffect::Poll { deadline_ms, fence, acknowledged, .. } => {
+                    self.acknowledged.push(acknowledged);
                     self.fences.push(fence);
                     self.polls.push(self.now);
                     self.deadlines.push(deadline_ms);
@@ -92,6 +110,9 @@
                 }
                 AgentEffect::Send(LinkMessage::Worker { .. }) => self.introductions += 1,
                 AgentEffect::Reconnect => self.sent.push("reconnect".to_owned()),
+                AgentEffect::Record(FlowEvent::MessageRefused { reason, .. }) => {
+                    self.refused.push(reason);
+                }
                 AgentEffect::Send(_) | AgentEffect::Record(_) => {}
             }
         }
@@ -163,16 +184,31 @@
 
     /// Answers the poll in progress.
     fn answer_poll(&mut self, running: &[RunReport], finished: &[EndReport]) {
+        self.answer_poll_with(running, finished, &[]);
+    }
+
+    fn answer_poll_with(
+        &mut self,
+        running: &[RunReport],
+        finished: &[EndReport],
+        unreadable: &[UnreadableRow],
+    ) {
         let asked = self.polls.pop().expect("a poll is in progress");
         let view = ExecutorView {
             started_ms: 100,
             clock_ms: self.now.as_millis() as u64,
             running: running.to_vec(),
             finished: finished.to_vec(),
+            unreadable: unreadable.to_vec(),
         };
         self.step(AgentEvent::PollAnswered { worker: incarnation(), asked, result: Ok(view) });
     }
 
+    fn record_ends(&mut self, up_to: u64) {
+        let recorded = LinkMessage::EndsRecorded { worker: incarnation(), up_to };
+        self.step(AgentEvent::LeaderMessage(recorded));
+    }
+
     fn leave_poll_unanswered(&mut self) {
         let asked = self.polls.pop().expect("a poll is in progress");
         let result = Err(CallFailure::Unanswered("no answer".to_owned()));
@@ -550,3 +586,60 @@
     harness.order(1);
     assert_eq!(harness.calls, ["start 1"]);
 }
+
+fn unreadable(list: RunList, task: Option<TaskKey>) -> UnreadableRow {
+    UnreadableRow { list, task, reason: "invalid".to_owned() }
+}
+
+// An executor answers at once while it lists an end, and the agent polled it without a pause.
+#[rstest]
+#[case::unreadable(&[], &[unreadable(RunList::Finished, None)])]
+#[case::not_forgotten(&[end_report(0, 1, EndKind::Done)], &[])]
+fn an_end_that_can_not_be_acknowledged_is_not_polled_in_a_busy_loop(
+    #[case] finished: &[EndReport],
+    #[case] unreadable: &[UnreadableRow],
+) {
+    let mut harness = AgentHarness::start();
+    harness.answer_poll_with(&[], finished, unreadable);
+    assert!(harness.polls.is_empty(), "the next poll waits");
+    harness.advance(100);
+    assert_eq!(harness.polls.len(), 1);
+    harness.answer_poll_with(&[], &[end_report(9, 1, EndKind::Done)], unreadable);
+    assert_eq!(harness.reports(), ["1 Done"]);
+    harness.record_ends(9);
+    assert_eq!(harness.acknowledged.last(), Some(&9));
+    harness.answer_poll(&[], &[]);
+    assert_eq!(harness.polls.len(), 1, "the next poll follows at once");
+}
+
+#[rstest]
+#[case::of_the_task(Some(task()), &[])]
+#[case::of_another_task("000000000000000b.0.0.0".parse().ok(), &["1 Stopped"])]
+#[case::of_no_task(None, &["1 Stopped"])]
+fn a_run_that_may_be_in_an_unreadable_row_is_not_reported_as_never_begun(
+    #[case] named: Option<TaskKey>,
+    #[case] expected: &[&str],
+) {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.answer_start(1, StartVerdict::Started);
+    harness.order_stop(1);
+    harness.answer_stop(1, true);
+    harness.advance(10);
+    harness.answer_poll(&[run_report(1)], &[]);
+    let rows = [unreadable(RunList::Running, named)];
+    harness.answer_poll_with(&[], &[], &rows);
+    assert_eq!(harness.reports(), expected);
+}
+
+#[test]
+fn an_unreadable_row_is_logged_once() {
+    let mut harness = AgentHarness::start();
+    let row = |reason: String| UnreadableRow { list: RunList::Running, task: None, reason };
+    for number in 0..100 {
+        let rows = [row("the same".to_owned()), row(format!("another {number}"))];
+        harness.answer_poll_with(&[], &[], &rows);
+    }
+    assert_eq!(harness.refused.len(), 16);
+    assert_eq!(harness.refused.iter().filter(|line| line.contains("the same")).count(), 1);
+}
--- a/crates/workflow/tests/world/executor.rs
+++ b/crates/workflow/tests/world/executor.rs
@@ -172,6 +172,7 @@
             clock_ms: now.as_millis() as u64,
             running: self.runs.iter().map(row).collect(),
             finished: self.ends.clone(),
+            unreadable: Vec::new(),
         }
     }
 
