Let no number of a job or worker overflow in the planner

Sums over tasks and workers were unchecked. A process built with overflow checks ended, and again with each pass; one built without them planned by a sum that had wrapped.

A task's demand now counts at most 2^40 of each resource in sums, so that adding and removing it stay symmetric, and the other sums saturate.

Evidence: of 48 combinations of steps and workers, 13 failed before: ten at the size of the service (`lookahead.rs`), then `FreeRoom::add` in `forecast.rs`, and three at `most_available_rack`. Estimates, targets, limits and queues with the largest numbers did not fail, and are pinned down, as are reports of unknown runs.

--- a/crates/workflow/src/job/spec.rs
+++ b/crates/workflow/src/job/spec.rs
@@ -11,6 +11,10 @@
 /// The largest number of tasks of a job, over all its occurrences, for the same reason.
 pub const TASKS_LIMIT: u64 = 20_000;
 
+/// The most of one resource that counts of one task. Sums over all tasks of a group can't overflow,
+/// and a task that asks for more fits nowhere.
+const COUNTED_LIMIT: u64 = 1 << 40;
+
 /// What one task reserves on its worker.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -24,6 +28,15 @@
 }
 
 impl TaskDemand {
+    /// Returns what counts of the demand in sums over tasks.
+    pub(crate) fn counted(self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(COUNTED_LIMIT),
+            memory_mb: self.memory_mb.min(COUNTED_LIMIT),
+            accelerators: self.accelerators.min(COUNTED_LIMIT),
+        }
+    }
+
     /// Returns whether a capacity holds this demand.
     pub fn fits_in(self, capacity: Self) -> bool {
         self.cpu_milli <= capacity.cpu_milli
--- a/crates/workflow/src/plan/forecast.rs
+++ b/crates/workflow/src/plan/forecast.rs
@@ -85,7 +85,7 @@
             let Some(spec) = spec.filter(|spec| !spec.lasting) else { continue };
             let end = time.now + forecaster.left(&task, spec);
             let cpu_milli = if spec.filler { 0 } else { spec.demand.cpu_milli };
-            let reserved = TaskDemand { cpu_milli, ..spec.demand };
+            let reserved = TaskDemand { cpu_milli, ..spec.demand }.counted();
             let used_milli = assumed_use(spec) as i64;
             runs.push(ForecastRun { end, task, reserved, used_milli });
         }
@@ -107,7 +107,7 @@
 impl FreeRoom {
     fn new(idle: bool, worker: &WorkerView, reserved: &WorkerReservations) -> Self {
         let capacity = worker.report.capacity;
-        let free = |capacity: u64, taken: u64| capacity as i64 - taken as i64;
+        let free = |capacity: u64, taken: u64| signed(capacity).saturating_sub(signed(taken));
         let counted = reserved.demand.cpu_milli;
         let taken = if idle { reserved.busy_milli().ceil() as u64 } else { counted };
         Self {
@@ -119,15 +119,16 @@
     }
 
     fn add(&mut self, run: &ForecastRun) {
-        let cpu_milli = run.reserved.cpu_milli as i64;
-        self.cpu_milli += if self.idle { run.used_milli } else { cpu_milli };
-        self.memory_mb += run.reserved.memory_mb as i64;
-        self.accelerators += run.reserved.accelerators as i64;
+        let TaskDemand { cpu_milli, memory_mb, accelerators } = run.reserved;
+        let cpu_milli = if self.idle { run.used_milli } else { signed(cpu_milli) };
+        self.cpu_milli = self.cpu_milli.saturating_add(cpu_milli);
+        self.memory_mb = self.memory_mb.saturating_add(signed(memory_mb));
+        self.accelerators = self.accelerators.saturating_add(signed(accelerators));
     }
 
     /// Returns how many tasks fit.
     fn count_of(&self, demand: TaskDemand) -> usize {
-        let share = |free: i64, asked: u64| match (free, asked as i64) {
+        let share = |free: i64, asked: u64| match (free, signed(asked)) {
             (free, _) if free < 0 => 0,
             (_, 0) => i64::MAX,
             (free, asked) => free / asked,
@@ -140,7 +141,9 @@
 
     /// Returns what is left beside a number of tasks.
     fn beside(&self, demand: TaskDemand, tasks: u64) -> TaskDemand {
-        let left = |free: i64, asked: u64| (free.max(0) as u64).saturating_sub(asked * tasks);
+        let left = |free: i64, asked: u64| {
+            (free.max(0) as u64).saturating_sub(asked.saturating_mul(tasks))
+        };
         TaskDemand {
             cpu_milli: left(self.cpu_milli, demand.cpu_milli),
             memory_mb: left(self.memory_mb, demand.memory_mb),
@@ -149,6 +152,10 @@
     }
 }
 
+fn signed(amount: u64) -> i64 {
+    i64::try_from(amount).unwrap_or(i64::MAX)
+}
+
 /// Returns the times from which the first, the second and each further task fits on a worker, up to
 /// a limit.
 pub(super) fn slot_times(
--- a/crates/workflow/src/plan/lookahead.rs
+++ b/crates/workflow/src/plan/lookahead.rs
@@ -400,7 +400,7 @@
             size.largest.cpu_milli = size.largest.cpu_milli.max(cpu_milli);
             size.largest.memory_mb = size.largest.memory_mb.max(memory_mb);
             size.largest.accelerators = size.largest.accelerators.max(accelerators);
-            size.cpu_milli += cpu_milli;
+            size.cpu_milli = size.cpu_milli.saturating_add(cpu_milli);
             size.workers += 1;
         }
         self.sizes.insert(service.to_owned(), size);
--- a/crates/workflow/src/plan/reservations.rs
+++ b/crates/workflow/src/plan/reservations.rs
@@ -94,7 +94,7 @@
     }
 
     fn add(&mut self, key: &TaskKey, spec: &StepSpec) {
-        let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand;
+        let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand.counted();
         self.demand.memory_mb += memory_mb;
         self.demand.accelerators += accelerators;
         let image = spec.image_name();
@@ -117,7 +117,7 @@
     }
 
     pub(super) fn remove(&mut self, key: &TaskKey, spec: &StepSpec) {
-        let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand;
+        let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand.counted();
         self.demand.memory_mb -= memory_mb;
         self.demand.accelerators -= accelerators;
         let image = spec.image_name();
@@ -152,7 +152,7 @@
         for (task, _) in state.placed_tasks(worker) {
             let job = state.job(task.job);
             let Some(spec) = job.and_then(|job| job.step_spec(&task)) else { continue };
-            let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand;
+            let TaskDemand { cpu_milli, memory_mb, accelerators } = spec.demand.counted();
             reserved.cpu_milli += if spec.filler { 0 } else { cpu_milli };
             reserved.memory_mb += memory_mb;
             reserved.accelerators += accelerators;
@@ -163,7 +163,7 @@
 
 pub(super) fn assumed_use(spec: &StepSpec) -> f64 {
     let share = if spec.lasting { LASTING_USE } else { 1.0 };
-    spec.demand.cpu_milli as f64 * share
+    spec.demand.counted().cpu_milli as f64 * share
 }
 
 /// The reservations of one executor, as of a change of its placements.
@@ -271,7 +271,8 @@
             else {
                 continue;
             };
-            *fits.entry(rack).or_default() += fitting(worker, reserved, spec);
+            let count = fits.entry(rack).or_default();
+            *count = count.saturating_add(fitting(worker, reserved, spec));
         }
         fits.into_iter().max_by_key(|(_, count)| *count).map(|(rack, _)| rack.to_owned())
     }
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod cordons;
 mod crashes;
+mod extremes;
 mod fixtures;
 mod moves;
 mod pending;
--- /dev/null
+++ b/crates/workflow/tests/extremes/mod.rs
@@ -0,0 +1,173 @@
+//! Numbers as large as their types allow, from callers, executors and operators. Tests are built
+//! with overflow checks, so that arithmetic which overflows ends them.
+
+use {
+    crate::{
+        fixtures::fleet_config,
+        support::{job, ControlHarness, StepBuilder},
+    },
+    rstest::rstest,
+    std::sync::Arc,
+    workflow::{
+        job::{JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
+        message::{EndReport, LinkMessage, RunReport, WorkerReport},
+        state::EndKind,
+    },
+};
+
+const MOST: u64 = u64::MAX;
+
+fn incarnation(executor: &str, started_ms: u64) -> WorkerIncarnation {
+    WorkerIncarnation { executor: Arc::from(executor), started_ms }
+}
+
+fn connect(harness: &mut ControlHarness, session: u64, report: WorkerReport) {
+    let (worker, place) = (report.worker.clone(), report.worker.executor.clone());
+    harness.send(session, LinkMessage::Worker { report, place });
+    harness.send(session, LinkMessage::Runs { worker, runs: Vec::new() });
+}
+
+fn report_of(worker: WorkerIncarnation, resource: u64) -> WorkerReport {
+    WorkerReport {
+        worker,
+        service: "s".to_owned(),
+        data_centre: "north".to_owned(),
+        capacity: TaskDemand { cpu_milli: resource, memory_mb: resource, accelerators: resource },
+        labels: vec!["a".to_owned(), "r1".to_owned()],
+        drain_left_ms: None,
+        responsive: true,
+    }
+}
+
+/// Lists all first runs of a job's step, with the largest figures.
+fn list_runs(harness: &mut ControlHarness, session: u64, executor: &str, percent: u8) {
+    let starts = harness.starts().to_vec();
+    let here = starts.iter().filter(|start| start.ends_with(&format!("on {executor}@100")));
+    let report = |start: &String| RunReport {
+        task: start.split(' ').next().unwrap().parse().unwrap(),
+        run: RunNumber(1),
+        checkpoint: String::new(),
+        percent,
+        figure: MOST,
+    };
+    let runs = here.map(report).collect();
+    harness.send(session, LinkMessage::Runs { worker: incarnation(executor, 100), runs });
+}
+
+/// Plays jobs of steps with extreme numbers on two workers, and an ordinary one that only a third
+/// worker may take.
+fn check(spec: JobSpec, resource: u64) {
+    let mut harness = ControlHarness::start();
+    for (session, executor) in [(1, "e1"), (2, "e2")] {
+        connect(&mut harness, session, report_of(incarnation(executor, 100), resource));
+    }
+    let own =
+        WorkerReport { labels: vec!["b".to_owned()], ..report_of(incarnation("e3", 100), 16_000) };
+    connect(&mut harness, 3, own);
+    harness.submit(0xa, spec.clone());
+    harness.submit(0xb, job(&[StepBuilder::tasks(1).required_label("b")]));
+    harness.submit(0xc, spec);
+    for round in 0..12 {
+        for (session, executor) in [(1, "e1"), (2, "e2"), (3, "e3")] {
+            list_runs(&mut harness, session, executor, round * 8);
+            harness.keep_alive(session, 400);
+        }
+    }
+    harness.report_end(3, "e3@100", 1, "000000000000000b.0.0.0", 1, EndKind::Done);
+    for draining in [1, 2] {
+        let worker = incarnation(&format!("e{draining}"), 100);
+        let report = report_of(worker, resource);
+        let report = WorkerReport { drain_left_ms: Some(MOST), ..report };
+        let place = report.worker.executor.clone();
+        harness.send(draining, LinkMessage::Worker { report, place });
+    }
+    harness.advance(1000);
+    assert_eq!(harness.phase(0xb), "Ended(Succeeded)");
+}
+
+fn step(change: fn(&mut StepSpec)) -> StepSpec {
+    let demand = TaskDemand { cpu_milli: 500, memory_mb: 64, accelerators: 0 };
+    let required_label = Some("a".to_owned());
+    let mut spec =
+        StepSpec { count: 3, demand, estimate_ms: 1000, required_label, ..StepSpec::default() };
+    change(&mut spec);
+    spec
+}
+
+fn most(spec: &mut StepSpec) {
+    spec.demand = TaskDemand { cpu_milli: MOST, memory_mb: MOST, accelerators: MOST };
+    spec.estimate_ms = MOST;
+    spec.latency_target_ms = Some(MOST);
+    spec.per_worker_limit = Some(u32::MAX);
+    spec.disruption_budget = Some(u32::MAX);
+}
+
+#[rstest]
+#[case::estimate(|spec: &mut StepSpec| spec.estimate_ms = MOST)]
+#[case::estimate_of_a_gang(|spec: &mut StepSpec| { spec.estimate_ms = MOST; spec.gang = true; })]
+#[case::estimate_with_checkpoints(|spec: &mut StepSpec| { spec.estimate_ms = MOST; spec.checkpointing = true; })]
+#[case::processors(|spec: &mut StepSpec| spec.demand.cpu_milli = MOST)]
+#[case::processors_of_best_effort(|spec: &mut StepSpec| { spec.demand.cpu_milli = MOST; spec.filler = true; })]
+#[case::memory_of_best_effort(|spec: &mut StepSpec| { spec.demand.memory_mb = MOST; spec.filler = true; })]
+#[case::memory(|spec: &mut StepSpec| spec.demand.memory_mb = MOST)]
+#[case::accelerators(|spec: &mut StepSpec| spec.demand.accelerators = MOST)]
+#[case::processors_of_lasting(|spec: &mut StepSpec| { spec.demand.cpu_milli = MOST; spec.lasting = true; })]
+#[case::target(|spec: &mut StepSpec| { spec.latency_target_ms = Some(MOST); spec.lasting = true; })]
+#[case::everything(most)]
+#[case::everything_of_best_effort(|spec: &mut StepSpec| { most(spec); spec.filler = true; })]
+#[case::everything_that_lasts(|spec: &mut StepSpec| { most(spec); spec.lasting = true; })]
+#[case::everything_of_a_gang(|spec: &mut StepSpec| { most(spec); spec.gang = true; spec.same_rack = true; })]
+#[case::nothing_on_one_rack(|spec: &mut StepSpec| { spec.demand = TaskDemand::default(); spec.same_rack = true; })]
+#[case::nothing(|spec: &mut StepSpec| { spec.demand = TaskDemand::default(); spec.estimate_ms = 0; })]
+fn a_job_with_the_largest_numbers_does_not_harm_another(
+    #[case] change: fn(&mut StepSpec),
+    #[values(16_000, u32::MAX as u64, MOST)] resource: u64,
+) {
+    let after = StepSpec { depends_on: vec![0], ..step(change) };
+    let spec =
+        JobSpec { payload: "work".to_owned(), steps: vec![step(change), after], schedule: None };
+    check(spec, resource);
+}
+
+#[rstest]
+#[case::stretch(f64::MAX, MOST)]
+#[case::negative_stretch(f64::MIN, MOST)]
+#[case::nothing(0.0, 0)]
+fn a_queue_with_the_largest_numbers_serves_its_jobs(
+    #[case] stretch: f64,
+    #[case] latency_allowance_ms: u64,
+) {
+    let mut harness = ControlHarness::start();
+    let mut config = fleet_config(u64::MAX, u32::MAX);
+    config.queues[0].stretch = stretch;
+    config.queues[0].latency_allowance_ms = latency_allowance_ms;
+    config.queues[0].timeout_ms = MOST;
+    config.queues[0].priority = u32::MAX;
+    harness.apply_config(config);
+    harness.connect_worker(1, "e1", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(40).estimate(MOST)]));
+    harness.submit(0xb, job(&[StepBuilder::tasks(1)]));
+    harness.keep_alive(1, 6000);
+    harness.submit(0xc, job(&[StepBuilder::tasks(1).estimate(MOST)]));
+    assert_eq!(harness.accepted(), 3);
+}
+
+#[test]
+fn reports_of_unknown_runs_with_the_largest_numbers_are_harmless() {
+    let mut harness = ControlHarness::start();
+    connect(&mut harness, 1, report_of(incarnation("e1", MOST), MOST));
+    let (task, run) =
+        ("ffffffffffffffff.4294967295.65535.65535".parse().unwrap(), RunNumber(u32::MAX));
+    let worker = incarnation("e1", MOST);
+    let (checkpoint, percent, figure) = (String::new(), u8::MAX, MOST);
+    let runs = vec![RunReport { task, run, checkpoint: checkpoint.clone(), percent, figure }];
+    harness.send(1, LinkMessage::Runs { worker: worker.clone(), runs });
+    let (number, end) = (MOST, EndKind::Done);
+    let ends = vec![EndReport { number, task, run, end, checkpoint }];
+    harness.send(1, LinkMessage::Ends { worker: worker.clone(), ends });
+    harness.send(1, LinkMessage::Ping { sequence: MOST });
+    harness.send(1, LinkMessage::WorkerEnded { worker });
+    harness.connect_worker(2, "e2", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    assert_eq!(harness.starts(), ["000000000000000a.0.0.0 run 1 on e2@100"]);
+}
