Bound the entries of the log by size

All commands that arrive between two decisions went into one entry. 40 jobs of 1 MB each, which one caller may submit, made an entry of 40,001,885 bytes (measured by the new test). A frame between two processes has a limit of 8 MiB. By reading: `write_frame` refuses the message, the stream ends, and the leader sends the same entry again after each reconnection, while its heartbeats, which are small, keep it the leader. Nothing more would be committed until another replica leads. A configuration of 4 MiB, which goes into its entry as a document and as rules, came close to the limit by itself, and two of them beyond it.

The pending commands are now proposed ahead of the next decision once they hold 1 MiB, and the limit of a frame is 32 MiB: the largest event and the placements of one decision fit beside 1 MiB several times over.

--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -5,9 +5,9 @@
     snafu::{ensure, ResultExt, Snafu},
 };
 
-/// Size limit of a message, in bytes. A snapshot chunk or the largest configuration fits several
-/// times over.
-pub const FRAME_LIMIT: usize = 8 * 1024 * 1024;
+/// Size limit of a message, in bytes. A snapshot chunk or the largest entry of the log, with a
+/// configuration and the rules read from it, fits several times over.
+pub const FRAME_LIMIT: usize = 32 * 1024 * 1024;
 /// Size of the length prefix, in bytes.
 const LENGTH_BYTES: usize = 4;
 
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -29,14 +29,37 @@
     },
 };
 
+/// Size at which an entry takes no more events, in bytes. Together with the largest event, it stays
+/// below the limit of a frame between two members.
+const ENTRY_CONTENT_BYTES: usize = 1024 * 1024;
+
 /// Commands that wait for the next entry of the log, and the effects that follow its commit.
 #[derive(Debug, Default)]
 pub(super) struct PendingBatch {
     pub(super) commands: Vec<FlowCommand>,
     pub(super) deferred: Vec<ControlEffect>,
+    /// Size of what the commands hold, in bytes.
+    content_bytes: usize,
 }
 
 impl PendingBatch {
+    pub(super) fn new(commands: Vec<FlowCommand>) -> Self {
+        let content_bytes = commands.iter().map(FlowCommand::content_bytes).sum();
+        Self { commands, deferred: Vec::new(), content_bytes }
+    }
+
+    /// Adds a command, and the effects that follow its commit.
+    pub(super) fn add(&mut self, command: FlowCommand, deferred: Vec<ControlEffect>) {
+        self.content_bytes += command.content_bytes();
+        self.commands.push(command);
+        self.deferred.extend(deferred);
+    }
+
+    /// Returns whether the batch is large enough for an entry of its own.
+    pub(super) fn is_full(&self) -> bool {
+        self.content_bytes >= ENTRY_CONTENT_BYTES
+    }
+
     /// Returns whether the batch ends a run.
     pub(super) fn ends(&self, ended: &TaskKey, number: RunNumber) -> bool {
         self.commands.iter().any(|command| {
@@ -192,7 +215,7 @@
             counted_until: self.now,
             unproposed_ms: 0,
             speculative,
-            pending: PendingBatch { commands, deferred: Vec::new() },
+            pending: PendingBatch::new(commands),
             in_flight: BTreeMap::new(),
             replan: true,
             planner: PlacementPlanner::new(self.settings.look_ahead),
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -235,6 +235,7 @@
             }
             ControlEvent::Settle => self.settle(),
         }
+        self.settle_if_full();
         self.drain_queue();
         std::mem::take(&mut self.effects)
     }
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -28,7 +28,7 @@
         if leader.pending.commands.is_empty() && !leader.replan && !due {
             return;
         }
-        let PendingBatch { mut commands, mut deferred } = std::mem::take(&mut leader.pending);
+        let PendingBatch { mut commands, mut deferred, .. } = std::mem::take(&mut leader.pending);
         let elapsed_ms = now.saturating_sub(leader.counted_until).as_millis() as u64;
         leader.counted_until += Duration::from_millis(elapsed_ms);
         leader.unproposed_ms += elapsed_ms;
@@ -73,6 +73,13 @@
         self.queue.push_back(QuorumEvent::Propose { ticket, data });
     }
 
+    /// Proposes the collected commands ahead of the next decision if they fill an entry.
+    pub(super) fn settle_if_full(&mut self) {
+        if self.leader.as_ref().is_some_and(|leader| leader.pending.is_full()) {
+            self.settle();
+        }
+    }
+
     fn place(
         &mut self,
         placement: Placement,
@@ -197,8 +204,7 @@
     /// Adds a command, and the effects that follow its commit, to the next entry.
     pub(super) fn propose(&mut self, command: FlowCommand, deferred: Vec<ControlEffect>) {
         let Some(leader) = &mut self.leader else { return };
-        leader.pending.commands.push(command);
-        leader.pending.deferred.extend(deferred);
+        leader.pending.add(command, deferred);
         leader.replan = true;
     }
 
--- a/crates/workflow/src/job/spec.rs
+++ b/crates/workflow/src/job/spec.rs
@@ -180,6 +180,17 @@
         Ok(())
     }
 
+    /// Returns the approximate size of the job, in bytes.
+    pub(crate) fn content_bytes(&self) -> usize {
+        let length = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        let step = |step: &StepSpec| {
+            let names = length(&step.required_label) + length(&step.preferred_rack);
+            let image = step.image.as_ref().map_or(0, |image| image.len());
+            size_of::<StepSpec>() + names + image + size_of_val(&step.depends_on[..])
+        };
+        self.payload.len() + self.steps.iter().map(step).sum::<usize>()
+    }
+
     /// Returns the number of times that the steps run.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.count)
--- a/crates/workflow/src/state/command.rs
+++ b/crates/workflow/src/state/command.rs
@@ -148,6 +148,20 @@
     },
 }
 
+impl FlowCommand {
+    /// Returns the approximate size of what a command holds from callers, operators and executors,
+    /// in bytes.
+    pub(crate) fn content_bytes(&self) -> usize {
+        match self {
+            // The document and the rules that were read from it.
+            Self::Configure(config) => 2 * config.document.len(),
+            Self::Submit(submission) => submission.spec.content_bytes(),
+            Self::End { worker, checkpoint, .. } => checkpoint.len() + worker.executor.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// The outcome of a command.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CommandOutcome {
--- a/crates/workflow/tests/extremes/mod.rs
+++ b/crates/workflow/tests/extremes/mod.rs
@@ -171,3 +171,18 @@
     harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
     assert_eq!(harness.starts(), ["000000000000000a.0.0.0 run 1 on e2@100"]);
 }
+
+// An entry above the limit of a frame ended every stream to another member, again after each
+// reconnection, and no later entry was committed any more.
+#[test]
+fn jobs_that_arrive_together_fit_into_the_entries_of_the_log() {
+    let mut harness = ControlHarness::start();
+    let jobs = (0..40).map(|key| {
+        let large = JobSpec { payload: "x".repeat(1000 * 1000), ..job(&[StepBuilder::tasks(1)]) };
+        (key, large)
+    });
+    harness.submit_together(jobs.collect());
+    assert_eq!(harness.accepted(), 40);
+    let largest = harness.largest_entry();
+    assert!(largest <= 4 * 1024 * 1024, "{largest} bytes");
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use {
     crate::fixtures::fleet_config,
     base::{EventReducer, PeerAddress, ReplicaId, ReplyTicket},
-    quorum::{GroupMember, PersistBatch, QuorumSettings, RecoveredLog},
+    quorum::{EntryPayload, GroupMember, LogEntry, PersistBatch, QuorumSettings, RecoveredLog},
     std::{collections::BTreeSet, sync::Arc, time::Duration},
     workflow::{
         control::{
@@ -432,6 +432,34 @@
         }
     }
 
+    /// Submits jobs that arrive before the next decision.
+    pub fn submit_together(&mut self, jobs: Vec<(u64, JobSpec)>) {
+        for (key, job) in jobs {
+            let message = self.call_message("/q/", key, CallerCall::Submit(job));
+            let event = ControlEvent::Message { session: SessionId(ENTRY), message };
+            for effect in self.node.reduce(self.now, event) {
+                match effect {
+                    ControlEffect::Persist(batch) => self.unsynced.push(batch),
+                    effect => self.record(effect),
+                }
+            }
+        }
+        for batch in std::mem::take(&mut self.unsynced) {
+            self.disk.apply(&batch);
+            self.step(ControlEvent::Persisted { number: batch.number });
+        }
+        self.step(ControlEvent::Settle);
+    }
+
+    /// Returns the size of the largest entry of the log, in bytes.
+    pub fn largest_entry(&self) -> usize {
+        let size = |entry: &LogEntry| match &entry.payload {
+            EntryPayload::Data(data) => data.len(),
+            _ => 0,
+        };
+        self.disk.entries.iter().map(size).max().unwrap_or(0)
+    }
+
     /// Submits a job to the queue at a path, and returns the answer.
     pub fn submit_to(&mut self, prefix: &str, key: u64, job: JobSpec) -> CallerAnswer {
         self.call_queue(prefix, key, CallerCall::Submit(job));
