--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -124,7 +124,7 @@
                 leader.silent.entry(replica).or_insert(now);
             }
         }
-        let wanted = 2 * self.settings.tolerated_losses + 1;
+        let wanted = self.settings.tolerated_losses.saturating_mul(2).saturating_add(1);
         let voters: Vec<&MemberProgress> =
             members.iter().filter(|progress| progress.member.voter).collect();
         let ready = members.iter().find(|progress| !progress.member.voter && is_ready(progress));
