Bound how deeply a frame between two processes may nest

A frame with a field that the reader does not know was skipped by recursion through up to 1,024 levels, the library's default. A build without optimizations overflowed a thread's stack of 2 MiB there, which ends the process. An optimized build was not tried.

Messages nest fewer than 20 levels. A frame now nests at most 64, and a deeper one is refused like any other that can't be decoded.

--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -8,6 +8,9 @@
 /// Size limit of a message, in bytes. A snapshot chunk or the largest entry of the log, with a
 /// configuration and the rules read from it, fits several times over.
 pub const FRAME_LIMIT: usize = 32 * 1024 * 1024;
+/// Levels to which a message may nest: several times those of the deepest one, and far fewer than a
+/// thread's stack holds.
+const NESTING_LIMIT: usize = 64;
 /// Size of the length prefix, in bytes.
 const LENGTH_BYTES: usize = 4;
 
@@ -58,7 +61,9 @@
     if buffer.len() < end {
         return Ok(None);
     }
-    let message = rmp_serde::from_slice(&buffer[LENGTH_BYTES..end]).context(DecodeSnafu)?;
+    let mut body = rmp_serde::Deserializer::from_read_ref(&buffer[LENGTH_BYTES..end]);
+    body.set_max_depth(NESTING_LIMIT);
+    let message = T::deserialize(&mut body).context(DecodeSnafu)?;
     buffer.drain(..end);
     Ok(Some(message))
 }
