Read the list of founders whatever bytes it contains

The list ignored a line that could not be parsed, but one byte that is not UTF-8 made the whole file unreadable ("stream did not contain valid UTF-8"), and the process ended, again at each start. Such a line is now left out like any other odd one. A port out of range, a number too large, a long run of brackets and folders with odd names were ignored before as well, and are pinned down.

--- a/crates/node/src/control/folder.rs
+++ b/crates/node/src/control/folder.rs
@@ -75,7 +75,8 @@
         if !path.exists() {
             return Ok(Vec::new());
         }
-        let text = fs::read_to_string(&path).context(FolderSnafu { path })?;
+        let content = fs::read(&path).context(FolderSnafu { path })?;
+        let text = String::from_utf8_lossy(&content);
         Ok(text.lines().filter_map(|line| line.parse().ok()).collect())
     }
 
--- a/crates/node/tests/unit/folder.rs
+++ b/crates/node/tests/unit/folder.rs
@@ -1,4 +1,4 @@
-use {super::LogFolder, base::ReplicaId, std::fs};
+use {super::LogFolder, base::ReplicaId, rstest::rstest, std::fs};
 
 // The settings may name other seeds after a founder was created. After a restart only the founder's
 // own disk says who founded the group.
@@ -24,3 +24,32 @@
     assert_eq!(folder.newest_replica().unwrap(), None);
     assert!(folder.founders().unwrap().is_empty());
 }
+
+// Bytes that are not UTF-8 ended the process, again at each start.
+#[rstest]
+#[case::bytes(b"\xff\xfe\n")]
+#[case::port_out_of_range(b"10.1.0.17:99999\n")]
+#[case::number_too_large(b"99999999999999999999\n")]
+#[case::nested(&[b'['; 100_000])]
+#[case::empty(b"\n")]
+fn an_odd_founder_is_left_out_and_the_others_hold(#[case] odd: &[u8]) {
+    let data = tempfile::tempdir().unwrap();
+    let lines = [b"10.1.0.2:7000\n", odd, b"\n10.2.0.2:7000\n"].concat();
+    fs::write(data.path().join("founders"), lines).unwrap();
+    let founders = LogFolder::new(data.path().to_owned()).founders().unwrap();
+    let founders: Vec<String> = founders.iter().map(ToString::to_string).collect();
+    assert_eq!(founders, ["10.1.0.2:7000", "10.2.0.2:7000"]);
+}
+
+#[rstest]
+#[case::number_too_large("replica-99999999999999999999")]
+#[case::negative("replica--1")]
+#[case::no_number("replica-x")]
+#[case::another_name("lost+found")]
+fn a_folder_with_an_odd_name_is_no_replica(#[case] name: &str) {
+    let data = tempfile::tempdir().unwrap();
+    fs::create_dir(data.path().join(name)).unwrap();
+    let folder = LogFolder::new(data.path().to_owned());
+    fs::create_dir(folder.replica_path(ReplicaId(7))).unwrap();
+    assert_eq!(folder.newest_replica().unwrap(), Some(ReplicaId(7)));
+}
