Pin down that no odd content ends a process on replay

Odd texts in the table of addresses, which also holds the records of pending verdicts, are ignored by the new leader. The messages between processes nest fewer than 12 levels below their envelope, far from the 64 that a stream admits.

--- a/crates/workflow/tests/extremes/mod.rs
+++ b/crates/workflow/tests/extremes/mod.rs
@@ -6,12 +6,15 @@
         fixtures::fleet_config,
         support::{job, ControlHarness, StepBuilder},
     },
+    base::{LogIndex, PeerAddress, ReplicaId, TermNumber},
+    quorum::{EntryPayload, GroupMember, LogEntry},
     rstest::rstest,
+    serde::{de::IgnoredAny, Deserialize},
     std::sync::Arc,
     workflow::{
         job::{JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
-        message::{EndReport, LinkMessage, RunReport, WorkerReport},
-        state::EndKind,
+        message::{CallerCall, EndReport, LinkMessage, RunReport, WorkerReport},
+        state::{EndKind, FlowState},
     },
 };
 
@@ -83,6 +86,15 @@
     }
     harness.advance(1000);
     assert_eq!(harness.phase(0xb), "Ended(Succeeded)");
+    check_replay(&mut harness);
+}
+
+/// Checks that no content of the log or of a snapshot ends a process that reads it.
+fn check_replay(harness: &mut ControlHarness) {
+    let snapshot = harness.state().to_snapshot();
+    assert_eq!(FlowState::from_snapshot(&snapshot).unwrap().to_snapshot(), snapshot);
+    harness.restart_leader();
+    assert!(harness.accepted() > 0 && harness.halts() == 0);
 }
 
 fn step(change: fn(&mut StepSpec)) -> StepSpec {
@@ -150,6 +162,7 @@
     harness.keep_alive(1, 6000);
     harness.submit(0xc, job(&[StepBuilder::tasks(1).estimate(MOST)]));
     assert_eq!(harness.accepted(), 3);
+    check_replay(&mut harness);
 }
 
 #[test]
@@ -186,3 +199,38 @@
     let largest = harness.largest_entry();
     assert!(largest <= 4 * 1024 * 1024, "{largest} bytes");
 }
+
+// The log's table of addresses also holds records of pending verdicts, which a new leader reads.
+#[rstest]
+#[case::empty("")]
+#[case::address("10.0.0.9:99999")]
+#[case::numbers("99999999999999999999\ne1\n000000000000000a.0.0.0@99999999999\n\n.")]
+#[case::run_beyond_the_job("100\ne1\n000000000000000a.99999.0.0@1 000000000000000a.0.9.9@1\n\n.")]
+#[case::nested("[[[[[[[[")]
+#[case::cut("100\ne1")]
+fn an_odd_record_in_the_table_of_addresses_is_ignored(#[case] text: &str) {
+    let mut harness = ControlHarness::start();
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    let report = report_of(incarnation("verdict pending\na9", 100), 16_000);
+    harness.send(9, LinkMessage::Worker { report, place: Arc::from(text) });
+    check_replay(&mut harness);
+    harness.connect_worker(1, "e1", 100);
+    assert_eq!(harness.starts(), ["000000000000000a.0.0.0 run 1 on e1@100"]);
+}
+
+// Streams refuse messages that nest deeper than 64 levels.
+#[test]
+fn messages_nest_far_less_than_streams_admit() {
+    let spec = JobSpec { steps: vec![StepSpec { depends_on: vec![0], ..step(most) }], ..job(&[]) };
+    let (host, path, call) = (String::new(), String::new(), CallerCall::Submit(spec));
+    let submission = LinkMessage::Call { sequence: MOST, host, path, call };
+    let address = PeerAddress("10.0.0.9:8080".parse().unwrap());
+    let member = GroupMember { replica: ReplicaId(MOST), address, voter: true };
+    let payload = EntryPayload::Members { members: vec![member], retired: Vec::new() };
+    let entry = LogEntry { index: LogIndex(1), term: TermNumber(1), payload };
+    for bytes in [rmp_serde::to_vec(&submission).unwrap(), rmp_serde::to_vec(&entry).unwrap()] {
+        let mut body = rmp_serde::Deserializer::from_read_ref(&bytes);
+        body.set_max_depth(12);
+        IgnoredAny::deserialize(&mut body).unwrap();
+    }
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -118,6 +118,7 @@
     answers: Vec<CallerAnswer>,
     recorded_up_to: u64,
     operator: Vec<OperatorAnswer>,
+    halts: usize,
     /// The streams that were sent a `Welcome` of a leader, with the ports of the members.
     welcomes: Vec<(u64, Vec<u16>)>,
     /// The worker for which the last answer to a ping granted a lease.
@@ -144,6 +145,7 @@
             answers: Vec::new(),
             recorded_up_to: 0,
             operator: Vec::new(),
+            halts: 0,
             welcomes: Vec::new(),
             leased: None,
         };
@@ -238,6 +240,7 @@
                 self.welcomes.push((session.0, ports));
             }
             ControlEffect::Answer { answer, .. } => self.operator.push(answer),
+            ControlEffect::Halt(_) => self.halts += 1,
             ControlEffect::Record(FlowEvent::JobBlocked { job, data_centre, .. }) => {
                 self.blocked.push(format!("{job} by {data_centre}"));
             }
@@ -451,6 +454,11 @@
         self.step(ControlEvent::Settle);
     }
 
+    /// Returns how often the process would have ended.
+    pub fn halts(&self) -> usize {
+        self.halts
+    }
+
     /// Returns the size of the largest entry of the log, in bytes.
     pub fn largest_entry(&self) -> usize {
         let size = |entry: &LogEntry| match &entry.payload {
