Do not stop a listed run that was never ordered

An executor refuses every run that is not higher than one that was stopped there, so that the task could never start on this executor again.

A run above the highest of its task in the log can't be a real one: an order goes out only once its placement is committed, and a leader starts from all committed entries. It is now logged once and left alone. Runs of unknown jobs are stopped as before.

--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -142,6 +142,8 @@
     pub(super) relocations: RelocationState,
     /// The run and the time of the last stop order for each task.
     pub(super) stopping: HashMap<TaskKey, (RunNumber, Duration)>,
+    /// Listed runs that no leader has ordered, which were logged.
+    pub(super) unordered: BTreeSet<(TaskKey, RunNumber)>,
     /// Streams of entries and agents that have presented themselves, which are notified of changes
     /// of the membership and of the end of the leadership.
     pub(super) clients: BTreeSet<SessionId>,
@@ -238,6 +240,7 @@
             relief_due: HashMap::new(),
             relocations: RelocationState::default(),
             stopping: HashMap::new(),
+            unordered: BTreeSet::new(),
             clients: BTreeSet::new(),
             announced,
             members_check_at: self.now,
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -23,6 +23,9 @@
 /// Interval at which a stop is repeated while the run is still listed.
 pub(super) const STOP_REPEAT: Duration = Duration::from_millis(500);
 
+/// The most listed runs that a leader logs as never ordered.
+const UNORDERED_RUNS_LIMIT: usize = 64;
+
 impl ControlNode {
     /// Repeats the orders for all placements on a worker: its agent may have restarted and have no
     /// record of the runs there. On a worker that has become too small or is cordoned, the agent's
@@ -110,6 +113,10 @@
                 if at == worker || at.is_before(worker));
             here && record.run == run
         });
+        if leader.speculative.task(&task).is_some_and(|record| record.run < run) {
+            self.note_unordered(worker, task, run);
+            return;
+        }
         if !expected {
             self.stop_unwanted(session, worker, task, run);
             return;
@@ -125,6 +132,19 @@
         self.note_listed(worker, report);
     }
 
+    /// Logs a listed run that is higher than any that was ordered, so that another program must have
+    /// written it. It is not stopped: the executor would refuse every run up to its number, and with
+    /// them the runs of the task.
+    fn note_unordered(&mut self, worker: &WorkerIncarnation, task: TaskKey, run: RunNumber) {
+        let Some(leader) = &mut self.leader else { return };
+        let is_full = leader.unordered.len() >= UNORDERED_RUNS_LIMIT;
+        if !is_full && leader.unordered.insert((task, run)) {
+            let from = format!("executor {worker}");
+            let reason = format!("lists {task} run {run}, which was never ordered");
+            self.record(FlowEvent::MessageRefused { from, reason });
+        }
+    }
+
     fn stop_unwanted(
         &mut self,
         session: SessionId,
--- a/crates/workflow/tests/extremes/mod.rs
+++ b/crates/workflow/tests/extremes/mod.rs
@@ -117,6 +117,9 @@
 #[rstest]
 #[case::estimate(|spec: &mut StepSpec| spec.estimate_ms = MOST)]
 #[case::estimate_of_a_gang(|spec: &mut StepSpec| { spec.estimate_ms = MOST; spec.gang = true; })]
+#[case::estimate_of_a_gang_that_waits(|spec: &mut StepSpec| { spec.demand.cpu_milli = 4000; spec.count = 6; spec.gang = true; spec.estimate_ms = MOST; })]
+#[case::estimate_of_wide_steps_that_wait(|spec: &mut StepSpec| { spec.demand.cpu_milli = 9000; spec.count = 60; spec.estimate_ms = MOST; })]
+#[case::estimate_of_best_effort_that_waits(|spec: &mut StepSpec| { spec.demand.cpu_milli = 9000; spec.count = 60; spec.estimate_ms = MOST; spec.filler = true; })]
 #[case::estimate_with_checkpoints(|spec: &mut StepSpec| { spec.estimate_ms = MOST; spec.checkpointing = true; })]
 #[case::processors(|spec: &mut StepSpec| spec.demand.cpu_milli = MOST)]
 #[case::processors_of_best_effort(|spec: &mut StepSpec| { spec.demand.cpu_milli = MOST; spec.filler = true; })]
@@ -234,3 +237,21 @@
         IgnoredAny::deserialize(&mut body).unwrap();
     }
 }
+
+// An executor refuses every run that is not higher than one that was stopped there. A stop of a run
+// that was never ordered kept the task from this executor for good.
+#[test]
+fn a_listed_run_that_was_never_ordered_is_not_stopped() {
+    let mut harness = ControlHarness::start();
+    connect(&mut harness, 1, report_of(incarnation("e1", 100), 16_000));
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    let task = "000000000000000a.0.0.0";
+    for _ in 0..3 {
+        harness.report_runs(1, "e1@100", &[(task, 1), (task, u32::MAX)]);
+        harness.keep_alive(1, 600);
+    }
+    assert!(harness.stops().is_empty(), "{:?}", harness.stops());
+    assert_eq!(harness.starts().len(), 1);
+    harness.report_runs(1, "e1@100", &[(task, 1), ("000000000000000f.0.0.0", 1)]);
+    assert_eq!(harness.stops(), ["000000000000000f.0.0.0 run 1"], "its job is unknown");
+}
