--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -10,13 +10,18 @@
 mod shrink;
 mod throttle;
 mod types;
+mod unreadable;
 
 pub use types::{
-    AgentEffect, AgentEvent, AgentSettings, CallFailure, ExecutorView, StartRefusal, StartVerdict,
+    AgentEffect, AgentEvent, AgentSettings, CallFailure, ExecutorView, RunList, StartRefusal,
+    StartVerdict, UnreadableRow,
 };
 
 use {
-    self::{orders::RunTable, polling::LeaseClock, throttle::BestEffortThrottle},
+    self::{
+        orders::RunTable, polling::LeaseClock, throttle::BestEffortThrottle,
+        unreadable::UnreadableRows,
+    },
     crate::{
         event::FlowEvent,
         job::WorkerIncarnation,
@@ -64,7 +69,10 @@
     /// The time at which the agent last reported these ends.
     ends_reported: Duration,
     listed_runs: Vec<RunReport>,
+    unreadable: UnreadableRows,
     poll_sent: Option<Duration>,
+    /// The number of the last end that the executor was told to forget.
+    acknowledged: u64,
     next_poll: Duration,
     last_report: Duration,
 }
@@ -307,7 +315,9 @@
             ends: BTreeMap::new(),
             ends_reported: self.now,
             listed_runs: Vec::new(),
+            unreadable: UnreadableRows::default(),
             poll_sent: None,
+            acknowledged: 0,
             next_poll: self.now,
             last_report: self.now,
         });
--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -340,19 +340,23 @@
                 continue;
             }
             let listed = running(*task, *run);
+            // A run that no readable row lists may be in one that can't be read.
+            let absent = !listed && !executor.unreadable.name(*task);
             let started = OrderPhase::Started(asked);
             match order.phase {
                 OrderPhase::Started(_) if listed => changed.push((key, started)),
-                OrderPhase::Started(shown) if asked.saturating_sub(shown) >= UNLISTED_TIMEOUT => {
+                OrderPhase::Started(shown)
+                    if absent && asked.saturating_sub(shown) >= UNLISTED_TIMEOUT =>
+                {
                     changed.push((key, OrderPhase::StopAgain(now)));
                 }
                 OrderPhase::Unclear(since) if listed && since < asked => {
                     changed.push((key, started));
                 }
-                OrderPhase::Unclear(since) if since < asked => {
+                OrderPhase::Unclear(since) if absent && since < asked => {
                     never_began.push((key, EndKind::Refused));
                 }
-                OrderPhase::Stopped(since) if !listed && since < asked => {
+                OrderPhase::Stopped(since) if absent && since < asked => {
                     never_began.push((key, EndKind::Stopped));
                 }
                 OrderPhase::Stopped(since) if now.saturating_sub(since) >= STOP_AGAIN => {
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -32,6 +32,10 @@
     },
 };
 
+/// Size at which an entry takes no more events, in bytes. Together with the largest event, it stays
+/// below the limit of a frame between two members.
+const ENTRY_CONTENT_BYTES: usize = 1024 * 1024;
+
 /// Commands that wait for the next entry of the log, and the effects that follow its commit.
 #[derive(Debug, Default)]
 pub(super) struct PendingBatch {
@@ -39,9 +43,28 @@
     pub(super) deferred: Vec<ControlEffect>,
     /// The runs that the commands count as failed. The members of a gang share theirs.
     pub(super) failed_runs: BTreeSet<(StepKey, RunNumber)>,
+    /// Size of what the commands hold, in bytes.
+    content_bytes: usize,
 }
 
 impl PendingBatch {
+    pub(super) fn new(commands: Vec<FlowCommand>) -> Self {
+        let content_bytes = commands.iter().map(FlowCommand::content_bytes).sum();
+        Self { commands, content_bytes, ..Self::default() }
+    }
+
+    /// Adds a command, and the effects that follow its commit.
+    pub(super) fn add(&mut self, command: FlowCommand, deferred: Vec<ControlEffect>) {
+        self.content_bytes += command.content_bytes();
+        self.commands.push(command);
+        self.deferred.extend(deferred);
+    }
+
+    /// Returns whether the batch is large enough for an entry of its own.
+    pub(super) fn is_full(&self) -> bool {
+        self.content_bytes >= ENTRY_CONTENT_BYTES
+    }
+
     /// Returns whether the batch ends a run.
     pub(super) fn ends(&self, ended: &TaskKey, number: RunNumber) -> bool {
         self.commands.iter().any(|command| {
@@ -131,6 +154,8 @@
     pub(super) relocations: RelocationState,
     /// The run and the time of the last stop order for each task.
     pub(super) stopping: HashMap<TaskKey, (RunNumber, Duration)>,
+    /// Listed runs that no leader has ordered, which were logged.
+    pub(super) unordered: BTreeSet<(TaskKey, RunNumber)>,
     /// Streams of entries and agents that have presented themselves, which are notified of changes
     /// of the membership and of the end of the leadership.
     pub(super) clients: BTreeSet<SessionId>,
@@ -216,7 +241,7 @@
             counted_until: self.now,
             unproposed_ms: 0,
             speculative,
-            pending: PendingBatch { commands, ..PendingBatch::default() },
+            pending: PendingBatch::new(commands),
             in_flight: BTreeMap::new(),
             replan: true,
             planner: PlacementPlanner::new(self.settings.look_ahead),
@@ -242,6 +267,7 @@
             relief_due: HashMap::new(),
             relocations: RelocationState::default(),
             stopping: HashMap::new(),
+            unordered: BTreeSet::new(),
             clients: BTreeSet::new(),
             announced,
             members_check_at: self.now,
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -5,6 +5,7 @@
 mod cordons;
 mod crashes;
 mod ends;
+mod extremes;
 mod fixtures;
 mod gangs;
 mod moves;
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -4,7 +4,10 @@
 use {
     crate::fixtures::fleet_config,
     base::{EventReducer, PeerAddress, ReplicaId, ReplyTicket},
-    quorum::{GroupMember, LogSnapshot, PersistBatch, QuorumSettings, RecoveredLog},
+    quorum::{
+        EntryPayload, GroupMember, LogEntry, LogSnapshot, PersistBatch, QuorumSettings,
+        RecoveredLog,
+    },
     std::{collections::BTreeSet, sync::Arc, time::Duration},
     workflow::{
         control::{
@@ -149,6 +152,7 @@
     answers: Vec<CallerAnswer>,
     recorded_up_to: u64,
     operator: Vec<OperatorAnswer>,
+    halts: usize,
     /// The streams that were sent a `Welcome` of a leader, with the ports of the members.
     welcomes: Vec<(u64, Vec<u16>)>,
     /// The worker for which the last answer to a ping granted a lease.
@@ -179,6 +183,7 @@
             answers: Vec::new(),
             recorded_up_to: 0,
             operator: Vec::new(),
+            halts: 0,
             welcomes: Vec::new(),
             leased: None,
         };
@@ -295,6 +300,7 @@
             ControlEffect::Record(FlowEvent::WorkerSuspect { worker }) => {
                 self.suspected_workers.push(worker.to_string());
             }
+            ControlEffect::Halt(_) => self.halts += 1,
             ControlEffect::Record(FlowEvent::JobBlocked { job, data_centre, .. }) => {
                 self.blocked.push(format!("{job} by {data_centre}"));
             }
@@ -499,6 +505,39 @@
         }
     }
 
+    /// Submits jobs that arrive before the next decision.
+    pub fn submit_together(&mut self, jobs: Vec<(u64, JobSpec)>) {
+        for (key, job) in jobs {
+            let message = self.call_message("/q/", key, CallerCall::Submit(job));
+            let event = ControlEvent::Message { session: SessionId(ENTRY), message };
+            for effect in self.node.reduce(self.now, event) {
+                match effect {
+                    ControlEffect::Persist(batch) => self.unsynced.push(batch),
+                    effect => self.record(effect),
+                }
+            }
+        }
+        for batch in std::mem::take(&mut self.unsynced) {
+            self.disk.apply(&batch);
+            self.step(ControlEvent::Persisted { number: batch.number });
+        }
+        self.step(ControlEvent::Settle);
+    }
+
+    /// Returns how often the process would have ended.
+    pub fn halts(&self) -> usize {
+        self.halts
+    }
+
+    /// Returns the size of the largest entry of the log, in bytes.
+    pub fn largest_entry(&self) -> usize {
+        let size = |entry: &LogEntry| match &entry.payload {
+            EntryPayload::Data(data) => data.len(),
+            _ => 0,
+        };
+        self.disk.entries.iter().map(size).max().unwrap_or(0)
+    }
+
     /// Submits a job to the queue at a path, and returns the answer.
     pub fn submit_to(&mut self, prefix: &str, key: u64, job: JobSpec) -> CallerAnswer {
         self.call_queue(prefix, key, CallerCall::Submit(job));
