Keep a listed run whose start was not answered

A run whose start had begun without an answer was stopped when its executor began to drain or shrank within the pause before the start was repeated, also if the executor already listed it at work. Its task started again elsewhere and lost what it had done.

The lists settled only starts that the executor had called old. They now settle a start that is due again as well. Both cases of the test failed before: the run was stopped.

--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -342,7 +342,9 @@
             let listed = running(*task, *run);
             let started = OrderPhase::Started(asked);
             match order.phase {
-                OrderPhase::Started(_) if listed => changed.push((key, started)),
+                OrderPhase::Started(_) | OrderPhase::StartAgain(_) if listed => {
+                    changed.push((key, started));
+                }
                 OrderPhase::Started(shown) if asked.saturating_sub(shown) >= UNLISTED_TIMEOUT => {
                     changed.push((key, OrderPhase::StopAgain(now)));
                 }
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -2,6 +2,7 @@
 
 use {
     base::EventReducer,
+    rstest::rstest,
     std::{sync::Arc, time::Duration},
     workflow::{
         agent::{
@@ -442,6 +443,21 @@
     assert_eq!(harness.calls, ["start 1", "stop 1"]);
 }
 
+// The answer to the start was lost, and the run had begun. It was stopped all the same, although the
+// executor listed it.
+#[rstest]
+#[case::draining(|harness: &mut AgentHarness| harness.report_heartbeat(2, Some(2000)))]
+#[case::shrinking(|harness: &mut AgentHarness| harness.report_capacity(2, 8))]
+fn a_listed_run_whose_start_was_not_answered_is_not_stopped(#[case] change: fn(&mut AgentHarness)) {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.answer_start(1, StartVerdict::Failed(CallFailure::Unanswered("no answer".to_owned())));
+    harness.answer_poll(&[run_report(1)], &[]);
+    change(&mut harness);
+    harness.advance(250);
+    assert_eq!(harness.calls, ["start 1"]);
+}
+
 // Starts carry the lease too: while the agent repeated one every 200 ms, it never gave up a crashed
 // executor, and the executor's tasks never started elsewhere.
 #[test]
