--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -344,7 +344,9 @@
             let absent = !listed && !executor.unreadable.name(*task);
             let started = OrderPhase::Started(asked);
             match order.phase {
-                OrderPhase::Started(_) if listed => changed.push((key, started)),
+                OrderPhase::Started(_) | OrderPhase::StartAgain(_) if listed => {
+                    changed.push((key, started));
+                }
                 OrderPhase::Started(shown)
                     if absent && asked.saturating_sub(shown) >= UNLISTED_TIMEOUT =>
                 {
