Weigh shared crashes so that three of them and one alone prove a task deadly

Cause: with many deadly tasks at once, other jobs are often suspected as well. A first crash and one in a group weighed eight together, and a third one alone did not complete the proof; and a proof that a shared crash completed was held back, since the last crash had to be without another suspect.

A proof now needs three crashes, of which any one had no other suspect, and every task that is proven is given up, in the order of the crashes under it: each clears the others.

The cases of the ledger's test for two shared crashes failed before, and so did the one of a task that was never alone.

--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -345,8 +345,8 @@
         }
     }
 
-    /// Counts a crash for the tasks that are blamed, and gives up one of them if it is proven to
-    /// crash executors.
+    /// Counts a crash for the tasks that are blamed, and gives up those that are proven to crash
+    /// executors.
     fn count_crash(&mut self, mut lost: LostWorker) {
         let now = self.now;
         let Some(leader) = &mut self.leader else { return };
@@ -376,20 +376,20 @@
         leader.suspects.ledger.note_crash(&lost.address, blamed.clone(), now);
         let worker = lost.worker;
         self.record(FlowEvent::ExecutorCrashed { worker: worker.clone(), runs, suspects, one_job });
-        let mut worst = None;
+        let mut counted = Vec::new();
         for (task, certain) in blamed {
             let mut count = OwedCount::default();
-            let counted =
-                if certain && !unreliable { &mut count.crashes } else { &mut count.unclear };
-            *counted = 1;
+            *if certain && !unreliable { &mut count.crashes } else { &mut count.unclear } = 1;
             let crashes = self.count_crash_of(&worker, task, count);
-            let Some(leader) = &self.leader else { return };
-            if certain && one_job && leader.suspects.ledger.is_proven(&task, now) {
-                worst = worst.max(crashes.map(|crashes| (crashes, task)));
-            }
+            counted.extend(crashes.filter(|_| certain).map(|crashes| (crashes, task)));
         }
-        if let Some((crashes, task)) = worst {
-            self.give_up(&worker, task, crashes);
+        // The crashes of a task that is given up no longer speak against the others.
+        counted.sort_unstable_by_key(|(crashes, _)| std::cmp::Reverse(*crashes));
+        for (crashes, task) in counted {
+            let leader = self.leader.as_ref();
+            if leader.is_some_and(|leader| leader.suspects.ledger.is_proven(&task, now)) {
+                self.give_up(&worker, task, crashes);
+            }
         }
     }
 
--- a/crates/workflow/src/plan/crash_ledger.rs
+++ b/crates/workflow/src/plan/crash_ledger.rs
@@ -25,8 +25,10 @@
 /// Weight of another crash at the same address, and of one where an executor has crashed for another
 /// reason once.
 const WEAK_WEIGHT: u32 = 3;
-/// Weight of the crashes that prove that a task crashes its executors: of three, one of them shared.
-const PROOF_WEIGHT: u32 = 2 * WITNESSED_WEIGHT + SHARED_WEIGHT;
+/// Weight of a crash where executors have crashed for other reasons several times.
+const FLAPPING_WEIGHT: u32 = 1;
+/// Weight of the crashes that prove that a task crashes its executors: of three, two of them shared.
+const PROOF_WEIGHT: u32 = WITNESSED_WEIGHT + 2 * SHARED_WEIGHT;
 /// The number of addresses that a proof needs, since one may be at fault itself.
 const PROOF_ADDRESSES: usize = 2;
 
@@ -118,24 +120,26 @@
         self.earlier.retain(|task, _| task.job != job);
     }
 
-    /// Returns whether the crashes under a task prove that it crashes its executors.
+    /// Returns whether the crashes under a task prove that it crashes its executors. One of them must
+    /// have had no other job suspected.
     pub fn is_proven(&self, task: &TaskKey, now: Duration) -> bool {
         let earlier = self.earlier.get(task).copied().unwrap_or(0);
-        let mut weight = earlier * WITNESSED_WEIGHT;
+        let mut weight = earlier * SHARED_WEIGHT;
         let mut addresses = BTreeSet::new();
+        let mut alone = false;
         for record in self.records.iter().filter(|record| record.is_certain_for(task)) {
-            let own = self.unexplained_at(&record.address, now);
-            if own > 1 {
-                continue;
-            }
             let first = addresses.insert(&*record.address);
-            weight += match first && own == 0 {
-                true if record.suspects_only(task.job) => WITNESSED_WEIGHT,
-                true => SHARED_WEIGHT,
-                false => WEAK_WEIGHT,
+            let unshared = record.suspects_only(task.job);
+            alone |= unshared;
+            weight += match self.unexplained_at(&record.address, now) {
+                0 if first && unshared => WITNESSED_WEIGHT,
+                0 if first => SHARED_WEIGHT,
+                0 | 1 => WEAK_WEIGHT,
+                _ => FLAPPING_WEIGHT,
             };
         }
-        weight >= PROOF_WEIGHT && addresses.len() + earlier as usize >= PROOF_ADDRESSES
+        let enough_addresses = addresses.len() + earlier as usize >= PROOF_ADDRESSES;
+        alone && enough_addresses && weight >= PROOF_WEIGHT
     }
 
     /// Returns whether an executor at an address has lately crashed for reasons of its own.
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -137,6 +137,8 @@
     most_down: usize,
     /// The rounds until each crashed executor is back.
     down: Vec<u32>,
+    /// The tasks of the starts that executors have carried out.
+    carried_out: Vec<String>,
     /// The number of addresses, from the first one, whose executors crash without a cause.
     flapping: usize,
 }
@@ -164,6 +166,7 @@
             crashes: 0,
             most_down: 0,
             down: vec![0; executors],
+            carried_out: Vec::new(),
             flapping: 0,
         };
         (0..executors).for_each(|at| fleet.connect(at));
@@ -193,6 +196,7 @@
             let found = (0..self.born.len()).find(|at| self.incarnation(*at) == worker);
             let Some(at) = found.filter(|at| self.down[*at] == 0) else { continue };
             self.running.push((at, task.to_owned(), run.parse().unwrap()));
+            self.carried_out.push(task.to_owned());
             if deadly(task, at) {
                 self.crash(at);
             }
@@ -289,7 +293,10 @@
             if deadly_jobs.contains(&key) { "Ended(Failed)" } else { "Ended(Succeeded)" };
         let phase = fleet.harness.phase(key);
         assert_eq!(phase, expected, "seed {seed}, job {key}: {:?}", fleet.harness.starts());
-        let starts = fleet.starts_of(&format!("{key:016x}.0.0.0"));
+        let task = format!("{key:016x}.0.0.0");
+        // Orders that reach an executor which is down start nothing.
+        let carried_out = fleet.carried_out.iter().filter(|other| **other == task).count();
+        let starts = if flapping > 0 { carried_out } else { fleet.starts_of(&task) };
         assert!(starts <= 5, "seed {seed}, job {key}: {starts} starts");
     }
     assert_eq!(fleet.harness.pending(), 0, "seed {seed}: all jobs have ended");
@@ -322,7 +329,7 @@
 
 #[test]
 fn flapping_executors_neither_fail_innocent_jobs_nor_hide_a_deadly_one() {
-    for seed in 80..100 {
+    for seed in (80..100).chain([281]) {
         check_deadly_jobs_beside(seed, &[5], 3);
     }
 }
@@ -424,25 +431,39 @@
     }
 }
 
-// BUDGET on the shrunk day: three counted crashes, the first beside other jobs, were no proof.
-#[test]
-fn a_deadly_job_is_given_up_at_its_third_crash_although_it_first_crashed_beside_another() {
-    let mut fleet = FlappingFleet::new(8);
-    let (deadly, other) = ("000000000000000a", "000000000000000b");
-    fleet.harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
-    fleet.harness.submit(0xb, job(&[StepBuilder::tasks(1).estimate(60_000)]));
-    let starts = [deadly, other].map(|job| fleet.last_start_of(job));
-    assert_eq!(starts[0].0, starts[1].0, "both start on one executor");
-    let begun = starts.clone().map(|(_, task, run)| (task, run));
-    fleet.crash(starts[0].0, &begun);
-    for _ in 0..2 {
-        assert_eq!(fleet.harness.phase(0xa), "Running");
-        fleet.wait(2000);
-        let (at, task, run) = fleet.last_start_of(deadly);
-        fleet.crash(at, &[(task, run)]);
-    }
-    assert_eq!(fleet.harness.phase(0xa), "Ended(Failed)", "{:?}", fleet.harness.starts());
-    assert_eq!(fleet.harness.phase(0xb), "Running");
+/// Checks whether crashes prove that the task of job a crashes its executors. Each is given by its
+/// address and the jobs whose tasks had just begun.
+#[rstest]
+#[case::two_alone(&["A a", "B a"], false)]
+#[case::three_alone(&["A a", "B a", "C a"], true)]
+#[case::first_beside_another(&["A a b", "B a", "C a"], true)]
+// BUDGET on the shrunk day: three and four crashes like these were counted, and the task started again.
+#[case::first_two_beside_others(&["A a b", "B a b", "C a"], true)]
+#[case::last_two_beside_others(&["A a", "B a b", "C a b"], true)]
+#[case::never_alone(&["A a b", "B a b", "C a b", "D a b"], false)]
+#[case::all_at_one_address(&["A a", "A a", "A a", "A a", "A a"], false)]
+#[case::at_addresses_that_crashed_before(&["A", "B", "C", "D", "A a", "B a", "C a", "D a"], false)]
+#[case::often_at_such_addresses(
+    &["A", "B", "C", "D", "E", "A a", "B a", "C a", "D a", "E a"], true)]
+#[case::at_flapping_addresses(&["A", "A", "B", "B", "A a", "B a", "A a", "B a", "A a", "B a"], false)]
+#[case::often_at_flapping_addresses_and_twice_elsewhere(
+    &["A", "A", "A a", "A a", "A a", "B a", "C a"], true)]
+#[case::at_addresses_that_crash_later(&["A a", "B a", "A", "A", "B", "B", "C a"], false)]
+fn crashes_prove_a_task_deadly_only_if_their_addresses_do_not_explain_them(
+    #[case] crashes: &[&str],
+    #[case] proven: bool,
+) {
+    let mut ledger = SuspectTable::default().ledger;
+    let task_of = |job: &str| format!("{job:0>16}.0.0.0").parse::<TaskKey>().unwrap();
+    let now = Duration::from_secs(10);
+    for crash in crashes {
+        let mut words = crash.split(' ');
+        let address = Arc::from(words.next().unwrap());
+        ledger.note_crash(&address, words.map(|job| (task_of(job), true)).collect(), now);
+    }
+    assert_eq!(ledger.is_proven(&task_of("a"), now), proven);
+    ledger.clear(task_of("a"));
+    assert!(!ledger.is_proven(&task_of("a"), now), "a task that settles is cleared");
 }
 
 // Issue 34: a job was shown as failed, and none of its tasks had failed.
