Take a verdict back when the run that it waits for settles

A job ended as failed although its task was at work: three crashes had been counted, the last of them confirmed while the next run had already begun. The verdict waits for the end of that run, and it held whatever the run did: the task worked for seconds, its executor was drained, and the stop failed the job.

A run that settles is evidence for its task, so that the verdict is dropped then. The new test failed before with Ended(Failed) after the stop of run 2000004.

--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -214,6 +214,13 @@
         crashed.then_some(address)
     }
 
+    /// Takes back that a task is to be given up when its run ends: that run has settled.
+    pub(super) fn acquit(&mut self, task: &TaskKey) {
+        if let Some(owed) = self.owed.get_mut(task) {
+            owed.given_up = false;
+        }
+    }
+
     /// Forgets the tasks of a job that has ended.
     pub(super) fn forget_job(&mut self, job: JobKey) {
         self.owed.retain(|task, _| task.job != job);
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -116,6 +116,9 @@
         }
         if report.percent > 0 || report.figure > 0 {
             leader.suspects.note_at_work(task, run, self.now);
+            if leader.suspects.is_settled(&task, run) {
+                leader.crashes.acquit(&task);
+            }
         }
         let checkpoint = report.checkpoint.clone();
         let before = leader.progress.get(&task).filter(|before| before.run == run);
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -604,6 +604,29 @@
     assert_eq!(harness.phase(0xa), "Ended(Failed)", "{:?}", harness.starts());
 }
 
+// The verdict on an earlier start came while the next one ran, and the job failed when that was
+// stopped.
+#[test]
+fn a_job_whose_task_has_settled_does_not_fail_for_a_crash_confirmed_late() {
+    let mut fleet = FlappingFleet::new(5);
+    fleet.harness.submit(0xa, job(&[StepBuilder::tasks(1).estimate(60_000)]));
+    (0..2).for_each(|_| _ = fleet.crash_under_last_start());
+    let (at, task, run) = fleet.last_start();
+    let (name, born) = fleet.worker(at);
+    let worker = WorkerIncarnation { executor: Arc::from(&*name), started_ms: born };
+    let session = at as u64 + 1;
+    fleet.harness.report_end(session, &worker.to_string(), 0, &task, run, EndKind::Expired);
+    fleet.harness.send(session, LinkMessage::WorkerEnded { worker });
+    fleet.wait(3000);
+    assert_ne!(fleet.last_start().2, run, "the task runs again");
+    fleet.crash(at, &[]);
+    let (at, task, run) = fleet.settle_last_start();
+    let (name, born) = fleet.worker(at);
+    let worker = format!("{name}@{born}");
+    fleet.harness.report_end(at as u64 + 1, &worker, 1, &task, run, EndKind::Stopped);
+    assert_eq!(fleet.harness.phase(0xa), "Running", "{:?}", fleet.harness.starts());
+}
+
 // BUDGET of issue 20: the leader was killed before the next executor had answered, and the crash was
 // never counted.
 #[rstest]
