Hold commands back while the log has many uncommitted entries

Callers saw a job that was accepted and never started, as long as one leader led: the log takes a limited number of uncommitted entries and rejects the next one with `Overloaded`. The leader then began anew from the applied state, while the entries before that one were still on their way to their commit. Its speculative state never held them: it did not plan for their jobs, stopped their runs as superseded, and used run numbers that the log refused, so that the start was withheld at every repetition.

The test stalls the disk for more entries than the log takes, and submits the job once more: it is answered `Accepted`, and before this change nothing was started ("left: [], right: [... run 1 on e1@100]"); a second test lost the last hundred configurations.

The leader now collects commands while half of these entries are uncommitted, and proposes them once some are committed. An entry is rejected no more, so that the speculative state is never rebuilt beside entries that are still uncommitted.

--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -19,11 +19,21 @@
     std::{collections::BTreeSet, time::Duration},
 };
 
+/// Divisor of the entries that the log takes before the first of them is committed. It gives those
+/// that hold commands; the others are left to changes of the membership.
+const UNCOMMITTED_DIVISOR: usize = 2;
+
 impl ControlNode {
-    /// Proposes all collected commands, together with the placements that they make possible.
+    /// Proposes all collected commands, together with the placements that they make possible. Goes
+    /// on collecting while the log has many uncommitted entries: one that the log rejects would
+    /// leave the speculative state without those before it.
     pub(super) fn settle(&mut self) {
         let (now, wall_ms) = (self.now, self.wall_ms);
+        let uncommitted_limit = self.settings.quorum.pending_limit / UNCOMMITTED_DIVISOR;
         let Some(leader) = &mut self.leader else { return };
+        if leader.in_flight.len() >= uncommitted_limit.max(1) {
+            return;
+        }
         let due = leader.planner.is_full_pass_due(now);
         if leader.pending.commands.is_empty() && !leader.replan && !due {
             return;
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -2,6 +2,7 @@
 //! entries.
 
 mod admission;
+mod backlog;
 mod cordons;
 mod crashes;
 mod fixtures;
