Repeat the end of an executor to the leader that comes later

A deadly task was started once more for each crash that fell into a change of the leader: the crash was not counted.

Cause: an agent dropped its report of an ended executor while it had no leader, and told the next one only of the next executor. That leader ended the runs as Replaced, without a crash, and could not tell a crash from a drain either, since it had never seen the executor.

The agent now keeps the last end for half a minute and repeats it to each new leader: the executor's description, the runs that had just begun, the end.

the_end_of_an_executor_is_reported_to_the_leader_that_comes_later failed before: nothing was sent.

--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -35,6 +35,9 @@
 /// Bits of a fencing token that hold the millisecond at which an incarnation began: enough until
 /// 2039, and few enough for 4,096 terms in the integers that every JSON reader accepts.
 const INCARNATION_BITS: u32 = 41;
+/// Time for which the agent repeats to each new leader that an executor has ended. After it, the
+/// leases that the executor had from an earlier leader are over.
+const ENDED_RETENTION: Duration = Duration::from_secs(30);
 /// Unanswered pings that the agent remembers.
 const PENDING_PINGS_LIMIT: usize = 16;
 
@@ -64,6 +67,20 @@
     last_report: Duration,
 }
 
+/// The last executor that has ended.
+#[derive(Debug)]
+struct EndedExecutor {
+    report: WorkerReport,
+    /// The runs that had certainly begun, and only just.
+    begun: Vec<EndReport>,
+    at: Duration,
+    /// Whether none of its orders can be carried out any more, so that control may be told of the end
+    /// before the next executor has listed its runs.
+    gone: bool,
+    /// Whether the present leader was told.
+    reported: bool,
+}
+
 /// The agent of one executor.
 #[derive(Debug)]
 pub struct AgentNode {
@@ -82,6 +99,7 @@
     executor: Option<ExecutorState>,
     /// The last known incarnation, while the executor has not described the next one.
     former_incarnation: Option<WorkerIncarnation>,
+    ended: Option<EndedExecutor>,
     runs: RunTable,
     throttle: BestEffortThrottle,
     effects: Vec<AgentEffect>,
@@ -102,6 +120,7 @@
             unconfirmed_shrink: None,
             executor: None,
             former_incarnation: None,
+            ended: None,
             runs: RunTable::default(),
             throttle: BestEffortThrottle::default(),
             effects: Vec::new(),
@@ -186,6 +205,10 @@
         self.connected = true;
         self.pings.clear();
         self.unconfirmed_shrink = None;
+        if let Some(ended) = &mut self.ended {
+            ended.reported = false;
+        }
+        self.repeat_end();
         self.report_all();
         self.ping();
     }
@@ -282,6 +305,41 @@
     fn report_former_ended(&mut self, worker: &WorkerIncarnation) {
         let former = self.former_incarnation.take();
         if let Some(worker) = former.filter(|former| former.executor != worker.executor) {
+            self.report_gone(worker);
+        }
+    }
+
+    /// Reports that nothing of an incarnation can run any more.
+    fn report_gone(&mut self, worker: WorkerIncarnation) {
+        let ended = self.ended.as_mut().filter(|ended| ended.report.worker == worker);
+        if let Some(ended) = ended {
+            ended.gone = true;
+            if !ended.reported {
+                self.repeat_end();
+                return;
+            }
+        }
+        self.send(LinkMessage::WorkerEnded { worker });
+    }
+
+    /// Reports the last executor that has ended to a leader that was not told, first as it was: a
+    /// leader that does not know it can't tell a crash from a drain. Under the same id, the next
+    /// incarnation has to answer first, see [`Self::report_former_ended`].
+    fn repeat_end(&mut self) {
+        let (now, connected) = (self.now, self.connected);
+        let present = self.executor.as_ref().filter(|executor| executor.reached);
+        let present = present.map(|executor| &executor.report.worker);
+        let Some(ended) = &mut self.ended else { return };
+        let due = !ended.reported && now.saturating_sub(ended.at) < ENDED_RETENTION;
+        if !connected || !due || !ended.gone && present.is_none() {
+            return;
+        }
+        ended.reported = true;
+        let (report, begun, gone) = (ended.report.clone(), ended.begun.clone(), ended.gone);
+        let worker = report.worker.clone();
+        self.send_description(report);
+        self.send_ends(worker.clone(), begun);
+        if gone {
             self.send(LinkMessage::WorkerEnded { worker });
         }
     }
--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         types::{AgentEffect, CallFailure, StartRefusal, StartVerdict},
-        AgentNode,
+        AgentNode, EndedExecutor,
     },
     crate::{
         event::FlowEvent,
@@ -19,6 +19,9 @@
 /// Time that the agent remembers a run reported as never begun: control may order it again until it
 /// has the report in its log.
 const CLOSED_RETENTION: Duration = Duration::from_secs(30);
+/// Age of a run at the last answer of its executor up to which the agent repeats to a new leader that
+/// the run had just begun. That leader can't tell by itself which runs had settled.
+const YOUNG_RUN_AGE: Duration = Duration::from_millis(500);
 /// Pause before the agent repeats a confirmed stop for a run that is still listed.
 const STOP_AGAIN: Duration = Duration::from_millis(1000);
 
@@ -48,6 +51,8 @@
     phase: OrderPhase,
     /// The start order; `None` if the agent has only received a stop.
     order: Option<StartOrder>,
+    /// When the executor confirmed the start.
+    confirmed: Option<Duration>,
     /// Whether a start was not answered: the executor may still carry it out, whatever the answers
     /// to later ones.
     unanswered: bool,
@@ -57,7 +62,7 @@
 
 impl RunOrder {
     fn new(phase: OrderPhase, order: Option<StartOrder>) -> Self {
-        Self { phase, order, unanswered: false, withdrawn: false }
+        Self { phase, order, confirmed: None, unanswered: false, withdrawn: false }
     }
 }
 
@@ -118,6 +123,17 @@
         unsent
     }
 
+    fn confirm(&mut self, key: (TaskKey, RunNumber), now: Duration) {
+        let Some(order) = self.orders.get_mut(&key) else { return };
+        order.phase = OrderPhase::Started;
+        order.confirmed = Some(now);
+    }
+
+    fn is_young(&self, key: (TaskKey, RunNumber), at: Duration) -> bool {
+        let confirmed = self.orders.get(&key).and_then(|order| order.confirmed);
+        confirmed.is_some_and(|confirmed| at.saturating_sub(confirmed) < YOUNG_RUN_AGE)
+    }
+
     fn set(&mut self, key: (TaskKey, RunNumber), phase: OrderPhase) {
         if let Some(order) = self.orders.get_mut(&key) {
             order.phase = phase;
@@ -242,7 +258,7 @@
             return;
         }
         match verdict {
-            StartVerdict::Started => self.runs.set(key, OrderPhase::Started),
+            StartVerdict::Started => self.runs.confirm(key, self.now),
             StartVerdict::Refused(_) if self.runs.is_unanswered(key) => {
                 self.runs.set(key, OrderPhase::StopAgain(self.now));
                 self.repeat_orders();
@@ -302,7 +318,8 @@
     /// later incarnation may still carry out.
     pub(super) fn report_ended_runs(&mut self) {
         let Some(executor) = &self.executor else { return };
-        let worker = executor.report.worker.clone();
+        let report = executor.report.clone();
+        let worker = report.worker.clone();
         let begun = self.runs.orders.iter().filter(|((task, run), order)| {
             let ended = executor.ends.values().any(|end| end.is_of(*task, *run));
             order.phase == OrderPhase::Started && !order.unanswered && !ended
@@ -316,6 +333,14 @@
                 checkpoint: String::new(),
             })
             .collect();
+        let known = self.ended.as_ref().is_some_and(|ended| ended.report.worker == worker);
+        if executor.reached && !known {
+            let silent = executor.silent_since.unwrap_or(self.now);
+            let young = ends.iter().filter(|end| self.runs.is_young((end.task, end.run), silent));
+            let begun = young.cloned().collect();
+            let (at, reported) = (self.now, self.connected);
+            self.ended = Some(EndedExecutor { report, begun, at, gone: false, reported });
+        }
         self.send_ends(worker, ends);
     }
 
--- a/crates/workflow/src/agent/polling.rs
+++ b/crates/workflow/src/agent/polling.rs
@@ -5,11 +5,7 @@
         types::{AgentEffect, CallFailure, ExecutorView},
         AgentNode, ExecutorState, REPORT_INTERVAL, WATCHING_INTERVAL,
     },
-    crate::{
-        event::FlowEvent,
-        job::WorkerIncarnation,
-        message::{EndReport, LinkMessage},
-    },
+    crate::{event::FlowEvent, job::WorkerIncarnation, message::EndReport},
     std::time::Duration,
 };
 
@@ -163,11 +159,13 @@
         let Some(executor) = &mut self.executor else { return };
         let expired = executor.silent_since.is_some() && now > executor.expires_at;
         if expired && executor.reached {
-            executor.reached = false;
             let worker = executor.report.worker.clone();
             self.report_ended_runs();
+            if let Some(executor) = &mut self.executor {
+                executor.reached = false;
+            }
             self.runs = super::orders::RunTable::default();
-            self.send(LinkMessage::WorkerEnded { worker });
+            self.report_gone(worker);
             self.effects.push(AgentEffect::Reconnect);
             self.reset_lease();
         }
@@ -204,6 +202,10 @@
         executor.next_poll = if executor.ends.is_empty() { now } else { now + UNRECORDED_PAUSE };
         if first {
             self.record(FlowEvent::ExecutorReached { worker: worker.clone() });
+            if self.ended.as_ref().is_some_and(|ended| ended.report.worker == *worker) {
+                self.ended = None;
+            }
+            self.repeat_end();
             self.report_all();
             self.ping();
         } else {
--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -271,7 +271,10 @@
         let open = runs.iter().filter(|placed| !leader.pending.ends(&placed.task, placed.run));
         let runs: Vec<(TaskKey, RunNumber)> =
             open.map(|placed| (placed.task, placed.run)).collect();
-        if !seen {
+        // Of an executor that has listed no runs to this leader, nobody knows which had settled. Its
+        // agent has named those that had just begun.
+        let listed = leader.workers.get(&worker.executor).is_some_and(|view| view.ever_listed);
+        if !seen || reason == LossReason::Ended && !listed {
             return;
         }
         self.note_lost(worker, &runs, |lost| &mut lost.unclear);
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -85,6 +85,7 @@
         self.confirm_crash(worker);
         if let Some(leader) = &mut self.leader {
             if let Some(view) = leader.workers.get_mut(&worker.executor) {
+                view.ever_listed = true;
                 if !std::mem::replace(&mut view.listed, true) {
                     leader.planner.touch(&worker.executor);
                     leader.replan = true;
--- a/crates/workflow/src/plan/worker.rs
+++ b/crates/workflow/src/plan/worker.rs
@@ -27,6 +27,8 @@
     pub report: WorkerReport,
     /// Whether the agent has listed the runs on the worker.
     pub listed: bool,
+    /// Whether the agent has ever listed the runs on this incarnation to this leader.
+    pub ever_listed: bool,
     /// Whether the worker's data centre is cordoned, so that nothing more may start here.
     pub cordoned: bool,
     /// The end of the lease under which the worker may run its tasks.
@@ -45,6 +47,7 @@
         Self {
             report,
             listed: false,
+            ever_listed: false,
             cordoned: false,
             lease_until: Duration::ZERO,
             failures: 0.0,
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -339,6 +339,50 @@
     assert_eq!(harness.reports(), ["gone", "reconnect"]);
 }
 
+// A crash that no leader was told of was not counted.
+#[test]
+fn the_end_of_an_executor_is_reported_to_the_leader_that_comes_later() {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.answer_start(1, StartVerdict::Started);
+    harness.step(AgentEvent::LeaderLost);
+    for _ in 1..=60 {
+        harness.advance(100);
+        if !harness.polls.is_empty() {
+            harness.leave_poll_unanswered();
+        }
+    }
+    let before = harness.introductions;
+    for term in 2..=3 {
+        harness.sent.clear();
+        harness.connect_leader(term);
+        assert_eq!(harness.reports(), ["1 Expired", "gone"], "term {term}");
+        harness.step(AgentEvent::LeaderLost);
+    }
+    assert_eq!(harness.introductions, before + 2, "with its description");
+    harness.sent.clear();
+    harness.advance(30_000);
+    harness.connect_leader(4);
+    assert!(harness.reports().is_empty(), "its leases are over");
+}
+
+#[test]
+fn an_executor_that_answers_again_is_not_reported_as_ended_to_a_later_leader() {
+    let mut harness = AgentHarness::start();
+    harness.step(AgentEvent::LeaderLost);
+    for _ in 1..=60 {
+        harness.advance(100);
+        if !harness.polls.is_empty() {
+            harness.leave_poll_unanswered();
+        }
+    }
+    harness.advance(200);
+    harness.answer_poll(&[], &[]);
+    harness.sent.clear();
+    harness.connect_leader(2);
+    assert!(harness.reports().is_empty(), "{:?}", harness.reports());
+}
+
 // The leader may have placed the task elsewhere once the lease has expired.
 #[test]
 fn an_unanswered_start_is_stopped_once_the_lease_has_expired() {
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -676,6 +676,28 @@
     assert_eq!(harness.starts()[1..], ["000000000000000a.0.0.0 run 1002 on e3 at A@300"]);
 }
 
+// Only the agent knows which runs had just begun when the executor went, before this leader.
+#[test]
+fn a_leader_counts_a_crash_from_before_its_time_for_the_runs_that_the_agent_names() {
+    let mut harness = ControlHarness::start();
+    let task = "000000000000000a.0.0.0";
+    harness.connect_worker(1, "e1 at A", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    harness.submit(0xb, job(&[StepBuilder::tasks(1)]));
+    harness.restart_leader();
+    harness.announce_incarnation(1, "e1 at A", 100);
+    harness.report_end(1, "e1 at A@100", 0, task, 1, EndKind::Expired);
+    let worker = WorkerIncarnation { executor: Arc::from("e1 at A"), started_ms: 100 };
+    harness.send(1, LinkMessage::WorkerEnded { worker });
+    harness.connect_worker(1, "e2 at A", 200);
+    harness.connect_worker(2, "e1 at B", 100);
+    harness.keep_alive(1, 400);
+    let mut starts = harness.starts()[4..].to_vec();
+    starts.sort();
+    assert!(starts[0].starts_with(&format!("{task} run 1000002 on ")), "{starts:?}");
+    assert!(starts[1].starts_with("000000000000000b.0.0.0 run 2 on "), "{starts:?}");
+}
+
 // A task that has run again since must not be held or tried for an executor that never returns.
 #[test]
 fn an_old_verdict_suspects_no_task_that_was_placed_since() {
