--- a/crates/workflow/src/agent/polling.rs
+++ b/crates/workflow/src/agent/polling.rs
@@ -8,7 +8,7 @@
     crate::{
         event::FlowEvent,
         job::WorkerIncarnation,
-        message::{EndReport, LinkMessage, WorkerReport},
+        message::{EndReport, WorkerReport},
     },
     std::time::Duration,
 };
@@ -149,7 +149,7 @@
         let now = self.now;
         let expired = self.former.take_if(|former| now > former.expires_at);
         if let Some(FormerExecutor { worker, .. }) = expired {
-            self.send(LinkMessage::WorkerEnded { worker });
+            self.report_gone(worker);
             self.effects.push(AgentEffect::Reconnect);
         }
     }
@@ -179,11 +179,13 @@
         let Some(executor) = &mut self.executor else { return };
         let expired = executor.silent_since.is_some() && now > executor.expires_at;
         if expired && executor.reached {
-            executor.reached = false;
             let worker = executor.report.worker.clone();
             self.report_ended_runs();
+            if let Some(executor) = &mut self.executor {
+                executor.reached = false;
+            }
             self.runs = super::orders::RunTable::default();
-            self.send(LinkMessage::WorkerEnded { worker });
+            self.report_gone(worker);
             self.effects.push(AgentEffect::Reconnect);
             self.reset_lease();
         }
@@ -225,6 +227,10 @@
         executor.next_poll = if idle { now } else { now + UNRECORDED_PAUSE };
         if first {
             self.record(FlowEvent::ExecutorReached { worker: worker.clone() });
+            if self.ended.as_ref().is_some_and(|ended| ended.report.worker == *worker) {
+                self.ended = None;
+            }
+            self.repeat_end();
             self.report_all();
             self.ping();
         } else if news {
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -92,6 +92,7 @@
         if let Some(leader) = &mut self.leader {
             leader.unconfirmed.note_list(&worker.executor, now);
             if let Some(view) = leader.workers.get_mut(&worker.executor) {
+                view.ever_listed = true;
                 if !std::mem::replace(&mut view.listed, true) {
                     leader.planner.touch(&worker.executor);
                     leader.replan = true;
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -8,7 +8,7 @@
     workflow::{
         job::{JobKey, RunNumber, TaskKey, WorkerIncarnation},
         message::LinkMessage,
-        plan::SuspectTable,
+        plan::{CrashLedger, SuspectTable},
         state::{CommandBatch, EndKind, FlowCommand, FlowState, Submission},
     },
 };
@@ -431,6 +431,19 @@
     }
 }
 
+fn task_of(job: &str) -> TaskKey {
+    format!("{job:0>16}.0.0.0").parse().unwrap()
+}
+
+/// Notes crashes, each given by its address and the jobs whose tasks had just begun.
+fn note_crashes(ledger: &mut CrashLedger, crashes: &[&str], now: Duration) {
+    for crash in crashes {
+        let mut words = crash.split(' ');
+        let address = Arc::from(words.next().unwrap());
+        ledger.note_crash(&address, words.map(|job| (task_of(job), true)).collect(), now);
+    }
+}
+
 /// Checks whether crashes prove that the task of job a crashes its executors. Each is given by its
 /// address and the jobs whose tasks had just begun.
 #[rstest]
@@ -454,18 +467,30 @@
     #[case] proven: bool,
 ) {
     let mut ledger = SuspectTable::default().ledger;
-    let task_of = |job: &str| format!("{job:0>16}.0.0.0").parse::<TaskKey>().unwrap();
     let now = Duration::from_secs(10);
-    for crash in crashes {
-        let mut words = crash.split(' ');
-        let address = Arc::from(words.next().unwrap());
-        ledger.note_crash(&address, words.map(|job| (task_of(job), true)).collect(), now);
-    }
+    note_crashes(&mut ledger, crashes, now);
     assert_eq!(ledger.is_proven(&task_of("a"), now), proven);
     ledger.clear(task_of("a"));
     assert!(!ledger.is_proven(&task_of("a"), now), "a task that settles is cleared");
 }
 
+// BUDGET on the shrunk day: two deadly tasks crashed one executor, and that counted for only one.
+#[rstest]
+#[case::of_one_crash_and_alone_twice(&["A a b"], &["B a", "C a"], true)]
+#[case::of_many_crashes(&["A a b", "B a b", "C a b", "D a b"], &["E a"], false)]
+fn a_task_is_not_blamed_often_for_what_one_that_is_given_up_has_done(
+    #[case] shared: &[&str],
+    #[case] alone: &[&str],
+    #[case] proven: bool,
+) {
+    let mut ledger = SuspectTable::default().ledger;
+    let now = Duration::from_secs(10);
+    note_crashes(&mut ledger, shared, now);
+    ledger.convict(&task_of("b"));
+    note_crashes(&mut ledger, alone, now);
+    assert_eq!(ledger.is_proven(&task_of("a"), now), proven);
+}
+
 // Issue 34: a job was shown as failed, and none of its tasks had failed.
 #[test]
 fn a_job_does_not_fail_because_two_flapping_executors_crash_around_it() {
@@ -676,6 +701,28 @@
     assert_eq!(harness.starts()[1..], ["000000000000000a.0.0.0 run 1002 on e3 at A@300"]);
 }
 
+// Only the agent knows which runs had just begun when the executor went, before this leader.
+#[test]
+fn a_leader_counts_a_crash_from_before_its_time_for_the_runs_that_the_agent_names() {
+    let mut harness = ControlHarness::start();
+    let task = "000000000000000a.0.0.0";
+    harness.connect_worker(1, "e1 at A", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    harness.submit(0xb, job(&[StepBuilder::tasks(1)]));
+    harness.restart_leader();
+    harness.announce_incarnation(1, "e1 at A", 100);
+    harness.report_end(1, "e1 at A@100", 0, task, 1, EndKind::Expired);
+    let worker = WorkerIncarnation { executor: Arc::from("e1 at A"), started_ms: 100 };
+    harness.send(1, LinkMessage::WorkerEnded { worker });
+    harness.connect_worker(1, "e2 at A", 200);
+    harness.connect_worker(2, "e1 at B", 100);
+    harness.keep_alive(1, 400);
+    let mut starts = harness.starts()[4..].to_vec();
+    starts.sort();
+    assert!(starts[0].starts_with(&format!("{task} run 1000002 on ")), "{starts:?}");
+    assert!(starts[1].starts_with("000000000000000b.0.0.0 run 2 on "), "{starts:?}");
+}
+
 // A task that has run again since must not be held or tried for an executor that never returns.
 #[test]
 fn an_old_verdict_suspects_no_task_that_was_placed_since() {
