Show what becomes of an end in the next incarnation of an executor

An end that an earlier incarnation reports late is neither recorded nor acknowledged. One in the next incarnation, which carried out the order late, uses one attempt, however often it is reported. Both held before.

--- a/crates/workflow/tests/ends/mod.rs
+++ b/crates/workflow/tests/ends/mod.rs
@@ -97,3 +97,20 @@
     assert_eq!(harness.phase(0xa), "Running");
     assert_eq!(harness.state().task(&TASK.parse().unwrap()).unwrap().failures, 1);
 }
+
+// The order for the earlier incarnation was carried out late by the next one.
+#[test]
+fn a_failure_in_the_next_incarnation_of_the_executor_uses_one_attempt() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    harness.announce_incarnation(1, "e1", 200);
+    harness.report_end(1, "e1@100", 7, TASK, 1, EndKind::Failed);
+    assert_eq!(harness.recorded_up_to(), 0, "the incarnation has ended, and its ends with it");
+    for _ in 0..2 {
+        harness.report_end(1, "e1@200", 1, TASK, 1, EndKind::Failed);
+    }
+    assert_eq!(harness.recorded_up_to(), 1);
+    assert_eq!(harness.state().task(&TASK.parse().unwrap()).unwrap().failures, 1);
+    assert_eq!(harness.phase(0xa), "Running");
+}
