Pin down the largest counts and time limits of callers

Jobs with more tasks than one may have, over all occurrences, are refused before anything is allocated for them, and a request with the longest time limit waits like any other.

--- a/crates/node/tests/unit/entry.rs
+++ b/crates/node/tests/unit/entry.rs
@@ -225,3 +225,11 @@
     assert!(lost.is_ready(START + Duration::from_millis(3999)));
     assert!(!lost.is_ready(START + Duration::from_millis(4000)));
 }
+
+#[test]
+fn a_request_with_the_longest_time_limit_waits_like_any_other() {
+    let (call, _answer) = pending(submit(), Duration::from_millis(u64::MAX));
+    assert!(!call.is_late(START) && call.may_be_forwarded(START));
+    assert!(!call.is_expired(START, StreamView::LostAt(START)));
+    assert!(call.is_expired(START + AMPLE, StreamView::LostAt(START)));
+}
--- a/crates/workflow/tests/extremes/mod.rs
+++ b/crates/workflow/tests/extremes/mod.rs
@@ -12,8 +12,8 @@
     serde::{de::IgnoredAny, Deserialize},
     std::sync::Arc,
     workflow::{
-        job::{JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
-        message::{CallerCall, EndReport, LinkMessage, RunReport, WorkerReport},
+        job::{JobSchedule, JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
+        message::{CallerAnswer, CallerCall, EndReport, LinkMessage, RunReport, WorkerReport},
         state::{EndKind, FlowState},
     },
 };
@@ -144,6 +144,23 @@
     check(spec, resource);
 }
 
+// The state of a job is allocated for all its tasks when it is accepted.
+#[rstest]
+#[case::occurrences(1, u32::MAX)]
+#[case::occurrences_of_nothing(0, u32::MAX)]
+#[case::tasks(u16::MAX, 1)]
+#[case::both(u16::MAX, u32::MAX)]
+fn a_job_with_too_many_tasks_is_refused_before_anything_is_allocated(
+    #[case] count: u16,
+    #[case] occurrences: u32,
+) {
+    let mut harness = ControlHarness::start();
+    let (first_ms, every_ms) = (MOST, MOST);
+    let schedule = Some(JobSchedule { count: occurrences, first_ms, every_ms });
+    harness.submit(0xa, JobSpec { schedule, ..job(&[StepBuilder::tasks(count)]) });
+    assert!(matches!(harness.answers(), [CallerAnswer::Invalid(_)]), "{:?}", harness.answers());
+}
+
 #[rstest]
 #[case::stretch(f64::MAX, MOST)]
 #[case::negative_stretch(f64::MIN, MOST)]
