Let a suspected job leave a trial whose room others have taken

A job that had joined the trial of another one had nothing running for as long as the other's run lasted, on a fleet with most of its room free: jobs join a trial while its executor is being cleared, and the first of them may then take all of its room. If that run did not settle, for example because its agent throttled it to 0, the trial had no end.

The test plays six suspected jobs on eight workers: before, "a suspected job could run and waits".

The job now leaves the trial once it finds no room there, and another executor tries it.

--- a/crates/workflow/src/plan/pass.rs
+++ b/crates/workflow/src/plan/pass.rs
@@ -213,6 +213,11 @@
             self.placements.push(Placement { task, run, worker: worker.clone() });
             placed += 1;
         }
+        let here =
+            |placement: &Placement| placement.worker == *worker && placement.task.job == step.job;
+        if !self.placements.iter().any(here) {
+            self.trials.leave(step.job, worker, self.inputs.state);
+        }
         waiting.len() - placed
     }
 
--- a/crates/workflow/src/plan/trials.rs
+++ b/crates/workflow/src/plan/trials.rs
@@ -13,7 +13,10 @@
         worker::{WorkerTable, WorkerView},
         PassInputs,
     },
-    crate::{job::JobKey, state::FlowState},
+    crate::{
+        job::{JobKey, WorkerIncarnation},
+        state::FlowState,
+    },
     indexmap::IndexMap,
     std::{sync::Arc, time::Duration},
 };
@@ -107,6 +110,17 @@
         let overdue = waited >= CLEARING_TIME && is_first_trial(job, inputs.state);
         (overdue || trial.unsettled_on(worker, inputs) == 0).then_some(position)
     }
+
+    /// Removes a job from the trial on an executor whose room the other jobs of the trial have taken,
+    /// so that another executor may try it.
+    pub(super) fn leave(&mut self, job: JobKey, worker: &WorkerIncarnation, state: &FlowState) {
+        let Some(trial) = self.trials.get_mut(&worker.executor) else { return };
+        let present = state.placed_tasks(worker).any(|(task, _)| task.job == job);
+        if !present && trial.jobs.len() > 1 {
+            trial.jobs.retain(|other| *other != job);
+        }
+    }
+
     /// Adds a job to a trial that has just begun, if more jobs wait than can be tried alone. A job
     /// that was tried before is tried alone.
     fn join(
--- a/crates/workflow/tests/waiting.rs
+++ b/crates/workflow/tests/waiting.rs
@@ -401,6 +401,35 @@
     assert_eq!(fleet.state.job(JobKey(9)).map(|job| job.begun), Some(false));
 }
 
+/// Jobs of one task each, which an executor has crashed under, on workers with other tasks.
+fn suspected_fleet(jobs: u64) -> WaitingFleet {
+    let mut fleet = WaitingFleet::new(2 * usize::from(FLEET));
+    fleet.submit(1, &[StepSpec { lasting: true, ..one_a_worker(2 * FLEET, 2) }], LONG);
+    fleet.pass();
+    for key in 2..2 + jobs {
+        fleet.submit(key, &[wide(step(1, 1))], LONG);
+        let task = TaskKey { job: JobKey(key), occurrence: 0, step: 0, index: 0 };
+        fleet.suspects.suspect(task, fleet.now, fleet.now);
+    }
+    fleet
+}
+
+/// Makes a step's tasks so large that a worker holds one of them.
+fn wide(step: StepSpec) -> StepSpec {
+    StepSpec { demand: TaskDemand { memory_mb: MEMORY_MB / 2 + 1, ..step.demand }, ..step }
+}
+
+/// The time in which several trials, one after the other, come about.
+const TRIALS_TIME: Duration = Duration::from_secs(10);
+
+// A job that had joined the trial of another one waited there for room as long as that one ran.
+#[test]
+fn a_suspected_job_leaves_a_trial_without_room() {
+    let mut fleet = suspected_fleet(6);
+    fleet.pass_for(TRIALS_TIME);
+    fleet.check_rest(Duration::from_secs(8), "a suspected job");
+}
+
 const SEEDS: u64 = 24;
 const TRAFFIC: Duration = Duration::from_secs(20);
 const REST: Duration = Duration::from_secs(15);
