End a trial whose run stands still

An executor on which a trial was in progress received nothing else for as long as a run of the trial did not settle. A best-effort run that its agent throttles to 0 from its start reports neither progress nor use, and settles never; so does one that is evicted and started again before it has settled. With as many such jobs as executors, no other job could start.

The test gives each executor a trial whose run stands still, and submits one more job: without this change it has nothing placed after ten seconds ("left: Some(0), right: Some(1)").

A trial now ends after 8 s, twice what settling takes after any number of crashes. The job stays suspected, so that its other tasks are tried again.

--- a/crates/workflow/src/plan/trials.rs
+++ b/crates/workflow/src/plan/trials.rs
@@ -30,6 +30,9 @@
 const CLEARING_TIME: Duration = Duration::from_millis(1500);
 /// Time after which a trial without a run is given up.
 const IDLE_TRIAL_TIME: Duration = Duration::from_millis(3000);
+/// Time after which a trial ends although its runs have not settled: they stand still, or are stopped
+/// and start again. Above the time that settling takes after any number of crashes.
+const TRIAL_TIME: Duration = Duration::from_secs(8);
 /// The largest number of jobs that are tried together.
 const GROUP_LIMIT: usize = 4;
 
@@ -52,8 +55,8 @@
 }
 
 impl TrialTable {
-    /// Ends the trials that are over: their jobs are no longer suspected, the executor is gone, or
-    /// the jobs have nothing there that has yet to settle.
+    /// Ends the trials that are over: their jobs are no longer suspected, the executor is gone, the
+    /// jobs have nothing there that has yet to settle, or it takes too long to do so.
     pub(super) fn refresh(
         &mut self,
         state: &FlowState,
@@ -72,7 +75,8 @@
                 Some(_) => tried.all(|(task, run)| suspects.is_settled(&task, run)),
                 None => now.saturating_sub(trial.since) >= IDLE_TRIAL_TIME,
             };
-            open && !over && !trial.jobs.is_empty()
+            let overdue = now.saturating_sub(trial.since) >= TRIAL_TIME;
+            open && !over && !overdue && !trial.jobs.is_empty()
         });
     }
 
--- a/crates/workflow/tests/waiting.rs
+++ b/crates/workflow/tests/waiting.rs
@@ -430,6 +430,16 @@
     fleet.check_rest(Duration::from_secs(8), "a suspected job");
 }
 
+// The run of a trial stood still, and its executor received nothing else as long as it ran.
+#[test]
+fn a_trial_whose_run_stands_still_ends() {
+    let mut fleet = suspected_fleet(2 * u64::from(FLEET));
+    fleet.pass_for(TRIALS_TIME);
+    fleet.submit(99, &[step(1, 1)], LONG);
+    fleet.pass_for(TRIALS_TIME);
+    assert_eq!(fleet.state.job(JobKey(99)).map(|job| job.placed), Some(1));
+}
+
 const SEEDS: u64 = 24;
 const TRAFFIC: Duration = Duration::from_secs(20);
 const REST: Duration = Duration::from_secs(15);
