--- a/crates/workflow/src/plan/trials.rs
+++ b/crates/workflow/src/plan/trials.rs
@@ -13,7 +13,10 @@
         worker::{WorkerTable, WorkerView},
         PassInputs,
     },
-    crate::{job::JobKey, state::FlowState},
+    crate::{
+        job::{JobKey, WorkerIncarnation},
+        state::FlowState,
+    },
     indexmap::IndexMap,
     std::{sync::Arc, time::Duration},
 };
@@ -27,6 +30,9 @@
 const CLEARING_TIME: Duration = Duration::from_millis(1500);
 /// Time after which a trial without a run is given up.
 const IDLE_TRIAL_TIME: Duration = Duration::from_millis(3000);
+/// Time after which a trial ends although its runs have not settled: they stand still, or are stopped
+/// and start again. Above the time that settling takes after any number of crashes.
+const TRIAL_TIME: Duration = Duration::from_secs(8);
 /// The largest number of jobs that are tried together.
 const GROUP_LIMIT: usize = 4;
 
@@ -49,8 +55,8 @@
 }
 
 impl TrialTable {
-    /// Ends the trials that are over: their jobs are no longer suspected, the executor is gone, or
-    /// the jobs have nothing there that has yet to settle.
+    /// Ends the trials that are over: their jobs are no longer suspected, the executor is gone, the
+    /// jobs have nothing there that has yet to settle, or it takes too long to do so.
     pub(super) fn refresh(
         &mut self,
         state: &FlowState,
@@ -69,7 +75,8 @@
                 Some(_) => tried.all(|(task, run)| suspects.is_settled(&task, run)),
                 None => now.saturating_sub(trial.since) >= IDLE_TRIAL_TIME,
             };
-            open && !over && !trial.jobs.is_empty()
+            let overdue = now.saturating_sub(trial.since) >= TRIAL_TIME;
+            open && !over && !overdue && !trial.jobs.is_empty()
         });
     }
 
@@ -107,6 +114,17 @@
         let overdue = waited >= CLEARING_TIME && is_first_trial(job, inputs.state);
         (overdue || trial.unsettled_on(worker, inputs) == 0).then_some(position)
     }
+
+    /// Removes a job from the trial on an executor whose room the other jobs of the trial have taken,
+    /// so that another executor may try it.
+    pub(super) fn leave(&mut self, job: JobKey, worker: &WorkerIncarnation, state: &FlowState) {
+        let Some(trial) = self.trials.get_mut(&worker.executor) else { return };
+        let present = state.placed_tasks(worker).any(|(task, _)| task.job == job);
+        if !present && trial.jobs.len() > 1 {
+            trial.jobs.retain(|other| *other != job);
+        }
+    }
+
     /// Adds a job to a trial that has just begun, if more jobs wait than can be tried alone. A job
     /// that was tried before is tried alone.
     fn join(
