Count a crash once that an agent reports again

Cause: agents repeat that the runs of an ended executor had begun, to the same leader and to the next one. Each report added the runs to the record of the lost executor, also when the log had ended them long ago.

Only runs whose end nothing has proposed yet count now. The new case failed before; with it, a report that comes again changes nothing, whichever leader gets it: the first one has put the pending verdict into the log.

--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -238,9 +238,14 @@
 
 impl ControlNode {
     /// Notes the runs that an agent reports to have ended with their executor, before their ends
-    /// are recorded. All of them had begun. Nothing more is placed on the executor.
+    /// are recorded. All of them had begun. Nothing more is placed on the executor. Agents repeat
+    /// such reports, so that runs whose end is recorded don't count again.
     pub(super) fn note_certain_starts(&mut self, worker: &WorkerIncarnation, ends: &[EndReport]) {
-        let ended = ends.iter().filter(|end| end.number == 0 && end.end == EndKind::Expired);
+        let ended = ends.iter().filter(|end| {
+            let placed = self.placed_incarnation(worker, &end.task, end.run);
+            let first = self.is_first_report(&placed, end.task, end.run);
+            end.number == 0 && end.end == EndKind::Expired && first
+        });
         let runs: Vec<(TaskKey, RunNumber)> = ended.map(|end| (end.task, end.run)).collect();
         let Some(leader) = &mut self.leader else { return };
         if runs.is_empty() || !leader.is_working(worker) {
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -255,7 +255,7 @@
 
     /// Returns the incarnation on which a run was placed: an earlier one of the same executor if
     /// `worker` has carried out its order late, otherwise `worker` itself.
-    fn placed_incarnation(
+    pub(super) fn placed_incarnation(
         &self,
         worker: &WorkerIncarnation,
         task: &TaskKey,
@@ -270,7 +270,12 @@
 
     /// Returns whether nothing has proposed the end of a run yet. Agents repeat the ends that they
     /// have no acknowledgement for.
-    fn is_first_report(&self, placed: &WorkerIncarnation, task: TaskKey, run: RunNumber) -> bool {
+    pub(super) fn is_first_report(
+        &self,
+        placed: &WorkerIncarnation,
+        task: TaskKey,
+        run: RunNumber,
+    ) -> bool {
         let Some(leader) = &self.leader else { return false };
         let current =
             leader.speculative.task(&task).is_some_and(|record| record.is_placed(run, placed));
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -22,6 +22,8 @@
     ReportedCrash,
     /// The same, and the agent also reports that the run had begun.
     CrashUnderRun,
+    /// The same, and the agent repeats that.
+    CrashReportedAgain,
     /// The executor crashes under its own id.
     CrashUnderSameId,
     /// The executor crashes while its agent is down as well.
@@ -59,6 +61,14 @@
             harness.send(1, ended);
             harness.connect_worker(1, "e2 at A", 200);
         }
+        WorkerEnd::CrashReportedAgain => {
+            let (worker, task) = ("e1 at A@100", "000000000000000a.0.0.0");
+            for _ in 0..2 {
+                harness.report_end(1, worker, 0, task, 1, EndKind::Expired);
+                harness.advance(50);
+            }
+            harness.connect_worker(1, "e2 at A", 200);
+        }
         WorkerEnd::CrashUnderSameId => harness.connect_worker(1, "e1 at A", 200),
         WorkerEnd::CrashWithAgent => {
             harness.close(1);
@@ -102,6 +112,7 @@
 #[case::crash(WorkerEnd::Crash, 1_002)]
 #[case::reported_crash(WorkerEnd::ReportedCrash, 1_002)]
 #[case::crash_under_a_run_that_had_begun(WorkerEnd::CrashUnderRun, 1_000_002)]
+#[case::crash_under_a_run_that_is_reported_again(WorkerEnd::CrashReportedAgain, 1_000_002)]
 #[case::crash_under_the_same_id(WorkerEnd::CrashUnderSameId, 1_002)]
 #[case::loss_of_the_machine(WorkerEnd::CrashWithAgent, 2)]
 #[case::crash_before_its_agent_restarts(WorkerEnd::CrashBeforeAgent, 1_002)]
