Clear a task that settles under a new leader of the crashes before

Callers would see a job shown as failed after one crash that it did not cause: two crashes were in the log, the task had settled since, under this leader and the one before, and a third executor that flaps completed the proof.

Cause: only suspected tasks were cleared when they settled, and a new leader suspects only those that wait. A task that ran when the leadership changed kept its counted crashes whatever it did.

The case with a new leader failed before with Ended(Failed); the one with the same leader held. A run that settles now clears its task whether it is suspected or not.

--- a/crates/workflow/src/plan/crash_ledger.rs
+++ b/crates/workflow/src/plan/crash_ledger.rs
@@ -96,6 +96,11 @@
         self.earlier.insert(task, 0);
     }
 
+    /// Returns whether the crashes that the log counts under a task no longer speak against it.
+    pub fn is_cleared(&self, task: &TaskKey) -> bool {
+        self.earlier.get(task) == Some(&0)
+    }
+
     /// Clears a task that has completed of all crashes.
     pub fn forget_task(&mut self, task: &TaskKey) {
         self.acquit(task);
--- a/crates/workflow/src/plan/suspects.rs
+++ b/crates/workflow/src/plan/suspects.rs
@@ -95,8 +95,12 @@
             *age = RunAge { run, first: now, last: now };
         }
         age.last = now;
-        if self.suspects.contains_key(&task) && self.is_settled(&task, run) {
-            self.suspects.remove(&task);
+        if !self.is_settled(&task, run) {
+            return;
+        }
+        let suspected = self.suspects.remove(&task).is_some();
+        // A leader does not suspect the tasks that run when it begins to lead.
+        if suspected || run.crashes() > 0 && !self.ledger.is_cleared(&task) {
             self.ledger.clear(task);
         }
     }
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -796,3 +796,35 @@
     harness.keep_alive(1, 200);
     assert_eq!(harness.starts().len(), 9, "{:?}", harness.starts());
 }
+
+// A new leader held the crashes of the log against a task that had settled under both leaders.
+#[rstest]
+#[case::same_leader(false)]
+#[case::new_leader(true)]
+fn a_task_that_settles_under_a_new_leader_is_cleared_of_the_crashes_before(#[case] change: bool) {
+    let mut fleet = FlappingFleet::new(6);
+    fleet.harness.submit(0xa, job(&[StepBuilder::tasks(1).estimate(60_000)]));
+    (0..2).for_each(|_| _ = fleet.crash_under_last_start());
+    fleet.settle_last_start();
+    if change {
+        fleet.harness.restart_leader();
+        let (third, task, run) = fleet.last_start();
+        for at in 0..6 {
+            let (name, born) = fleet.worker(at);
+            let session = at as u64 + 1;
+            fleet.harness.announce_incarnation(session, &name, born);
+            let runs: &[(&str, u32)] = if at == third { &[(&task, run)] } else { &[] };
+            fleet.harness.report_runs(session, &format!("{name}@{born}"), runs);
+        }
+        fleet.wait(400);
+        fleet.settle_last_start();
+    }
+    let (at, task, run) = fleet.last_start();
+    let (name, born) = fleet.worker(at);
+    let worker = format!("{name}@{born}");
+    fleet.harness.report_end(at as u64 + 1, &worker, 1, &task, run, EndKind::Stopped);
+    fleet.wait(400);
+    assert_ne!(fleet.last_start().2, run, "the task runs again");
+    fleet.crash_under_last_start();
+    assert_eq!(fleet.harness.phase(0xa), "Running", "{:?}", fleet.harness.starts());
+}
