Remember a drain until the next executor is reported

A job whose task crashes executors would be started more often after drains, and more executors lost to it: the end of a drained executor counted as a crash for no known reason, so that its address was no witness for half a minute.

Cause: the agent reports the end of an executor before it reports the next one, and control forgets with the end that the executor drained.

The case with a report of the end failed before: the next crash there was recorded as run 1002 instead of 1000002. The leader now keeps, for each address, the last executor that ended while it drained.

--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -142,6 +142,8 @@
     owed: BTreeMap<TaskKey, OwedCount>,
     /// The executors that do not answer their agents, by address.
     silent: IndexMap<Arc<str>, WorkerIncarnation>,
+    /// The last executor that has ended while it drained, by address.
+    drained: IndexMap<Arc<str>, WorkerIncarnation>,
 }
 
 impl CrashWatch {
@@ -184,6 +186,17 @@
         }
     }
 
+    /// Notes an executor that has ended while it drained. Its agent may report that before the next
+    /// one.
+    pub(super) fn note_drained(&mut self, address: Arc<str>, worker: WorkerIncarnation) {
+        self.drained.insert(address, worker);
+    }
+
+    /// Returns whether an executor has ended while it drained.
+    pub(super) fn has_drained(&self, address: &str, worker: &WorkerIncarnation) -> bool {
+        self.drained.get(address) == Some(worker)
+    }
+
     /// Returns the executor that followed one which did not drain, if the same agent has
     /// represented both.
     fn successor_of(&self, address: &str, worker: &WorkerIncarnation) -> Option<WorkerIncarnation> {
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -40,7 +40,8 @@
         let executor = worker.executor.clone();
         let before = leader.agents.insert(session, worker.clone());
         let former = before.clone().filter(|former| *former != worker).map(|former| {
-            let (draining, successor) = (leader.is_draining(&former), worker.clone());
+            let drained = leader.crashes.has_drained(place, &former);
+            let (draining, successor) = (drained || leader.is_draining(&former), worker.clone());
             FormerWorker { worker: former, draining, successor }
         });
         leader.crashes.note_report(place, &report, former);
@@ -209,6 +210,10 @@
                 .get(&worker.executor)
                 .is_some_and(|view| view.incarnation() == worker);
             if current {
+                let address = leader.speculative.executor_address_of(&worker.executor).cloned();
+                if let Some(address) = address.filter(|_| leader.is_draining(worker)) {
+                    leader.crashes.note_drained(address, worker.clone());
+                }
                 leader.workers.shift_remove(&worker.executor);
             }
         }
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -828,3 +828,24 @@
     fleet.crash_under_last_start();
     assert_eq!(fleet.harness.phase(0xa), "Running", "{:?}", fleet.harness.starts());
 }
+
+// An agent reports the end of an executor before the next one, and the drain was forgotten with it.
+#[rstest]
+#[case::without_a_report_of_the_end(false)]
+#[case::with_a_report_of_the_end(true)]
+fn a_drained_executor_does_not_speak_against_its_address(#[case] reported: bool) {
+    let mut harness = ControlHarness::start();
+    let task = "000000000000000a.0.0.0";
+    harness.connect_worker(1, "e1 at A", 100);
+    harness.report_draining(1, "e1 at A", 100);
+    if reported {
+        let worker = WorkerIncarnation { executor: Arc::from("e1 at A"), started_ms: 100 };
+        harness.send(1, LinkMessage::WorkerEnded { worker });
+    }
+    harness.connect_worker(1, "e2 at A", 200);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    harness.report_end(1, "e2 at A@200", 0, task, 1, EndKind::Expired);
+    harness.connect_worker(1, "e3 at A", 300);
+    harness.advance(100);
+    assert_eq!(harness.starts().last().unwrap(), &format!("{task} run 1000002 on e3 at A@300"));
+}
