Judge the end of an executor once

A deadly task would be found later: the end of an executor that its agent repeats counted as one more crash there, for no known reason, since the runs had been ended long ago. Its address was then no witness for half a minute.

Found by a review that had not seen the work. The case in which the end is repeated failed before: the next crash was recorded as run 1001003 instead of 2000003. The leader now remembers, for each address, which executor was judged last, and passes over its end when it is reported again.

--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -144,6 +144,8 @@
     silent: IndexMap<Arc<str>, WorkerIncarnation>,
     /// The last executor that has ended while it drained, by address.
     drained: IndexMap<Arc<str>, WorkerIncarnation>,
+    /// The last executor whose end was judged, by address. Agents repeat that it has ended.
+    judged: IndexMap<Arc<str>, WorkerIncarnation>,
 }
 
 impl CrashWatch {
@@ -223,8 +225,10 @@
         let mut formers = self.formers.iter();
         let found = formers.position(|(_, former)| former.successor == *present)?;
         let (address, former) = self.formers.shift_remove_index(found)?;
+        let before = self.judged.insert(address.clone(), former.worker.clone());
+        let first = before.as_ref() != Some(&former.worker);
         let crashed = !former.draining && former.worker.started_ms < present.started_ms;
-        crashed.then_some(address)
+        (first && crashed).then_some(address)
     }
 
     /// Takes back that a task is to be given up when its run ends: that run has settled.
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -849,3 +849,34 @@
     harness.advance(100);
     assert_eq!(harness.starts().last().unwrap(), &format!("{task} run 1000002 on e3 at A@300"));
 }
+
+// A repeated end, of which no run was left to blame, counted as a crash for no known reason.
+#[rstest]
+#[case::once(false)]
+#[case::again(true)]
+fn a_crash_that_a_task_explains_does_not_speak_against_its_address(#[case] again: bool) {
+    let mut harness = ControlHarness::start();
+    let task = "000000000000000a.0.0.0";
+    harness.connect_worker(1, "e1 at A", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    let ended = || LinkMessage::WorkerEnded {
+        worker: WorkerIncarnation { executor: Arc::from("e1 at A"), started_ms: 100 },
+    };
+    harness.report_end(1, "e1 at A@100", 0, task, 1, EndKind::Expired);
+    harness.send(1, ended());
+    harness.connect_worker(1, "e2 at A", 200);
+    harness.advance(100);
+    assert_eq!(harness.starts().last().unwrap(), &format!("{task} run 1000002 on e2 at A@200"));
+    harness.close(1);
+    if again {
+        harness.announce_incarnation(2, "e1 at A", 100);
+        harness.report_end(2, "e1 at A@100", 0, task, 1, EndKind::Expired);
+        harness.send(2, ended());
+    }
+    harness.announce_incarnation(2, "e2 at A", 200);
+    harness.report_runs(2, "e2 at A@200", &[(task, 1_000_002)]);
+    harness.report_end(2, "e2 at A@200", 0, task, 1_000_002, EndKind::Expired);
+    harness.connect_worker(2, "e3 at A", 300);
+    harness.advance(100);
+    assert_eq!(harness.starts().last().unwrap(), &format!("{task} run 2000003 on e3 at A@300"));
+}
