Let an unreadable row stand for a run for five seconds at most

A task would wait for ever, with the lease of its executor renewed: a row of its run's end that can't be read (an unknown word, a checkpoint above the limit) kept the run on the agent's list of those about to begin, until the executor had another end to record. A lasting odd row that names a real task did the same.

Cause: a row that names a task was taken to stand for its run for as long as it is listed.

The run is now settled by a stop after that time, as one that is listed nowhere.

--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -366,7 +366,7 @@
             }
             let listed = running(*task, *run);
             // A run that no readable row lists may be in one that can't be read.
-            let absent = !listed && !executor.unreadable.name(*task);
+            let absent = !listed && !executor.unreadable.may_hide(*task, now);
             let started = OrderPhase::Started(asked);
             match order.phase {
                 OrderPhase::Started(_) | OrderPhase::StartAgain(_) if listed => {
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -784,6 +784,30 @@
     assert_eq!(harness.reports(), expected);
 }
 
+// The row of the run's end could not be read, and the run was reported as about to begin for ever.
+#[rstest]
+fn a_run_that_an_unreadable_row_names_for_long_is_settled_by_a_stop(
+    #[values(RunList::Running, RunList::Finished)] list: RunList,
+) {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.answer_start(1, StartVerdict::Started);
+    let answer_polls = |harness: &mut AgentHarness, count: usize| {
+        for _ in 0..count {
+            harness.answer_poll_with(&[], &[], &[unreadable(list, Some(task()))]);
+            harness.advance(500);
+            harness.renew();
+        }
+    };
+    answer_polls(&mut harness, 9);
+    assert_eq!(harness.calls, ["start 1"], "the row may stand for the run");
+    answer_polls(&mut harness, 3);
+    assert_eq!(harness.calls, ["start 1", "stop 1"]);
+    harness.answer_stop(1, true);
+    answer_polls(&mut harness, 3);
+    assert_eq!(harness.reports(), ["1 Stopped"]);
+}
+
 #[test]
 fn an_unreadable_row_is_logged_once() {
     let mut harness = AgentHarness::start();
