--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -26,7 +26,7 @@
     },
     base::{PeerAddress, ReplicaId, ReplyTicket},
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
         sync::Arc,
         time::Duration,
     },
@@ -43,19 +43,25 @@
     pub(super) deferred: Vec<ControlEffect>,
     /// The runs that the commands count as failed. The members of a gang share theirs.
     pub(super) failed_runs: BTreeSet<(StepKey, RunNumber)>,
+    /// The runs that the commands end.
+    ended_runs: HashSet<(TaskKey, RunNumber)>,
     /// Size of what the commands hold, in bytes.
     content_bytes: usize,
 }
 
 impl PendingBatch {
     pub(super) fn new(commands: Vec<FlowCommand>) -> Self {
-        let content_bytes = commands.iter().map(FlowCommand::content_bytes).sum();
-        Self { commands, content_bytes, ..Self::default() }
+        let mut batch = Self::default();
+        commands.into_iter().for_each(|command| batch.add(command, Vec::new()));
+        batch
     }
 
     /// Adds a command, and the effects that follow its commit.
     pub(super) fn add(&mut self, command: FlowCommand, deferred: Vec<ControlEffect>) {
         self.content_bytes += command.content_bytes();
+        if let FlowCommand::End { task, run, .. } = &command {
+            self.ended_runs.insert((*task, *run));
+        }
         self.commands.push(command);
         self.deferred.extend(deferred);
     }
@@ -67,9 +73,7 @@
 
     /// Returns whether the batch ends a run.
     pub(super) fn ends(&self, ended: &TaskKey, number: RunNumber) -> bool {
-        self.commands.iter().any(|command| {
-            matches!(command, FlowCommand::End { task, run, .. } if task == ended && *run == number)
-        })
+        self.ended_runs.contains(&(*ended, number))
     }
 
     /// Returns the last run of a task that the batch places.
