Let best-effort runs go on with the least share once every target is met

Callers would see a best-effort job that never ends: a service whose tail stays between four fifths and all of its target kept the tasks beside it at 0 for ever. They make no progress, use nothing, so that no list shows them as harmful and the leader evicts none, and hold their memory.

Cause: the agent halves their share down to 0 above 95 percent of the target, and raises it only below 80 percent. Between the two it changes nothing.

Evidence: the test failed before ('throttle 0'). After three seconds at 0 with every target met, the tasks now go on with a tenth of their speed; if a target is missed, they stop again.

--- a/crates/workflow/src/agent/throttle.rs
+++ b/crates/workflow/src/agent/throttle.rs
@@ -22,6 +22,9 @@
 /// The least share above 0, in percent. A lower one becomes 0, at which the tasks make no progress.
 const LEAST_PERCENT: f64 = 10.0;
 const FULL_PERCENT: f64 = 100.0;
+/// Time for which best-effort tasks stand still although every target is met. After it, they go on
+/// with the least share: nothing else would end their wait beside a steady load.
+const STANDSTILL_TIME: Duration = Duration::from_secs(3);
 
 /// The throttle of an executor's best-effort tasks.
 #[derive(Debug)]
@@ -60,6 +63,8 @@
             }
         } else if worst < SPEED_UP_BELOW {
             self.percent = (self.percent + SPEED_UP_STEP).min(FULL_PERCENT);
+        } else if before == 0.0 && now.saturating_sub(self.changed) >= STANDSTILL_TIME {
+            self.percent = LEAST_PERCENT;
         }
         let changed = self.percent != before;
         if changed {
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -819,3 +819,36 @@
     assert_eq!(harness.refused.len(), 16);
     assert_eq!(harness.refused.iter().filter(|line| line.contains("the same")).count(), 1);
 }
+
+// A service whose tail stayed between four fifths and all of its target kept best-effort tasks at 0.
+#[test]
+fn a_best_effort_run_does_not_stand_still_for_ever_beside_a_service_that_meets_its_target() {
+    let mut harness = AgentHarness::start();
+    let service: TaskKey = "000000000000000b.0.0.0".parse().unwrap();
+    for (task, latency_target_ms, filler) in [(service, Some(50), false), (task(), None, true)] {
+        let order = StartOrder {
+            worker: incarnation(),
+            task,
+            run: RunNumber(1),
+            payload: "work".to_owned(),
+            checkpoint: String::new(),
+            latency_target_ms,
+            filler,
+        };
+        harness.step(AgentEvent::LeaderMessage(LinkMessage::Start(order)));
+    }
+    let play = |harness: &mut AgentHarness, tail_ms: u64, count: usize| {
+        for _ in 0..count {
+            let checkpoint = String::new();
+            let (task, run, percent, figure) = (service, RunNumber(1), 100, tail_ms);
+            let serving = RunReport { task, run, checkpoint, percent, figure };
+            harness.answer_poll(&[serving, run_report(1)], &[]);
+            harness.advance(500);
+            harness.renew();
+        }
+    };
+    play(&mut harness, 60, 12);
+    assert_eq!(harness.calls.last().unwrap(), "throttle 0");
+    play(&mut harness, 45, 8);
+    assert_eq!(harness.calls.last().unwrap(), "throttle 10");
+}
