Let a suspected job pause for less than a job may have nothing running

Callers may expect that an accepted job runs within 3 s where there is room. The pause is a second now, then two. The test failed before (16 s).

--- a/crates/workflow/src/plan/suspects.rs
+++ b/crates/workflow/src/plan/suspects.rs
@@ -36,9 +36,9 @@
 /// trial.
 const UNPROVEN_CRASHES: u32 = 5;
 /// Pause before that trial. Doubles with each further crash.
-const UNPROVEN_PAUSE: Duration = Duration::from_secs(4);
+const UNPROVEN_PAUSE: Duration = Duration::from_secs(1);
 /// Limit of the doublings of that pause.
-const UNPROVEN_PAUSE_DOUBLINGS: u32 = 2;
+const UNPROVEN_PAUSE_DOUBLINGS: u32 = 1;
 
 /// The time from a run's placement, or its first report, to the last report that lists it at work.
 #[derive(Debug, Clone, Copy)]
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -880,3 +880,10 @@
     harness.advance(100);
     assert_eq!(harness.starts().last().unwrap(), &format!("{task} run 2000003 on e3 at A@300"));
 }
+
+// A job that was suspected five times or more waited four to sixteen seconds on a calm fleet.
+#[test]
+fn a_suspected_job_pauses_for_less_than_a_job_may_have_nothing_running() {
+    let longest = (0..10_000).map(SuspectTable::unproven_pause).max();
+    assert!(longest.unwrap() < Duration::from_secs(3));
+}
--- a/crates/workflow/tests/schedules.rs
+++ b/crates/workflow/tests/schedules.rs
@@ -97,7 +97,6 @@
 
 // No task of these schedules crashes its executor.
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 34"]
 fn no_job_fails_because_executors_crash_for_reasons_of_their_own() {
     for seed in mixed_seeds() {
         check_mixed(seed, true).expect_failures_are_due();
