--- a/crates/link/tests/unit/frame.rs
+++ b/crates/link/tests/unit/frame.rs
@@ -43,8 +43,7 @@
     },
 }
 
-// A body that claims more than it contains must not make the reader allocate that much, and one
-// that nests deeply, in a field that nobody knows, overflowed the stack.
+// A body that nests deeply in an unknown field overflowed the stack.
 #[test]
 fn bodies_that_claim_too_much_or_nest_deeply_are_rejected() {
     for marker in [0xdd, 0xdf, 0xdb, 0xc6] {
--- a/crates/node/tests/unit/agent.rs
+++ b/crates/node/tests/unit/agent.rs
@@ -49,8 +49,7 @@
     }
 }
 
-// The stream went on after a message that it had not taken. A description that is lost like that
-// leaves the leader with a capacity which the executor no longer has.
+// The stream went on after a message that it had not taken.
 #[test]
 fn an_agent_leaves_a_stream_that_takes_no_more_messages() {
     on_local_set(async {
--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -10,7 +10,7 @@
         event::{FlowEvent, LossReason},
         job::{JobKey, RunNumber, TaskKey, WorkerIncarnation},
         message::{EndReport, WorkerReport},
-        plan::{Placement, SuspectTable},
+        plan::{CrashSuspect, Placement, SuspectTable},
         state::{EndKind, FlowCommand, FlowState, TaskPhase},
     },
     indexmap::IndexMap,
@@ -397,8 +397,8 @@
         let is_certain = |task: &TaskKey| {
             lost.starting.contains(task) || one_job && lost.unclear.contains(task) && tried(task)
         };
-        let blamed: Vec<(TaskKey, bool)> =
-            suspects.iter().map(|task| (*task, is_certain(task))).collect();
+        let suspect = |task: &TaskKey| CrashSuspect { task: *task, certain: is_certain(task) };
+        let blamed: Vec<CrashSuspect> = suspects.iter().map(suspect).collect();
         let earlier = |task: &TaskKey| leader.speculative.task(task).map(|task| task.run.crashes());
         for task in &suspects {
             leader.suspects.ledger.note_earlier(*task, earlier(task).unwrap_or(0));
@@ -409,7 +409,7 @@
         let worker = lost.worker;
         self.record(FlowEvent::ExecutorCrashed { worker: worker.clone(), runs, suspects, one_job });
         let mut counted = Vec::new();
-        for (task, certain) in blamed {
+        for CrashSuspect { task, certain } in blamed {
             let mut count = OwedCount::default();
             *if certain && !unreliable { &mut count.crashes } else { &mut count.unclear } = 1;
             let crashes = self.count_crash_of(&worker, task, count);
--- a/crates/workflow/src/plan/crash_ledger.rs
+++ b/crates/workflow/src/plan/crash_ledger.rs
@@ -32,28 +32,36 @@
 /// The number of addresses that a proof needs, since one may be at fault itself.
 const PROOF_ADDRESSES: usize = 2;
 
+/// A task that may have caused a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashSuspect {
+    /// The task.
+    pub task: TaskKey,
+    /// Whether it had begun for certain.
+    pub certain: bool,
+}
+
 /// A crash of an executor.
 #[derive(Debug)]
 struct CrashRecord {
     address: Arc<str>,
     at: Duration,
-    /// The tasks that may have caused it. Those that had begun for certain are true.
-    suspects: Vec<(TaskKey, bool)>,
+    suspects: Vec<CrashSuspect>,
     /// Whether a suspect has been given up.
     convicted: bool,
 }
 
 impl CrashRecord {
     fn suspects_job(&self, job: JobKey) -> bool {
-        self.suspects.iter().any(|(task, _)| task.job == job)
+        self.suspects.iter().any(|suspect| suspect.task.job == job)
     }
 
     fn suspects_only(&self, job: JobKey) -> bool {
-        self.suspects.iter().all(|(task, _)| task.job == job)
+        self.suspects.iter().all(|suspect| suspect.task.job == job)
     }
 
     fn is_certain_for(&self, task: &TaskKey) -> bool {
-        self.suspects.contains(&(*task, true))
+        self.suspects.contains(&CrashSuspect { task: *task, certain: true })
     }
 
     /// Returns whether no task explains the crash, so that it speaks against the address.
@@ -71,13 +79,8 @@
 }
 
 impl CrashLedger {
-    /// Notes a crash, with its suspects and whether each had begun for certain.
-    pub fn note_crash(
-        &mut self,
-        address: &Arc<str>,
-        suspects: Vec<(TaskKey, bool)>,
-        now: Duration,
-    ) {
+    /// Notes a crash, with its suspects.
+    pub fn note_crash(&mut self, address: &Arc<str>, suspects: Vec<CrashSuspect>, now: Duration) {
         let (address, convicted) = (address.clone(), false);
         self.records.push_back(CrashRecord { address, at: now, suspects, convicted });
         if self.records.len() > CRASHES_KEPT {
@@ -109,7 +112,7 @@
 
     fn acquit(&mut self, task: &TaskKey) {
         for record in &mut self.records {
-            record.suspects.retain(|(suspect, _)| suspect != task);
+            record.suspects.retain(|suspect| suspect.task != *task);
         }
     }
 
--- a/crates/workflow/src/plan/mod.rs
+++ b/crates/workflow/src/plan/mod.rs
@@ -34,7 +34,7 @@
 
 pub use {
     admission::{AdmissionTable, AdmissionVerdict},
-    crash_ledger::CrashLedger,
+    crash_ledger::{CrashLedger, CrashSuspect},
     durations::{DurationTable, QueueSummary, RemainingTimes, RunForecast, RunOrigin, RunReading},
     forecast::{left_by_progress, CallerEstimates, RunForecaster},
     interference::{BestEffortShare, HeadroomForecast, ImageName, InterferenceTable, LearnedPair},
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -328,8 +328,7 @@
     assert_eq!(harness.reports(), ["1 Done"]);
 }
 
-// An executor may have forgotten an end that the agent could not read. The agent went on listing the
-// run as about to start, and control kept it as placed.
+// The agent went on listing the run as about to start, and control kept it as placed.
 #[test]
 fn a_started_run_that_the_executor_lists_nowhere_is_settled_by_a_stop() {
     let mut harness = AgentHarness::start();
@@ -384,8 +383,7 @@
     assert_eq!(harness.reports().len(), 2);
 }
 
-// A leader drops the ends that arrive while the stream represents no worker to it, and learned of
-// them only on the next stream: until then, the log kept their runs as placed.
+// A leader drops the ends that arrive while the stream represents no worker to it.
 #[test]
 fn an_end_without_an_acknowledgement_is_reported_again_on_the_same_stream() {
     let mut harness = AgentHarness::start();
@@ -399,8 +397,7 @@
     assert_eq!(harness.reports().len(), 2);
 }
 
-// The leader acknowledges the highest number of a message. An end that it had dropped before was
-// acknowledged with the next one, and its run was placed for ever.
+// A dropped end was acknowledged with the next one, and its run was placed for ever.
 #[test]
 fn a_report_of_ends_holds_all_that_are_not_acknowledged() {
     let mut harness = AgentHarness::start();
@@ -514,8 +511,7 @@
     assert_eq!(harness.calls, ["start 1", "stop 1"]);
 }
 
-// The answer to the start was lost, and the run had begun. It was stopped all the same, although the
-// executor listed it.
+// The answer to the start was lost, and the run was stopped although the executor listed it.
 #[rstest]
 #[case::draining(|harness: &mut AgentHarness| harness.report_heartbeat(2, Some(2000)))]
 #[case::shrinking(|harness: &mut AgentHarness| harness.report_capacity(2, 8))]
@@ -577,8 +573,7 @@
     assert_eq!(harness.reports(), ["1 Refused", "1 Refused"]);
 }
 
-// The lease of an executor was renewed for ever after another incarnation had answered once at its
-// address and had not described itself: its runs never ended, and more were placed there.
+// The lease was renewed for ever, and the runs there never ended.
 #[test]
 fn an_executor_whose_next_incarnation_never_describes_itself_is_given_up() {
     let mut harness = AgentHarness::start();
--- a/crates/workflow/tests/backlog/mod.rs
+++ b/crates/workflow/tests/backlog/mod.rs
@@ -8,8 +8,7 @@
 /// More entries than the log takes before the first of them is committed.
 const UNCOMMITTED_ENTRIES: u64 = 1100;
 
-// The log took no more entries, the leader began anew without those that were not committed yet, and
-// never planned for the job in one of them although it was accepted.
+// The leader began anew without the uncommitted entries, and never planned for the job.
 #[test]
 fn a_job_accepted_before_the_log_took_no_more_entries_starts() {
     let mut harness = ControlHarness::start();
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -266,8 +266,7 @@
     assert_eq!(harness.leased.as_deref(), Some("e1@100"));
 }
 
-// An agent whose executor was replaced took the worker of another stream with it, which had the id
-// of the first executor by then: its tasks were not ordered until the agent reported again.
+// The tasks of the other stream's worker were not ordered until its agent reported again.
 #[test]
 fn a_stream_that_moves_to_another_executor_leaves_the_worker_of_another_stream() {
     let mut harness = ControlHarness::start();
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -8,7 +8,7 @@
     workflow::{
         job::{JobKey, RunNumber, TaskKey, WorkerIncarnation},
         message::LinkMessage,
-        plan::{CrashLedger, SuspectTable},
+        plan::{CrashLedger, CrashSuspect, SuspectTable},
         state::{CommandBatch, EndKind, FlowCommand, FlowState, Submission},
     },
 };
@@ -451,7 +451,8 @@
     for crash in crashes {
         let mut words = crash.split(' ');
         let address = Arc::from(words.next().unwrap());
-        ledger.note_crash(&address, words.map(|job| (task_of(job), true)).collect(), now);
+        let suspects = words.map(|job| CrashSuspect { task: task_of(job), certain: true });
+        ledger.note_crash(&address, suspects.collect(), now);
     }
 }
 
@@ -461,7 +462,7 @@
 #[case::two_alone(&["A a", "B a"], false)]
 #[case::three_alone(&["A a", "B a", "C a"], true)]
 #[case::first_beside_another(&["A a b", "B a", "C a"], true)]
-// BUDGET on the shrunk day: three and four crashes like these were counted, and the task started again.
+// Three and four crashes like these were counted, and the deadly task started again.
 #[case::first_two_beside_others(&["A a b", "B a b", "C a"], true)]
 #[case::last_two_beside_others(&["A a", "B a b", "C a b"], true)]
 #[case::never_alone(&["A a b", "B a b", "C a b", "D a b"], false)]
@@ -485,7 +486,7 @@
     assert!(!ledger.is_proven(&task_of("a"), now), "a task that settles is cleared");
 }
 
-// BUDGET on the shrunk day: two deadly tasks crashed one executor, and that counted for only one.
+// Two deadly tasks crashed one executor, and that counted for only one of them.
 #[rstest]
 #[case::of_one_crash_and_alone_twice(&["A a b"], &["B a", "C a"], true)]
 #[case::of_many_crashes(&["A a b", "B a b", "C a b", "D a b"], &["E a"], false)]
@@ -640,8 +641,7 @@
     assert_eq!(harness.phase(0xa), "Ended(Failed)", "{:?}", harness.starts());
 }
 
-// The verdict on an earlier start came while the next one ran, and the job failed when that was
-// stopped.
+// The verdict came while the next run worked, and the job failed when that was stopped.
 #[test]
 fn a_job_whose_task_has_settled_does_not_fail_for_a_crash_confirmed_late() {
     let mut fleet = FlappingFleet::new(5);
--- a/crates/workflow/tests/ends/mod.rs
+++ b/crates/workflow/tests/ends/mod.rs
@@ -30,8 +30,7 @@
     harness.send(1, LinkMessage::Runs { worker, runs });
 }
 
-// A report that was repeated dropped what the leader knew of the run after it, whose work was then
-// done again.
+// The work of the next run was done again.
 #[test]
 fn a_repeated_end_does_not_lose_the_checkpoint_of_the_next_run() {
     let mut harness = start_second_run();
--- a/crates/workflow/tests/extremes/mod.rs
+++ b/crates/workflow/tests/extremes/mod.rs
@@ -205,8 +205,7 @@
     assert_eq!(harness.starts(), ["000000000000000a.0.0.0 run 1 on e2@100"]);
 }
 
-// An entry above the limit of a frame ended every stream to another member, again after each
-// reconnection, and no later entry was committed any more.
+// No stream carries an entry above the limit of a frame, so that nothing more was committed.
 #[test]
 fn jobs_that_arrive_together_fit_into_the_entries_of_the_log() {
     let mut harness = ControlHarness::start();
@@ -255,8 +254,7 @@
     }
 }
 
-// An executor refuses every run that is not higher than one that was stopped there. A stop of a run
-// that was never ordered kept the task from this executor for good.
+// The executor refused every lower run of the task after the stop.
 #[test]
 fn a_listed_run_that_was_never_ordered_is_not_stopped() {
     let mut harness = ControlHarness::start();
--- a/crates/workflow/tests/gangs/mod.rs
+++ b/crates/workflow/tests/gangs/mod.rs
@@ -73,8 +73,7 @@
     }
 }
 
-// Issue 34: a job with two attempts was shown as failed after the first run of its gang, since each
-// member that ended as failed used up an attempt.
+// A job with two attempts was shown as failed after the first run of its gang.
 #[rstest]
 fn a_run_of_a_gang_uses_one_attempt_however_many_members_fail(
     #[values(
@@ -115,8 +114,7 @@
     assert_eq!(harness.ends_logged(), [line(0), line(1)]);
 }
 
-// Each member that failed counted as a failure of its worker, which was then avoided after a single
-// run.
+// The worker was avoided after a single failed run.
 #[rstest]
 #[case::one_message(Interlude::OneMessage)]
 #[case::one_by_one(Interlude::Nothing)]
@@ -132,8 +130,7 @@
     assert!(harness.suspected_workers().is_empty(), "{:?}", harness.suspected_workers());
 }
 
-// A member whose start arrives after another one has ended waits on its executor for a gang that
-// never comes together, and keeps the gang from starting again for that long.
+// The member that is left kept the gang from starting again until it gave up.
 #[rstest]
 #[case::listed(&[(1, 1), (2, 1)])]
 #[case::lost_orders(&[])]
--- a/crates/workflow/tests/streams/mod.rs
+++ b/crates/workflow/tests/streams/mod.rs
@@ -145,9 +145,7 @@
     }
 }
 
-// The leader dropped an end: the last messages of an earlier stream had arrived after those of the
-// present one, which represented no worker until the executor described itself anew. The run stayed
-// placed for ever, or was started again once a later end had acknowledged this one.
+// The run stayed placed for ever, or was started again once a later end had acknowledged this one.
 #[rstest]
 #[case::alone(1)]
 #[case::before_another_end(2)]
