--- /dev/null
+++ b/review/standin/cases/mod.rs
@@ -0,0 +1,14 @@
+//! The scripted cases.
+
+mod foreign_heartbeat;
+
+use {crate::record::Record, std::sync::Arc};
+
+type Case = fn(&Arc<Record>, bool) -> Result<(), String>;
+
+pub fn find(name: &str) -> Option<Case> {
+    match name {
+        "foreign-heartbeat" => Some(foreign_heartbeat::play),
+        _ => None,
+    }
+}
