--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The scripted cases.
 
+mod clock_back;
 mod foreign_heartbeat;
 
 use {crate::record::Record, std::sync::Arc};
@@ -8,6 +9,7 @@
 
 pub fn find(name: &str) -> Option<Case> {
     match name {
+        "clock-back" => Some(clock_back::play),
         "foreign-heartbeat" => Some(foreign_heartbeat::play),
         _ => None,
     }
