--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The scripted cases.
 
 mod clock_back;
+mod drained_order;
 mod foreign_heartbeat;
 
 use {crate::record::Record, std::sync::Arc};
@@ -10,6 +11,7 @@
 pub fn find(name: &str) -> Option<Case> {
     match name {
         "clock-back" => Some(clock_back::play),
+        "drained-order" => Some(drained_order::play),
         "foreign-heartbeat" => Some(foreign_heartbeat::play),
         _ => None,
     }
