--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod clock_back;
 mod drained_order;
+mod flapping_rack;
 mod foreign_heartbeat;
 
 use {crate::record::Record, std::sync::Arc};
@@ -12,6 +13,7 @@
     match name {
         "clock-back" => Some(clock_back::play),
         "drained-order" => Some(drained_order::play),
+        "flapping-rack" => Some(flapping_rack::play),
         "foreign-heartbeat" => Some(foreign_heartbeat::play),
         _ => None,
     }
