Ask the executor before its end is believed

Cause: the agent took any heartbeat with another id, and a start that is not earlier, as proof that its executor had ended. It reported the ends of the runs and WorkerGone without asking the executor. The same held before the executor's first answer to an agent that has restarted, and for the executor before, which was reported as ended by a description alone.

Change: a description of another incarnation is a claim. The agent polls the present executor at once; its answer refutes the claim, and an answer of another incarnation ends the executor. The end of a former executor is reported when the next one has answered. One executor at a time can use the address and each answer names its incarnation, so that no message of a third program can decide.

The executors of the schedules refused calls for another incarnation with Fenced, which no real executor does; they answer in their own name now.

--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -8,6 +8,7 @@
 mod orders;
 mod polling;
 mod shrink;
+mod successor;
 mod throttle;
 mod types;
 mod unreadable;
@@ -19,8 +20,8 @@
 
 use {
     self::{
-        orders::RunTable, polling::LeaseClock, throttle::BestEffortThrottle,
-        unreadable::UnreadableRows,
+        orders::RunTable, polling::LeaseClock, successor::SuccessorClaim,
+        throttle::BestEffortThrottle, unreadable::UnreadableRows,
     },
     crate::{
         event::FlowEvent,
@@ -80,12 +81,12 @@
     last_report: Duration,
 }
 
-/// An executor that has ended, as another incarnation has answered or described itself.
+/// An executor that has ended, as another incarnation has answered at its address.
 #[derive(Debug)]
 struct FormerExecutor {
     worker: WorkerIncarnation,
     /// The time at which control may consider the runs of the executor ended, if nothing has
-    /// described itself by then.
+    /// answered under its own name by then.
     expires_at: Duration,
 }
 
@@ -119,8 +120,11 @@
     /// The ping whose answer shows that the leader knows the executor's capacity, which has shrunk.
     unconfirmed_shrink: Option<u64>,
     executor: Option<ExecutorState>,
-    /// The last known executor, while the next one has not described itself.
+    /// The last known executor, while the next one has not answered.
     former: Option<FormerExecutor>,
+    /// Another incarnation that has described itself, while the executor has not been asked whether
+    /// it is still there.
+    claim: Option<SuccessorClaim>,
     ended: Option<EndedExecutor>,
     runs: RunTable,
     throttle: BestEffortThrottle,
@@ -142,6 +146,7 @@
             unconfirmed_shrink: None,
             executor: None,
             former: None,
+            claim: None,
             ended: None,
             runs: RunTable::default(),
             throttle: BestEffortThrottle::default(),
@@ -304,26 +309,30 @@
     }
 
     /// Handles the executor's description of itself. Ignores a message of an earlier incarnation,
-    /// or one that a later message has overtaken.
+    /// or one that a later message has overtaken. A later incarnation is only used once the present
+    /// one no longer answers at its address: anyone can send a description.
     fn handle_heartbeat(&mut self, report: WorkerReport, sequence: u64) {
         let known =
             self.executor.as_ref().map(|executor| (&executor.report.worker, executor.sequence));
         match known {
-            Some((incarnation, _)) if report.worker.started_ms < incarnation.started_ms => return,
+            Some((incarnation, _)) if report.worker.started_ms < incarnation.started_ms => {}
             Some((incarnation, seen)) if *incarnation == report.worker => {
                 if sequence > seen {
                     self.update_report(report, sequence);
                 }
-                return;
-            }
-            Some((incarnation, _)) => {
-                let worker = incarnation.clone();
-                self.former = Some(FormerExecutor { worker, expires_at: self.now });
-                self.report_ended_runs();
             }
-            None => {}
+            Some(_) => self.note_claim(report, sequence),
+            None => self.meet_executor(report, sequence),
         }
-        self.report_former_ended(&report.worker);
+    }
+
+    /// Makes an incarnation the executor beside the agent. Control hears of it, and of the end of
+    /// the former one, when it has answered.
+    fn meet_executor(&mut self, report: WorkerReport, sequence: u64) {
+        // Control settles the runs of a former incarnation under the same id, see
+        // `report_former_ended`.
+        self.former.take_if(|former| former.worker.executor == report.worker.executor);
+        self.claim = None;
         self.runs = RunTable::default();
         self.throttle = BestEffortThrottle::default();
         self.reset_lease();
@@ -347,13 +356,12 @@
         self.poll_executor();
     }
 
-    /// Reports the former incarnation as ended if it had another executor id. Under the same id,
-    /// control settles its runs by the lists of the new incarnation, which may have carried out an
-    /// order for the former one. Under another id that is not possible.
-    fn report_former_ended(&mut self, worker: &WorkerIncarnation) {
-        let former = self.former.take().map(|former| former.worker);
-        if let Some(worker) = former.filter(|former| former.executor != worker.executor) {
-            self.report_gone(worker);
+    /// Reports the former incarnation as ended if the one that answers has another executor id.
+    /// Under the same id, control settles its runs by the lists of the new incarnation, which may
+    /// have carried out an order for the former one. Under another id that is not possible.
+    fn report_former_ended(&mut self) {
+        if let Some(former) = self.former.take() {
+            self.report_gone(former.worker);
         }
     }
 
--- a/crates/workflow/src/agent/polling.rs
+++ b/crates/workflow/src/agent/polling.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        successor::SuccessorClaim,
         types::{AgentEffect, CallFailure, ExecutorView},
         AgentNode, ExecutorState, FormerExecutor, REPORT_INTERVAL, WATCHING_INTERVAL,
     },
@@ -80,7 +81,7 @@
             executor.expires_at = executor.expires_at.max(expiry_of(now, lease_end));
         }
         let wait = match (executor.clock.is_some() && silent.is_none(), watching) {
-            _ if !executor.ends.is_empty() => Duration::ZERO,
+            _ if !executor.ends.is_empty() || self.claim.is_some() => Duration::ZERO,
             (false, _) => Duration::ZERO,
             (true, true) => WATCHING_WAIT,
             (true, false) => POLL_WAIT,
@@ -113,6 +114,9 @@
             return;
         }
         if let Some(executor) = &mut self.executor {
+            if executor.poll_sent.is_some_and(|sent| asked < sent) {
+                return; // A later poll has taken its place, see `note_claim`.
+            }
             executor.poll_sent = None;
         }
         match result {
@@ -129,18 +133,24 @@
         self.poll_executor();
     }
 
-    /// Handles an answer from another incarnation at the executor's address. That incarnation sends
-    /// its description later, if it lives that long. Until then, control places nothing more here.
+    /// Handles an answer from another incarnation at the executor's address. That incarnation has
+    /// sent its description, or sends it later, if it lives that long. Until then, control places
+    /// nothing more here.
     fn handle_other_incarnation(&mut self, worker: &WorkerIncarnation) {
         self.report_ended_runs();
         let Some(executor) = self.executor.take() else { return };
         self.reset_lease();
         self.runs = super::orders::RunTable::default();
         let expires_at = executor.expires_at;
-        self.former = Some(FormerExecutor { worker: worker.clone(), expires_at });
+        if executor.reached || self.former.is_none() {
+            self.former = Some(FormerExecutor { worker: worker.clone(), expires_at });
+        }
         if executor.reached {
             self.send_description(WorkerReport { responsive: false, ..executor.report });
         }
+        if let Some(SuccessorClaim { report, sequence, .. }) = self.claim.take() {
+            self.meet_executor(report, sequence);
+        }
     }
 
     /// Gives up an executor that no other has followed, as a silent one: without a report, the pings
@@ -198,6 +208,7 @@
         view: ExecutorView,
     ) {
         let now = self.now;
+        self.refuse_claim(asked);
         self.note_unreadable(view.unreadable);
         let Some(executor) = &mut self.executor else { return };
         executor.clock = Some(LeaseClock { executor_ms: view.clock_ms, at: now });
@@ -230,6 +241,7 @@
             if self.ended.as_ref().is_some_and(|ended| ended.report.worker == *worker) {
                 self.ended = None;
             }
+            self.report_former_ended();
             self.repeat_end();
             self.report_all();
             self.ping();
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -58,6 +58,14 @@
 impl AgentHarness {
     /// Creates an agent that has met a leader of term 1 and an executor that runs nothing.
     fn start() -> Self {
+        let mut harness = Self::start_without_answer();
+        harness.answer_poll(&[], &[]);
+        harness.renew();
+        harness
+    }
+
+    /// Creates an agent whose executor has not answered it yet.
+    fn start_without_answer() -> Self {
         let now = Duration::from_secs(10);
         let node =
             AgentNode::new(AgentSettings { lease: LEASE, executor_address: Arc::from("a1") }, now);
@@ -80,8 +88,6 @@
         harness.report_heartbeat(1, None);
         harness.connect_leader(1);
         harness.step(AgentEvent::Tick);
-        harness.answer_poll(&[], &[]);
-        harness.renew();
         harness
     }
 
@@ -221,9 +227,13 @@
     }
 
     fn fail_poll(&mut self, failure: CallFailure) {
+        self.fail_poll_of(incarnation(), failure);
+    }
+
+    fn fail_poll_of(&mut self, worker: WorkerIncarnation, failure: CallFailure) {
         let asked = self.polls.pop().expect("a poll is in progress");
         let result = Err(failure);
-        self.step(AgentEvent::PollAnswered { worker: incarnation(), asked, result });
+        self.step(AgentEvent::PollAnswered { worker, asked, result });
     }
 
     fn order(&mut self, run: u32) {
@@ -624,11 +634,15 @@
 #[test]
 fn the_fence_rises_with_each_incarnation_and_each_term() {
     let mut harness = AgentHarness::start();
-    harness.report_heartbeat_of(WorkerIncarnation { started_ms: 200, ..incarnation() }, 1, None);
+    let [second, third] =
+        [200, 300].map(|started_ms| WorkerIncarnation { started_ms, ..incarnation() });
+    harness.report_heartbeat_of(second.clone(), 1, None);
+    harness.fail_poll(CallFailure::OtherIncarnation);
     harness.advance(100);
     harness.connect_leader(2);
     harness.advance(1000);
-    harness.report_heartbeat_of(WorkerIncarnation { started_ms: 300, ..incarnation() }, 1, None);
+    harness.report_heartbeat_of(third, 1, None);
+    harness.fail_poll_of(second, CallFailure::OtherIncarnation);
     harness.advance(100);
     assert!(harness.fences.is_sorted(), "{:?}", harness.fences);
     let mut different = harness.fences.clone();
@@ -636,6 +650,57 @@
     assert!(different.len() >= 3, "{:?}", harness.fences);
 }
 
+// Review, case 2: a heartbeat of another writer ended the runs of a sound executor, and their tasks
+// ran twice.
+#[test]
+fn a_heartbeat_of_another_writer_ends_nothing_while_the_executor_answers() {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.answer_start(1, StartVerdict::Started);
+    harness.answer_poll(&[run_report(1)], &[]);
+    harness.advance(100);
+    let other = WorkerIncarnation { executor: Arc::from("e9"), started_ms: 900 };
+    harness.report_heartbeat_of(other, 1, None);
+    assert!(harness.reports().is_empty(), "{:?}", harness.reports());
+    harness.answer_poll(&[run_report(1)], &[]);
+    assert_eq!(harness.refused, ["e1@100 still answers at the executor's address"]);
+    harness.advance(900);
+    harness.answer_poll(&[], &[end_report(1, 1, EndKind::Done)]);
+    assert_eq!(harness.reports(), ["1 Done"]);
+}
+
+// Review, case 2, for an agent that has restarted: control still counts the runs, and the agent does
+// not know them yet.
+#[test]
+fn a_heartbeat_of_another_writer_ends_nothing_before_the_first_answer() {
+    let mut harness = AgentHarness::start_without_answer();
+    let other = WorkerIncarnation { executor: Arc::from("e9"), started_ms: 900 };
+    harness.report_heartbeat_of(other, 1, None);
+    harness.advance(100);
+    harness.answer_poll(&[run_report(1)], &[]);
+    assert!(harness.reports().is_empty(), "{:?}", harness.reports());
+    assert_eq!(harness.introductions, 1);
+}
+
+// A description alone does not end the executor before: another program may have sent it.
+#[test]
+fn an_executor_with_another_id_follows_once_it_answers_for_itself() {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.answer_start(1, StartVerdict::Started);
+    harness.advance(100);
+    let next = WorkerIncarnation { executor: Arc::from("e2"), started_ms: 900 };
+    harness.report_heartbeat_of(next.clone(), 1, None);
+    harness.fail_poll(CallFailure::OtherIncarnation);
+    assert_eq!(harness.reports(), ["1 Expired"]);
+    harness.advance(10);
+    let asked = harness.polls.pop().unwrap();
+    let (running, finished, unreadable) = Default::default();
+    let view = ExecutorView { started_ms: 900, clock_ms: 1, running, finished, unreadable };
+    harness.step(AgentEvent::PollAnswered { worker: next, asked, result: Ok(view) });
+    assert_eq!(harness.reports(), ["1 Expired", "gone"]);
+}
+
 #[test]
 fn an_agent_that_the_leader_does_not_know_introduces_itself_again() {
     let mut harness = AgentHarness::start();
--- a/crates/workflow/tests/world/agents.rs
+++ b/crates/workflow/tests/world/agents.rs
@@ -211,13 +211,11 @@
         let was_answered = call.is_answered();
         let event = match call {
             ExecutorCall::Hold { worker, acknowledged, deadline_ms, fence, asked, answered } => {
-                let result = if executor.admits(&worker, fence) {
+                let result = executor.admit(&worker, fence).map(|()| {
                     let forgotten = executor.forget(acknowledged);
                     self.recorded_done.extend(forgotten);
-                    Ok(executor.poll(now, deadline_ms))
-                } else {
-                    Err(CallFailure::Fenced)
-                };
+                    executor.poll(now, deadline_ms)
+                });
                 let result = if answered { result } else { Err(unanswered()) };
                 AgentEvent::PollAnswered { worker, asked, result }
             }
@@ -232,7 +230,9 @@
                 answered,
             } => {
                 let before = executor.running().count();
-                let verdict = if executor.admits(&worker, fence) {
+                let verdict = if let Err(failure) = executor.admit(&worker, fence) {
+                    StartVerdict::Failed(failure)
+                } else {
                     let verdict = executor.start(now, task, run, deadline_ms, &checkpoint);
                     let (runs, admissible) = executor.load(now);
                     assert!(
@@ -245,15 +245,13 @@
                         self.check_cordon(agent, sent);
                     }
                     verdict
-                } else {
-                    StartVerdict::Failed(CallFailure::Fenced)
                 };
                 let verdict = if answered { verdict } else { StartVerdict::Failed(unanswered()) };
                 let run = RunNumber(run);
                 AgentEvent::StartAnswered { worker, task, run, verdict }
             }
             ExecutorCall::Stop { worker, task, run, fence, answered } => {
-                let admitted = executor.admits(&worker, fence);
+                let admitted = executor.admit(&worker, fence).is_ok();
                 if admitted {
                     executor.stop(task, run);
                 }
@@ -261,7 +259,7 @@
                 AgentEvent::StopAnswered { worker, task, run, stopped }
             }
             ExecutorCall::Pace { worker, task, run, percent, fence } => {
-                if executor.admits(&worker, fence) {
+                if executor.admit(&worker, fence).is_ok() {
                     executor
                         .mixed_work()
                         .into_iter()
--- a/crates/workflow/tests/world/executor.rs
+++ b/crates/workflow/tests/world/executor.rs
@@ -5,7 +5,7 @@
     base::SeededRandom,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     workflow::{
-        agent::{ExecutorView, StartRefusal, StartVerdict},
+        agent::{CallFailure, ExecutorView, StartRefusal, StartVerdict},
         job::{RunNumber, TaskKey, WorkerIncarnation},
         message::{EndReport, RunReport},
         state::EndKind,
@@ -130,12 +130,17 @@
         WorkerIncarnation { executor: self.name.clone(), started_ms: self.born }
     }
 
-    /// Tells whether a call is for this incarnation and bears a current fencing token. Connections
-    /// end with an incarnation, so no call reaches the next one.
-    pub fn admits(&mut self, worker: &WorkerIncarnation, fence: u64) -> bool {
-        let admitted = *worker == self.incarnation() && fence >= self.fence;
-        self.fence = self.fence.max(fence);
-        admitted
+    /// Checks that a call is for this incarnation and bears a current fencing token. Connections
+    /// end with an incarnation, so no call reaches the next one, which answers in its own name.
+    pub fn admit(&mut self, worker: &WorkerIncarnation, fence: u64) -> Result<(), CallFailure> {
+        if *worker != self.incarnation() {
+            return Err(CallFailure::OtherIncarnation);
+        }
+        if fence < self.fence {
+            return Err(CallFailure::Fenced);
+        }
+        self.fence = fence;
+        Ok(())
     }
 
     pub fn running(&self) -> impl Iterator<Item = (TaskKey, u32)> + '_ {
