Settle a refused start that the process before may have sent

Cause: the new process of the agent does not know what the one before has sent. It refused the repeated order because the executor drains, and reported at once that the run had never begun. The executor still took the late start: the run was not stopped there, and its deadline lay ahead.

Change: for the length of a lease after its start, an agent settles each refused start by a stop, as it does with one that it knows to be unanswered. That covers the three places that relied on the memory of the process: orders refused by the agent, starts refused by the executor for room or health, and starts withdrawn from a shrunk executor. Afterwards a start of the process before is refused as late, since it bears the end of a lease of that time.

--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -109,6 +109,9 @@
 pub struct AgentNode {
     settings: AgentSettings,
     now: Duration,
+    /// The time until which the executor may carry out a start that the process before has sent. A
+    /// start bears the end of the lease, which that process had received before this one began.
+    predecessor_until: Duration,
     /// The highest term of a leader that the agent has seen. The executor refuses orders with the
     /// fencing token of a lower one.
     term: u64,
@@ -134,9 +137,11 @@
 impl AgentNode {
     /// Creates an agent that knows neither its executor nor a leader.
     pub fn new(settings: AgentSettings, now: Duration) -> Self {
+        let predecessor_until = polling::expiry_of(now, now + settings.lease);
         Self {
             settings,
             now,
+            predecessor_until,
             term: 0,
             connected: false,
             lease_end: Duration::ZERO,
--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -60,13 +60,21 @@
     /// Whether a start was not answered: the executor may still carry it out, whatever the answers
     /// to later ones.
     unanswered: bool,
+    /// Whether the process before may have sent a start, with the same consequence.
+    sent_before: bool,
     /// Whether the start must not be repeated: the executor has shrunk since the first one.
     withdrawn: bool,
 }
 
 impl RunOrder {
     fn new(phase: OrderPhase, order: Option<StartOrder>) -> Self {
-        Self { phase, order, confirmed: None, unanswered: false, withdrawn: false }
+        let (confirmed, unanswered, withdrawn) = Default::default();
+        Self { phase, order, confirmed, unanswered, sent_before: false, withdrawn }
+    }
+
+    /// Returns whether the executor may still carry out a start that has no answer.
+    fn may_still_begin(&self) -> bool {
+        self.unanswered || self.sent_before
     }
 }
 
@@ -92,8 +100,8 @@
         Some((order.filler, order.latency_target_ms))
     }
 
-    fn is_unanswered(&self, key: (TaskKey, RunNumber)) -> bool {
-        self.orders.get(&key).is_some_and(|order| order.unanswered)
+    fn may_still_begin(&self, key: (TaskKey, RunNumber)) -> bool {
+        self.orders.get(&key).is_some_and(RunOrder::may_still_begin)
     }
 
     /// Notes that a start was not answered. It is repeated after a pause, or settled by a stop if
@@ -113,7 +121,7 @@
     /// are removed.
     pub(super) fn withdraw_starts(&mut self, now: Duration) -> Vec<(TaskKey, RunNumber)> {
         let is_unsent = |order: &RunOrder| {
-            matches!(order.phase, OrderPhase::StartAgain(_)) && !order.unanswered
+            matches!(order.phase, OrderPhase::StartAgain(_)) && !order.may_still_begin()
         };
         let unsent = self.orders.iter().filter(|(_, order)| is_unsent(order));
         let unsent: Vec<_> = unsent.map(|(key, _)| *key).collect();
@@ -164,13 +172,23 @@
         if known.is_some() {
             return;
         }
-        if let Some(reason) = self.refusal_reason().filter(|_| !listed) {
-            self.refuse_run(task, run, reason);
-            return;
-        }
         let now = self.now;
-        let phase = if listed { OrderPhase::Started(now) } else { OrderPhase::StartAgain(now) };
-        self.runs.orders.insert((task, run), RunOrder::new(phase, Some(order)));
+        let sent_before = now < self.predecessor_until;
+        let refusal = self.refusal_reason().filter(|_| !listed);
+        let phase = match refusal {
+            Some(reason) if !sent_before => {
+                self.refuse_run(task, run, reason);
+                return;
+            }
+            Some(reason) => {
+                self.record(FlowEvent::StartRefused { task, run, reason: reason.to_owned() });
+                OrderPhase::StopAgain(now)
+            }
+            None if listed => OrderPhase::Started(now),
+            None => OrderPhase::StartAgain(now),
+        };
+        let order = RunOrder { sent_before, ..RunOrder::new(phase, Some(order)) };
+        self.runs.orders.insert((task, run), order);
         self.repeat_orders();
     }
 
@@ -264,7 +282,7 @@
         }
         match verdict {
             StartVerdict::Started => self.runs.confirm(key, self.now),
-            StartVerdict::Refused(_) if self.runs.is_unanswered(key) => {
+            StartVerdict::Refused(_) if self.runs.may_still_begin(key) => {
                 self.runs.set(key, OrderPhase::StopAgain(self.now));
                 self.repeat_orders();
             }
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -64,11 +64,24 @@
         harness
     }
 
+    /// Creates the same agent right after the start of its process.
+    fn start_anew() -> Self {
+        let mut harness = Self::start_at(Duration::from_secs(10));
+        harness.answer_poll(&[], &[]);
+        harness.renew();
+        harness
+    }
+
     /// Creates an agent whose executor has not answered it yet.
     fn start_without_answer() -> Self {
+        Self::start_at(Duration::ZERO)
+    }
+
+    /// Creates an agent whose process began at `began`, and whose executor has not answered it yet.
+    fn start_at(began: Duration) -> Self {
         let now = Duration::from_secs(10);
-        let node =
-            AgentNode::new(AgentSettings { lease: LEASE, executor_address: Arc::from("a1") }, now);
+        let settings = AgentSettings { lease: LEASE, executor_address: Arc::from("a1") };
+        let node = AgentNode::new(settings, began);
         let (polls, deadlines, fences, calls, sent) = Default::default();
         let (introductions, described_as_responsive) = (0, false);
         let (acknowledged, refused) = Default::default();
@@ -304,6 +317,42 @@
     assert!(harness.calls.is_empty());
 }
 
+// Review, case 4: the process before had sent the start, which the executor carried out late. This
+// one reported the run as never begun, and the task ran twice.
+#[rstest]
+#[case::a_draining_executor(true, None)]
+#[case::an_executor_without_room(false, Some(StartRefusal::NoCapacity))]
+#[case::an_unhealthy_executor(false, Some(StartRefusal::Unhealthy))]
+fn a_refused_start_that_the_process_before_may_have_sent_is_settled_by_a_stop(
+    #[case] draining: bool,
+    #[case] refusal: Option<StartRefusal>,
+) {
+    let mut harness = AgentHarness::start_anew();
+    harness.report_heartbeat(2, draining.then_some(2000));
+    harness.order(1);
+    if let Some(refusal) = refusal {
+        harness.answer_start(1, StartVerdict::Refused(refusal));
+    }
+    assert!(harness.reports().is_empty(), "{:?}", harness.reports());
+    assert_eq!(harness.calls.last().unwrap(), "stop 1");
+    harness.advance(10);
+    harness.answer_stop(1, true);
+    harness.advance(10);
+    harness.answer_poll(&[], &[]);
+    harness.answer_poll(&[], &[]);
+    assert_eq!(harness.reports(), ["1 Stopped"]);
+}
+
+// Review, case 4: a shrunk executor refuses what was ordered before.
+#[test]
+fn a_withdrawn_start_that_the_process_before_may_have_sent_is_settled_by_a_stop() {
+    let mut harness = AgentHarness::start_anew();
+    harness.report_capacity(2, 8);
+    harness.order(1);
+    assert!(harness.reports().is_empty(), "{:?}", harness.reports());
+    assert_eq!(harness.calls, ["stop 1"]);
+}
+
 #[test]
 fn an_unanswered_start_is_repeated_under_the_same_run() {
     let mut harness = AgentHarness::start();
