End no executor for a former one that its agent repeats

Cause: agents repeat to each new leader that their last executor has ended, and describe it first. The leader took the description for that of an executor that answers, and ended the runs of every other one at the address that had started before.

Change: the repeated description says that the executor does not answer, and only an executor that answers ends the runs of others at its address.

Evidence: the new test of tests/control.rs finds two second runs without the check (left: 2, right: 0) and none with it; all tests of the crate pass.

--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -383,8 +383,8 @@
         self.send(LinkMessage::WorkerEnded { worker });
     }
 
-    /// Reports the last executor that has ended to a leader that was not told, first as it was: a
-    /// leader that does not know it can't tell a crash from a drain. Under the same id, the next
+    /// Reports the last executor that has ended to a leader that was not told, first as it was, but
+    /// without an answer: a leader that does not know it can't tell a crash from a drain. Under the same id, the next
     /// incarnation has to answer first, see [`Self::report_former_ended`].
     fn repeat_end(&mut self) {
         let (now, connected) = (self.now, self.connected);
@@ -396,7 +396,8 @@
             return;
         }
         ended.reported = true;
-        let (report, begun, gone) = (ended.report.clone(), ended.begun.clone(), ended.gone);
+        let (begun, gone) = (ended.begun.clone(), ended.gone);
+        let report = WorkerReport { responsive: false, ..ended.report.clone() };
         let worker = report.worker.clone();
         self.send_description(report);
         self.send_ends(worker.clone(), begun);
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -65,7 +65,7 @@
         leader.replan = true;
         self.record(event);
         self.renew_lease(session);
-        self.record_address(&worker, place);
+        self.record_address(&worker, place, responsive);
         if !known || !responsive {
             self.distrust_durations(&worker);
         }
@@ -78,15 +78,18 @@
     }
 
     /// Records the address of a worker, and ends the runs of any earlier executor at that address,
-    /// which has ended. Orders for the earlier executor cannot reach this one, which has another
-    /// id.
-    fn record_address(&mut self, worker: &WorkerIncarnation, place: &Arc<str>) {
+    /// which has ended if this one answers there. Orders for the earlier executor cannot reach this
+    /// one, which has another id. A worker that does not answer proves nothing: agents repeat to each
+    /// leader which executor has ended, and its clock may have been ahead of the present one's.
+    fn record_address(&mut self, worker: &WorkerIncarnation, place: &Arc<str>, responsive: bool) {
         let Some(leader) = &self.leader else { return };
         let executor = worker.executor.clone();
         let known = leader.speculative.executor_address_of(&executor) == Some(place);
         let earlier = |at: &&WorkerIncarnation| {
             let before = at.executor != executor && at.started_ms < worker.started_ms;
-            before && leader.speculative.executor_address_of(&at.executor) == Some(place)
+            responsive
+                && before
+                && leader.speculative.executor_address_of(&at.executor) == Some(place)
         };
         let replaced: Vec<WorkerIncarnation> =
             leader.speculative.placed_incarnations().filter(earlier).cloned().collect();
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -521,6 +521,7 @@
         harness.sent.clear();
         harness.connect_leader(term);
         assert_eq!(harness.reports(), ["1 Expired", "gone"], "term {term}");
+        assert!(!harness.described_as_responsive, "it would pass for the present executor");
         harness.step(AgentEvent::LeaderLost);
     }
     assert_eq!(harness.introductions, before + 2, "with its description");
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -42,6 +42,22 @@
     assert_eq!(harness.starts(), ["000000000000000a.0.0.0 run 1 on e2@200"]);
 }
 
+// Found by reading, for issue 40: the machine's clock had jumped back between two executors. The new
+// leader took the repeated end of the earlier one for the end of the present one, whose tasks ran
+// twice.
+#[test]
+fn a_new_leader_does_not_end_an_executor_for_one_that_ended_before() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e2 at a", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(2)]));
+    harness.restart_leader();
+    harness.report_unresponsive(2, "e1 at a", 200);
+    harness.connect_worker(2, "e2 at a", 100);
+    harness.keep_alive(2, 500);
+    assert_eq!(harness.starts().iter().filter(|start| start.contains("run 2")).count(), 0);
+    assert!(harness.ends_logged().is_empty(), "{:?}", harness.ends_logged());
+}
+
 #[test]
 fn a_task_whose_worker_stops_answering_starts_again_after_the_lease() {
     let mut harness = ControlHarness::start();
