--- a/crates/quorum/src/core/apply.rs
+++ b/crates/quorum/src/core/apply.rs
@@ -1,11 +1,16 @@
 //! Hands committed entries to the caller.
 
 use {
-    super::{role::RoleState, QuorumCore},
+    super::{log::entry_bytes, role::RoleState, QuorumCore},
     crate::interface::QuorumEffect,
     base::ReplicaId,
 };
 
+/// Size of the applied entries after a snapshot at which the next one is taken, whatever their
+/// number, in bytes. Few large entries would otherwise fill the disk. A snapshot that is larger
+/// itself has to be outgrown.
+const SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
+
 impl QuorumCore {
     /// Applies every entry that is committed and synced on this replica.
     pub(crate) fn apply_committed(&mut self) {
@@ -16,6 +21,7 @@
             };
             let index = entry.index;
             self.applied = index;
+            self.uncompacted_bytes += entry_bytes(&entry);
             self.effects.push(QuorumEffect::Apply(entry));
             let RoleState::Leader(leader) = &mut self.role else {
                 continue;
@@ -30,7 +36,10 @@
 
     fn request_snapshot(&mut self) {
         let uncompacted = self.applied.0 - self.log.snapshot_index().0;
-        if self.snapshot_requested || uncompacted < self.settings.snapshot_every {
+        let snapshot_bytes = self.log.snapshot().map_or(0, |snapshot| snapshot.data.len());
+        let due = uncompacted >= self.settings.snapshot_every
+            || self.uncompacted_bytes >= SNAPSHOT_BYTES.max(snapshot_bytes);
+        if self.snapshot_requested || !due {
             return;
         }
         self.snapshot_requested = true;
--- a/crates/quorum/src/core/log.rs
+++ b/crates/quorum/src/core/log.rs
@@ -100,9 +100,31 @@
         at
     }
 
-    /// Sets a snapshot at a position of this log, and keeps up to `retained` entries before it.
-    pub(crate) fn compact(&mut self, snapshot: LogSnapshot, retained: u64) {
-        let base = LogIndex(snapshot.index.0.saturating_sub(retained)).max(self.base_index);
+    /// Returns the size of the entries after one position and up to another, in bytes.
+    pub(crate) fn bytes_between(&self, after: LogIndex, last: LogIndex) -> usize {
+        let indexes = (after.0 + 1..=last.0).map(LogIndex);
+        indexes.filter_map(|index| self.entry(index)).map(entry_bytes).sum()
+    }
+
+    /// Returns the position after which at most `count` entries and `limit` bytes lie up to `last`.
+    fn position_before(&self, last: LogIndex, count: u64, limit: usize) -> LogIndex {
+        let lowest = LogIndex(last.0.saturating_sub(count)).max(self.base_index);
+        let mut position = last;
+        let mut bytes = 0;
+        while position > lowest {
+            bytes += self.entry(position).map_or(0, entry_bytes);
+            if bytes > limit {
+                break;
+            }
+            position = LogIndex(position.0 - 1);
+        }
+        position
+    }
+
+    /// Sets a snapshot at a position of this log, and keeps up to `retained` entries before it, of
+    /// up to `retained_bytes`.
+    pub(crate) fn compact(&mut self, snapshot: LogSnapshot, retained: u64, retained_bytes: usize) {
+        let base = self.position_before(snapshot.index, retained, retained_bytes);
         let dropped = usize::try_from(base.0 - self.base_index.0).unwrap_or(usize::MAX);
         if let Some(term) = self.term_at(base) {
             self.base_term = term;
@@ -121,7 +143,8 @@
     }
 }
 
-fn entry_bytes(entry: &LogEntry) -> usize {
+/// Returns the approximate size of an entry, in bytes.
+pub(crate) fn entry_bytes(entry: &LogEntry) -> usize {
     let payload = match &entry.payload {
         EntryPayload::Empty => 0,
         EntryPayload::Data(data) => data.len(),
--- a/crates/quorum/src/core/mod.rs
+++ b/crates/quorum/src/core/mod.rs
@@ -61,6 +61,8 @@
     retry_at: Duration,
     committed: LogIndex,
     applied: LogIndex,
+    /// Size of the applied entries after the snapshot, in bytes.
+    uncompacted_bytes: usize,
     /// Messages that wait until a batch is synced.
     deferred: VecDeque<DeferredMessage>,
     incoming: Option<IncomingSnapshot>,
--- a/crates/quorum/src/core/snapshot.rs
+++ b/crates/quorum/src/core/snapshot.rs
@@ -19,6 +19,8 @@
 /// Divisor of `snapshot_every` that gives the number of covered entries to keep in memory. A
 /// follower that is slightly behind then needs no snapshot.
 const RETAINED_PART: u64 = 2;
+/// The most bytes of such entries.
+const RETAINED_BYTES: usize = 4 * 1024 * 1024;
 
 /// A snapshot that has been received in part.
 #[derive(Debug, Clone)]
@@ -100,7 +102,9 @@
     fn compact(&mut self, snapshot: LogSnapshot) {
         self.group.compact(&snapshot);
         self.writes.record_snapshot(snapshot.clone());
-        self.log.compact(snapshot, self.settings.snapshot_every / RETAINED_PART);
+        let retained = self.settings.snapshot_every / RETAINED_PART;
+        self.uncompacted_bytes = self.log.bytes_between(snapshot.index, self.applied);
+        self.log.compact(snapshot, retained, RETAINED_BYTES);
     }
 
     pub(crate) fn handle_chunk(&mut self, sender: MessageSender, chunk: SnapshotChunk) {
@@ -158,6 +162,7 @@
             self.writes.record_reset(snapshot.clone(), self.committed);
             self.log.reset(snapshot);
         }
+        self.uncompacted_bytes = 0;
         self.committed = index;
         self.applied = index;
     }
--- a/crates/quorum/src/core/start.rs
+++ b/crates/quorum/src/core/start.rs
@@ -87,6 +87,7 @@
             retry_at: now,
             committed: start,
             applied: start,
+            uncompacted_bytes: 0,
             deferred: VecDeque::new(),
             incoming: None,
             snapshot_requested: false,
--- a/crates/quorum/tests/solo/mod.rs
+++ b/crates/quorum/tests/solo/mod.rs
@@ -23,6 +23,8 @@
     pub storage: LogStorage,
     unwritten: VecDeque<PersistBatch>,
     pub state: BTreeMap<LogIndex, Vec<u8>>,
+    /// Whether the state is only the data of the last entry.
+    pub last_only: bool,
     pub committed: Vec<(ReplyTicket, LogIndex)>,
 }
 
@@ -52,6 +54,7 @@
             storage,
             unwritten: VecDeque::new(),
             state: BTreeMap::new(),
+            last_only: false,
             committed: Vec::new(),
         };
         replica.handle(vec![QuorumEvent::Tick]);
@@ -81,6 +84,9 @@
                 QuorumEffect::Persist(batch) => self.unwritten.push_back(batch),
                 QuorumEffect::Apply(entry) => {
                     if let EntryPayload::Data(data) = entry.payload {
+                        if self.last_only {
+                            self.state.clear();
+                        }
                         self.state.insert(entry.index, data);
                     }
                 }
