--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -384,8 +384,8 @@
     }
 
     /// Reports the last executor that has ended to a leader that was not told, first as it was, but
-    /// without an answer: a leader that does not know it can't tell a crash from a drain. Under the same id, the next
-    /// incarnation has to answer first, see [`Self::report_former_ended`].
+    /// as unresponsive: a leader that does not know it can't tell a crash from a drain. Under the
+    /// same id, the next incarnation has to answer first, see [`Self::report_former_ended`].
     fn repeat_end(&mut self) {
         let (now, connected) = (self.now, self.connected);
         let present = self.executor.as_ref().filter(|executor| executor.reached);
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -80,7 +80,7 @@
     /// Records the address of a worker, and ends the runs of any earlier executor at that address,
     /// which has ended if this one answers there. Orders for the earlier executor cannot reach this
     /// one, which has another id. A worker that does not answer proves nothing: agents repeat to each
-    /// leader which executor has ended, and its clock may have been ahead of the present one's.
+    /// leader which executor has ended, and the clock may have jumped back since that one's start.
     fn record_address(&mut self, worker: &WorkerIncarnation, place: &Arc<str>, responsive: bool) {
         let Some(leader) = &self.leader else { return };
         let executor = worker.executor.clone();
