--- a/crates/quorum/tests/compaction.rs
+++ b/crates/quorum/tests/compaction.rs
@@ -16,8 +16,7 @@
     files.sum()
 }
 
-// Review, case 1: an operator's changes, of almost a megabyte each, filled the disks of all control
-// processes before their number made a snapshot due, and no leader came back.
+// Review, case 1: large configurations filled the control disks, and no leader came back.
 #[test]
 fn few_large_entries_do_not_fill_the_disk() {
     let folder = tempfile::tempdir().unwrap();
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -317,8 +317,7 @@
     assert!(harness.calls.is_empty());
 }
 
-// Review, case 4: the process before had sent the start, which the executor carried out late. This
-// one reported the run as never begun, and the task ran twice.
+// Review, case 4: a start that the process before had sent was carried out late, beside the next run.
 #[rstest]
 #[case::a_draining_executor(true, None)]
 #[case::an_executor_without_room(false, Some(StartRefusal::NoCapacity))]
@@ -700,8 +699,7 @@
     assert!(different.len() >= 3, "{:?}", harness.fences);
 }
 
-// Review, case 2: a heartbeat of another writer ended the runs of a sound executor, and their tasks
-// ran twice.
+// Review, case 2: a heartbeat of another writer made the tasks of a sound executor run twice.
 #[test]
 fn a_heartbeat_of_another_writer_ends_nothing_while_the_executor_answers() {
     let mut harness = AgentHarness::start();
@@ -719,8 +717,7 @@
     assert_eq!(harness.reports(), ["1 Done"]);
 }
 
-// Review, case 2, for an agent that has restarted: control still counts the runs, and the agent does
-// not know them yet.
+// Review, case 2: the same right after a restart of the agent, which does not know the runs yet.
 #[test]
 fn a_heartbeat_of_another_writer_ends_nothing_before_the_first_answer() {
     let mut harness = AgentHarness::start_without_answer();
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -42,9 +42,7 @@
     assert_eq!(harness.starts(), ["000000000000000a.0.0.0 run 1 on e2@200"]);
 }
 
-// Found by reading, for issue 40: the machine's clock had jumped back between two executors. The new
-// leader took the repeated end of the earlier one for the end of the present one, whose tasks ran
-// twice.
+// After a clock had jumped back, the repeated end of a former executor made tasks run twice.
 #[test]
 fn a_new_leader_does_not_end_an_executor_for_one_that_ended_before() {
     let mut harness = ControlHarness::start();
