Log the fact that has ended a run, and the end before a placement

An operator who read the log after a task had run twice saw that a run had ended, and not by which fact: RunEnded gave the kind alone, WorkerLost no successor, address or age, and TaskPlaced nothing of the run before. A new leader did not know how its predecessor's runs had ended.

RunEnded now names the fact, its source (the agent's stream, the leader's clock or its own orders), and the ages of the last order and list. WorkerLost holds the proof: how long ago the lease had expired and whether it was inherited, or the successor and the address. TaskPlaced names the end of the run before. For ends that an earlier leader has recorded, every replica notes run, worker and kind when it applies an entry, in memory only and only for tasks that wait in open jobs.

--- a/crates/workflow/src/control/capacity.rs
+++ b/crates/workflow/src/control/capacity.rs
@@ -6,9 +6,9 @@
 //! what becomes of such orders.
 
 use {
-    super::{types::ControlEffect, ControlNode},
+    super::{endings::EndCause, types::ControlEffect, ControlNode},
     crate::{
-        event::{FlowEvent, StopReason},
+        event::{EndFact, FactSource, FlowEvent, StopReason},
         job::{TaskDemand, WorkerIncarnation},
         message::{LinkMessage, StartOrder, WorkerReport},
         plan::{reserved_on, Placement},
@@ -86,7 +86,8 @@
             worker: worker.clone(),
             reason,
         });
-        self.end_run(&worker, *task, *run, EndKind::Stopped, String::new());
+        let cause = EndCause { fact: EndFact::NeverSent, source: FactSource::LeaderOrders };
+        self.end_run(&worker, (*task, *run), EndKind::Stopped, String::new(), cause);
         true
     }
 }
--- a/crates/workflow/src/control/endings.rs
+++ b/crates/workflow/src/control/endings.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        event::{LastRunEnd, StopReason},
+        event::{EndFact, FactSource, FormerRun, LastRunEnd, StopReason},
         job::{RunNumber, TaskKey, WorkerIncarnation},
         state::{EndKind, FlowState, TaskPhase},
     },
@@ -20,11 +20,34 @@
     pub(super) at: Duration,
 }
 
+/// The fact by which a run counts as ended, and where it comes from.
+#[derive(Debug, Clone)]
+pub(super) struct EndCause {
+    pub(super) fact: EndFact,
+    pub(super) source: FactSource,
+}
+
+impl EndCause {
+    /// Returns the cause of an end that need not be the `first` of its run: for the member of a gang,
+    /// the end of another one has come before.
+    pub(super) fn among_gang(self, first: bool, state: &FlowState, task: &TaskKey) -> Self {
+        let spec = state.job(task.job).and_then(|job| job.step_spec(task));
+        match self.fact {
+            EndFact::Listed { number } if !first && spec.is_some_and(|spec| spec.gang) => {
+                Self { fact: EndFact::GangDone { number }, ..self }
+            }
+            _ => self,
+        }
+    }
+}
+
 /// The end of a run.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct RunEnding {
     run: RunNumber,
+    worker: WorkerIncarnation,
     end: EndKind,
+    fact: EndFact,
     pub(super) reason: Option<StopReason>,
     pub(super) at: Duration,
 }
@@ -59,7 +82,7 @@
         state: &FlowState,
         worker: &WorkerIncarnation,
         (task, run, end): (TaskKey, RunNumber, EndKind),
-        now: Duration,
+        (cause, now): (EndCause, Duration),
     ) {
         let current = state.task(&task).is_some_and(|record| record.is_placed(run, worker));
         if !current || self.ends.get(&task).is_some_and(|ending| ending.run == run) {
@@ -67,7 +90,8 @@
         }
         let reason = self.stop_of(&task, run).map(|stop| stop.reason);
         self.stops.remove(&task);
-        self.ends.insert(task, RunEnding { run, end, reason, at: now });
+        let (worker, fact) = (worker.clone(), cause.fact);
+        self.ends.insert(task, RunEnding { run, worker, end, fact, reason, at: now });
     }
 
     /// Returns the first order of this leader to stop a run.
@@ -76,8 +100,15 @@
     }
 
     /// Returns the last end of a run of a task that this leader has recorded.
-    pub(super) fn end_of(&self, task: &TaskKey) -> Option<RunEnding> {
-        self.ends.get(task).copied()
+    pub(super) fn end_of(&self, task: &TaskKey) -> Option<&RunEnding> {
+        self.ends.get(task)
+    }
+
+    /// Returns the last run of a task whose end this leader has recorded.
+    pub(super) fn former_run(&self, task: &TaskKey, now: Duration) -> Option<FormerRun> {
+        let RunEnding { run, worker, end, fact, at, .. } = self.ends.get(task)?.clone();
+        let age_ms = now.saturating_sub(at).as_millis() as u64;
+        Some(FormerRun { run, worker, end, fact, age_ms })
     }
 
     /// Forgets the stops of runs that are no longer placed, and the ends of tasks that run again,
@@ -98,7 +129,7 @@
 }
 
 /// Returns how the last run of a task has ended, as far as a leader knows.
-pub(super) fn last_end(run: RunNumber, ending: Option<RunEnding>) -> LastRunEnd {
+pub(super) fn last_end(run: RunNumber, ending: Option<&RunEnding>) -> LastRunEnd {
     match ending {
         Some(ending) => LastRunEnd::Recorded(ending.end),
         None if run == RunNumber(0) => LastRunEnd::NeverPlaced,
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod gangs;
 mod interference;
 mod leader;
+mod logged_ends;
 mod members;
 mod operator;
 mod proposals;
@@ -35,7 +36,7 @@
 };
 
 use {
-    self::leader::LeaderState,
+    self::{leader::LeaderState, logged_ends::LoggedEnds},
     crate::{
         event::FlowEvent,
         state::{CommandBatch, FlowState, StateError},
@@ -66,6 +67,8 @@
     settings: ControlSettings,
     core: QuorumCore,
     applied: FlowState,
+    /// How the last runs of waiting tasks have ended, for log lines.
+    logged_ends: LoggedEnds,
     leader: Option<LeaderState>,
     /// Reads of the configuration that wait until the leadership is confirmed: the ticket of the
     /// confirmation, with the ticket of the operator's call.
@@ -91,6 +94,7 @@
             settings,
             core,
             applied: FlowState::default(),
+            logged_ends: LoggedEnds::default(),
             leader: None,
             reads: BTreeMap::new(),
             last_ticket: ReplyTicket(0),
@@ -207,7 +211,10 @@
 
     fn replace_state(&mut self, state: Result<FlowState, StateError>) {
         match state {
-            Ok(state) => self.applied = state,
+            Ok(state) => {
+                self.applied = state;
+                self.logged_ends = LoggedEnds::default();
+            }
             Err(error) => self.effects.push(ControlEffect::Halt(error)),
         }
     }
@@ -216,7 +223,8 @@
         let EntryPayload::Data(data) = &entry.payload else { return };
         match CommandBatch::from_bytes(data) {
             Ok(batch) => {
-                self.applied.apply(&batch);
+                let outcomes = self.applied.apply(&batch);
+                self.logged_ends.note_applied(&batch, &outcomes, &self.applied);
             }
             Err(error) => self.effects.push(ControlEffect::Halt(error)),
         }
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -9,8 +9,8 @@
         ControlNode,
     },
     crate::{
-        event::{FlowEvent, StopReason},
-        job::JobKey,
+        event::{FlowEvent, FormerRun, StopReason},
+        job::{JobKey, TaskKey},
         message::{LinkMessage, StartOrder},
         plan::{Placement, PlanInputs, PlanTime, RemainingTimes},
         state::{CommandBatch, CommandOutcome, FlowCommand, FlowState},
@@ -105,6 +105,7 @@
         deferred: &mut Vec<ControlEffect>,
     ) {
         let (now, wall_ms) = (self.now, self.wall_ms);
+        let former = self.former_run(&placement.task);
         let Some(leader) = &mut self.leader else { return };
         let Placement { task, run, worker } = placement;
         let command = FlowCommand::Place { task, run, worker: worker.clone() };
@@ -124,13 +125,22 @@
         let Some(job) = leader.speculative.job(task.job) else { return };
         let failures = job.task(&task).map_or(0, |record| record.failures);
         let after_ms = leader.speculative.clock_ms().saturating_sub(job.accepted_ms);
-        let event = FlowEvent::TaskPlaced { task, run, worker: worker.clone(), after_ms, failures };
+        let event =
+            FlowEvent::TaskPlaced { task, run, worker: worker.clone(), after_ms, failures, former };
         deferred.push(ControlEffect::Record(event));
         if let Some(order) = self.start_order(&Placement { task, run, worker }) {
             deferred.push(ControlEffect::Send { session, message: LinkMessage::Start(order) });
         }
     }
 
+    /// Returns the end of a task's last run: as this leader has recorded it, or else as the log
+    /// holds it.
+    fn former_run(&self, task: &TaskKey) -> Option<FormerRun> {
+        let leader = self.leader.as_ref()?;
+        let recorded = leader.endings.former_run(task, self.now);
+        recorded.or_else(|| self.logged_ends.former_run(task, leader.speculative.clock_ms()))
+    }
+
     /// Returns the order that starts a placed task.
     pub(super) fn start_order(&self, placement: &Placement) -> Option<StartOrder> {
         let leader = self.leader.as_ref()?;
--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -86,7 +86,7 @@
         if !self.is_agent_stream(session, worker) {
             return;
         }
-        self.settle_earlier_incarnations(worker, &runs);
+        self.settle_earlier_incarnations(session, worker, &runs);
         self.confirm_crash(worker);
         let now = self.now;
         if let Some(leader) = &mut self.leader {
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -3,11 +3,12 @@
 use {
     super::{
         crashes::FormerWorker,
+        endings::EndCause,
         types::{ControlEffect, SessionId},
         ControlNode,
     },
     crate::{
-        event::{FlowEvent, LossReason, StopReason},
+        event::{EndFact, FactSource, FlowEvent, LossProof, LossReason, StopReason},
         job::{RunNumber, TaskKey, WorkerIncarnation},
         message::{EndReport, LinkMessage, RunReport, WorkerReport},
         plan::{FailureHistory, Placement, WorkerView},
@@ -65,7 +66,7 @@
         leader.replan = true;
         self.record(event);
         self.renew_lease(session);
-        self.record_address(&worker, place, responsive);
+        self.record_address(session, &worker, place, responsive);
         if !known || !responsive {
             self.distrust_durations(&worker);
         }
@@ -81,7 +82,13 @@
     /// which has ended if this one answers there. Orders for the earlier executor cannot reach this
     /// one, which has another id. A worker that does not answer proves nothing: agents repeat to each
     /// leader which executor has ended, and the clock may have jumped back since that one's start.
-    fn record_address(&mut self, worker: &WorkerIncarnation, place: &Arc<str>, responsive: bool) {
+    fn record_address(
+        &mut self,
+        session: SessionId,
+        worker: &WorkerIncarnation,
+        place: &Arc<str>,
+        responsive: bool,
+    ) {
         let Some(leader) = &self.leader else { return };
         let executor = worker.executor.clone();
         let known = leader.speculative.executor_address_of(&executor) == Some(place);
@@ -98,7 +105,9 @@
             self.propose(FlowCommand::RecordAddress { executor, place }, Vec::new());
         }
         for incarnation in replaced {
-            self.end_worker_runs(&incarnation, LossReason::Replaced);
+            let (successor, address) = (worker.clone(), place.clone());
+            let proof = LossProof::Replaced { successor, address };
+            self.end_worker_runs(&incarnation, proof, FactSource::Stream(session.0));
         }
     }
 
@@ -107,6 +116,7 @@
     /// late by the present one; every other run has ended with its incarnation.
     pub(super) fn settle_earlier_incarnations(
         &mut self,
+        session: SessionId,
         worker: &WorkerIncarnation,
         runs: &[RunReport],
     ) {
@@ -122,7 +132,8 @@
         let incarnations: BTreeSet<WorkerIncarnation> =
             ended.into_iter().map(|lost| lost.worker).collect();
         for incarnation in incarnations {
-            self.end_worker_runs(&incarnation, LossReason::NewIncarnation);
+            let proof = LossProof::NewIncarnation { successor: worker.clone() };
+            self.end_worker_runs(&incarnation, proof, FactSource::Stream(session.0));
         }
     }
 
@@ -178,12 +189,17 @@
         let now = self.now;
         let Some(leader) = &self.leader else { return };
         let inherited = leader.leading_since + span;
-        let until = |worker| leader.leases.get(worker).copied().unwrap_or(inherited);
         let placed = leader.speculative.placed_incarnations();
-        let expired: Vec<WorkerIncarnation> =
-            placed.filter(|worker| until(worker) < now).cloned().collect();
-        for worker in expired {
-            self.end_worker_runs(&worker, LossReason::LeaseExpired);
+        let expired = placed.filter_map(|worker| {
+            let granted = leader.leases.get(worker).copied();
+            let until = granted.unwrap_or(inherited);
+            let expired_ms = now.saturating_sub(until).as_millis() as u64;
+            let proof = LossProof::LeaseExpired { expired_ms, inherited: granted.is_none() };
+            (until < now).then(|| (worker.clone(), proof))
+        });
+        let expired: Vec<(WorkerIncarnation, LossProof)> = expired.collect();
+        for (worker, proof) in expired {
+            self.end_worker_runs(&worker, proof, FactSource::LeaderClock);
         }
         if let Some(leader) = &mut self.leader {
             leader.leases.retain(|_, until| *until >= now);
@@ -196,17 +212,24 @@
         let Some(leader) = &self.leader else { return };
         let current = leader.sessions.get(&worker.executor);
         if current.is_none_or(|current| *current == session) {
-            self.end_worker_runs(worker, LossReason::Ended);
+            self.end_worker_runs(worker, LossProof::Ended, FactSource::Stream(session.0));
         }
     }
 
     /// Ends every run of an incarnation on which certainly nothing runs any more.
-    pub(super) fn end_worker_runs(&mut self, worker: &WorkerIncarnation, reason: LossReason) {
+    fn end_worker_runs(
+        &mut self,
+        worker: &WorkerIncarnation,
+        proof: LossProof,
+        source: FactSource,
+    ) {
+        let (now, span, reason) = (self.now, self.lease_span(), proof.reason());
         let Some(leader) = &self.leader else { return };
         let runs = leader.placements_on(worker);
         self.note_unclear_starts(worker, reason, &runs);
         let Some(leader) = &mut self.leader else { return };
-        leader.leases.remove(worker);
+        let until = leader.leases.remove(worker);
+        let renewed = until.map(|until| now.saturating_sub(until.saturating_sub(span)));
         if reason != LossReason::LeaseExpired {
             let current = leader
                 .workers
@@ -220,13 +243,20 @@
                 leader.workers.shift_remove(&worker.executor);
             }
         }
-        let lost = FlowEvent::WorkerLost { worker: worker.clone(), reason, runs: runs.len() };
         if !runs.is_empty() {
-            self.record(lost);
+            self.record(FlowEvent::WorkerLost {
+                worker: worker.clone(),
+                reason,
+                proof: proof.clone(),
+                source,
+                renewed_ms_ago: renewed.map(|age| age.as_millis() as u64),
+                runs: runs.len(),
+            });
         }
         for Placement { task, run, .. } in runs {
             if self.is_first_report(worker, task, run) {
-                self.end_run(worker, task, run, EndKind::Expired, String::new());
+                let cause = EndCause { fact: EndFact::WorkerLost(proof.clone()), source };
+                self.end_run(worker, (task, run), EndKind::Expired, String::new(), cause);
             }
         }
     }
@@ -246,13 +276,15 @@
         self.note_certain_starts(worker, &ends);
         self.note_begun_runs(&ends);
         let up_to = ends.iter().map(|end| end.number).max().unwrap_or(0);
-        for EndReport { task, run, end, checkpoint, .. } in ends {
+        for EndReport { number, task, run, end, checkpoint } in ends {
             let placed = self.placed_incarnation(worker, &task, run);
             if self.is_first_report(&placed, task, run) {
                 self.record_health(worker, task, run, end);
                 self.note_finished_work(&task, run, end);
             }
-            self.end_run(&placed, task, run, end, checkpoint);
+            let fact = EndFact::reported(number, end);
+            let cause = EndCause { fact, source: FactSource::Stream(session.0) };
+            self.end_run(&placed, (task, run), end, checkpoint, cause);
         }
         let message = LinkMessage::EndsRecorded { worker: worker.clone(), up_to };
         if let Some(leader) = &mut self.leader {
@@ -324,22 +356,37 @@
     pub(super) fn end_run(
         &mut self,
         worker: &WorkerIncarnation,
-        task: TaskKey,
-        run: RunNumber,
+        (task, run): (TaskKey, RunNumber),
         end: EndKind,
         checkpoint: String,
+        cause: EndCause,
     ) {
         let first = self.is_first_report(worker, task, run);
         self.learn_end(worker, &task, run, end);
         let now = self.now;
         let Some(leader) = &mut self.leader else { return };
-        leader.endings.note_end(&leader.speculative, worker, (task, run, end), now);
+        let cause = cause.among_gang(first, &leader.speculative, &task);
+        let EndCause { fact, source } = cause.clone();
+        leader.endings.note_end(&leader.speculative, worker, (task, run, end), (cause, now));
+        let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
+        let ordered = leader.ordered.get(&task).filter(|(ordered, _)| *ordered == run);
+        let ordered_ms_ago = ordered.map(|(_, at)| age_ms(*at));
         let progress = leader.progress.get(&task).filter(|progress| progress.run == run);
+        let listed_ms_ago = progress.map(|progress| age_ms(progress.listed_at));
         let known = progress.map(|progress| progress.checkpoint.clone()).unwrap_or_default();
         let watched = leader.forget_run(&task, run, end);
         let worker = worker.clone();
         if first || watched {
-            let event = FlowEvent::RunEnded { task, run, worker: worker.clone(), end };
+            let event = FlowEvent::RunEnded {
+                task,
+                run,
+                worker: worker.clone(),
+                end,
+                fact,
+                source,
+                ordered_ms_ago,
+                listed_ms_ago,
+            };
             leader.pending.deferred.push(ControlEffect::Record(event));
         }
         if !first {
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -3,6 +3,10 @@
 //!
 //! The catalogue is in `docs/EVENTS-DEPLOYED.md`. The number of a removed event is never reused.
 
+mod ends;
+
+pub use ends::{EndFact, FactSource, FormerRun, LossProof};
+
 use {
     crate::{
         job::{JobKey, RunNumber, TaskKey, WorkerIncarnation},
@@ -248,6 +252,9 @@
         after_ms: u64,
         /// The number of earlier runs of the task that failed.
         failures: u32,
+        /// The end of the run before; `None` for a first run, and if no replicated entry since this
+        /// process began has held it.
+        former: Option<FormerRun>,
     },
     /// The leader has learned from the run times of a queue.
     RunTimesLearned {
@@ -340,6 +347,16 @@
         worker: WorkerIncarnation,
         /// How the run ended.
         end: EndKind,
+        /// The fact by which the run counts as ended.
+        fact: EndFact,
+        /// Where the fact comes from.
+        source: FactSource,
+        /// The time since this leader has last ordered the run, in milliseconds; `None` if it has
+        /// not.
+        ordered_ms_ago: Option<u64>,
+        /// The age of the last list with the run, in milliseconds; `None` if this leader has seen
+        /// none.
+        listed_ms_ago: Option<u64>,
     },
     /// Control has ordered a run to stop.
     RunStopped {
@@ -423,6 +440,13 @@
         worker: WorkerIncarnation,
         /// The reason why this is certain.
         reason: LossReason,
+        /// The fact behind the reason.
+        proof: LossProof,
+        /// Where the fact comes from.
+        source: FactSource,
+        /// The time since the worker's agent last had its lease renewed, in milliseconds; `None` if
+        /// this leader has renewed none.
+        renewed_ms_ago: Option<u64>,
         /// The number of the worker's runs.
         runs: usize,
     },
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -5,6 +5,7 @@
 mod backlog;
 mod cordons;
 mod crashes;
+mod end_facts;
 mod ends;
 mod extremes;
 mod fixtures;
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -14,7 +14,7 @@
             ControlEffect, ControlEvent, ControlNode, ControlSettings, CordonFigures,
             OperatorAnswer, SessionId, WaitFigures,
         },
-        event::FlowEvent,
+        event::{FlowEvent, FormerRun},
         job::{FleetConfig, JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
         message::{CallerAnswer, CallerCall, EndReport, LinkMessage, RunReport, WorkerReport},
         plan::LookaheadScope,
@@ -127,6 +127,27 @@
     }
 }
 
+/// Returns the text of an event about the end of a run, or about a placement after one.
+fn end_line(event: &FlowEvent) -> Option<String> {
+    match event {
+        FlowEvent::RunEnded { run, end, fact, source, ordered_ms_ago, listed_ms_ago, .. } => {
+            let ages = format!("ordered {ordered_ms_ago:?}, listed {listed_ms_ago:?}");
+            Some(format!("run {run} {end:?}: {fact:?} by {source:?}, {ages}"))
+        }
+        FlowEvent::TaskPlaced { run, former, .. } if run.0 > 1 => {
+            let former = former.as_ref().map(|FormerRun { run, worker, end, fact, age_ms }| {
+                format!("run {run} on {worker} {end:?}, {fact:?}, {age_ms} ms ago")
+            });
+            Some(format!("run {run} after {}", former.as_deref().unwrap_or("an unknown end")))
+        }
+        FlowEvent::WorkerLost { worker, proof, source, renewed_ms_ago, runs, .. } => {
+            let renewed = format!("renewed {renewed_ms_ago:?}");
+            Some(format!("lost {worker}: {proof:?} by {source:?}, {renewed}, runs {runs}"))
+        }
+        _ => None,
+    }
+}
+
 /// A control process and the effects it has produced.
 pub struct ControlHarness {
     node: ControlNode,
@@ -146,6 +167,8 @@
     pub reservations: Vec<(String, u64)>,
     stops: Vec<String>,
     ends_logged: Vec<String>,
+    /// The lines about ends of runs, and about placements after them.
+    end_lines: Vec<String>,
     suspected_workers: Vec<String>,
     /// Tasks that were reported as ended.
     ended: BTreeSet<String>,
@@ -178,6 +201,7 @@
             idle_lines: Vec::new(),
             stops: Vec::new(),
             ends_logged: Vec::new(),
+            end_lines: Vec::new(),
             suspected_workers: Vec::new(),
             ended: BTreeSet::new(),
             answers: Vec::new(),
@@ -270,6 +294,9 @@
         if let ControlEffect::Send { session, message } = &effect {
             self.sent.push((session.0, message.clone()));
         }
+        if let ControlEffect::Record(event) = &effect {
+            self.end_lines.extend(end_line(event));
+        }
         match effect {
             ControlEffect::Send { message: LinkMessage::Start(order), .. } => {
                 self.starts.push(format!("{} run {} on {}", order.task, order.run, order.worker));
@@ -343,6 +370,11 @@
         &self.blocked
     }
 
+    /// Returns the lines about ends of runs, and about placements after them.
+    pub fn end_lines(&self) -> &[String] {
+        &self.end_lines
+    }
+
     /// Returns the lines about tasks that do not run.
     pub fn idle_lines(&self) -> &[String] {
         &self.idle_lines
