Log the ends that an agent reports, and the orders that come too late

The agent's log showed refusals alone. Which ends it had told control, from what, and how old the executor's answer was, could not be seen, nor when it took an incarnation for ended, nor that an order for a finished run arrived.

EndReported has one line for the first report of each end, with the fact, the age of the order and of the request whose answer shows it. ExecutorEnded names the fact by which an incarnation counts as ended, and OrderOutdated an order for a run that is over, once for each run. Repeated reports write nothing.

--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -24,7 +24,7 @@
         throttle::BestEffortThrottle, unreadable::UnreadableRows,
     },
     crate::{
-        event::FlowEvent,
+        event::{ExecutorFact, FlowEvent},
         job::WorkerIncarnation,
         message::{EndReport, LinkMessage, RunReport, WorkerReport},
     },
@@ -85,6 +85,8 @@
 #[derive(Debug)]
 struct FormerExecutor {
     worker: WorkerIncarnation,
+    /// The time at which another incarnation answered.
+    replaced_at: Duration,
     /// The time at which control may consider the runs of the executor ended, if nothing has
     /// answered under its own name by then.
     expires_at: Duration,
@@ -366,12 +368,18 @@
     /// have carried out an order for the former one. Under another id that is not possible.
     fn report_former_ended(&mut self) {
         if let Some(former) = self.former.take() {
-            self.report_gone(former.worker);
+            let present = self.incarnation().map(|present| present.started_ms);
+            let fact = ExecutorFact::OtherIncarnation { started_ms: present };
+            self.report_gone(former.worker, fact, former.replaced_at);
         }
     }
 
     /// Reports that nothing of an incarnation can run any more.
-    fn report_gone(&mut self, worker: WorkerIncarnation) {
+    fn report_gone(&mut self, worker: WorkerIncarnation, fact: ExecutorFact, since: Duration) {
+        let age_ms = self.now.saturating_sub(since).as_millis() as u64;
+        let event =
+            FlowEvent::ExecutorEnded { worker: worker.clone(), fact, age_ms, reported: true };
+        self.record(event);
         let ended = self.ended.as_mut().filter(|ended| ended.report.worker == worker);
         if let Some(ended) = ended {
             ended.gone = true;
--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -6,7 +6,7 @@
         AgentNode, EndedExecutor,
     },
     crate::{
-        event::FlowEvent,
+        event::{FlowEvent, OutdatedCause, ReportFact},
         job::{RunNumber, TaskKey, WorkerIncarnation},
         message::{EndReport, LinkMessage, StartOrder},
         state::EndKind,
@@ -55,6 +55,10 @@
     phase: OrderPhase,
     /// The start order; `None` if the agent has only received a stop.
     order: Option<StartOrder>,
+    /// When the first order for the run arrived.
+    arrived: Duration,
+    /// When the last start was sent.
+    sent: Option<Duration>,
     /// When the executor confirmed the start.
     confirmed: Option<Duration>,
     /// Whether a start was not answered: the executor may still carry it out, whatever the answers
@@ -67,9 +71,9 @@
 }
 
 impl RunOrder {
-    fn new(phase: OrderPhase, order: Option<StartOrder>) -> Self {
-        let (confirmed, unanswered, withdrawn) = Default::default();
-        Self { phase, order, confirmed, unanswered, sent_before: false, withdrawn }
+    fn new(phase: OrderPhase, order: Option<StartOrder>, arrived: Duration) -> Self {
+        let (sent, confirmed, unanswered, sent_before, withdrawn) = Default::default();
+        Self { phase, order, arrived, sent, confirmed, unanswered, sent_before, withdrawn }
     }
 
     /// Returns whether the executor may still carry out a start that has no answer.
@@ -85,6 +89,18 @@
     /// Runs reported as never begun, with the reported end and the time. They must not begin any
     /// more.
     closed: BTreeMap<(TaskKey, RunNumber), (EndKind, Duration)>,
+    /// Runs for which an outdated order was logged, with the time.
+    outdated: BTreeMap<(TaskKey, RunNumber), Duration>,
+}
+
+/// What a line about the end of a run says of it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EndTrace {
+    pub(super) fact: ReportFact,
+    /// When the order arrived.
+    pub(super) arrived: Option<Duration>,
+    /// When the executor was asked for the answer on which the report rests.
+    pub(super) asked: Option<Duration>,
 }
 
 impl RunTable {
@@ -100,6 +116,11 @@
         Some((order.filler, order.latency_target_ms))
     }
 
+    /// Returns when the first order for a run arrived, if the run has one.
+    pub(super) fn arrival_of(&self, task: TaskKey, run: RunNumber) -> Option<Duration> {
+        self.orders.get(&(task, run)).map(|order| order.arrived)
+    }
+
     fn may_still_begin(&self, key: (TaskKey, RunNumber)) -> bool {
         self.orders.get(&key).is_some_and(RunOrder::may_still_begin)
     }
@@ -118,13 +139,14 @@
 
     /// Withdraws every start that has no answer. One that was sent before is settled by a stop, and
     /// one in transit only if it is not answered. Returns the runs whose start was never sent, which
-    /// are removed.
-    pub(super) fn withdraw_starts(&mut self, now: Duration) -> Vec<(TaskKey, RunNumber)> {
+    /// are removed, with the arrival of its order.
+    pub(super) fn withdraw_starts(&mut self, now: Duration) -> Vec<(TaskKey, RunNumber, Duration)> {
         let is_unsent = |order: &RunOrder| {
             matches!(order.phase, OrderPhase::StartAgain(_)) && !order.may_still_begin()
         };
         let unsent = self.orders.iter().filter(|(_, order)| is_unsent(order));
-        let unsent: Vec<_> = unsent.map(|(key, _)| *key).collect();
+        let unsent: Vec<_> =
+            unsent.map(|((task, run), order)| (*task, *run, order.arrived)).collect();
         self.orders.retain(|_, order| !is_unsent(order));
         for order in self.orders.values_mut() {
             order.withdrawn = true;
@@ -160,10 +182,13 @@
         if executor.report.worker != order.worker {
             return;
         }
-        if executor.ends.values().any(|end| end.is_of(task, run)) {
+        if let Some(end) = executor.ends.values().find(|end| end.is_of(task, run)) {
+            let cause = OutdatedCause::Ended(end.number);
+            self.note_outdated(task, run, cause);
             return;
         }
         if let Some((end, _)) = self.runs.closed.get(&(task, run)).copied() {
+            self.note_outdated(task, run, OutdatedCause::Closed(end));
             self.report_never_began(task, run, end);
             return;
         }
@@ -177,7 +202,7 @@
         let refusal = self.refusal_reason().filter(|_| !listed);
         let phase = match refusal {
             Some(reason) if !sent_before => {
-                self.refuse_run(task, run, reason);
+                self.refuse_run(task, run, reason, EndTrace::refused_by_agent(now));
                 return;
             }
             Some(reason) => {
@@ -187,7 +212,7 @@
             None if listed => OrderPhase::Started(now),
             None => OrderPhase::StartAgain(now),
         };
-        let order = RunOrder { sent_before, ..RunOrder::new(phase, Some(order)) };
+        let order = RunOrder { sent_before, ..RunOrder::new(phase, Some(order), now) };
         self.runs.orders.insert((task, run), order);
         self.repeat_orders();
     }
@@ -202,7 +227,8 @@
             return;
         }
         let entry = self.runs.orders.entry((task, run));
-        let order = entry.or_insert(RunOrder::new(OrderPhase::Started(self.now), None));
+        let started = OrderPhase::Started(self.now);
+        let order = entry.or_insert(RunOrder::new(started, None, self.now));
         let stopping = matches!(
             order.phase,
             OrderPhase::Stopping | OrderPhase::StopAgain(_) | OrderPhase::Stopped(_)
@@ -255,8 +281,9 @@
 
     fn send_start(&mut self, key: (TaskKey, RunNumber)) {
         let Some(deadline_ms) = self.start_deadline() else { return };
-        let order = self.runs.orders.get(&key).and_then(|order| order.order.clone());
-        let Some(order) = order else { return };
+        let Some(known) = self.runs.orders.get_mut(&key) else { return };
+        let Some(order) = known.order.clone() else { return };
+        known.sent = Some(self.now);
         self.runs.set(key, OrderPhase::Starting);
         self.effects.push(AgentEffect::Start { order, fence: self.fence(), deadline_ms });
     }
@@ -287,8 +314,11 @@
                 self.repeat_orders();
             }
             StartVerdict::Refused(refusal) => {
-                self.runs.orders.remove(&key);
-                self.refuse_run(task, run, refusal_text(refusal));
+                let order = self.runs.orders.remove(&key);
+                let arrived = order.as_ref().map(|order| order.arrived);
+                let asked = order.and_then(|order| order.sent);
+                let trace = EndTrace { fact: ReportFact::RefusedByExecutor, arrived, asked };
+                self.refuse_run(task, run, refusal_text(refusal), trace);
             }
             StartVerdict::Old => self.runs.set(key, OrderPhase::Unclear(self.now)),
             StartVerdict::Failed(CallFailure::Unanswered(_) | CallFailure::Fenced) => {
@@ -322,11 +352,47 @@
     }
 
     /// Reports to control that a run never began on this executor.
-    pub(super) fn refuse_run(&mut self, task: TaskKey, run: RunNumber, reason: &str) {
+    pub(super) fn refuse_run(
+        &mut self,
+        task: TaskKey,
+        run: RunNumber,
+        reason: &str,
+        trace: EndTrace,
+    ) {
         self.record(FlowEvent::StartRefused { task, run, reason: reason.to_owned() });
+        let (end, number, checkpoint) = (EndKind::Refused, 0, String::new());
+        self.record_end(&EndReport { number, task, run, end, checkpoint }, trace);
         self.report_never_began(task, run, EndKind::Refused);
     }
 
+    /// Logs that the agent reports an end for the first time.
+    pub(super) fn record_end(&mut self, report: &EndReport, trace: EndTrace) {
+        let (now, connected) = (self.now, self.connected);
+        let Some(worker) = self.incarnation() else { return };
+        let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
+        self.record(FlowEvent::EndReported {
+            task: report.task,
+            run: report.run,
+            worker,
+            end: report.end,
+            number: report.number,
+            fact: trace.fact,
+            ordered_ms_ago: trace.arrived.map(age_ms),
+            asked_ms_ago: trace.asked.map(age_ms),
+            connected,
+        });
+    }
+
+    /// Logs an order for a run that is over, once for each run.
+    fn note_outdated(&mut self, task: TaskKey, run: RunNumber, cause: OutdatedCause) {
+        let Some(worker) = self.incarnation() else { return };
+        let now = self.now;
+        self.runs.outdated.retain(|_, at| now.saturating_sub(*at) < CLOSED_RETENTION);
+        if self.runs.outdated.insert((task, run), now).is_none() {
+            self.record(FlowEvent::OrderOutdated { task, run, worker, cause });
+        }
+    }
+
     fn report_never_began(&mut self, task: TaskKey, run: RunNumber, end: EndKind) {
         let Some(worker) = self.incarnation() else { return };
         let now = self.now;
@@ -356,6 +422,16 @@
                 checkpoint: String::new(),
             })
             .collect();
+        let traces = ends.iter().filter_map(|end| {
+            let order = self.runs.orders.get(&(end.task, end.run))?;
+            let shown = match order.phase {
+                OrderPhase::Started(shown) => Some(shown),
+                _ => None,
+            };
+            let (fact, arrived) = (ReportFact::ExecutorEnded, Some(order.arrived));
+            Some(EndTrace { fact, arrived, asked: shown })
+        });
+        let traces: Vec<EndTrace> = traces.collect();
         let known = self.ended.as_ref().is_some_and(|ended| ended.report.worker == worker);
         if executor.reached && !known {
             let silent = executor.silent_since.unwrap_or(self.now);
@@ -364,6 +440,9 @@
             let (at, reported) = (self.now, self.connected);
             self.ended = Some(EndedExecutor { report, begun, at, gone: false, reported });
         }
+        for (end, trace) in ends.iter().zip(traces) {
+            self.record_end(end, trace);
+        }
         self.send_ends(worker, ends);
     }
 
@@ -399,10 +478,10 @@
                     changed.push((key, started));
                 }
                 OrderPhase::Unclear(since) if absent && since < asked => {
-                    never_began.push((key, EndKind::Refused));
+                    never_began.push((key, EndKind::Refused, ReportFact::NotThere));
                 }
                 OrderPhase::Stopped(since) if absent && since < asked => {
-                    never_began.push((key, EndKind::Stopped));
+                    never_began.push((key, EndKind::Stopped, ReportFact::StopSettled));
                 }
                 OrderPhase::Stopped(since) if now.saturating_sub(since) >= STOP_AGAIN => {
                     changed.push((key, OrderPhase::StopAgain(now)));
@@ -416,13 +495,22 @@
         for (key, phase) in changed {
             self.runs.set(key, phase);
         }
-        for ((task, run), end) in never_began {
-            self.runs.orders.remove(&(task, run));
+        for ((task, run), end, fact) in never_began {
+            let arrived = self.runs.orders.remove(&(task, run)).map(|order| order.arrived);
+            let report = EndReport { number: 0, task, run, end, checkpoint: String::new() };
+            self.record_end(&report, EndTrace { fact, arrived, asked: Some(asked) });
             self.report_never_began(task, run, end);
         }
     }
 }
 
+impl EndTrace {
+    /// Returns the trace of a refusal of the agent itself.
+    pub(super) fn refused_by_agent(arrived: Duration) -> Self {
+        Self { fact: ReportFact::RefusedByAgent, arrived: Some(arrived), asked: None }
+    }
+}
+
 fn refusal_text(refusal: StartRefusal) -> &'static str {
     match refusal {
         StartRefusal::NoCapacity => "the executor lacks free capacity",
--- a/crates/workflow/src/agent/polling.rs
+++ b/crates/workflow/src/agent/polling.rs
@@ -2,12 +2,13 @@
 
 use {
     super::{
+        orders::EndTrace,
         successor::SuccessorClaim,
         types::{AgentEffect, CallFailure, ExecutorView},
         AgentNode, ExecutorState, FormerExecutor, REPORT_INTERVAL, WATCHING_INTERVAL,
     },
     crate::{
-        event::FlowEvent,
+        event::{ExecutorFact, FlowEvent, ReportFact},
         job::WorkerIncarnation,
         message::{EndReport, WorkerReport},
     },
@@ -121,10 +122,10 @@
         }
         match result {
             Ok(view) if view.started_ms != worker.started_ms => {
-                self.handle_other_incarnation(worker)
+                self.handle_other_incarnation(worker, Some(view.started_ms))
             }
             Ok(view) => self.handle_executor_view(worker, asked, view),
-            Err(CallFailure::OtherIncarnation) => self.handle_other_incarnation(worker),
+            Err(CallFailure::OtherIncarnation) => self.handle_other_incarnation(worker, None),
             Err(CallFailure::Fenced) => {
                 self.handle_missing_answer("the executor has seen a higher fencing token")
             }
@@ -136,14 +137,25 @@
     /// Handles an answer from another incarnation at the executor's address. That incarnation has
     /// sent its description, or sends it later, if it lives that long. Until then, control places
     /// nothing more here.
-    fn handle_other_incarnation(&mut self, worker: &WorkerIncarnation) {
+    fn handle_other_incarnation(
+        &mut self,
+        worker: &WorkerIncarnation,
+        other_started_ms: Option<u64>,
+    ) {
+        let now = self.now;
+        let fact = ExecutorFact::OtherIncarnation { started_ms: other_started_ms };
+        if self.executor.as_ref().is_some_and(|executor| executor.reached) {
+            let worker = worker.clone();
+            self.record(FlowEvent::ExecutorEnded { worker, fact, age_ms: 0, reported: false });
+        }
         self.report_ended_runs();
         let Some(executor) = self.executor.take() else { return };
         self.reset_lease();
         self.runs = super::orders::RunTable::default();
         let expires_at = executor.expires_at;
         if executor.reached || self.former.is_none() {
-            self.former = Some(FormerExecutor { worker: worker.clone(), expires_at });
+            let (worker, replaced_at) = (worker.clone(), now);
+            self.former = Some(FormerExecutor { worker, replaced_at, expires_at });
         }
         if executor.reached {
             self.send_description(WorkerReport { responsive: false, ..executor.report });
@@ -158,8 +170,9 @@
     pub(super) fn check_former(&mut self) {
         let now = self.now;
         let expired = self.former.take_if(|former| now > former.expires_at);
-        if let Some(FormerExecutor { worker, .. }) = expired {
-            self.report_gone(worker);
+        if let Some(FormerExecutor { worker, expires_at, .. }) = expired {
+            let fact = ExecutorFact::LeaseExpired { silent_ms: None };
+            self.report_gone(worker, fact, expires_at);
             self.effects.push(AgentEffect::Reconnect);
         }
     }
@@ -188,6 +201,7 @@
         }
         let Some(executor) = &mut self.executor else { return };
         let expired = executor.silent_since.is_some() && now > executor.expires_at;
+        let (silent_since, expired_at) = (executor.silent_since, executor.expires_at);
         if expired && executor.reached {
             let worker = executor.report.worker.clone();
             self.report_ended_runs();
@@ -195,7 +209,9 @@
                 executor.reached = false;
             }
             self.runs = super::orders::RunTable::default();
-            self.report_gone(worker);
+            let silent = silent_since.map(|since| (now - since).as_millis() as u64);
+            let fact = ExecutorFact::LeaseExpired { silent_ms: silent };
+            self.report_gone(worker, fact, expired_at);
             self.effects.push(AgentEffect::Reconnect);
             self.reset_lease();
         }
@@ -224,6 +240,13 @@
             .filter(|end| end.number > recorded && !executor.ends.contains_key(&end.number))
             .collect();
         let news = !new_ends.is_empty();
+        let traced: Vec<(EndReport, EndTrace)> = new_ends
+            .iter()
+            .map(|end| {
+                let arrived = self.runs.arrival_of(end.task, end.run);
+                (end.clone(), EndTrace { fact: ReportFact::Listed, arrived, asked: Some(asked) })
+            })
+            .collect();
         executor.ends.extend(new_ends.into_iter().map(|end| (end.number, end)));
         let same_runs =
             executor.listed_runs.len() == view.running.len()
@@ -236,6 +259,9 @@
         let due = now.saturating_sub(executor.last_report) >= interval;
         let idle = executor.ends.is_empty() && !answers_at_once;
         executor.next_poll = if idle { now } else { now + UNRECORDED_PAUSE };
+        for (end, trace) in traced {
+            self.record_end(&end, trace);
+        }
         if first {
             self.record(FlowEvent::ExecutorReached { worker: worker.clone() });
             if self.ended.as_ref().is_some_and(|ended| ended.report.worker == *worker) {
--- a/crates/workflow/src/agent/shrink.rs
+++ b/crates/workflow/src/agent/shrink.rs
@@ -5,7 +5,10 @@
 //! have sent by the earlier capacity: not every executor refuses what does not fit, and a start
 //! that is carried out seconds later would exceed what is left.
 
-use {super::AgentNode, crate::message::WorkerReport};
+use {
+    super::{orders::EndTrace, AgentNode},
+    crate::message::WorkerReport,
+};
 
 const REFUSAL: &str = "the executor has shrunk";
 
@@ -13,8 +16,8 @@
     /// Withdraws every start that the executor has not confirmed, and asks the leader to confirm
     /// that it has the executor's new description, which has to be sent before.
     pub(super) fn handle_shrink(&mut self) {
-        for (task, run) in self.runs.withdraw_starts(self.now) {
-            self.refuse_run(task, run, REFUSAL);
+        for (task, run, arrived) in self.runs.withdraw_starts(self.now) {
+            self.refuse_run(task, run, REFUSAL, EndTrace::refused_by_agent(arrived));
         }
         self.ping();
         self.unconfirmed_shrink = Some(self.last_ping);
--- a/crates/workflow/src/event/ends.rs
+++ b/crates/workflow/src/event/ends.rs
@@ -123,3 +123,48 @@
     /// the log if an earlier leader has recorded it.
     pub age_ms: u64,
 }
+
+/// The fact on which an agent's report of an end rests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+pub enum ReportFact {
+    /// The executor lists the end.
+    Listed,
+    /// The executor has refused the start.
+    RefusedByExecutor,
+    /// The agent has refused the start, and has not sent it.
+    RefusedByAgent,
+    /// The executor has confirmed a stop, and does not list the run afterwards.
+    StopSettled,
+    /// The executor has answered the start as old, and does not list the run afterwards.
+    NotThere,
+    /// The executor has ended, and had the run.
+    ExecutorEnded,
+}
+
+/// The fact by which an agent considers an incarnation ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+pub enum ExecutorFact {
+    /// Another incarnation has answered at the address.
+    OtherIncarnation {
+        /// The Unix millisecond at which that one began, if its answer said so.
+        started_ms: Option<u64>,
+    },
+    /// Every lease that the executor can have has run out.
+    LeaseExpired {
+        /// The time for which the executor has not answered, in milliseconds; `None` if another
+        /// incarnation had answered, which has not described itself.
+        silent_ms: Option<u64>,
+    },
+}
+
+/// What an agent knows of a run for which an order to start arrives too late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+pub enum OutdatedCause {
+    /// The agent has reported that the run never began here.
+    Closed(EndKind),
+    /// The executor lists the run's end, under this number.
+    Ended(u64),
+}
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -5,7 +5,9 @@
 
 mod ends;
 
-pub use ends::{EndFact, FactSource, FormerRun, LossProof};
+pub use ends::{
+    EndFact, ExecutorFact, FactSource, FormerRun, LossProof, OutdatedCause, ReportFact,
+};
 
 use {
     crate::{
@@ -509,6 +511,57 @@
         /// The reason.
         reason: String,
     },
+    /// An agent reports the end of a run to control, for the first time.
+    EndReported {
+        /// The task.
+        #[serde(serialize_with = "as_text")]
+        task: TaskKey,
+        /// The run.
+        run: RunNumber,
+        /// The executor's incarnation.
+        #[serde(serialize_with = "as_text")]
+        worker: WorkerIncarnation,
+        /// How the run ended.
+        end: EndKind,
+        /// The executor's number of the end; 0 if the executor has not listed it.
+        number: u64,
+        /// The fact on which the report rests.
+        fact: ReportFact,
+        /// The time since the order for the run arrived, in milliseconds; `None` if this process has
+        /// none.
+        ordered_ms_ago: Option<u64>,
+        /// The time since the executor was asked for the answer on which the report rests, in
+        /// milliseconds; `None` without such an answer.
+        asked_ms_ago: Option<u64>,
+        /// Whether a leader is connected. If not, the next one is told.
+        connected: bool,
+    },
+    /// An agent considers an incarnation of its executor ended.
+    ExecutorEnded {
+        /// The incarnation.
+        #[serde(serialize_with = "as_text")]
+        worker: WorkerIncarnation,
+        /// The fact.
+        fact: ExecutorFact,
+        /// The age of the fact, in milliseconds.
+        age_ms: u64,
+        /// Whether the agent reports the end by itself. If not, control settles the runs by the lists
+        /// of the next incarnation.
+        reported: bool,
+    },
+    /// An agent has received an order to start a run that is over.
+    OrderOutdated {
+        /// The task.
+        #[serde(serialize_with = "as_text")]
+        task: TaskKey,
+        /// The run.
+        run: RunNumber,
+        /// The executor's incarnation.
+        #[serde(serialize_with = "as_text")]
+        worker: WorkerIncarnation,
+        /// What the agent knows of the run.
+        cause: OutdatedCause,
+    },
     /// The executor beside an agent answers, or answers again.
     ExecutorReached {
         /// The executor's incarnation.
@@ -656,6 +709,9 @@
             Self::RunUnconfirmed { .. } => (5038, "RunUnconfirmed"),
             Self::MemberChange { .. } => (5040, "MemberChange"),
             Self::StorageFailed { .. } => (5041, "StorageFailed"),
+            Self::EndReported { .. } => (5042, "EndReported"),
+            Self::ExecutorEnded { .. } => (5043, "ExecutorEnded"),
+            Self::OrderOutdated { .. } => (5044, "OrderOutdated"),
             Self::CallFailed { .. } => (5050, "CallFailed"),
             Self::MessageRefused { .. } => (5051, "MessageRefused"),
             Self::LinesDropped { .. } => (5052, "LinesDropped"),
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -35,6 +35,8 @@
     acknowledged: Vec<u64>,
     /// The reasons for which messages were refused.
     refused: Vec<String>,
+    /// The lines about ends of runs and of the executor, and about orders that come too late.
+    end_lines: Vec<String>,
 }
 
 fn incarnation() -> WorkerIncarnation {
@@ -55,6 +57,30 @@
     EndReport { number, task, run, end, checkpoint }
 }
 
+/// Returns the text of an event about an end, or about an order that comes too late.
+fn end_line(event: &FlowEvent) -> Option<String> {
+    match event {
+        FlowEvent::EndReported {
+            run,
+            end,
+            number,
+            fact,
+            ordered_ms_ago,
+            asked_ms_ago,
+            connected,
+            ..
+        } => {
+            let ages = format!("ordered {ordered_ms_ago:?}, asked {asked_ms_ago:?}");
+            Some(format!("{run} {end:?} as {number}: {fact:?}, {ages}, connected {connected}"))
+        }
+        FlowEvent::ExecutorEnded { worker, fact, age_ms, reported } => {
+            Some(format!("{worker}: {fact:?}, {age_ms} ms ago, reported {reported}"))
+        }
+        FlowEvent::OrderOutdated { run, cause, .. } => Some(format!("{run} over: {cause:?}")),
+        _ => None,
+    }
+}
+
 impl AgentHarness {
     /// Creates an agent that has met a leader of term 1 and an executor that runs nothing.
     fn start() -> Self {
@@ -84,7 +110,7 @@
         let node = AgentNode::new(settings, began);
         let (polls, deadlines, fences, calls, sent) = Default::default();
         let (introductions, described_as_responsive) = (0, false);
-        let (acknowledged, refused) = Default::default();
+        let (acknowledged, refused, end_lines) = Default::default();
         let mut harness = Self {
             node,
             now,
@@ -97,6 +123,7 @@
             described_as_responsive,
             acknowledged,
             refused,
+            end_lines,
         };
         harness.report_heartbeat(1, None);
         harness.connect_leader(1);
@@ -106,6 +133,9 @@
 
     fn step(&mut self, event: AgentEvent) {
         for effect in self.node.reduce(self.now, event) {
+            if let AgentEffect::Record(event) = &effect {
+                self.end_lines.extend(end_line(event));
+            }
             match effect {
                 AgentEffect::Poll { deadline_ms, fence, acknowledged, .. } => {
                     self.acknowledged.push(acknowledged);
@@ -959,3 +989,107 @@
     play(&mut harness, 45, 8);
     assert_eq!(harness.calls.last().unwrap(), "throttle 10");
 }
+
+/// How a run ends, as far as its agent can tell.
+#[derive(Debug, Clone, Copy)]
+enum RunEndCase {
+    Listed,
+    RefusedByExecutor,
+    RefusedByAgent,
+    StopSettled,
+    NotThere,
+    ExecutorEnded,
+}
+
+/// Plays the end of run 1, which is ordered 200 ms before it.
+fn end_run(harness: &mut AgentHarness, case: RunEndCase) {
+    if matches!(case, RunEndCase::RefusedByAgent) {
+        harness.report_heartbeat(2, Some(2000));
+    }
+    harness.order(1);
+    harness.advance(100);
+    match case {
+        RunEndCase::RefusedByAgent => return,
+        RunEndCase::RefusedByExecutor => {
+            harness.advance(100);
+            harness.answer_start(1, StartVerdict::Refused(StartRefusal::NoCapacity));
+            return;
+        }
+        RunEndCase::NotThere => harness.answer_start(1, StartVerdict::Old),
+        RunEndCase::Listed | RunEndCase::StopSettled | RunEndCase::ExecutorEnded => {
+            harness.answer_start(1, StartVerdict::Started);
+        }
+    }
+    if matches!(case, RunEndCase::StopSettled) {
+        harness.order_stop(1);
+        harness.answer_stop(1, true);
+    }
+    harness.advance(40);
+    let running = [run_report(1)];
+    let listed = !matches!(case, RunEndCase::NotThere);
+    harness.answer_poll(if listed { &running } else { &[] }, &[]);
+    harness.advance(60);
+    match case {
+        RunEndCase::ExecutorEnded => harness.fail_poll(CallFailure::OtherIncarnation),
+        RunEndCase::Listed => harness.answer_poll(&[], &[end_report(3, 1, EndKind::Done)]),
+        _ => harness.answer_poll(&[], &[]),
+    }
+}
+
+#[rstest]
+#[case(RunEndCase::Listed, "Done as 3: Listed, ordered Some(200), asked Some(60)")]
+#[case(
+    RunEndCase::RefusedByExecutor,
+    "Refused as 0: RefusedByExecutor, ordered Some(200), asked Some(200)"
+)]
+#[case(RunEndCase::RefusedByAgent, "Refused as 0: RefusedByAgent, ordered Some(0), asked None")]
+#[case(RunEndCase::StopSettled, "Stopped as 0: StopSettled, ordered Some(200), asked Some(60)")]
+#[case(RunEndCase::NotThere, "Refused as 0: NotThere, ordered Some(200), asked Some(60)")]
+#[case(
+    RunEndCase::ExecutorEnded,
+    "Expired as 0: ExecutorEnded, ordered Some(200), asked Some(200)"
+)]
+fn the_report_of_an_end_is_logged_once_with_its_fact(#[case] case: RunEndCase, #[case] line: &str) {
+    let mut harness = AgentHarness::start();
+    end_run(&mut harness, case);
+    harness.step(AgentEvent::LeaderLost);
+    harness.connect_leader(2);
+    harness.advance(2000);
+    let lines = harness.end_lines.iter().filter(|line| line.starts_with("1 "));
+    let lines: Vec<&String> = lines.collect();
+    assert_eq!(lines, [&format!("1 {line}, connected true")]);
+}
+
+#[rstest]
+#[case(RunEndCase::Listed, "Ended(3)")]
+#[case(RunEndCase::RefusedByExecutor, "Closed(Refused)")]
+#[case(RunEndCase::StopSettled, "Closed(Stopped)")]
+fn an_order_for_a_run_that_is_over_is_logged_once(#[case] case: RunEndCase, #[case] cause: &str) {
+    let mut harness = AgentHarness::start();
+    end_run(&mut harness, case);
+    harness.order(1);
+    harness.order(1);
+    assert_eq!(harness.end_lines[1..], [format!("1 over: {cause}")]);
+}
+
+#[test]
+fn the_end_of_a_silent_executor_is_logged_with_its_lease() {
+    let mut harness = AgentHarness::start();
+    harness.leave_poll_unanswered();
+    harness.advance(6000);
+    let line = "e1@100: LeaseExpired { silent_ms: Some(6000) }, ";
+    let logged = &harness.end_lines[..];
+    assert!(matches!(logged, [one] if one.starts_with(line)), "{logged:?}");
+}
+
+#[test]
+fn the_end_of_a_replaced_executor_is_logged_when_it_is_seen_and_when_it_is_reported() {
+    let mut harness = AgentHarness::start();
+    harness.fail_poll(CallFailure::OtherIncarnation);
+    harness.advance(8000);
+    let logged = &harness.end_lines;
+    let seen = "e1@100: OtherIncarnation { started_ms: None }, 0 ms ago, reported false";
+    assert_eq!(logged[0], seen);
+    assert!(logged[1].starts_with("e1@100: LeaseExpired { silent_ms: None }, "), "{logged:?}");
+    assert_eq!(logged.len(), 2);
+}
