--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -3,6 +3,12 @@
 //!
 //! The catalogue is in `docs/EVENTS-DEPLOYED.md`. The number of a removed event is never reused.
 
+mod ends;
+
+pub use ends::{
+    EndFact, ExecutorFact, FactSource, FormerRun, LossProof, OutdatedCause, ReportFact,
+};
+
 use {
     crate::{
         job::{JobKey, RunNumber, TaskKey, WorkerIncarnation},
@@ -248,6 +254,9 @@
         after_ms: u64,
         /// The number of earlier runs of the task that failed.
         failures: u32,
+        /// The end of the run before; `None` for a first run, and if no replicated entry since this
+        /// process began has held it.
+        former: Option<FormerRun>,
     },
     /// The leader has learned from the run times of a queue.
     RunTimesLearned {
@@ -340,6 +349,16 @@
         worker: WorkerIncarnation,
         /// How the run ended.
         end: EndKind,
+        /// The fact by which the run counts as ended.
+        fact: EndFact,
+        /// Where the fact comes from.
+        source: FactSource,
+        /// The time since this leader has last ordered the run, in milliseconds; `None` if it has
+        /// not.
+        ordered_ms_ago: Option<u64>,
+        /// The age of the last list with the run, in milliseconds; `None` if this leader has seen
+        /// none.
+        listed_ms_ago: Option<u64>,
     },
     /// Control has ordered a run to stop.
     RunStopped {
@@ -423,6 +442,13 @@
         worker: WorkerIncarnation,
         /// The reason why this is certain.
         reason: LossReason,
+        /// The fact behind the reason.
+        proof: LossProof,
+        /// Where the fact comes from.
+        source: FactSource,
+        /// The time since the worker's agent last had its lease renewed, in milliseconds; `None` if
+        /// this leader has renewed none.
+        renewed_ms_ago: Option<u64>,
         /// The number of the worker's runs.
         runs: usize,
     },
@@ -485,6 +511,57 @@
         /// The reason.
         reason: String,
     },
+    /// An agent reports the end of a run to control, for the first time.
+    EndReported {
+        /// The task.
+        #[serde(serialize_with = "as_text")]
+        task: TaskKey,
+        /// The run.
+        run: RunNumber,
+        /// The executor's incarnation.
+        #[serde(serialize_with = "as_text")]
+        worker: WorkerIncarnation,
+        /// How the run ended.
+        end: EndKind,
+        /// The executor's number of the end; 0 if the executor has not listed it.
+        number: u64,
+        /// The fact on which the report rests.
+        fact: ReportFact,
+        /// The time since the order for the run arrived, in milliseconds; `None` if this process has
+        /// none.
+        ordered_ms_ago: Option<u64>,
+        /// The time since the executor was asked for the answer on which the report rests, in
+        /// milliseconds; `None` without such an answer.
+        asked_ms_ago: Option<u64>,
+        /// Whether a leader is connected. If not, the next one is told.
+        connected: bool,
+    },
+    /// An agent considers an incarnation of its executor ended.
+    ExecutorEnded {
+        /// The incarnation.
+        #[serde(serialize_with = "as_text")]
+        worker: WorkerIncarnation,
+        /// The fact.
+        fact: ExecutorFact,
+        /// The age of the fact, in milliseconds.
+        age_ms: u64,
+        /// Whether the agent reports the end by itself. If not, control settles the runs by the lists
+        /// of the next incarnation.
+        reported: bool,
+    },
+    /// An agent has received an order to start a run that is over.
+    OrderOutdated {
+        /// The task.
+        #[serde(serialize_with = "as_text")]
+        task: TaskKey,
+        /// The run.
+        run: RunNumber,
+        /// The executor's incarnation.
+        #[serde(serialize_with = "as_text")]
+        worker: WorkerIncarnation,
+        /// What the agent knows of the run.
+        cause: OutdatedCause,
+    },
     /// The executor beside an agent answers, or answers again.
     ExecutorReached {
         /// The executor's incarnation.
@@ -583,6 +660,12 @@
     },
 }
 
+/// The numbers of warnings and errors.
+const WARNING_NUMBERS: [u16; 22] = [
+    5004, 5006, 5008, 5011, 5013, 5015, 5023, 5024, 5025, 5029, 5031, 5032, 5033, 5035, 5038, 5041,
+    5043, 5044, 5050, 5051, 5052, 5062,
+];
+
 impl FlowEvent {
     /// Returns the event's number in the catalogue.
     pub fn number(&self) -> u16 {
@@ -594,6 +677,11 @@
         self.line().1
     }
 
+    /// Returns whether the event is a warning or an error.
+    pub fn is_warning(&self) -> bool {
+        WARNING_NUMBERS.contains(&self.number())
+    }
+
     fn line(&self) -> (u16, &'static str) {
         match self {
             Self::Started { .. } => (5000, "Started"),
@@ -632,6 +720,9 @@
             Self::RunUnconfirmed { .. } => (5038, "RunUnconfirmed"),
             Self::MemberChange { .. } => (5040, "MemberChange"),
             Self::StorageFailed { .. } => (5041, "StorageFailed"),
+            Self::EndReported { .. } => (5042, "EndReported"),
+            Self::ExecutorEnded { .. } => (5043, "ExecutorEnded"),
+            Self::OrderOutdated { .. } => (5044, "OrderOutdated"),
             Self::CallFailed { .. } => (5050, "CallFailed"),
             Self::MessageRefused { .. } => (5051, "MessageRefused"),
             Self::LinesDropped { .. } => (5052, "LinesDropped"),
