--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -91,7 +91,7 @@
     pub seeds: Vec<SocketAddr>,
     /// The length of a lease.
     pub lease: Duration,
-    /// The address of the executor.
+    /// The address of the executor, which no executor on another machine has.
     pub executor_address: String,
 }
 
--- a/crates/workflow/src/message/mod.rs
+++ b/crates/workflow/src/message/mod.rs
@@ -72,7 +72,8 @@
     Worker {
         /// The description.
         report: WorkerReport,
-        /// The executor's address. Only one executor at a time can use an address.
+        /// The executor's address, which differs from those of other machines. Only one executor at a
+        /// time can use an address.
         place: Arc<str>,
     },
     /// Lists every run on an agent's executor, and those that the agent is about to start.
