--- a/crates/workflow/src/control/logged_ends.rs
+++ b/crates/workflow/src/control/logged_ends.rs
@@ -29,8 +29,8 @@
 
 impl LoggedEnds {
     /// Notes the ends in an entry, and forgets those of tasks that are placed again and of jobs that
-    /// have ended. `state` holds the entry, whose commands had these outcomes there. A run that is placed and ended in one entry was only
-    /// used up, and leaves the end before it.
+    /// have ended. `state` holds the entry, whose commands had these outcomes there. A run that is
+    /// placed and ended in one entry was only used up, and leaves the end before it.
     pub(super) fn note_applied(
         &mut self,
         batch: &CommandBatch,
--- a/crates/workflow/src/control/sessions.rs
+++ b/crates/workflow/src/control/sessions.rs
@@ -51,7 +51,8 @@
         leader.workers.shift_remove(&worker.executor);
         let lease = leader.leases.get(&worker).copied().unwrap_or_default();
         let lease_left_ms = lease.saturating_sub(self.now).as_millis() as u64;
-        self.record(FlowEvent::WorkerUnreachable { worker, lease_left_ms });
+        let stream = session.0;
+        self.record(FlowEvent::WorkerUnreachable { worker, lease_left_ms, stream });
     }
 
     /// Notifies a process of the leader. If another replica leads, the process connects to that
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -36,6 +36,7 @@
             worker: worker.clone(),
             service: report.service.clone(),
             drain_left_ms: report.drain_left_ms,
+            stream: session.0,
         };
         let Some(leader) = &mut self.leader else { return };
         let executor = worker.executor.clone();
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -426,6 +426,8 @@
         /// The least time until a draining worker ends, in milliseconds; `None` while it does not
         /// drain.
         drain_left_ms: Option<u64>,
+        /// The number of the agent's stream.
+        stream: u64,
     },
     /// The stream to a worker's agent has ended.
     WorkerUnreachable {
@@ -434,6 +436,8 @@
         worker: WorkerIncarnation,
         /// The time until the worker's lease expires, in milliseconds.
         lease_left_ms: u64,
+        /// The number of the stream.
+        stream: u64,
     },
     /// Control considers all runs of a worker ended.
     WorkerLost {
