Record the end of a run that was adopted in the same entry

What callers saw: nothing is known from a deployment. In the test, a task whose end as done was acknowledged stayed placed, and its order went out again with the same run.

Cause: a list of a later incarnation moves a run that it carried out late, by a command that waits for the next entry. An end of that run in the same decision still named the former incarnation, since the speculative state has no pending commands. In the log, the end came after the move, fitted nothing, and was dropped, but acknowledged.

Change: the incarnation of a run is looked up with the pending moves. An end names the incarnation that the run has moved to, and an end of the former incarnation no longer counts for it.

the_end_of_a_run_that_was_adopted_just_before_counts failed on the code before (phase Running instead of Ended).

--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -22,7 +22,7 @@
             AdmissionTable, DurationTable, InterferenceTable, Placement, PlacementPlanner,
             SuspectTable, WorkerTable,
         },
-        state::{EndKind, FlowCommand, FlowState},
+        state::{EndKind, FlowCommand, FlowState, TaskPhase},
     },
     base::{PeerAddress, ReplicaId, ReplyTicket},
     std::{
@@ -45,6 +45,8 @@
     pub(super) failed_runs: BTreeSet<(StepKey, RunNumber)>,
     /// The runs that the commands end.
     ended_runs: HashSet<(TaskKey, RunNumber)>,
+    /// The runs that the commands move to a later incarnation of their executor.
+    adopted_runs: HashMap<(TaskKey, RunNumber), WorkerIncarnation>,
     /// Size of what the commands hold, in bytes.
     content_bytes: usize,
 }
@@ -59,8 +61,14 @@
     /// Adds a command, and the effects that follow its commit.
     pub(super) fn add(&mut self, command: FlowCommand, deferred: Vec<ControlEffect>) {
         self.content_bytes += command.content_bytes();
-        if let FlowCommand::End { task, run, .. } = &command {
-            self.ended_runs.insert((*task, *run));
+        match &command {
+            FlowCommand::End { task, run, .. } => {
+                self.ended_runs.insert((*task, *run));
+            }
+            FlowCommand::Adopt { task, run, worker } => {
+                self.adopted_runs.insert((*task, *run), worker.clone());
+            }
+            _ => {}
         }
         self.commands.push(command);
         self.deferred.extend(deferred);
@@ -181,6 +189,18 @@
         (self.sessions.get(&worker.executor) == Some(&session)).then_some(worker)
     }
 
+    /// Returns the incarnation on which a run is placed once the pending commands are applied, if it
+    /// has not ended in the speculative state.
+    pub(super) fn incarnation_of(
+        &self,
+        task: &TaskKey,
+        run: RunNumber,
+    ) -> Option<&WorkerIncarnation> {
+        let record = self.speculative.task(task).filter(|record| record.run == run)?;
+        let TaskPhase::Placed(worker) = &record.phase else { return None };
+        Some(self.pending.adopted_runs.get(&(*task, run)).unwrap_or(worker))
+    }
+
     /// Returns whether an incarnation has reported that it drains.
     pub(super) fn is_draining(&self, worker: &WorkerIncarnation) -> bool {
         let view = self.workers.get(&worker.executor);
--- a/crates/workflow/src/control/workers.rs
+++ b/crates/workflow/src/control/workers.rs
@@ -12,7 +12,7 @@
         job::{RunNumber, TaskKey, WorkerIncarnation},
         message::{EndReport, LinkMessage, RunReport, WorkerReport},
         plan::{FailureHistory, Placement, WorkerView},
-        state::{EndKind, FlowCommand, TaskPhase},
+        state::{EndKind, FlowCommand},
     },
     std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
@@ -302,11 +302,8 @@
         task: &TaskKey,
         run: RunNumber,
     ) -> WorkerIncarnation {
-        let record = self.leader.as_ref().and_then(|leader| leader.speculative.task(task));
-        match record.filter(|record| record.run == run).map(|record| &record.phase) {
-            Some(TaskPhase::Placed(at)) if at.is_before(worker) => at.clone(),
-            _ => worker.clone(),
-        }
+        let placed = self.leader.as_ref().and_then(|leader| leader.incarnation_of(task, run));
+        placed.filter(|at| at.is_before(worker)).unwrap_or(worker).clone()
     }
 
     /// Returns whether nothing has proposed the end of a run yet. Agents repeat the ends that they
@@ -318,9 +315,7 @@
         run: RunNumber,
     ) -> bool {
         let Some(leader) = &self.leader else { return false };
-        let current =
-            leader.speculative.task(&task).is_some_and(|record| record.is_placed(run, placed));
-        current && !leader.pending.ends(&task, run)
+        leader.incarnation_of(&task, run) == Some(placed) && !leader.pending.ends(&task, run)
     }
 
     fn record_health(
--- a/crates/workflow/tests/ends/mod.rs
+++ b/crates/workflow/tests/ends/mod.rs
@@ -113,3 +113,19 @@
     assert_eq!(harness.state().task(&TASK.parse().unwrap()).unwrap().failures, 1);
     assert_eq!(harness.phase(0xa), "Running");
 }
+
+// The end was acknowledged and then lost, so that the task was started again.
+#[test]
+fn the_end_of_a_run_that_was_adopted_just_before_counts() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    harness.announce_incarnation(1, "e1", 200);
+    let (task, run, checkpoint) = (TASK.parse().unwrap(), RunNumber(1), String::new());
+    let runs = vec![RunReport { task, run, checkpoint, percent: 50, figure: 0 }];
+    let worker = WorkerIncarnation { executor: "e1".into(), started_ms: 200 };
+    harness.send_ahead(1, LinkMessage::Runs { worker, runs });
+    harness.report_end(1, "e1@200", 1, TASK, 1, EndKind::Done);
+    assert_eq!(harness.recorded_up_to(), 1);
+    assert_eq!(harness.phase(0xa), "Ended(Succeeded)");
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -416,6 +416,13 @@
         self.step(ControlEvent::Message { session: SessionId(session), message });
     }
 
+    /// Sends a message on which control decides together with the next one.
+    pub fn send_ahead(&mut self, session: u64, message: LinkMessage) {
+        let event = ControlEvent::Message { session: SessionId(session), message };
+        let effects = self.node.reduce(self.now, event);
+        effects.into_iter().for_each(|effect| self.record(effect));
+    }
+
     pub fn close(&mut self, session: u64) {
         self.step(ControlEvent::Closed { session: SessionId(session) });
     }
