Order no run again whose end was reported in the same decision

In the test, control sends the start of a run whose refusal it has just read, while it places the task anew.

Cause: an agent's first description on a stream makes control repeat the orders for all placements of the speculative state. That state does not hold ends that wait for the next entry. An agent that still runs remembers what it has refused, but one that has restarted between the two messages carries the order out, beside the next run.

Change: runs with a pending end are left out, as in the orders that a list repeats.

a_run_whose_end_was_just_reported_is_not_ordered_again failed on the code before (the order went out twice).

--- a/crates/workflow/src/control/runs.rs
+++ b/crates/workflow/src/control/runs.rs
@@ -36,7 +36,9 @@
             return;
         }
         let Some(leader) = &self.leader else { return };
-        for placement in leader.placements_on(worker) {
+        let mut placements = leader.placements_on(worker);
+        placements.retain(|placed| !leader.pending.ends(&placed.task, placed.run));
+        for placement in placements {
             self.repeat_order(session, placement, false);
         }
     }
--- a/crates/workflow/tests/ends/mod.rs
+++ b/crates/workflow/tests/ends/mod.rs
@@ -4,7 +4,7 @@
     crate::support::{job, ControlHarness, StepBuilder},
     workflow::{
         job::{RunNumber, WorkerIncarnation},
-        message::{LinkMessage, RunReport},
+        message::{EndReport, LinkMessage, RunReport},
         state::EndKind,
     },
 };
@@ -129,3 +129,17 @@
     assert_eq!(harness.recorded_up_to(), 1);
     assert_eq!(harness.phase(0xa), "Ended(Succeeded)");
 }
+
+// The agent that had refused the run was down, and the next one carried the order out.
+#[test]
+fn a_run_whose_end_was_just_reported_is_not_ordered_again() {
+    let mut harness = ControlHarness::start();
+    harness.connect_worker(1, "e1", 100);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    let worker = WorkerIncarnation { executor: "e1".into(), started_ms: 100 };
+    let (task, run, checkpoint) = (TASK.parse().unwrap(), RunNumber(1), String::new());
+    let ends = vec![EndReport { number: 0, task, run, end: EndKind::Refused, checkpoint }];
+    harness.send_ahead(1, LinkMessage::Ends { worker, ends });
+    harness.announce_incarnation(2, "e1", 100);
+    assert_eq!(harness.starts(), [format!("{TASK} run 1 on e1@100")]);
+}
