Report only executors as ended that have answered the agent

An agent without an executor takes the first description that it gets, whoever has sent it. When another incarnation answers at the address, it kept the described one as its former executor and reported it as ended once the next one answered, or after a lease. Control takes an end from any stream while none represents the executor, as after a change of the leader, and ends its runs in the log. If the description is that of an executor beside another agent, its tasks start again while they run there.

Cause: the former executor was noted although the agent had never reached it, where no other was known.

Only an executor that has answered becomes the former one. No lease depends on the others: the agent describes an executor to control, which then renews the lease, only once it has answered.

an_executor_that_never_answered_here_is_not_reported_as_ended failed before in both cases, with ["gone"] and ["gone", "reconnect"].

--- a/crates/workflow/src/agent/polling.rs
+++ b/crates/workflow/src/agent/polling.rs
@@ -142,10 +142,8 @@
         self.reset_lease();
         self.runs = super::orders::RunTable::default();
         let expires_at = executor.expires_at;
-        if executor.reached || self.former.is_none() {
-            self.former = Some(FormerExecutor { worker: worker.clone(), expires_at });
-        }
         if executor.reached {
+            self.former = Some(FormerExecutor { worker: worker.clone(), expires_at });
             self.send_description(WorkerReport { responsive: false, ..executor.report });
         }
         if let Some(SuccessorClaim { report, sequence, .. }) = self.claim.take() {
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -748,6 +748,26 @@
     assert_eq!(harness.reports(), ["1 Expired", "gone"]);
 }
 
+// Any program can describe an executor that works beside another agent, whose runs were ended.
+#[rstest]
+#[case::when_another_answers(true)]
+#[case::when_its_lease_would_be_over(false)]
+fn an_executor_that_never_answered_here_is_not_reported_as_ended(#[case] followed: bool) {
+    let mut harness = AgentHarness::start_without_answer();
+    harness.fail_poll(CallFailure::OtherIncarnation);
+    if followed {
+        harness.advance(100);
+        let next = WorkerIncarnation { executor: Arc::from("e2"), started_ms: 900 };
+        harness.report_heartbeat_of(next.clone(), 1, None);
+        let asked = harness.polls.pop().unwrap();
+        let (running, finished, unreadable) = Default::default();
+        let view = ExecutorView { started_ms: 900, clock_ms: 1, running, finished, unreadable };
+        harness.step(AgentEvent::PollAnswered { worker: next, asked, result: Ok(view) });
+    }
+    harness.advance(4000);
+    assert!(harness.reports().is_empty(), "{:?}", harness.reports());
+}
+
 #[test]
 fn an_agent_that_the_leader_does_not_know_introduces_itself_again() {
     let mut harness = AgentHarness::start();
