Take no run for never begun while an executor may have more ends

Callers could see a task run again that had ended as done. An executor lists 500 ends at a time. The agent took a list for complete: a run that was neither running nor among these ends, and whose start was refused as old or whose stop was confirmed, was reported as never begun. Its end is listed once the ends before it are forgotten, and is then acknowledged although the log has ended the run otherwise. No record shows it; it takes more than 500 ends of one executor that control has not recorded.

a_run_whose_end_may_be_on_a_later_page_is_not_reported_as_never_begun failed before in both cases, with "1 Refused" and "1 Stopped" before the end. All tests of the workflow crate and of platform pass.

--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -73,6 +73,8 @@
     /// The time at which the agent last reported these ends.
     ends_reported: Duration,
     listed_runs: Vec<RunReport>,
+    /// Whether the executor may have ends that it has not listed yet.
+    more_finished: bool,
     unreadable: UnreadableRows,
     poll_sent: Option<Duration>,
     /// The number of the last end that the executor was told to forget.
@@ -352,6 +354,7 @@
             ends: BTreeMap::new(),
             ends_reported: self.now,
             listed_runs: Vec::new(),
+            more_finished: false,
             unreadable: UnreadableRows::default(),
             poll_sent: None,
             acknowledged: 0,
--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -383,8 +383,9 @@
                 continue;
             }
             let listed = running(*task, *run);
-            // A run that no readable row lists may be in one that can't be read.
-            let absent = !listed && !executor.unreadable.may_hide(*task, now);
+            // A run that no readable row lists may be in one that can't be read, or on a later page.
+            let hidden = executor.more_finished || executor.unreadable.may_hide(*task, now);
+            let absent = !listed && !hidden;
             let started = OrderPhase::Started(asked);
             match order.phase {
                 OrderPhase::Started(_) | OrderPhase::StartAgain(_) if listed => {
--- a/crates/workflow/src/agent/polling.rs
+++ b/crates/workflow/src/agent/polling.rs
@@ -229,6 +229,7 @@
                     old.is_of(new.task, new.run) && old.checkpoint == new.checkpoint
                 });
         executor.listed_runs = view.running;
+        executor.more_finished = view.more_finished;
         let interval =
             if self.throttle.is_watching() { WATCHING_INTERVAL } else { REPORT_INTERVAL };
         let due = now.saturating_sub(executor.last_report) >= interval;
--- a/crates/workflow/src/agent/types.rs
+++ b/crates/workflow/src/agent/types.rs
@@ -29,6 +29,8 @@
     pub running: Vec<RunReport>,
     /// Ended runs that the executor may not forget yet.
     pub finished: Vec<EndReport>,
+    /// Whether the executor may have more of them, which it lists once it has forgotten these.
+    pub more_finished: bool,
     /// The rows of both lists that can't be decoded.
     pub unreadable: Vec<UnreadableRow>,
 }
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -219,15 +219,25 @@
         finished: &[EndReport],
         unreadable: &[UnreadableRow],
     ) {
-        let asked = self.polls.pop().expect("a poll is in progress");
         let view = ExecutorView {
-            started_ms: 100,
-            clock_ms: self.now.as_millis() as u64,
             running: running.to_vec(),
             finished: finished.to_vec(),
             unreadable: unreadable.to_vec(),
+            ..self.empty_view(100)
         };
-        self.step(AgentEvent::PollAnswered { worker: incarnation(), asked, result: Ok(view) });
+        self.answer_poll_of(incarnation(), view);
+    }
+
+    /// Returns the lists of an executor that runs nothing.
+    fn empty_view(&self, started_ms: u64) -> ExecutorView {
+        let (running, finished, unreadable) = Default::default();
+        let (clock_ms, more_finished) = (self.now.as_millis() as u64, false);
+        ExecutorView { started_ms, clock_ms, running, finished, more_finished, unreadable }
+    }
+
+    fn answer_poll_of(&mut self, worker: WorkerIncarnation, view: ExecutorView) {
+        let asked = self.polls.pop().expect("a poll is in progress");
+        self.step(AgentEvent::PollAnswered { worker, asked, result: Ok(view) });
     }
 
     fn record_ends(&mut self, up_to: u64) {
@@ -547,6 +557,31 @@
     assert!(harness.reports().is_empty(), "{:?}", harness.reports());
 }
 
+// An executor lists its ends in pages. A run whose end is on a later one was reported as never begun.
+#[rstest]
+#[case::a_start_that_is_old(false)]
+#[case::a_stop(true)]
+fn a_run_whose_end_may_be_on_a_later_page_is_not_reported_as_never_begun(#[case] stopped: bool) {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    if stopped {
+        harness.answer_start(1, StartVerdict::Started);
+        harness.order_stop(1);
+        harness.answer_stop(1, true);
+    } else {
+        harness.answer_start(1, StartVerdict::Old);
+    }
+    harness.advance(10);
+    harness.answer_poll(&[], &[]);
+    let page = vec![end_report(1, 7, EndKind::Done)];
+    let view = ExecutorView { finished: page, more_finished: true, ..harness.empty_view(100) };
+    harness.answer_poll_of(incarnation(), view);
+    assert_eq!(harness.reports(), ["7 Done"]);
+    harness.acknowledge(1);
+    harness.answer_poll(&[], &[end_report(2, 1, EndKind::Done)]);
+    assert_eq!(harness.reports(), ["7 Done", "1 Done"]);
+}
+
 // The leader may have placed the task elsewhere once the lease has expired.
 #[test]
 fn an_unanswered_start_is_stopped_once_the_lease_has_expired() {
@@ -741,10 +776,8 @@
     harness.fail_poll(CallFailure::OtherIncarnation);
     assert_eq!(harness.reports(), ["1 Expired"]);
     harness.advance(10);
-    let asked = harness.polls.pop().unwrap();
-    let (running, finished, unreadable) = Default::default();
-    let view = ExecutorView { started_ms: 900, clock_ms: 1, running, finished, unreadable };
-    harness.step(AgentEvent::PollAnswered { worker: next, asked, result: Ok(view) });
+    let view = harness.empty_view(900);
+    harness.answer_poll_of(next, view);
     assert_eq!(harness.reports(), ["1 Expired", "gone"]);
 }
 
@@ -759,10 +792,8 @@
         harness.advance(100);
         let next = WorkerIncarnation { executor: Arc::from("e2"), started_ms: 900 };
         harness.report_heartbeat_of(next.clone(), 1, None);
-        let asked = harness.polls.pop().unwrap();
-        let (running, finished, unreadable) = Default::default();
-        let view = ExecutorView { started_ms: 900, clock_ms: 1, running, finished, unreadable };
-        harness.step(AgentEvent::PollAnswered { worker: next, asked, result: Ok(view) });
+        let view = harness.empty_view(900);
+        harness.answer_poll_of(next, view);
     }
     harness.advance(4000);
     assert!(harness.reports().is_empty(), "{:?}", harness.reports());
--- a/crates/workflow/tests/streams/mod.rs
+++ b/crates/workflow/tests/streams/mod.rs
@@ -131,6 +131,7 @@
             clock_ms: asked.as_millis() as u64,
             running: running.collect(),
             finished: self.finished.clone(),
+            more_finished: false,
             unreadable: Vec::new(),
         };
         self.step_agent(AgentEvent::PollAnswered { worker: worker(), asked, result: Ok(view) });
--- a/crates/workflow/tests/world/executor.rs
+++ b/crates/workflow/tests/world/executor.rs
@@ -210,6 +210,7 @@
                 None => self.runs.iter().map(row).collect(),
             },
             finished: self.ends.clone(),
+            more_finished: false,
             unreadable: Vec::new(),
         }
     }
