Settle an unanswered start by a stop after a refusal without a reason

Callers could see a task run twice at once. An executor's refusal whose reason can't be read leaves the outcome to its lists, which show neither a start that is still on its way nor one that it will carry out late. Where an earlier start of the run had no answer, the agent reported the run as never begun, and control placed the task elsewhere.

Such a run is settled by a stop, like every other refusal after a start without an answer.

an_unanswered_start_is_settled_by_a_stop_when_the_next_is_refused_without_a_reason failed before, with ["1 Refused"].

--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -399,6 +399,12 @@
                 OrderPhase::Unclear(since) if listed && since < asked => {
                     changed.push((key, started));
                 }
+                // The refusal may have had no readable reason, and an earlier start no answer.
+                OrderPhase::Unclear(since)
+                    if absent && since < asked && order.may_still_begin() =>
+                {
+                    changed.push((key, OrderPhase::StopAgain(now)));
+                }
                 OrderPhase::Unclear(since) if absent && since < asked => {
                     never_began.push((key, EndKind::Refused));
                 }
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -396,6 +396,28 @@
     assert_eq!(harness.reports(), ["1 Done"]);
 }
 
+// The first start was carried out late: a refusal without a reason does not say that it can't be.
+#[test]
+fn an_unanswered_start_is_settled_by_a_stop_when_the_next_is_refused_without_a_reason() {
+    let mut harness = AgentHarness::start();
+    harness.order(1);
+    harness.answer_start(1, StartVerdict::Failed(CallFailure::Unanswered("no answer".to_owned())));
+    harness.advance(250);
+    harness.answer_start(1, StartVerdict::Old);
+    harness.advance(10);
+    harness.answer_poll(&[], &[]);
+    harness.answer_poll(&[], &[]);
+    assert!(harness.reports().is_empty(), "{:?}", harness.reports());
+    harness.advance(50);
+    assert_eq!(harness.calls, ["start 1", "start 1", "stop 1"]);
+    harness.answer_stop(1, true);
+    for _ in 0..3 {
+        harness.advance(10);
+        harness.answer_poll(&[], &[]);
+    }
+    assert_eq!(harness.reports(), ["1 Stopped"]);
+}
+
 // The agent went on listing the run as about to start, and control kept it as placed.
 #[test]
 fn a_started_run_that_the_executor_lists_nowhere_is_settled_by_a_stop() {
