--- a/crates/workflow/src/agent/orders.rs
+++ b/crates/workflow/src/agent/orders.rs
@@ -462,8 +462,9 @@
                 continue;
             }
             let listed = running(*task, *run);
-            // A run that no readable row lists may be in one that can't be read.
-            let absent = !listed && !executor.unreadable.may_hide(*task, now);
+            // A run that no readable row lists may be in one that can't be read, or on a later page.
+            let hidden = executor.more_finished || executor.unreadable.may_hide(*task, now);
+            let absent = !listed && !hidden;
             let started = OrderPhase::Started(asked);
             match order.phase {
                 OrderPhase::Started(_) | OrderPhase::StartAgain(_) if listed => {
@@ -477,6 +478,12 @@
                 OrderPhase::Unclear(since) if listed && since < asked => {
                     changed.push((key, started));
                 }
+                // The refusal may have had no readable reason, and an earlier start no answer.
+                OrderPhase::Unclear(since)
+                    if absent && since < asked && order.may_still_begin() =>
+                {
+                    changed.push((key, OrderPhase::StopAgain(now)));
+                }
                 OrderPhase::Unclear(since) if absent && since < asked => {
                     never_began.push((key, EndKind::Refused, ReportFact::NotThere));
                 }
--- a/crates/workflow/src/agent/polling.rs
+++ b/crates/workflow/src/agent/polling.rs
@@ -153,11 +153,9 @@
         self.reset_lease();
         self.runs = super::orders::RunTable::default();
         let expires_at = executor.expires_at;
-        if executor.reached || self.former.is_none() {
+        if executor.reached {
             let (worker, replaced_at) = (worker.clone(), now);
             self.former = Some(FormerExecutor { worker, replaced_at, expires_at });
-        }
-        if executor.reached {
             self.send_description(WorkerReport { responsive: false, ..executor.report });
         }
         if let Some(SuccessorClaim { report, sequence, .. }) = self.claim.take() {
@@ -254,6 +252,7 @@
                     old.is_of(new.task, new.run) && old.checkpoint == new.checkpoint
                 });
         executor.listed_runs = view.running;
+        executor.more_finished = view.more_finished;
         let interval =
             if self.throttle.is_watching() { WATCHING_INTERVAL } else { REPORT_INTERVAL };
         let due = now.saturating_sub(executor.last_report) >= interval;
