Name the files of the folder where a segment of the log is missing

A control process that found a gap in the numbers of its segments named only the first missing one. That did not tell a removed segment that came back without its neighbour from a live one that was lost.

--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -14,5 +14,5 @@
     crate::core::{CoreError, MemberProgress, QuorumCore, SettingsProblem},
     interface::*,
     message::QuorumMessage,
-    storage::{DiskFiles, FileAction, FileLayer, LogStorage, StorageError},
+    storage::{DiskFiles, FileAction, FileLayer, FolderListing, LogStorage, StorageError},
 };
--- a/crates/quorum/src/storage/error.rs
+++ b/crates/quorum/src/storage/error.rs
@@ -1,6 +1,7 @@
 //! Errors of the log's files.
 
 use {
+    super::names::FolderListing,
     base::{ClusterName, LogIndex, ReplicaId},
     snafu::Snafu,
     std::{io, path::PathBuf},
@@ -77,10 +78,12 @@
         offset: u64,
     },
     /// A segment file is missing from the sequence.
-    #[snafu(display("{}: this segment of the log is missing", path.display()))]
+    #[snafu(display("{}: this segment of the log is missing; found {listing}", path.display()))]
     MissingSegment {
         /// The expected path of the missing file.
         path: PathBuf,
+        /// The files that the folder contains.
+        listing: FolderListing,
     },
     /// Positions are missing between the snapshot and the log, or between entries.
     #[snafu(display("{}: position {expected} is missing; found {found}", path.display()))]
--- a/crates/quorum/src/storage/mod.rs
+++ b/crates/quorum/src/storage/mod.rs
@@ -13,13 +13,14 @@
 pub use {
     error::{FileAction, StorageError},
     layer::{DiskFiles, FileLayer},
+    names::FolderListing,
 };
 
 use {
     self::{
         error::{BatchGapSnafu, IoSnafu, LockedSnafu},
         header::FileOwner,
-        names::{list_folder, segment_path, snapshot_path, FolderListing, LOCK_NAME},
+        names::{list_folder, segment_path, snapshot_path, LOCK_NAME},
         record::{BorrowedRecord, SegmentDetails},
         recover::{read_folder, FolderContent, SegmentSummary, FIRST_SEGMENT},
         writer::{write_snapshot, SegmentWriter},
--- a/crates/quorum/src/storage/names.rs
+++ b/crates/quorum/src/storage/names.rs
@@ -5,7 +5,7 @@
     base::LogIndex,
     snafu::ResultExt,
     std::{
-        fs,
+        fmt, fs,
         path::{Path, PathBuf},
     },
 };
@@ -19,14 +19,21 @@
 const TEMPORARY_SUFFIX: &str = ".tmp";
 
 /// The files of a folder, by kind and in ascending order.
-#[derive(Debug, Default)]
-pub(crate) struct FolderListing {
+#[derive(Debug, Clone, Default)]
+pub struct FolderListing {
     pub(crate) segments: Vec<u64>,
     pub(crate) snapshots: Vec<u64>,
     /// Files that a crash left under their temporary name.
     pub(crate) temporary: Vec<PathBuf>,
 }
 
+impl fmt::Display for FolderListing {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { segments, snapshots, .. } = self;
+        write!(formatter, "segments {segments:?}, snapshots {snapshots:?}")
+    }
+}
+
 /// Returns the path of a segment.
 pub(crate) fn segment_path(folder: &Path, number: u64) -> PathBuf {
     folder.join(format!("{SEGMENT_PREFIX}{number:020}{SEGMENT_SUFFIX}"))
--- a/crates/quorum/src/storage/recover.rs
+++ b/crates/quorum/src/storage/recover.rs
@@ -84,7 +84,8 @@
         .find(|(expected, found)| *found != Some(*expected));
     match missing {
         Some((expected, found)) if found.is_some() || first.is_none() => {
-            MissingSegmentSnafu { path: segment_path(folder, expected) }.fail()
+            MissingSegmentSnafu { path: segment_path(folder, expected), listing: listing.clone() }
+                .fail()
         }
         _ => Ok(()),
     }
--- a/crates/quorum/tests/storage.rs
+++ b/crates/quorum/tests/storage.rs
@@ -222,9 +222,11 @@
 #[case::empty_segment(|folder: &Path| fs::write(folder.join(SEGMENT_2), "").unwrap(),
     "segment-00000000000000000002.log: damaged at byte 0; replace this replica under a new id")]
 #[case::missing_segments(|folder: &Path| remove(folder, &[FIRST_SEGMENT, SEGMENT_2]),
-    "segment-00000000000000000001.log: this segment of the log is missing")]
+    "segment-00000000000000000001.log: this segment of the log is missing; \
+     found segments [], snapshots [4]")]
 #[case::missing_snapshot(|folder: &Path| remove(folder, &[FIRST_SEGMENT, SNAPSHOT_4]),
-    "segment-00000000000000000001.log: this segment of the log is missing")]
+    "segment-00000000000000000001.log: this segment of the log is missing; \
+     found segments [2], snapshots []")]
 #[case::missing_entries(|folder: &Path| remove(folder, &[FIRST_SEGMENT]),
     "position 5 is missing; found 8")]
 fn invalid_files_are_rejected(#[case] change: fn(&Path), #[case] expected: &str) {
