Create and remove the log's files through the file layer

The file layer hid appends, syncs, truncations and renames, but the log created and removed its files directly. A test could not stop a process between two removals, nor tell which names a loss of power may undo.

`FileLayer` now also creates files and folders and removes files. The tests' layers follow; `a_failed_file_operation_keeps_synced_batches` lets these operations fail as well. No behaviour changes.

--- a/crates/quorum/src/storage/layer.rs
+++ b/crates/quorum/src/storage/layer.rs
@@ -8,6 +8,10 @@
 
 /// File operations whose failures the log must survive.
 pub trait FileLayer {
+    /// Creates an empty file, or empties an existing one.
+    fn create(&mut self, path: &Path) -> io::Result<File>;
+    /// Creates a folder.
+    fn create_folder(&mut self, folder: &Path) -> io::Result<()>;
     /// Appends bytes. On an error, any part of them may be in the file.
     fn append(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<()>;
     /// Makes a file's content and length durable.
@@ -16,6 +20,8 @@
     fn truncate(&mut self, file: &File, length: u64) -> io::Result<()>;
     /// Renames a file to its final name.
     fn rename(&mut self, from: &Path, to: &Path) -> io::Result<()>;
+    /// Removes a file.
+    fn remove(&mut self, path: &Path) -> io::Result<()>;
     /// Makes the creation, renaming and removal of files in a folder durable.
     fn sync_folder(&mut self, folder: &Path) -> io::Result<()>;
 }
@@ -25,6 +31,14 @@
 pub struct DiskFiles;
 
 impl FileLayer for DiskFiles {
+    fn create(&mut self, path: &Path) -> io::Result<File> {
+        File::create(path)
+    }
+
+    fn create_folder(&mut self, folder: &Path) -> io::Result<()> {
+        fs::create_dir(folder)
+    }
+
     fn append(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
         file.write_all(bytes)
     }
@@ -41,6 +55,10 @@
         fs::rename(from, to)
     }
 
+    fn remove(&mut self, path: &Path) -> io::Result<()> {
+        fs::remove_file(path)
+    }
+
     fn sync_folder(&mut self, folder: &Path) -> io::Result<()> {
         File::open(folder)?.sync_all()
     }
--- a/crates/quorum/src/storage/mod.rs
+++ b/crates/quorum/src/storage/mod.rs
@@ -29,7 +29,7 @@
     base::{ClusterName, LogIndex, ReplicaId},
     snafu::{ensure, ResultExt},
     std::{
-        fs::{self, File, TryLockError},
+        fs::{File, TryLockError},
         path::{Path, PathBuf},
     },
 };
@@ -84,7 +84,7 @@
         let lock = lock_folder(folder)?;
         let listing = list_folder(folder)?;
         let content = read_folder(folder, &owner, &listing)?;
-        remove_leftovers(folder, &listing)?;
+        remove_leftovers(&mut files, folder, &listing)?;
         // A killed process may have left written data that is readable but not synced.
         sync_folder(&mut files, folder)?;
         let FolderContent { log, mut segments, intact_length, restart } = content;
@@ -222,7 +222,7 @@
     fn remove_covered(&mut self, snapshot: &LogSnapshot) {
         while let Some(first) = self.closed_segments.first() {
             let path = segment_path(&self.folder, first.number);
-            if first.highest_index > snapshot.index || fs::remove_file(path).is_err() {
+            if first.highest_index > snapshot.index || self.files.remove(&path).is_err() {
                 break;
             }
             self.closed_segments.remove(0);
@@ -232,7 +232,7 @@
         };
         for index in listing.snapshots.into_iter().filter(|index| *index < snapshot.index.0) {
             // Opening the log removes snapshots that could not be removed here.
-            let _ = fs::remove_file(snapshot_path(&self.folder, LogIndex(index)));
+            let _ = self.files.remove(&snapshot_path(&self.folder, LogIndex(index)));
         }
     }
 }
@@ -253,7 +253,7 @@
     if let Some(parent) = parent {
         create_folder(files, parent)?;
     }
-    fs::create_dir(folder).context(IoSnafu { path: folder, action: FileAction::Create })?;
+    files.create_folder(folder).context(IoSnafu { path: folder, action: FileAction::Create })?;
     let parent = parent.unwrap_or(Path::new("."));
     sync_folder(files, parent)
 }
@@ -280,11 +280,15 @@
 }
 
 /// Removes files with a temporary name and all snapshots but the newest.
-fn remove_leftovers(folder: &Path, listing: &FolderListing) -> Result<(), StorageError> {
+fn remove_leftovers<F: FileLayer>(
+    files: &mut F,
+    folder: &Path,
+    listing: &FolderListing,
+) -> Result<(), StorageError> {
     let old = listing.snapshots.iter().rev().skip(1);
     let old = old.map(|index| snapshot_path(folder, LogIndex(*index)));
     for path in old.chain(listing.temporary.iter().cloned()) {
-        fs::remove_file(&path).context(IoSnafu { path, action: FileAction::Remove })?;
+        files.remove(&path).context(IoSnafu { path, action: FileAction::Remove })?;
     }
     Ok(())
 }
--- a/crates/quorum/src/storage/writer.rs
+++ b/crates/quorum/src/storage/writer.rs
@@ -125,7 +125,8 @@
     bytes: &[u8],
 ) -> Result<File, StorageError> {
     let temporary = temporary_path(path);
-    let mut file = File::create(&temporary)
+    let mut file = files
+        .create(&temporary)
         .context(IoSnafu { path: &temporary, action: FileAction::Create })?;
     files
         .append(&mut file, bytes)
--- a/crates/quorum/tests/cluster/disk.rs
+++ b/crates/quorum/tests/cluster/disk.rs
@@ -4,10 +4,10 @@
 
 use {
     base::{ClusterName, ReplicaId, TermNumber},
-    quorum::{FileLayer, HardState, LogStorage, PersistBatch, RecoveredLog},
+    quorum::{DiskFiles, FileLayer, HardState, LogStorage, PersistBatch, RecoveredLog},
     std::{
         fs::File,
-        io::{self, Write},
+        io,
         path::{Path, PathBuf},
     },
     tempfile::TempDir,
@@ -107,8 +107,16 @@
 struct UnsyncedFiles;
 
 impl FileLayer for UnsyncedFiles {
+    fn create(&mut self, path: &Path) -> io::Result<File> {
+        DiskFiles.create(path)
+    }
+
+    fn create_folder(&mut self, folder: &Path) -> io::Result<()> {
+        DiskFiles.create_folder(folder)
+    }
+
     fn append(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
-        file.write_all(bytes)
+        DiskFiles.append(file, bytes)
     }
 
     fn sync(&mut self, _file: &File) -> io::Result<()> {
@@ -116,11 +124,15 @@
     }
 
     fn truncate(&mut self, file: &File, length: u64) -> io::Result<()> {
-        file.set_len(length)
+        DiskFiles.truncate(file, length)
     }
 
     fn rename(&mut self, from: &Path, to: &Path) -> io::Result<()> {
-        std::fs::rename(from, to)
+        DiskFiles.rename(from, to)
+    }
+
+    fn remove(&mut self, path: &Path) -> io::Result<()> {
+        DiskFiles.remove(path)
     }
 
     fn sync_folder(&mut self, _folder: &Path) -> io::Result<()> {
--- a/crates/quorum/tests/storage.rs
+++ b/crates/quorum/tests/storage.rs
@@ -306,6 +306,14 @@
 }
 
 impl FileLayer for FailingFiles {
+    fn create(&mut self, path: &Path) -> io::Result<File> {
+        self.check().and_then(|()| DiskFiles.create(path))
+    }
+
+    fn create_folder(&mut self, folder: &Path) -> io::Result<()> {
+        self.check().and_then(|()| DiskFiles.create_folder(folder))
+    }
+
     fn append(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
         if let Err(error) = self.check() {
             file.write_all(&bytes[..bytes.len() / 2])?;
@@ -326,6 +334,10 @@
         self.check().and_then(|()| DiskFiles.rename(from, to))
     }
 
+    fn remove(&mut self, path: &Path) -> io::Result<()> {
+        self.check().and_then(|()| DiskFiles.remove(path))
+    }
+
     fn sync_folder(&mut self, folder: &Path) -> io::Result<()> {
         self.check().and_then(|()| DiskFiles.sync_folder(folder))
     }
