Open a log in which removed segments came back after a loss of power

A segment's header holds position, term and vote, so that nothing before the gap is needed. The folder is synced after each round of removals, which bounds how much can come back. Folders that the former code left behind open as well.

--- a/crates/quorum/src/storage/error.rs
+++ b/crates/quorum/src/storage/error.rs
@@ -77,7 +77,7 @@
         /// Offset of the first damaged frame, in bytes.
         offset: u64,
     },
-    /// A segment file is missing from the sequence.
+    /// A segment file is missing from the sequence, and no snapshot covers what it held.
     #[snafu(display("{}: this segment of the log is missing; found {listing}", path.display()))]
     MissingSegment {
         /// The expected path of the missing file.
--- a/crates/quorum/src/storage/mod.rs
+++ b/crates/quorum/src/storage/mod.rs
@@ -84,10 +84,10 @@
         let lock = lock_folder(folder)?;
         let listing = list_folder(folder)?;
         let content = read_folder(folder, &owner, &listing)?;
-        remove_leftovers(&mut files, folder, &listing)?;
+        remove_leftovers(&mut files, folder, &listing, &content.obsolete_segments)?;
         // A killed process may have left written data that is readable but not synced.
         sync_folder(&mut files, folder)?;
-        let FolderContent { log, mut segments, intact_length, restart } = content;
+        let FolderContent { log, mut segments, intact_length, restart, .. } = content;
         let next_index = log.next_index();
         let details = SegmentDetails { next_index, hard_state: log.hard_state };
         let (writer, highest_index) = match segments.pop() {
@@ -218,7 +218,8 @@
     }
 
     /// Removes the segments and snapshots that `snapshot` makes obsolete, the oldest first. A
-    /// failed removal is retried with the next snapshot.
+    /// failed removal is retried with the next snapshot, and what a loss of power brings back is
+    /// removed when the log is opened.
     fn remove_covered(&mut self, snapshot: &LogSnapshot) {
         while let Some(first) = self.closed_segments.first() {
             let path = segment_path(&self.folder, first.number);
@@ -234,6 +235,9 @@
             // Opening the log removes snapshots that could not be removed here.
             let _ = self.files.remove(&snapshot_path(&self.folder, LogIndex(index)));
         }
+        // Keeps removed files from coming back much later and filling the disk. If the sync fails,
+        // the next one covers them.
+        let _ = self.files.sync_folder(&self.folder);
     }
 }
 
@@ -279,15 +283,17 @@
     }
 }
 
-/// Removes files with a temporary name and all snapshots but the newest.
+/// Removes files with a temporary name, all snapshots but the newest, and obsolete segments.
 fn remove_leftovers<F: FileLayer>(
     files: &mut F,
     folder: &Path,
     listing: &FolderListing,
+    obsolete_segments: &[u64],
 ) -> Result<(), StorageError> {
     let old = listing.snapshots.iter().rev().skip(1);
     let old = old.map(|index| snapshot_path(folder, LogIndex(*index)));
-    for path in old.chain(listing.temporary.iter().cloned()) {
+    let segments = obsolete_segments.iter().map(|number| segment_path(folder, *number));
+    for path in old.chain(segments).chain(listing.temporary.iter().cloned()) {
         files.remove(&path).context(IoSnafu { path, action: FileAction::Remove })?;
     }
     Ok(())
