--- a/crates/quorum/src/storage/mod.rs
+++ b/crates/quorum/src/storage/mod.rs
@@ -84,9 +84,10 @@
         let lock = lock_folder(folder)?;
         let listing = list_folder(folder)?;
         let content = read_folder(folder, &owner, &listing)?;
-        remove_leftovers(&mut files, folder, &listing, &content.obsolete_segments)?;
-        // A killed process may have left written data that is readable but not synced.
+        // A killed process may have left the newest snapshot under a name that is not synced. The
+        // older one must not go before.
         sync_folder(&mut files, folder)?;
+        remove_leftovers(&mut files, folder, &listing, &content.obsolete_segments)?;
         let FolderContent { log, mut segments, intact_length, restart, .. } = content;
         let next_index = log.next_index();
         let details = SegmentDetails { next_index, hard_state: log.hard_state };
@@ -283,7 +284,8 @@
     }
 }
 
-/// Removes files with a temporary name, all snapshots but the newest, and obsolete segments.
+/// Removes files with a temporary name, all snapshots but the newest, and obsolete segments, and
+/// syncs the folder if there were any.
 fn remove_leftovers<F: FileLayer>(
     files: &mut F,
     folder: &Path,
@@ -293,8 +295,12 @@
     let old = listing.snapshots.iter().rev().skip(1);
     let old = old.map(|index| snapshot_path(folder, LogIndex(*index)));
     let segments = obsolete_segments.iter().map(|number| segment_path(folder, *number));
-    for path in old.chain(segments).chain(listing.temporary.iter().cloned()) {
+    let leftovers: Vec<_> = old.chain(segments).chain(listing.temporary.iter().cloned()).collect();
+    if leftovers.is_empty() {
+        return Ok(());
+    }
+    for path in leftovers {
         files.remove(&path).context(IoSnafu { path, action: FileAction::Remove })?;
     }
-    Ok(())
+    sync_folder(files, folder)
 }
--- a/crates/quorum/tests/power_loss.rs
+++ b/crates/quorum/tests/power_loss.rs
@@ -69,6 +69,23 @@
     });
 }
 
+// A killed process left an unsynced snapshot, and its successor removed the one before it.
+#[test]
+fn power_may_be_lost_while_a_killed_process_starts_again() {
+    for_each_point(|point, _, _| {
+        for operations in 0.. {
+            let disk = PowerDisk::new(point);
+            let count = write_batches(&disk);
+            disk.restart(operations);
+            let opened = LogStorage::open_with(disk.clone(), &disk.path(), &cluster(), OWNER);
+            disk.cut_power(|folder| check_folder(folder, count, point));
+            if opened.is_ok() {
+                break;
+            }
+        }
+    });
+}
+
 // Review 2, case 6: three segments were removed under one snapshot, and not all of them came back.
 #[test]
 fn any_part_of_the_removed_segments_may_come_back() {
