Sync the name of a log folder that a killed process has created

A loss of power could take the whole log of a control process, with the votes and entries that it had acknowledged, or the list of founders.

Cause: the name of a created folder is durable once the folder above it is synced. The process synced it only if it had created the folder itself, so that a process which was killed between the two left its successor a folder whose name nobody synced. The data folder was not synced into the one above it at all if the process created it; the users' platform creates it before.

`create_folder` now syncs the name of a folder that exists as well, and `LogFolder` uses it for the data folder. A folder above the data folder may be unreadable; the process can't have created anything there then. `LogFolder` works on a `FileLayer`, so that its tests can cut the power.

`a_process_syncs_what_a_killed_one_has_left` failed before (killed after operation 1: the log was empty), and so did `founders_are_on_the_disk_of_a_process_that_was_killed_before` (after 0 operations). The tests' disk now knows folders.

--- a/crates/node/src/control/folder.rs
+++ b/crates/node/src/control/folder.rs
@@ -5,13 +5,9 @@
 use {
     super::{ControlError, FolderSnafu},
     base::ReplicaId,
+    quorum::{create_folder, DiskFiles, FileLayer},
     snafu::ResultExt,
-    std::{
-        fs::{self, File},
-        io::{self, Write},
-        net::SocketAddr,
-        path::PathBuf,
-    },
+    std::{fs, io, net::SocketAddr, path::PathBuf},
 };
 
 const LOG_PREFIX: &str = "replica-";
@@ -19,13 +15,21 @@
 const UNFINISHED_NAME: &str = "founders.new";
 
 #[derive(Debug)]
-pub(super) struct LogFolder {
+pub(super) struct LogFolder<F = DiskFiles> {
     path: PathBuf,
+    files: F,
 }
 
 impl LogFolder {
     pub(super) fn new(path: PathBuf) -> Self {
-        Self { path }
+        Self::with_files(DiskFiles, path)
+    }
+}
+
+impl<F: FileLayer> LogFolder<F> {
+    /// Creates the folder like [`LogFolder::new`], with the given file operations.
+    fn with_files(files: F, path: PathBuf) -> Self {
+        Self { path, files }
     }
 
     pub(super) fn replica_path(&self, replica: ReplicaId) -> PathBuf {
@@ -52,20 +56,21 @@
     }
 
     /// Stores the founders durably, before a log exists that could outlive the list.
-    pub(super) fn store_founders(&self, founders: &[SocketAddr]) -> Result<(), ControlError> {
-        let path = &self.path;
-        self.write_founders(founders).context(FolderSnafu { path })
+    pub(super) fn store_founders(&mut self, founders: &[SocketAddr]) -> Result<(), ControlError> {
+        let written = self.write_founders(founders);
+        written.context(FolderSnafu { path: &self.path })
     }
 
-    fn write_founders(&self, founders: &[SocketAddr]) -> io::Result<()> {
-        fs::create_dir_all(&self.path)?;
+    fn write_founders(&mut self, founders: &[SocketAddr]) -> io::Result<()> {
+        let Self { path, files } = self;
+        create_folder(files, path)?;
         let lines: Vec<String> = founders.iter().map(|founder| format!("{founder}\n")).collect();
-        let unfinished = self.path.join(UNFINISHED_NAME);
-        let mut file = File::create(&unfinished)?;
-        file.write_all(lines.concat().as_bytes())?;
-        file.sync_all()?;
-        fs::rename(unfinished, self.path.join(FOUNDERS_NAME))?;
-        File::open(&self.path)?.sync_all()
+        let unfinished = path.join(UNFINISHED_NAME);
+        let mut file = files.create(&unfinished)?;
+        files.append(&mut file, lines.concat().as_bytes())?;
+        files.sync(&file)?;
+        files.rename(&unfinished, &path.join(FOUNDERS_NAME))?;
+        files.sync_folder(path)
     }
 
     /// Returns the founders, or an empty list on the disk of another process. Ignores lines that
--- a/crates/node/tests/unit/folder.rs
+++ b/crates/node/tests/unit/folder.rs
@@ -1,4 +1,7 @@
-use {super::LogFolder, base::ReplicaId, rstest::rstest, std::fs};
+use {super::LogFolder, base::ReplicaId, power::PowerDisk, rstest::rstest, std::fs};
+
+#[path = "../../../quorum/tests/power/mod.rs"]
+mod power;
 
 // The settings may name other seeds after a founder was created. After a restart only the founder's
 // own disk says who founded the group.
@@ -14,7 +17,7 @@
 #[test]
 fn the_highest_replica_id_is_found_until_the_folder_is_cleared() {
     let data = tempfile::tempdir().unwrap();
-    let folder = LogFolder::new(data.path().to_owned());
+    let mut folder = LogFolder::new(data.path().to_owned());
     folder.store_founders(&["10.1.0.2:7000".parse().unwrap()]).unwrap();
     for replica in [7, 900, 31] {
         fs::create_dir(folder.replica_path(ReplicaId(replica))).unwrap();
@@ -25,6 +28,28 @@
     assert!(folder.founders().unwrap().is_empty());
 }
 
+// A killed process had created the data folder, and nobody synced its name.
+#[test]
+fn founders_are_on_the_disk_of_a_process_that_was_killed_before() {
+    let founders = ["10.1.0.2:7000".parse().unwrap(), "10.2.0.2:7000".parse().unwrap()];
+    for operations in 0.. {
+        let disk = PowerDisk::new(operations);
+        let store = |disk: &PowerDisk| {
+            let path = disk.path().join("data/control");
+            LogFolder::with_files(disk.clone(), path).store_founders(&founders)
+        };
+        if store(&disk).is_ok() {
+            return;
+        }
+        disk.restart(u64::MAX);
+        store(&disk).unwrap();
+        disk.cut_power(|root| {
+            let folder = LogFolder::new(root.join("data/control"));
+            assert_eq!(folder.founders().unwrap(), founders, "after {operations} operations");
+        });
+    }
+}
+
 // Bytes that are not UTF-8 ended the process, again at each start.
 #[rstest]
 #[case::bytes(b"\xff\xfe\n")]
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -14,5 +14,7 @@
     crate::core::{CoreError, MemberProgress, QuorumCore, SettingsProblem},
     interface::*,
     message::QuorumMessage,
-    storage::{DiskFiles, FileAction, FileLayer, FolderListing, LogStorage, StorageError},
+    storage::{
+        create_folder, DiskFiles, FileAction, FileLayer, FolderListing, LogStorage, StorageError,
+    },
 };
--- a/crates/quorum/src/storage/layer.rs
+++ b/crates/quorum/src/storage/layer.rs
@@ -63,3 +63,24 @@
         File::open(folder)?.sync_all()
     }
 }
+
+/// Creates a folder and those above it if they do not exist, and makes their names durable. The name
+/// of an existing folder is synced as well, because a killed process may have created it without.
+///
+/// # Errors
+///
+/// Returns the error of the operating system. A folder above an existing one may be unreadable.
+pub fn create_folder<F: FileLayer>(files: &mut F, folder: &Path) -> io::Result<()> {
+    let parent = folder.parent().filter(|parent| !parent.as_os_str().is_empty());
+    let exists = folder.is_dir();
+    if !exists {
+        if let Some(parent) = parent {
+            create_folder(files, parent)?;
+        }
+        files.create_folder(folder)?;
+    }
+    match files.sync_folder(parent.unwrap_or(Path::new("."))) {
+        Err(error) if exists && error.kind() == io::ErrorKind::PermissionDenied => Ok(()),
+        synced => synced,
+    }
+}
--- a/crates/quorum/src/storage/mod.rs
+++ b/crates/quorum/src/storage/mod.rs
@@ -12,7 +12,7 @@
 
 pub use {
     error::{FileAction, StorageError},
-    layer::{DiskFiles, FileLayer},
+    layer::{create_folder, DiskFiles, FileLayer},
     names::FolderListing,
 };
 
@@ -79,7 +79,8 @@
         replica: ReplicaId,
     ) -> Result<(Self, RecoveredLog), StorageError> {
         let owner = FileOwner { cluster: cluster.clone(), replica };
-        create_folder(&mut files, folder)?;
+        create_folder(&mut files, folder)
+            .context(IoSnafu { path: folder, action: FileAction::Create })?;
         list_folder(folder)?;
         let lock = lock_folder(folder)?;
         let listing = list_folder(folder)?;
@@ -250,19 +251,6 @@
     }
 }
 
-fn create_folder<F: FileLayer>(files: &mut F, folder: &Path) -> Result<(), StorageError> {
-    if folder.is_dir() {
-        return Ok(());
-    }
-    let parent = folder.parent().filter(|parent| !parent.as_os_str().is_empty());
-    if let Some(parent) = parent {
-        create_folder(files, parent)?;
-    }
-    files.create_folder(folder).context(IoSnafu { path: folder, action: FileAction::Create })?;
-    let parent = parent.unwrap_or(Path::new("."));
-    sync_folder(files, parent)
-}
-
 fn sync_folder<F: FileLayer>(files: &mut F, folder: &Path) -> Result<(), StorageError> {
     files.sync_folder(folder).context(IoSnafu { path: folder, action: FileAction::Sync })
 }
--- a/crates/quorum/tests/power/mod.rs
+++ b/crates/quorum/tests/power/mod.rs
@@ -5,8 +5,9 @@
 use {
     quorum::{DiskFiles, FileLayer},
     std::{
-        cell::RefCell,
+        cell::{RefCell, RefMut},
         collections::BTreeMap,
+        ffi::OsString,
         fs::{self, File},
         io,
         os::unix::fs::MetadataExt,
@@ -16,15 +17,25 @@
     tempfile::TempDir,
 };
 
-/// The number of a file, which stays the same when the file is renamed.
+/// The number of a file or folder, which stays the same when it is renamed.
 type FileNumber = u64;
 
+/// A name in a folder.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct FileName {
+    folder: FileNumber,
+    name: OsString,
+}
+
+/// The names on a disk, and what they refer to.
+type NameTable = BTreeMap<FileName, FileNumber>;
+
 /// A change of names that the folder's next sync makes durable.
 #[derive(Debug, Clone)]
 enum NameChange {
-    Created(PathBuf, FileNumber),
-    Renamed(PathBuf, PathBuf),
-    Removed(PathBuf),
+    Created(FileName, FileNumber),
+    Renamed(FileName, FileName),
+    Removed(FileName),
 }
 
 /// File operations of a process that is killed after a number of them, on a disk that may then lose
@@ -38,13 +49,14 @@
     live: TempDir,
     /// Operations until the process is killed.
     remaining: u64,
-    /// The names that a loss of power leaves, and their files.
-    names: BTreeMap<PathBuf, FileNumber>,
+    /// The names that a loss of power leaves.
+    names: NameTable,
     /// Changes of names that are not durable yet, in their order.
     unsynced: Vec<NameChange>,
+    /// What a loss of power leaves in each file.
     contents: BTreeMap<FileNumber, Vec<u8>>,
-    /// Keeps the numbers of removed files from being assigned again.
-    _open_files: Vec<File>,
+    /// All files and folders that ever were, open so that no number is assigned twice.
+    handles: Vec<File>,
 }
 
 impl PowerDisk {
@@ -56,11 +68,11 @@
             names: BTreeMap::new(),
             unsynced: Vec::new(),
             contents: BTreeMap::new(),
-            _open_files: Vec::new(),
+            handles: Vec::new(),
         })))
     }
 
-    /// The folder as a running process sees it.
+    /// The root folder as a running process sees it.
     pub fn path(&self) -> PathBuf {
         self.0.borrow().live.path().to_owned()
     }
@@ -70,20 +82,20 @@
         self.0.borrow_mut().remaining = operations;
     }
 
-    /// Cuts the power, and passes each folder that may be left: one for each combination of the
-    /// unsynced changes.
+    /// Cuts the power, and passes each root folder that may be left: one for each combination of
+    /// the unsynced changes.
     pub fn cut_power(&self, mut check: impl FnMut(&Path)) {
         let state = self.0.borrow();
         let changes = state.unsynced.len() + state.unsynced_contents().len();
         assert!(changes <= 10, "{changes} changes have too many combinations");
         for kept in 0..1 << changes {
-            let folder = tempfile::tempdir().unwrap();
-            state.write_outcome(kept, folder.path());
-            check(folder.path());
+            let root = tempfile::tempdir().unwrap();
+            state.write_outcome(kept, root.path());
+            check(root.path());
         }
     }
 
-    fn operate(&self) -> io::Result<std::cell::RefMut<'_, DiskState>> {
+    fn operate(&self) -> io::Result<RefMut<'_, DiskState>> {
         let mut state = self.0.borrow_mut();
         if state.remaining == 0 {
             return Err(io::ErrorKind::Interrupted.into());
@@ -96,13 +108,13 @@
 impl DiskState {
     /// The files whose content was written but not synced.
     fn unsynced_contents(&self) -> BTreeMap<FileNumber, Vec<u8>> {
-        let paths = files_below(self.live.path()).into_iter();
-        let live = paths.map(|path| (number_of(&path), fs::read(path).unwrap()));
+        let files = paths_below(self.live.path()).into_iter().filter(|path| path.is_file());
+        let live = files.map(|path| (number_of(&path), fs::read(path).unwrap()));
         live.filter(|(number, content)| self.contents.get(number) != Some(content)).collect()
     }
 
     /// Writes what is left if the changes whose bits are set in `kept` are kept.
-    fn write_outcome(&self, kept: u32, folder: &Path) {
+    fn write_outcome(&self, kept: u32, root: &Path) {
         let mut bits = (0..u32::BITS).map(|bit| kept >> bit & 1 == 1);
         let mut names = self.names.clone();
         for (change, kept) in self.unsynced.iter().zip(bits.by_ref()) {
@@ -116,62 +128,102 @@
                 contents.insert(number, content);
             }
         }
-        for (path, number) in &names {
-            let target = folder.join(path.strip_prefix(self.live.path()).unwrap());
-            // A file is lost with its folder.
-            if target.parent().is_some_and(Path::is_dir) {
+        self.write_folder(number_of(self.live.path()), root, &names, &contents);
+    }
+
+    fn write_folder(
+        &self,
+        folder: FileNumber,
+        target: &Path,
+        names: &NameTable,
+        contents: &BTreeMap<FileNumber, Vec<u8>>,
+    ) {
+        for (FileName { name, .. }, number) in names.iter().filter(|(at, _)| at.folder == folder) {
+            let target = target.join(name);
+            if self.is_folder(*number) {
+                fs::create_dir(&target).unwrap();
+                self.write_folder(*number, &target, names, contents);
+            } else {
                 fs::write(target, contents.get(number).map_or(&[][..], Vec::as_slice)).unwrap();
             }
         }
     }
+
+    fn is_folder(&self, number: FileNumber) -> bool {
+        let mut details = self.handles.iter().map(|handle| handle.metadata().unwrap());
+        details.any(|details| details.ino() == number && details.is_dir())
+    }
+
+    fn record_creation(&mut self, path: &Path) -> io::Result<()> {
+        self.handles.push(File::open(path)?);
+        self.unsynced.push(NameChange::Created(name_of(path), number_of(path)));
+        Ok(())
+    }
+
+    fn sync_names(&mut self, durable: impl Fn(&NameChange) -> bool) {
+        let changes = std::mem::take(&mut self.unsynced);
+        let (synced, unsynced): (Vec<_>, Vec<_>) = changes.into_iter().partition(durable);
+        synced.iter().for_each(|change| change.apply(&mut self.names));
+        self.unsynced = unsynced;
+    }
 }
 
 impl NameChange {
-    fn folder(&self) -> Option<&Path> {
-        let (Self::Created(path, _) | Self::Renamed(path, _) | Self::Removed(path)) = self;
-        path.parent()
+    fn folder(&self) -> FileNumber {
+        let (Self::Created(at, _) | Self::Renamed(at, _) | Self::Removed(at)) = self;
+        at.folder
     }
 
-    fn apply(&self, names: &mut BTreeMap<PathBuf, FileNumber>) {
+    fn apply(&self, names: &mut NameTable) {
         match self {
-            Self::Created(path, number) => {
-                names.insert(path.clone(), *number);
+            Self::Created(at, number) => {
+                names.insert(at.clone(), *number);
             }
             Self::Renamed(from, to) => {
                 if let Some(number) = names.remove(from) {
                     names.insert(to.clone(), number);
                 }
             }
-            Self::Removed(path) => {
-                names.remove(path);
+            Self::Removed(at) => {
+                names.remove(at);
             }
         }
     }
 }
 
-fn files_below(folder: &Path) -> Vec<PathBuf> {
-    fs::read_dir(folder).unwrap().map(|item| item.unwrap().path()).collect()
+fn paths_below(folder: &Path) -> Vec<PathBuf> {
+    let mut paths: Vec<_> =
+        fs::read_dir(folder).unwrap().map(|item| item.unwrap().path()).collect();
+    let below: Vec<_> =
+        paths.iter().filter(|path| path.is_dir()).map(|path| paths_below(path)).collect();
+    paths.extend(below.into_iter().flatten());
+    paths
 }
 
 fn number_of(path: &Path) -> FileNumber {
     fs::metadata(path).unwrap().ino()
 }
 
+fn name_of(path: &Path) -> FileName {
+    let folder = number_of(path.parent().unwrap());
+    FileName { folder, name: path.file_name().unwrap().to_owned() }
+}
+
 impl FileLayer for PowerDisk {
     fn create(&mut self, path: &Path) -> io::Result<File> {
         let mut state = self.operate()?;
         let existed = path.exists();
         let file = DiskFiles.create(path)?;
         if !existed {
-            state.unsynced.push(NameChange::Created(path.to_owned(), number_of(path)));
-            state._open_files.push(file.try_clone()?);
+            state.record_creation(path)?;
         }
         Ok(file)
     }
 
     fn create_folder(&mut self, folder: &Path) -> io::Result<()> {
-        self.operate()?;
-        DiskFiles.create_folder(folder)
+        let mut state = self.operate()?;
+        DiskFiles.create_folder(folder)?;
+        state.record_creation(folder)
     }
 
     fn append(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
@@ -187,15 +239,10 @@
     fn sync(&mut self, file: &File) -> io::Result<()> {
         let mut state = self.operate()?;
         let number = file.metadata()?.ino();
-        let paths = files_below(state.live.path());
+        let paths = paths_below(state.live.path());
         let path = paths.into_iter().find(|path| number_of(path) == number).unwrap();
         state.contents.insert(number, fs::read(path)?);
-        let created =
-            |change: &NameChange| matches!(change, NameChange::Created(_, of) if *of == number);
-        if let Some(position) = state.unsynced.iter().position(created) {
-            let change = state.unsynced.remove(position);
-            change.apply(&mut state.names);
-        }
+        state.sync_names(|change| matches!(change, NameChange::Created(_, of) if *of == number));
         Ok(())
     }
 
@@ -207,24 +254,21 @@
     fn rename(&mut self, from: &Path, to: &Path) -> io::Result<()> {
         let mut state = self.operate()?;
         DiskFiles.rename(from, to)?;
-        state.unsynced.push(NameChange::Renamed(from.to_owned(), to.to_owned()));
+        state.unsynced.push(NameChange::Renamed(name_of(from), name_of(to)));
         Ok(())
     }
 
     fn remove(&mut self, path: &Path) -> io::Result<()> {
         let mut state = self.operate()?;
         DiskFiles.remove(path)?;
-        state.unsynced.push(NameChange::Removed(path.to_owned()));
+        state.unsynced.push(NameChange::Removed(name_of(path)));
         Ok(())
     }
 
     fn sync_folder(&mut self, folder: &Path) -> io::Result<()> {
         let mut state = self.operate()?;
-        let changes = std::mem::take(&mut state.unsynced);
-        let (synced, unsynced): (Vec<_>, Vec<_>) =
-            changes.into_iter().partition(|change| change.folder() == Some(folder));
-        synced.iter().for_each(|change| change.apply(&mut state.names));
-        state.unsynced = unsynced;
+        let folder = number_of(folder);
+        state.sync_names(|change| change.folder() == folder);
         Ok(())
     }
 }
--- a/crates/quorum/tests/power_loss.rs
+++ b/crates/quorum/tests/power_loss.rs
@@ -9,7 +9,7 @@
         batches, check_partial, cluster, entries, model_after, open, retry_of, snapshot, OWNER,
     },
     power::PowerDisk,
-    quorum::{LogStorage, PersistBatch, RecoveredLog},
+    quorum::{FileLayer, LogStorage, PersistBatch, RecoveredLog, StorageError},
     std::{
         collections::BTreeMap,
         fs,
@@ -17,21 +17,30 @@
     },
 };
 
+/// The log's folder in the root folder of a disk.
+fn log_folder(root: &Path) -> PathBuf {
+    root.join("data/log")
+}
+
+fn open_on(disk: &PowerDisk) -> Result<(LogStorage<PowerDisk>, RecoveredLog), StorageError> {
+    LogStorage::open_with(disk.clone(), &log_folder(&disk.path()), &cluster(), OWNER)
+}
+
 /// Writes the batches until the process is killed. Returns the number of complete ones, or `None`
 /// if the log didn't open.
 fn write_batches(disk: &PowerDisk) -> Option<usize> {
-    let (mut storage, _) =
-        LogStorage::open_with(disk.clone(), &disk.path(), &cluster(), OWNER).ok()?;
+    let (mut storage, _) = open_on(disk).ok()?;
     let all = batches();
     let failed = all.iter().position(|batch| storage.persist(batch).is_err());
     Some(failed.unwrap_or(all.len()))
 }
 
-/// Checks that a folder opens with the first `count` batches and possibly parts of the next, and
+/// Checks that the log opens with the first `count` batches and possibly parts of the next, and
 /// that the log goes on from there.
-fn check_folder(folder: &Path, count: Option<usize>, point: u64) {
+fn check_root(root: &Path, count: Option<usize>, point: u64) {
     let all = batches();
-    let opened = open(folder);
+    let folder = log_folder(root);
+    let opened = open(&folder);
     let (mut storage, recovered) = opened.unwrap_or_else(|error| panic!("point {point}: {error}"));
     match count {
         None => assert_eq!(recovered, RecoveredLog::default(), "point {point}"),
@@ -40,11 +49,17 @@
         }
         Some(count) => check_partial(&recovered, count, point),
     }
+    write_rest(&mut storage, count);
+    drop(storage);
+    assert_eq!(open(&folder).unwrap().1, model_after(all.len()), "point {point}");
+}
+
+/// Writes the batches after the first `count`, beginning with the one that a killed process left.
+fn write_rest<F: FileLayer>(storage: &mut LogStorage<F>, count: Option<usize>) {
+    let all = batches();
     let mut rest = all[count.unwrap_or(0)..].iter();
     rest.next().into_iter().for_each(|batch| storage.persist(&retry_of(batch)).unwrap());
     rest.for_each(|batch| storage.persist(batch).unwrap());
-    drop(storage);
-    assert_eq!(open(folder).unwrap().1, model_after(all.len()), "point {point}");
 }
 
 /// Calls `check` for each number of operations after which a process may be killed, and once for a
@@ -65,7 +80,7 @@
 #[test]
 fn power_may_be_lost_between_any_two_operations() {
     for_each_point(|point, disk, count| {
-        disk.cut_power(|folder| check_folder(folder, count, point));
+        disk.cut_power(|root| check_root(root, count, point));
     });
 }
 
@@ -77,8 +92,8 @@
             let disk = PowerDisk::new(point);
             let count = write_batches(&disk);
             disk.restart(operations);
-            let opened = LogStorage::open_with(disk.clone(), &disk.path(), &cluster(), OWNER);
-            disk.cut_power(|folder| check_folder(folder, count, point));
+            let opened = open_on(&disk);
+            disk.cut_power(|root| check_root(root, count, point));
             if opened.is_ok() {
                 break;
             }
@@ -86,6 +101,21 @@
     });
 }
 
+// The name of a folder that a killed process had created was never synced, nor was its log then.
+#[test]
+fn a_process_syncs_what_a_killed_one_has_left() {
+    for_each_point(|point, disk, count| {
+        disk.restart(u64::MAX);
+        let (mut storage, _) = open_on(disk).unwrap();
+        write_rest(&mut storage, count);
+        let all = model_after(batches().len());
+        disk.cut_power(|root| {
+            let opened = open(&log_folder(root));
+            assert_eq!(opened.unwrap().1, all, "point {point}");
+        });
+    });
+}
+
 // Review 2, case 6: three segments were removed under one snapshot, and not all of them came back.
 #[test]
 fn any_part_of_the_removed_segments_may_come_back() {
