Rename the log of a removed replica before deleting it

A control process that the group had removed could be refused its own log at each start, or start with an empty log under an id that had acknowledged votes.

Cause: a process that learns of its removal deleted the files of its log one by one and without a sync. After a kill in between, or a loss of power before the next sync, the next start opened what was left.

The log is now renamed to `removed-N` and the data folder synced before anything in it is deleted. The next start finishes an interrupted removal. The list of founders goes only when no log is left that needs it. The storage thread of the former member, which may still work on a batch, finds no folder to create files in.

`a_cleared_log_is_whole_or_gone` kills the process after each operation and cuts the power. It failed before: a log that had stored term 3 opened with term 0. The tests of `quorum` and `node` pass.

--- a/crates/node/src/control/folder.rs
+++ b/crates/node/src/control/folder.rs
@@ -1,6 +1,6 @@
 //! The data folder of a control process. It contains one log folder for each replica id that this
 //! disk has had. On a founder's disk it also contains the list of founders, because no entry of the
-//! log names them.
+//! log names them. Logs that are being removed have a name of their own.
 
 use {
     super::{ControlError, FolderSnafu},
@@ -11,6 +11,7 @@
 };
 
 const LOG_PREFIX: &str = "replica-";
+const REMOVED_PREFIX: &str = "removed-";
 const FOUNDERS_NAME: &str = "founders";
 const UNFINISHED_NAME: &str = "founders.new";
 
@@ -36,12 +37,22 @@
         self.path.join(format!("{LOG_PREFIX}{replica}"))
     }
 
+    /// The path of a log that is being removed.
+    fn removed_path(&self, replica: ReplicaId) -> PathBuf {
+        self.path.join(format!("{REMOVED_PREFIX}{replica}"))
+    }
+
     /// Returns the newest replica id that has a log. Later ids are larger.
     pub(super) fn newest_replica(&self) -> Result<Option<ReplicaId>, ControlError> {
         Ok(self.replicas()?.into_iter().max())
     }
 
     fn replicas(&self) -> Result<Vec<ReplicaId>, ControlError> {
+        self.ids_after(LOG_PREFIX)
+    }
+
+    /// Returns the replica ids in the names that begin with `prefix`.
+    fn ids_after(&self, prefix: &str) -> Result<Vec<ReplicaId>, ControlError> {
         if !self.path.exists() {
             return Ok(Vec::new());
         }
@@ -49,7 +60,7 @@
         let mut replicas = Vec::new();
         for entry in fs::read_dir(path).context(FolderSnafu { path })? {
             let name = entry.context(FolderSnafu { path })?.file_name();
-            let number = name.to_str().and_then(|name| name.strip_prefix(LOG_PREFIX));
+            let number = name.to_str().and_then(|name| name.strip_prefix(prefix));
             replicas.extend(number.and_then(|number| number.parse().ok()).map(ReplicaId));
         }
         Ok(replicas)
@@ -86,16 +97,41 @@
     }
 
     /// Removes every log and the list of founders. Only for a process that the group has removed.
-    pub(super) fn clear(&self) -> Result<(), ControlError> {
+    ///
+    /// The logs are renamed first, so that a loss of power never leaves a part of one under its
+    /// name, and so that the storage thread of the former member can't create more files in it.
+    pub(super) fn clear(&mut self) -> Result<(), ControlError> {
         for replica in self.replicas()? {
             let path = self.replica_path(replica);
-            fs::remove_dir_all(&path).context(FolderSnafu { path })?;
+            let removed = self.removed_path(replica);
+            self.files.rename(&path, &removed).context(FolderSnafu { path })?;
         }
-        let path = self.path.join(FOUNDERS_NAME);
-        if path.exists() {
-            fs::remove_file(&path).context(FolderSnafu { path })?;
+        self.sync()?;
+        self.remove_leftovers()
+    }
+
+    /// Finishes a removal of logs that the end of the process has interrupted.
+    pub(super) fn remove_leftovers(&mut self) -> Result<(), ControlError> {
+        let removed = self.ids_after(REMOVED_PREFIX)?;
+        if removed.is_empty() {
+            return Ok(());
+        }
+        // A log that came back after a loss of power still needs its founders.
+        let founders = self.path.join(FOUNDERS_NAME);
+        if founders.exists() && self.replicas()?.is_empty() {
+            self.files.remove(&founders).context(FolderSnafu { path: founders })?;
+            self.sync()?;
+        }
+        for replica in removed {
+            let path = self.removed_path(replica);
+            self.files.remove_folder(&path).context(FolderSnafu { path })?;
         }
-        Ok(())
+        self.sync()
+    }
+
+    fn sync(&mut self) -> Result<(), ControlError> {
+        let path = &self.path;
+        self.files.sync_folder(path).context(FolderSnafu { path })
     }
 }
 
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -205,7 +205,8 @@
     let (inputs, queue) = unbounded_channel();
     let (address, bind) = (setup.address, setup.bind);
     let listener = TcpListener::bind(bind).await.context(ListenSnafu { address: bind })?;
-    let folder = LogFolder::new(setup.data_folder.clone());
+    let mut folder = LogFolder::new(setup.data_folder.clone());
+    folder.remove_leftovers()?;
     let stored_replica = folder.newest_replica()?;
     let is_founder = stored_replica.is_none() && setup.founding && setup.seeds.contains(&address);
     let mut running = ControlLoop {
--- a/crates/node/tests/unit/folder.rs
+++ b/crates/node/tests/unit/folder.rs
@@ -1,4 +1,11 @@
-use {super::LogFolder, base::ReplicaId, power::PowerDisk, rstest::rstest, std::fs};
+use {
+    super::LogFolder,
+    base::{ClusterName, ReplicaId, TermNumber},
+    power::PowerDisk,
+    quorum::{HardState, LogStorage, PersistBatch},
+    rstest::rstest,
+    std::{fs, path::Path},
+};
 
 #[path = "../../../quorum/tests/power/mod.rs"]
 mod power;
@@ -50,6 +57,45 @@
     }
 }
 
+// A log of which only a part was left was refused at each start.
+#[test]
+fn a_cleared_log_is_whole_or_gone() {
+    let replica = ReplicaId(7);
+    let cluster = ClusterName::new("umoja").unwrap();
+    let open = |root: &Path| {
+        let mut folder = LogFolder::new(root.to_owned());
+        folder.remove_leftovers().unwrap();
+        let newest = folder.newest_replica().unwrap();
+        if let Some(found) = newest {
+            let opened = LogStorage::open(&folder.replica_path(found), &cluster, found);
+            assert_eq!(opened.unwrap().1.hard_state.term, TermNumber(3));
+            assert!(!folder.founders().unwrap().is_empty(), "the log has no founders");
+        }
+        newest
+    };
+    for operations in 0.. {
+        let disk = PowerDisk::new(u64::MAX);
+        let mut folder = LogFolder::with_files(disk.clone(), disk.path());
+        folder.store_founders(&["10.1.0.2:7000".parse().unwrap()]).unwrap();
+        let path = folder.replica_path(replica);
+        let opened = LogStorage::open_with(disk.clone(), &path, &cluster, replica);
+        let hard_state = Some(HardState { term: TermNumber(3), voted_for: None });
+        let batch = PersistBatch { hard_state, ..PersistBatch::default() };
+        opened.unwrap().0.persist(&batch).unwrap();
+        disk.restart(operations);
+        let cleared = folder.clear();
+        disk.cut_power(|root| {
+            let newest = open(root);
+            assert!(cleared.is_err() || newest.is_none(), "the log came back");
+        });
+        let newest = open(&disk.path());
+        if cleared.is_ok() {
+            assert_eq!(newest, None);
+            return;
+        }
+    }
+}
+
 // Bytes that are not UTF-8 ended the process, again at each start.
 #[rstest]
 #[case::bytes(b"\xff\xfe\n")]
--- a/crates/quorum/src/storage/layer.rs
+++ b/crates/quorum/src/storage/layer.rs
@@ -18,10 +18,12 @@
     fn sync(&mut self, file: &File) -> io::Result<()>;
     /// Truncates a file to `length` bytes.
     fn truncate(&mut self, file: &File, length: u64) -> io::Result<()>;
-    /// Renames a file to its final name.
+    /// Renames a file or folder.
     fn rename(&mut self, from: &Path, to: &Path) -> io::Result<()>;
     /// Removes a file.
     fn remove(&mut self, path: &Path) -> io::Result<()>;
+    /// Removes a folder with everything in it. On an error, any part of it may be left.
+    fn remove_folder(&mut self, folder: &Path) -> io::Result<()>;
     /// Makes the creation, renaming and removal of files in a folder durable.
     fn sync_folder(&mut self, folder: &Path) -> io::Result<()>;
 }
@@ -59,6 +61,10 @@
         fs::remove_file(path)
     }
 
+    fn remove_folder(&mut self, folder: &Path) -> io::Result<()> {
+        fs::remove_dir_all(folder)
+    }
+
     fn sync_folder(&mut self, folder: &Path) -> io::Result<()> {
         File::open(folder)?.sync_all()
     }
--- a/crates/quorum/tests/cluster/disk.rs
+++ b/crates/quorum/tests/cluster/disk.rs
@@ -135,6 +135,10 @@
         DiskFiles.remove(path)
     }
 
+    fn remove_folder(&mut self, folder: &Path) -> io::Result<()> {
+        DiskFiles.remove_folder(folder)
+    }
+
     fn sync_folder(&mut self, _folder: &Path) -> io::Result<()> {
         Ok(())
     }
--- a/crates/quorum/tests/power/mod.rs
+++ b/crates/quorum/tests/power/mod.rs
@@ -265,6 +265,17 @@
         Ok(())
     }
 
+    fn remove_folder(&mut self, folder: &Path) -> io::Result<()> {
+        for item in fs::read_dir(folder)? {
+            self.remove(&item?.path())?;
+        }
+        let mut state = self.operate()?;
+        let name = name_of(folder);
+        fs::remove_dir(folder)?;
+        state.unsynced.push(NameChange::Removed(name));
+        Ok(())
+    }
+
     fn sync_folder(&mut self, folder: &Path) -> io::Result<()> {
         let mut state = self.operate()?;
         let folder = number_of(folder);
--- a/crates/quorum/tests/storage.rs
+++ b/crates/quorum/tests/storage.rs
@@ -281,6 +281,10 @@
         self.check().and_then(|()| DiskFiles.remove(path))
     }
 
+    fn remove_folder(&mut self, folder: &Path) -> io::Result<()> {
+        self.check().and_then(|()| DiskFiles.remove_folder(folder))
+    }
+
     fn sync_folder(&mut self, folder: &Path) -> io::Result<()> {
         self.check().and_then(|()| DiskFiles.sync_folder(folder))
     }
