Replace a stream to a control process that gives no sign of life

Cause: a control process sends to another on a stream of its own and gets the answers on the other's stream. Nothing comes back on the first, which was replaced only after a failed write or with a full queue. Something in between that takes the bytes and drops them causes neither, so that all votes and entries went into silent streams. `TCP_USER_TIMEOUT` shows only bytes that the next hop does not acknowledge.

A sender that has heard nothing on its stream for 0.5 s now adds a ping to its next message, and replaces the stream if it sends again 0.5 s later without an answer; the message goes out on the new one. Control processes answer pings already, so that older ones work with it. `PeerSilent` (5045) names the peer. A stream that has been replaced counts no more when its end is reported: before, that could put off the connection in progress.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -11,7 +11,12 @@
 mod storage;
 
 use {
-    self::{folder::LogFolder, member::MemberState, peers::PeerTable, sessions::SessionTable},
+    self::{
+        folder::LogFolder,
+        member::MemberState,
+        peers::{PeerLink, PeerSending, PeerTable},
+        sessions::SessionTable,
+    },
     crate::{
         clock::BootClock,
         leader::{LeaderEvent, LeaderSearch},
@@ -126,7 +131,8 @@
 enum ControlInput {
     Event(ControlEvent),
     Opened(SessionId, LinkSender<LinkMessage>),
-    PeerUp(SocketAddr, SessionId, LinkSender<LinkMessage>),
+    PeerUp(SocketAddr, PeerLink),
+    PeerHeard(SocketAddr, SessionId),
     PeerDown(SocketAddr, SessionId),
     Leader(LeaderEvent),
     Configure(FleetConfig, oneshot::Sender<OperatorAnswer>),
@@ -295,9 +301,13 @@
                 self.sessions.insert(session, sender);
                 Ok(())
             }
-            ControlInput::PeerUp(address, session, sender) => {
-                self.sessions.insert(session, sender.clone());
-                self.peers.connected(address, session, sender);
+            ControlInput::PeerUp(address, link) => {
+                self.sessions.insert(link.session(), link.sender().clone());
+                self.peers.connected(address, link, self.clock.monotonic());
+                Ok(())
+            }
+            ControlInput::PeerHeard(address, session) => {
+                self.peers.heard(address, session, self.clock.monotonic());
                 Ok(())
             }
             ControlInput::PeerDown(address, session) => {
@@ -393,7 +403,10 @@
         match effect {
             ControlEffect::SendPeer { from, to, address, message } => {
                 let message = LinkMessage::Quorum { from, to, message: Box::new(message) };
-                self.peers.send(address.0, message, now, &self.inputs);
+                let sending = self.peers.send(address.0, message, now, &self.inputs);
+                if sending == PeerSending::Replaced {
+                    self.log.record(&FlowEvent::PeerSilent { address: address.to_string() });
+                }
             }
             ControlEffect::Send { session, message } => self.sessions.send(session, message),
             ControlEffect::Persist(batch) => {
--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -74,15 +74,23 @@
 }
 
 /// Passes messages on until the stream or the event loop has ended.
-pub(super) async fn read_messages(
+async fn read_messages(
     mut reader: LinkReader<LinkMessage>,
     session: SessionId,
     inputs: &UnboundedSender<ControlInput>,
 ) {
     while let Ok(message) = reader.next().await {
-        let event = ControlEvent::Message { session, message };
-        if inputs.send(ControlInput::Event(event)).is_err() {
+        if !pass_message(message, session, inputs) {
             return;
         }
     }
 }
+
+/// Passes a message on. Returns false if the event loop has ended.
+pub(super) fn pass_message(
+    message: LinkMessage,
+    session: SessionId,
+    inputs: &UnboundedSender<ControlInput>,
+) -> bool {
+    inputs.send(ControlInput::Event(ControlEvent::Message { session, message })).is_ok()
+}
--- a/crates/node/tests/unit/scripted.rs
+++ b/crates/node/tests/unit/scripted.rs
@@ -32,22 +32,27 @@
 
     /// Accepts the next stream as the leader of a group.
     pub(crate) async fn lead(&self, members: &[SocketAddr]) -> ScriptedLeader {
-        let mut leader = self.accept().await;
+        let mut leader = self.accept_hello().await;
         leader.welcome(members);
         leader
     }
 
     /// Accepts the next stream and answers as a process that does not lead.
     pub(crate) async fn follow(&self, members: &[SocketAddr]) {
-        let mut stream = self.accept().await;
+        let mut stream = self.accept_hello().await;
         stream.send_welcome(false, None, members);
         while stream.next().await.is_some() {}
     }
 
-    async fn accept(&self) -> ScriptedLeader {
+    /// Accepts the next stream.
+    pub(crate) async fn accept(&self) -> ScriptedLeader {
         let (stream, _) = self.listener.accept().await.unwrap();
         let (sender, reader) = link::accept(stream).unwrap();
-        let mut stream = ScriptedLeader { sender, reader };
+        ScriptedLeader { sender, reader }
+    }
+
+    async fn accept_hello(&self) -> ScriptedLeader {
+        let mut stream = self.accept().await;
         assert!(matches!(stream.next().await, Some(LinkMessage::Hello { .. })));
         stream
     }
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -515,6 +515,11 @@
         /// The reason.
         reason: String,
     },
+    /// Another control process has given no sign of life on the stream to it, which is replaced.
+    PeerSilent {
+        /// The address of the process.
+        address: String,
+    },
     /// An agent reports the end of a run to control, for the first time.
     EndReported {
         /// The task.
@@ -665,9 +670,9 @@
 }
 
 /// The numbers of warnings and errors.
-const WARNING_NUMBERS: [u16; 22] = [
+const WARNING_NUMBERS: [u16; 23] = [
     5004, 5006, 5008, 5011, 5013, 5015, 5023, 5024, 5025, 5029, 5031, 5032, 5033, 5035, 5038, 5041,
-    5043, 5044, 5050, 5051, 5052, 5062,
+    5043, 5044, 5045, 5050, 5051, 5052, 5062,
 ];
 
 impl FlowEvent {
@@ -727,6 +732,7 @@
             Self::EndReported { .. } => (5042, "EndReported"),
             Self::ExecutorEnded { .. } => (5043, "ExecutorEnded"),
             Self::OrderOutdated { .. } => (5044, "OrderOutdated"),
+            Self::PeerSilent { .. } => (5045, "PeerSilent"),
             Self::CallFailed { .. } => (5050, "CallFailed"),
             Self::MessageRefused { .. } => (5051, "MessageRefused"),
             Self::LinesDropped { .. } => (5052, "LinesDropped"),
