Refuse a heartbeat that contradicts the present executor

Cause: a description in the name of the present incarnation replaced the last one if its sequence number was higher, whatever it said. Control then knew the executor under a service without a queue, and the executor's own heartbeats counted as late until their numbers reached the other one.

Service, data centre and labels stay with an incarnation. A description that contradicts them is now refused and logged, and its number does not count. A series of descriptions that nothing has continued for 2.5 s is given up, and the next one starts another, whatever its number: a foreign description that came first, or agreed with the executor's own, counts until the third of its own heartbeats.

--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -5,6 +5,7 @@
 //! recorded it in its log. Orders are idempotent by run number; the agent repeats them until they
 //! are answered.
 
+mod descriptions;
 mod orders;
 mod polling;
 mod shrink;
@@ -56,6 +57,8 @@
     report: WorkerReport,
     /// Sequence number of the executor's last message, by which the agent detects late ones.
     sequence: u64,
+    /// The time of that message.
+    described_at: Duration,
     clock: Option<LeaseClock>,
     /// Whether control may assume runs on the executor: the executor has answered, and the agent
     /// has not since reported the incarnation as ended.
@@ -317,19 +320,13 @@
         self.send(LinkMessage::Runs { worker, runs });
     }
 
-    /// Handles the executor's description of itself. Ignores a message of an earlier incarnation,
-    /// or one that a later message has overtaken. A later incarnation is only used once the present
-    /// one no longer answers at its address: anyone can send a description.
+    /// Handles the executor's description of itself. Ignores a message of an earlier incarnation.
+    /// A later incarnation is only used once the present one no longer answers at its address:
+    /// anyone can send a description.
     fn handle_heartbeat(&mut self, report: WorkerReport, sequence: u64) {
-        let known =
-            self.executor.as_ref().map(|executor| (&executor.report.worker, executor.sequence));
-        match known {
-            Some((incarnation, _)) if report.worker.started_ms < incarnation.started_ms => {}
-            Some((incarnation, seen)) if *incarnation == report.worker => {
-                if sequence > seen {
-                    self.update_report(report, sequence);
-                }
-            }
+        match self.incarnation() {
+            Some(present) if report.worker.started_ms < present.started_ms => {}
+            Some(present) if report.worker == present => self.handle_own(report, sequence),
             Some(_) => self.note_claim(report, sequence),
             None => self.meet_executor(report, sequence),
         }
@@ -348,6 +345,7 @@
         self.executor = Some(ExecutorState {
             report,
             sequence,
+            described_at: self.now,
             clock: None,
             reached: false,
             silent_since: None,
@@ -420,6 +418,7 @@
     fn update_report(&mut self, report: WorkerReport, sequence: u64) {
         let Some(executor) = &mut self.executor else { return };
         executor.sequence = sequence;
+        executor.described_at = self.now;
         let report = WorkerReport { responsive: executor.report.responsive, ..report };
         let was_draining = executor.report.drain_left_ms.is_some();
         let same = WorkerReport { drain_left_ms: None, ..report.clone() }
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -29,8 +29,8 @@
     calls: Vec<String>,
     sent: Vec<String>,
     introductions: usize,
-    /// Whether the last description said that the executor answers.
-    described_as_responsive: bool,
+    /// The last description.
+    described: Option<WorkerReport>,
     /// The number of the last end that each poll acknowledged.
     acknowledged: Vec<u64>,
     /// The reasons for which messages were refused.
@@ -109,7 +109,7 @@
         let settings = AgentSettings { lease: LEASE, executor_address: Arc::from("a1") };
         let node = AgentNode::new(settings, began);
         let (polls, deadlines, fences, calls, sent) = Default::default();
-        let (introductions, described_as_responsive) = (0, false);
+        let (introductions, described) = (0, None);
         let (acknowledged, refused, end_lines) = Default::default();
         let mut harness = Self {
             node,
@@ -120,7 +120,7 @@
             calls,
             sent,
             introductions,
-            described_as_responsive,
+            described,
             acknowledged,
             refused,
             end_lines,
@@ -163,7 +163,7 @@
                 }
                 AgentEffect::Send(LinkMessage::Worker { report, .. }) => {
                     self.introductions += 1;
-                    self.described_as_responsive = report.responsive;
+                    self.described = Some(report);
                 }
                 AgentEffect::Reconnect => self.sent.push("reconnect".to_owned()),
                 AgentEffect::Record(FlowEvent::MessageRefused { reason, .. }) => {
@@ -220,6 +220,10 @@
         self.step(AgentEvent::Heartbeat { report, sequence });
     }
 
+    fn described(&self) -> &WorkerReport {
+        self.described.as_ref().unwrap()
+    }
+
     fn report_capacity(&mut self, sequence: u64, cores: u64) {
         let report = Self::report_of(incarnation(), cores);
         self.step(AgentEvent::Heartbeat { report, sequence });
@@ -582,7 +586,7 @@
         harness.sent.clear();
         harness.connect_leader(term);
         assert_eq!(harness.reports(), ["1 Expired", "gone"], "term {term}");
-        assert!(!harness.described_as_responsive, "it would pass for the present executor");
+        assert!(!harness.described().responsive, "it would pass for the present executor");
         harness.step(AgentEvent::LeaderLost);
     }
     assert_eq!(harness.introductions, before + 2, "with its description");
@@ -726,7 +730,7 @@
     harness.order(1);
     harness.answer_start(1, StartVerdict::Failed(CallFailure::OtherIncarnation));
     harness.fail_poll(CallFailure::OtherIncarnation);
-    assert!(!harness.described_as_responsive, "nothing more is placed there");
+    assert!(!harness.described().responsive, "nothing more is placed there");
     for _ in 0..30 {
         harness.advance(100);
         harness.renew();
@@ -816,6 +820,47 @@
     assert_eq!(harness.introductions, 1);
 }
 
+// Review 2, case 8: one heartbeat of another writer took a sound executor out of use for good.
+#[rstest]
+#[case::service(|report: &mut WorkerReport| report.service = "unknown".to_owned(), "service unknown")]
+#[case::data_centre(|report: &mut WorkerReport| report.data_centre = "south".to_owned(),
+    "data centre south")]
+#[case::labels(|report: &mut WorkerReport| report.labels = vec!["b".to_owned()], "labels b")]
+fn a_heartbeat_that_contradicts_the_executor_is_refused(
+    #[case] change: fn(&mut WorkerReport),
+    #[case] expected: &str,
+) {
+    let mut harness = AgentHarness::start();
+    let own = harness.described().clone();
+    let mut report = own.clone();
+    change(&mut report);
+    harness.step(AgentEvent::Heartbeat { report, sequence: 1_000_000 });
+    assert_eq!(harness.described(), &own);
+    assert_eq!(harness.refused, [format!("e1@100 has described itself otherwise: {expected}")]);
+    harness.report_heartbeat(2, Some(900));
+    assert_eq!(harness.described().drain_left_ms, Some(900), "its own heartbeats count");
+}
+
+// Review 2, case 8: the executor's own heartbeats counted as late for as long as it ran.
+#[test]
+fn the_executors_heartbeats_count_again_after_one_of_another_writer() {
+    let mut harness = AgentHarness::start();
+    let report = WorkerReport { service: "unknown".to_owned(), ..harness.described().clone() };
+    harness.advance(5000);
+    harness.answer_poll(&[], &[]);
+    harness.step(AgentEvent::Heartbeat { report, sequence: 1_000_000 });
+    assert_eq!(harness.described().service, "unknown", "the executor had paused");
+    for sequence in 5..8 {
+        harness.advance(1100);
+        harness.report_heartbeat(sequence, None);
+    }
+    assert_eq!(harness.described().service, "s");
+    harness.report_heartbeat(6, Some(900));
+    assert_eq!(harness.described().drain_left_ms, None, "a late one");
+    harness.report_heartbeat(8, Some(900));
+    assert_eq!(harness.described().drain_left_ms, Some(900));
+}
+
 // A description alone does not end the executor before: another program may have sent it.
 #[test]
 fn an_executor_with_another_id_follows_once_it_answers_for_itself() {
