Start a lasting task again within nine seconds of a crash

Cause: a lasting task waits after a crash under it, twice as long after each further one, up to 64 s. From the sixth crash on the pause alone was longer than the nine seconds for which the task may be without a run (six after its last run, and three more).

The pause now doubles up to four seconds. With the two seconds in which the next executor may show whether the former one has crashed, the task starts again within seven. A lasting task that crashes every executor can so take one down every seven seconds, instead of one a minute; the rule leaves no longer pause.

--- a/crates/workflow/src/plan/suspects.rs
+++ b/crates/workflow/src/plan/suspects.rs
@@ -31,7 +31,7 @@
 /// further one.
 const LASTING_PAUSE: Duration = Duration::from_secs(1);
 /// Limit of the doublings of that pause.
-const LASTING_PAUSE_DOUBLINGS: u32 = 6;
+const LASTING_PAUSE_DOUBLINGS: u32 = 2;
 /// Crashes around any other task that have proven nothing and after which it waits for its next
 /// trial.
 const UNPROVEN_CRASHES: u32 = 5;
