Rank the incarnations of an executor instead of trusting its clock

Cause: a fencing token ended in the start of the executor's incarnation. A poll for the former incarnation reaches the next one under the same id, which keeps its token as the highest that it has seen. If the next one has started with an earlier time, it refuses every later order and poll, and an executor that has never answered is not given up.

The token now ends in a rank: the start of the incarnation, or one more than the rank before, if that is higher. Tokens still rise with each incarnation, which keeps late orders for an earlier one from being carried out.

The tests of `workflow` pass.

--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -6,6 +6,7 @@
 //! are answered.
 
 mod descriptions;
+mod fence;
 mod orders;
 mod polling;
 mod shrink;
@@ -21,7 +22,7 @@
 
 use {
     self::{
-        orders::RunTable, polling::LeaseClock, successor::SuccessorClaim,
+        fence::IncarnationRank, orders::RunTable, polling::LeaseClock, successor::SuccessorClaim,
         throttle::BestEffortThrottle, unreadable::UnreadableRows,
     },
     crate::{
@@ -42,9 +43,6 @@
 /// Time after which the agent reports ends again for which it has no acknowledgement: the leader may
 /// have dropped them, because it did not know the agent's stream.
 const ENDS_REPEAT: Duration = Duration::from_millis(1000);
-/// Bits of a fencing token that hold the millisecond at which an incarnation began: enough until
-/// 2039, and few enough for 4,096 terms in the integers that every JSON reader accepts.
-const INCARNATION_BITS: u32 = 41;
 /// Time for which the agent repeats to each new leader that an executor has ended. After it, the
 /// leases that the executor had from an earlier leader are over.
 const ENDED_RETENTION: Duration = Duration::from_secs(30);
@@ -130,6 +128,7 @@
     /// The ping whose answer shows that the leader knows the executor's capacity, which has shrunk.
     unconfirmed_shrink: Option<u64>,
     executor: Option<ExecutorState>,
+    rank: IncarnationRank,
     /// The last known executor, while the next one has not answered.
     former: Option<FormerExecutor>,
     /// Another incarnation that has described itself, while the executor has not been asked whether
@@ -157,6 +156,7 @@
             next_ping: now,
             unconfirmed_shrink: None,
             executor: None,
+            rank: IncarnationRank::new(),
             former: None,
             claim: None,
             ended: None,
@@ -179,13 +179,8 @@
         }
     }
 
-    /// Returns the fencing token of every order: the leader's term, then the executor's
-    /// incarnation. The next incarnation remembers no earlier orders, but once it has seen its own,
-    /// higher token, it refuses a late order for an earlier incarnation.
     fn fence(&self) -> u64 {
-        let started_ms =
-            self.executor.as_ref().map_or(0, |executor| executor.report.worker.started_ms);
-        (self.term << INCARNATION_BITS) | (started_ms & ((1 << INCARNATION_BITS) - 1))
+        self.rank.token(self.term)
     }
 
     fn incarnation(&self) -> Option<WorkerIncarnation> {
@@ -342,6 +337,7 @@
         self.runs = RunTable::default();
         self.throttle = BestEffortThrottle::default();
         self.reset_lease();
+        self.rank.succeed(report.worker.started_ms);
         self.executor = Some(ExecutorState {
             report,
             sequence,
--- a/crates/workflow/src/agent/polling.rs
+++ b/crates/workflow/src/agent/polling.rs
@@ -127,6 +127,7 @@
             Ok(view) => self.handle_executor_view(worker, asked, view),
             Err(CallFailure::OtherIncarnation) => self.handle_other_incarnation(worker, None),
             Err(CallFailure::Fenced) => {
+                self.rank.raise();
                 self.handle_missing_answer("the executor has seen a higher fencing token")
             }
             Err(CallFailure::Unanswered(reason)) => self.handle_missing_answer(&reason),
--- a/crates/workflow/tests/agent.rs
+++ b/crates/workflow/tests/agent.rs
@@ -790,6 +790,37 @@
     assert!(different.len() >= 3, "{:?}", harness.fences);
 }
 
+// Review, case 3: an executor that had started with an earlier time than before was never used again.
+#[rstest]
+#[case::by_the_same_agent(false, 1)]
+#[case::by_an_agent_that_has_restarted(true, 10)]
+fn an_executor_whose_clock_has_jumped_back_is_reached(
+    #[case] agent_restarts: bool,
+    #[case] polls: usize,
+) {
+    const JUMP_MS: u64 = 2400;
+    let mut harness = AgentHarness::start();
+    let [late, early] =
+        [900 + JUMP_MS, 900].map(|started_ms| WorkerIncarnation { started_ms, ..incarnation() });
+    harness.report_heartbeat_of(late.clone(), 1, None);
+    harness.fail_poll(CallFailure::OtherIncarnation);
+    harness.advance(100);
+    // The next incarnation takes the fence of this poll for the highest.
+    let seen = *harness.fences.last().unwrap();
+    harness.fail_poll_of(late, CallFailure::OtherIncarnation);
+    if agent_restarts {
+        harness = AgentHarness::start_anew();
+        harness.fail_poll(CallFailure::OtherIncarnation);
+    }
+    harness.report_heartbeat_of(early.clone(), 1, None);
+    let before = harness.fences.len();
+    while *harness.fences.last().unwrap() < seen {
+        harness.fail_poll_of(early.clone(), CallFailure::Fenced);
+        harness.advance(200);
+        assert!(harness.fences.len() < before + polls, "{:?}, {seen}", harness.fences);
+    }
+}
+
 // Review, case 2: a heartbeat of another writer made the tasks of a sound executor run twice.
 #[test]
 fn a_heartbeat_of_another_writer_ends_nothing_while_the_executor_answers() {
