Doubt crashes at two addresses before a job fails by them

Cause: three crashes at two addresses, each soon after a start of the task alone, proved that the task crashes its executors. Executors that go down by themselves look the same while the task is all that runs there, since each crash is explained by the task and speaks against no address.

If the crashes that prove a task deadly were at fewer than three addresses, the task now waits two seconds without a start. A crash in that time speaks against its address, and the task is given up only if its crashes still prove it. An accepted job may have nothing running for three seconds. Lasting tasks are never given up and not doubted.

--- a/crates/workflow/src/control/crashes.rs
+++ b/crates/workflow/src/control/crashes.rs
@@ -24,6 +24,10 @@
 /// Time that the runs of an executor that has ended wait for the report of the next one, which
 /// tells whether it has crashed.
 const VERDICT_TIME: Duration = Duration::from_secs(2);
+/// Time that a task waits before it is given up by crashes at few addresses. Executors that go down
+/// and up by themselves do so again meanwhile. Shorter than the time for which an accepted job may
+/// have nothing running.
+const DOUBT_TIME: Duration = Duration::from_secs(2);
 /// Prefix of the names under which pending verdicts are in the log's table of addresses. No executor
 /// has such a name, which is no part of a URL.
 const VERDICT_PREFIX: &str = "verdict pending\n";
@@ -132,6 +136,15 @@
     given_up: bool,
 }
 
+/// A task that is given up unless the addresses of its crashes turn out to be at fault.
+#[derive(Debug)]
+struct DoubtedTask {
+    /// The executor that has crashed last.
+    worker: WorkerIncarnation,
+    crashes: u32,
+    until: Duration,
+}
+
 /// What a leader remembers of executors that may have crashed.
 #[derive(Debug, Default)]
 pub(super) struct CrashWatch {
@@ -140,6 +153,7 @@
     /// By address.
     lost: IndexMap<Arc<str>, LostWorker>,
     owed: BTreeMap<TaskKey, OwedCount>,
+    doubted: BTreeMap<TaskKey, DoubtedTask>,
     /// The executors that do not answer their agents, by address.
     silent: IndexMap<Arc<str>, WorkerIncarnation>,
     /// The last executor that has ended while it drained, by address.
@@ -241,6 +255,7 @@
     /// Forgets the tasks of a job that has ended.
     pub(super) fn forget_job(&mut self, job: JobKey) {
         self.owed.retain(|task, _| task.job != job);
+        self.doubted.retain(|task, _| task.job != job);
     }
 
     fn lost_mut(&mut self, address: &Arc<str>, worker: &WorkerIncarnation) -> &mut LostWorker {
@@ -419,8 +434,45 @@
         counted.sort_unstable_by_key(|(crashes, _)| std::cmp::Reverse(*crashes));
         for (crashes, task) in counted {
             let leader = self.leader.as_ref();
-            if leader.is_some_and(|leader| leader.suspects.ledger.is_proven(&task, now)) {
-                self.give_up(&worker, task, crashes);
+            let Some(ledger) = leader.map(|leader| &leader.suspects.ledger) else { return };
+            match (ledger.is_proven(&task, now), ledger.is_doubtful(&task)) {
+                (true, true) => self.doubt(&worker, task, crashes),
+                (true, false) => self.give_up(&worker, task, crashes),
+                (false, _) => {}
+            }
+        }
+    }
+
+    /// Keeps a task from starting until its crashes are known to be its own. Lasting tasks are never
+    /// given up.
+    fn doubt(&mut self, worker: &WorkerIncarnation, task: TaskKey, crashes: u32) {
+        let until = self.now + DOUBT_TIME;
+        let Some(leader) = &mut self.leader else { return };
+        let spec = leader.speculative.job(task.job).and_then(|job| job.step_spec(&task));
+        if spec.is_none_or(|spec| spec.lasting) {
+            return;
+        }
+        leader.suspects.suspect(task, self.now, until);
+        let worker = worker.clone();
+        leader.crashes.doubted.insert(task, DoubtedTask { worker, crashes, until });
+    }
+
+    /// Gives up the doubted tasks whose crashes nothing has explained meanwhile.
+    pub(super) fn settle_doubts(&mut self) {
+        let now = self.now;
+        let Some(leader) = &mut self.leader else { return };
+        let due: Vec<TaskKey> = leader
+            .crashes
+            .doubted
+            .iter()
+            .filter(|(_, doubted)| doubted.until <= now)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in due {
+            let Some(leader) = &mut self.leader else { return };
+            let proven = leader.suspects.ledger.is_proven(&task, now);
+            if let Some(doubted) = leader.crashes.doubted.remove(&task).filter(|_| proven) {
+                self.give_up(&doubted.worker, task, doubted.crashes);
             }
         }
     }
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -30,6 +30,7 @@
             return;
         }
         self.expire_leases();
+        self.settle_doubts();
         self.check_cordons();
         self.check_blocked_jobs();
         self.check_unconfirmed_runs();
--- a/crates/workflow/src/plan/crash_ledger.rs
+++ b/crates/workflow/src/plan/crash_ledger.rs
@@ -31,6 +31,9 @@
 const PROOF_WEIGHT: u32 = WITNESSED_WEIGHT + 2 * SHARED_WEIGHT;
 /// The number of addresses that a proof needs, since one may be at fault itself.
 const PROOF_ADDRESSES: usize = 2;
+/// The number of addresses that a proof needs to hold at once: fewer may be all that can run the
+/// task, and be at fault together.
+const SOUND_ADDRESSES: usize = 3;
 
 /// A task that may have caused a crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -158,6 +161,15 @@
         alone && enough_addresses && weight >= PROOF_WEIGHT
     }
 
+    /// Returns whether a proof rests on so few addresses that they have to hold without the task
+    /// before it counts.
+    pub fn is_doubtful(&self, task: &TaskKey) -> bool {
+        let certain = self.records.iter().filter(|record| record.is_certain_for(task));
+        let addresses: BTreeSet<&str> = certain.map(|record| &*record.address).collect();
+        let earlier = self.earlier.get(task).copied().unwrap_or(0);
+        addresses.len() + (earlier as usize) < SOUND_ADDRESSES
+    }
+
     /// Returns whether an executor at an address has lately crashed for reasons of its own.
     pub fn is_unreliable(&self, address: &str, now: Duration) -> bool {
         self.unexplained_at(address, now) > 0
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -516,6 +516,29 @@
     assert_eq!(fleet.harness.phase(0xa), "Running", "{:?}", fleet.harness.starts());
 }
 
+// Review, case 5: the only two executors that could run a job went down and up by turns, and it failed.
+#[rstest]
+#[case::that_crash_without_it_too(true)]
+#[case::that_hold_without_it(false)]
+fn a_job_is_doubted_before_it_fails_by_crashes_at_two_addresses(#[case] flapping: bool) {
+    let mut fleet = FlappingFleet::new(2);
+    fleet.harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    for _ in 0..3 {
+        fleet.crash_under_last_start();
+    }
+    let starts = fleet.harness.starts().len();
+    assert_eq!(fleet.harness.phase(0xa), "Running", "{:?}", fleet.harness.starts());
+    if flapping {
+        (0..2).for_each(|at| fleet.crash(at, &[]));
+    }
+    fleet.wait(1200);
+    assert_eq!(fleet.harness.starts().len(), starts, "nothing starts while it is doubted");
+    fleet.wait(1200);
+    let (phase, more) = if flapping { ("Running", 1) } else { ("Ended(Failed)", 0) };
+    assert_eq!(fleet.harness.phase(0xa), phase, "{:?}", fleet.harness.starts());
+    assert_eq!(fleet.harness.starts().len(), starts + more);
+}
+
 #[test]
 fn a_trial_does_not_begin_where_an_executor_has_crashed_with_nothing_on_it() {
     let mut fleet = FlappingFleet::new(5);
