Close an accepted stream on which nothing has come for 20 s

A control process kept each stream that it had accepted until it read an end or failed to send on it. Streams that go silent without an end are replaced by the processes that opened them, so that the old ones added up, each with a connection, to the limit of 2,048, beyond which a stream got no answers.

The table of sessions now knows when something has last come on each stream, on the clock of the event loop, and closes an accepted one after 20 s. Entries and agents ping much more often; a control process opens its stream again when it has something to send.

`an_accepted_stream_on_which_nothing_comes_is_closed` fails without the closing. The tests of `node` pass.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -15,7 +15,7 @@
         folder::LogFolder,
         member::MemberState,
         peers::{PeerLink, PeerSending, PeerTable},
-        sessions::SessionTable,
+        sessions::{OpenStream, SessionTable},
     },
     crate::{
         clock::BootClock,
@@ -52,6 +52,8 @@
 const INPUTS_PER_DECISION: usize = 256;
 /// Ticks between two requests of a joining process for a replica id.
 const JOIN_TICKS: u64 = 15;
+/// Ticks between two looks for silent streams: one second.
+const SESSIONS_TICKS: u64 = 50;
 /// Ticks between two updates of the gauges of the leader: one second.
 const FIGURES_TICKS: u64 = 50;
 
@@ -130,7 +132,7 @@
 
 enum ControlInput {
     Event(ControlEvent),
-    Opened(SessionId, LinkSender<LinkMessage>),
+    Opened(SessionId, OpenStream),
     PeerUp(SocketAddr, PeerLink),
     PeerHeard(SocketAddr, SessionId),
     PeerDown(SocketAddr, SessionId),
@@ -286,6 +288,9 @@
                 leader.send(LinkMessage::Ping { sequence: self.ticks });
             }
         }
+        if self.ticks.is_multiple_of(SESSIONS_TICKS) {
+            self.sessions.close_silent(self.clock.monotonic());
+        }
         if let (Membership::Member(member), true) =
             (&self.membership, self.ticks.is_multiple_of(FIGURES_TICKS))
         {
@@ -297,13 +302,14 @@
 
     fn handle_input(&mut self, input: ControlInput) -> Result<(), ControlError> {
         match input {
-            ControlInput::Opened(session, sender) => {
-                self.sessions.insert(session, sender);
+            ControlInput::Opened(session, stream) => {
+                self.sessions.insert(session, stream, self.clock.monotonic());
                 Ok(())
             }
             ControlInput::PeerUp(address, link) => {
-                self.sessions.insert(link.session(), link.sender().clone());
-                self.peers.connected(address, link, self.clock.monotonic());
+                let now = self.clock.monotonic();
+                self.sessions.insert(link.session(), OpenStream::own(link.sender().clone()), now);
+                self.peers.connected(address, link, now);
                 Ok(())
             }
             ControlInput::PeerHeard(address, session) => {
@@ -321,8 +327,12 @@
                 ..
             }) => self.leave_group(replica),
             ControlInput::Event(event) => {
-                if let ControlEvent::Closed { session } = &event {
-                    self.sessions.remove(*session);
+                match &event {
+                    ControlEvent::Closed { session } => self.sessions.remove(*session),
+                    ControlEvent::Message { session, .. } => {
+                        self.sessions.hear(*session, self.clock.monotonic());
+                    }
+                    _ => {}
                 }
                 self.step(event)
             }
