Bound the text about a contradicting heartbeat

The line about a refused description holds its labels, of which another program may send many long ones: it is cut after 160 characters, as other such lines are.

The tests of the agent pass.

--- a/crates/quorum/src/storage/layer.rs
+++ b/crates/quorum/src/storage/layer.rs
@@ -75,7 +75,8 @@
 ///
 /// # Errors
 ///
-/// Returns the error of the operating system. A folder above an existing one may be unreadable.
+/// Returns the error of the operating system, unless the folder exists and the one above it may not
+/// be read: this process has created nothing there then.
 pub fn create_folder<F: FileLayer>(files: &mut F, folder: &Path) -> io::Result<()> {
     let parent = folder.parent().filter(|parent| !parent.as_os_str().is_empty());
     let exists = folder.is_dir();
--- a/crates/workflow/src/agent/descriptions.rs
+++ b/crates/workflow/src/agent/descriptions.rs
@@ -13,11 +13,13 @@
 /// The time without a continuation after which a series of descriptions is given up: more than two
 /// intervals of an executor's heartbeats.
 const SERIES_TIMEOUT: Duration = Duration::from_millis(2500);
+/// The longest text about a refused description, in characters.
+const REASON_LIMIT: usize = 160;
 
 impl AgentNode {
     /// Handles a description of the present incarnation. Ignores one that a later one has overtaken,
     /// and refuses one that contradicts what does not change within an incarnation.
-    pub(super) fn handle_own(&mut self, report: WorkerReport, sequence: u64) {
+    pub(super) fn handle_own_description(&mut self, report: WorkerReport, sequence: u64) {
         let Some(executor) = &self.executor else { return };
         let contradiction = contradiction(&executor.report, &report);
         let given_up = self.now.saturating_sub(executor.described_at) >= SERIES_TIMEOUT;
@@ -26,6 +28,7 @@
                 let worker = &report.worker;
                 let from = format!("heartbeat of {worker}");
                 let reason = format!("{worker} has described itself otherwise: {found}");
+                let reason = reason.chars().take(REASON_LIMIT).collect();
                 self.record(FlowEvent::MessageRefused { from, reason });
             }
             None if !given_up && sequence <= executor.sequence => {}
--- a/crates/workflow/src/agent/mod.rs
+++ b/crates/workflow/src/agent/mod.rs
@@ -321,7 +321,9 @@
     fn handle_heartbeat(&mut self, report: WorkerReport, sequence: u64) {
         match self.incarnation() {
             Some(present) if report.worker.started_ms < present.started_ms => {}
-            Some(present) if report.worker == present => self.handle_own(report, sequence),
+            Some(present) if report.worker == present => {
+                self.handle_own_description(report, sequence)
+            }
             Some(_) => self.note_claim(report, sequence),
             None => self.meet_executor(report, sequence),
         }
