--- a/crates/quorum/src/core/mod.rs
+++ b/crates/quorum/src/core/mod.rs
@@ -132,6 +132,12 @@
         self.log.last_index()
     }
 
+    /// Whether a replica belongs to the group in the committed log. A change that is not committed yet
+    /// may still be lost with its leader.
+    pub fn is_committed_member(&self, replica: ReplicaId) -> bool {
+        self.group.at(self.committed).member(replica).is_some()
+    }
+
     /// Whether the committed log contains the removal of a replica.
     pub fn is_retired(&self, replica: ReplicaId) -> bool {
         self.group.at(self.committed).is_retired(replica)
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -177,7 +177,8 @@
     pub(super) members_check_at: Duration,
     /// The time since which each silent member has not answered.
     pub(super) silent: BTreeMap<ReplicaId, Duration>,
-    /// Additions of learners in progress, with the stream that waits for the id and the id.
+    /// The processes that wait for an id, with the id: by the ticket of the addition, or of the
+    /// confirmation of the leadership.
     pub(super) admissions: BTreeMap<ReplyTicket, (SessionId, ReplicaId)>,
 }
 
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -64,7 +64,8 @@
     /// Handles a process with an empty disk that requests an id. A member at its address that votes
     /// or has stored entries has lost its disk: the leader removes it, and the process has to ask
     /// again. A learner that has stored nothing is assigned the same id again. Otherwise the leader
-    /// adds a learner under a new id, which the process receives once the change is committed.
+    /// adds a learner under a new id. The process receives its id only once the addition is committed
+    /// (`docs/decisions/quorum.md`).
     pub(super) fn handle_join(&mut self, session: SessionId, address: PeerAddress) {
         if self.leader.is_none() {
             self.send_welcome(session);
@@ -74,9 +75,7 @@
         let earlier = members.iter().find(|progress| progress.member.address == address);
         match earlier {
             Some(progress) if is_untouched(progress) => {
-                let replica = progress.member.replica;
-                let message = LinkMessage::Admitted { replica };
-                self.effects.push(ControlEffect::Send { session, message });
+                self.confirm_admission(session, progress.member.replica);
             }
             Some(progress) => {
                 let member = progress.member;
@@ -94,9 +93,22 @@
         }
     }
 
+    /// Assigns an id again once a quorum has confirmed this leadership. Another leader may have removed
+    /// the learner meanwhile.
+    fn confirm_admission(&mut self, session: SessionId, replica: ReplicaId) {
+        let ticket = self.next_ticket();
+        if let Some(leader) = &mut self.leader {
+            leader.admissions.insert(ticket, (session, replica));
+            self.queue.push_back(QuorumEvent::ConfirmRead { ticket });
+        }
+    }
+
+    /// Assigns the id that waited for a commit or for a confirmed leadership, if its addition is
+    /// committed. Otherwise the process asks again.
     pub(super) fn finish_admission(&mut self, ticket: ReplyTicket) {
         let Some(leader) = &mut self.leader else { return };
-        if let Some((session, replica)) = leader.admissions.remove(&ticket) {
+        let Some((session, replica)) = leader.admissions.remove(&ticket) else { return };
+        if self.core.is_committed_member(replica) {
             let message = LinkMessage::Admitted { replica };
             self.effects.push(ControlEffect::Send { session, message });
         }
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -245,7 +245,10 @@
     }
 
     pub(super) fn finish_read(&mut self, ticket: ReplyTicket, confirmed: bool) {
-        let Some(caller) = self.reads.remove(&ticket) else { return };
+        let Some(caller) = self.reads.remove(&ticket) else {
+            self.finish_admission(ticket);
+            return;
+        };
         let answer = if confirmed {
             let document = self.applied.config().map(|config| config.document.clone());
             OperatorAnswer::Config(document)
