Let a member that no leader reaches ask for its place

What callers saw: nothing, until two more disks were lost. A process that an earlier build had told a lost id stayed outside the group for good, also after a restart with this build: it has an id on disk, so that it asks for none, and without a vote it starts no elections.

Change: a member without a vote that no leader has reached for 3 s looks for the leader, at the seeds and at the members of its log, and asks whether its id belongs to a member (`CheckMember`). A leader answers `Removed` once a quorum has confirmed it and neither its committed nor its latest group has the id at that address; the process then removes its log and joins again. The event MemberUnreached (5046) shows the silence.

--- a/crates/node/src/control/member.rs
+++ b/crates/node/src/control/member.rs
@@ -83,6 +83,16 @@
         self.node.replica()
     }
 
+    /// Returns the addresses of the members that this replica knows.
+    pub(super) fn member_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.node.member_addresses().into_iter().map(|address| address.0)
+    }
+
+    /// Returns how long no leader has reached this replica, unless it may start elections itself.
+    pub(super) fn unreached_for(&self) -> Option<Duration> {
+        self.node.unreached_for()
+    }
+
     pub(super) fn step(&mut self, now: Duration, event: ControlEvent) -> Vec<ControlEffect> {
         self.node.reduce(now, event)
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! A process that has a log or is a founder of the group is a member from the start. Any other
 //! process first requests a replica id from the leader. A process that was removed from the group
-//! while it was down deletes its log and requests a new id.
+//! while it was down deletes its log and requests a new id. So does one whose id the group does not
+//! know, which it asks for once no leader has reached it for a while.
 
 mod folder;
 mod member;
 mod peers;
+mod search;
 mod sessions;
 mod storage;
 
@@ -15,6 +17,7 @@
         folder::LogFolder,
         member::MemberState,
         peers::{PeerLink, PeerSending, PeerTable},
+        search::GroupSearch,
         sessions::{OpenStream, SessionTable},
     },
     crate::{
@@ -23,7 +26,6 @@
         logging::{wall_ms, LineLog},
     },
     base::{ClockSource, ClusterName, PeerAddress, ReplicaId, ReplyTicket},
-    link::LinkSender,
     quorum::{CoreError, StorageError},
     snafu::{ResultExt, Snafu},
     std::{collections::BTreeMap, io, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration},
@@ -33,7 +35,6 @@
             mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender},
             oneshot,
         },
-        task::JoinHandle,
         time::{interval, MissedTickBehavior},
     },
     workflow::{
@@ -50,8 +51,11 @@
 const TICK: Duration = Duration::from_millis(20);
 /// The most inputs that are read before the reducer settles its decisions.
 const INPUTS_PER_DECISION: usize = 256;
-/// Ticks between two requests of a joining process for a replica id.
+/// Ticks between two requests of a process that has no replica id, or that no leader reaches.
 const JOIN_TICKS: u64 = 15;
+/// How long no leader may reach a member without a vote before it asks whether it still belongs to the
+/// group. Covers an election after an outage of the group.
+const CONTACT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Ticks between two looks for silent streams: one second.
 const SESSIONS_TICKS: u64 = 50;
 /// Ticks between two updates of the gauges of the leader: one second.
@@ -182,7 +186,7 @@
 
 /// Whether the process has a replica id.
 enum Membership {
-    Joining { leader: Option<LinkSender<LinkMessage>>, search: Option<JoinHandle<()>> },
+    Joining,
     Member(Box<MemberState>),
 }
 
@@ -193,6 +197,10 @@
     folder: LogFolder,
     inputs: UnboundedSender<ControlInput>,
     membership: Membership,
+    /// The search for the leader, of a process that has no replica id or that no leader reaches.
+    search: Option<GroupSearch>,
+    /// When a member may search again. A leader of an older build closes the stream on its question.
+    search_again_at: Duration,
     sessions: SessionTable,
     peers: PeerTable,
     pending_replies: BTreeMap<ReplyTicket, oneshot::Sender<OperatorAnswer>>,
@@ -222,7 +230,9 @@
         log,
         folder,
         inputs: inputs.clone(),
-        membership: Membership::Joining { leader: None, search: None },
+        membership: Membership::Joining,
+        search: None,
+        search_again_at: Duration::ZERO,
         sessions: SessionTable::default(),
         peers: PeerTable::default(),
         pending_replies: BTreeMap::new(),
@@ -281,12 +291,9 @@
 
     fn tick(&mut self) -> Result<(), ControlError> {
         self.ticks += 1;
-        if let Membership::Joining { leader: Some(leader), .. } = &self.membership {
-            if self.ticks.is_multiple_of(JOIN_TICKS) {
-                let address = PeerAddress(self.setup.address);
-                leader.send(LinkMessage::Join { address });
-                leader.send(LinkMessage::Ping { sequence: self.ticks });
-            }
+        self.check_contact();
+        if self.ticks.is_multiple_of(JOIN_TICKS) {
+            self.ask_leader();
         }
         if self.ticks.is_multiple_of(SESSIONS_TICKS) {
             self.sessions.close_silent(self.clock.monotonic());
@@ -452,32 +459,69 @@
 
     fn search_leader(&mut self) {
         let own = self.setup.address;
-        let seeds = self.setup.seeds.iter().copied().filter(|seed| *seed != own).collect();
+        let mut seeds = self.setup.seeds.clone();
+        if let Membership::Member(member) = &self.membership {
+            seeds.extend(member.member_addresses());
+        }
+        seeds.retain(|seed| *seed != own);
         let (name, log, reconnect) = (self.setup.name.clone(), self.log.clone(), Rc::default());
         let search = LeaderSearch { name, seeds, log, reconnect };
-        let running = search.run(self.inputs.clone(), ControlInput::Leader);
-        let search = Some(tokio::task::spawn_local(running));
-        self.membership = Membership::Joining { leader: None, search };
+        self.search = Some(GroupSearch::start(search, self.inputs.clone()));
+    }
+
+    /// Searches for the leader while none reaches this member, which has no vote: it may be removed, or
+    /// its id may be of an entry that was lost.
+    fn check_contact(&mut self) {
+        let Membership::Member(member) = &self.membership else { return };
+        let silence = member.unreached_for().filter(|silence| *silence >= CONTACT_TIMEOUT);
+        match (silence, &self.search) {
+            (Some(silence), None) if self.clock.monotonic() >= self.search_again_at => {
+                let (replica, silent_ms) = (member.replica().0, silence.as_millis() as u64);
+                self.log.record(&FlowEvent::MemberUnreached { replica, silent_ms });
+                self.search_leader();
+            }
+            (None, Some(_)) => self.search = None,
+            _ => {}
+        }
+    }
+
+    /// Requests a replica id, or asks whether the one of this process still belongs to a member.
+    fn ask_leader(&self) {
+        let address = PeerAddress(self.setup.address);
+        let request = match &self.membership {
+            Membership::Joining => LinkMessage::Join { address },
+            Membership::Member(member) => {
+                LinkMessage::CheckMember { replica: member.replica(), address }
+            }
+        };
+        if let Some(search) = &self.search {
+            search.ask(request, self.ticks);
+        }
     }
 
     fn handle_leader_event(&mut self, event: LeaderEvent) -> Result<(), ControlError> {
-        let Membership::Joining { leader, search } = &mut self.membership else { return Ok(()) };
+        let Some(search) = &mut self.search else { return Ok(()) };
         match event {
             LeaderEvent::Up { sender, .. } => {
-                sender.send(LinkMessage::Join { address: PeerAddress(self.setup.address) });
-                *leader = Some(sender);
+                search.set_leader(Some(sender));
+                self.ask_leader();
                 Ok(())
             }
             LeaderEvent::Down => {
-                *leader = None;
+                search.set_leader(None);
+                if matches!(self.membership, Membership::Member(_)) {
+                    self.search = None;
+                    self.search_again_at = self.clock.monotonic() + CONTACT_TIMEOUT;
+                }
                 Ok(())
             }
-            LeaderEvent::Message(LinkMessage::Admitted { replica }) => {
-                if let Some(search) = search.take() {
-                    search.abort();
-                }
+            LeaderEvent::Message(LinkMessage::Admitted { replica })
+                if matches!(self.membership, Membership::Joining) =>
+            {
+                self.search = None;
                 self.become_member(replica)
             }
+            LeaderEvent::Message(LinkMessage::Removed { replica }) => self.leave_group(replica),
             LeaderEvent::Message(_) => Ok(()),
         }
     }
@@ -491,9 +535,13 @@
         let address = self.setup.address.to_string();
         let change = "left the group";
         self.log.record(&FlowEvent::MemberChange { replica: replica.0, address, change });
-        self.membership = Membership::Joining { leader: None, search: None };
+        self.membership = Membership::Joining;
         self.folder.clear()?;
         self.search_leader();
         Ok(())
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/control.rs"]
+mod tests;
--- a/crates/quorum/src/core/election.rs
+++ b/crates/quorum/src/core/election.rs
@@ -46,7 +46,7 @@
     /// Whether this replica may start an election. A voter that is being removed may do so until it
     /// knows that its removal is committed: it may be the only one with that entry, without which
     /// no other replica can be elected.
-    fn may_campaign(&self) -> bool {
+    pub(crate) fn may_campaign(&self) -> bool {
         let own = self.settings.replica;
         let before = self.group.before_pending_change(self.committed);
         self.group.latest().is_voter(own) || before.is_voter(own)
--- a/crates/quorum/src/core/mod.rs
+++ b/crates/quorum/src/core/mod.rs
@@ -30,8 +30,8 @@
     },
     crate::{
         interface::{
-            HardState, LogSnapshot, ProposalError, QuorumEffect, QuorumEvent, QuorumSettings,
-            ReplicaRole,
+            GroupMember, HardState, LogSnapshot, ProposalError, QuorumEffect, QuorumEvent,
+            QuorumSettings, ReplicaRole,
         },
         message::{MessageBody, QuorumMessage},
     },
@@ -132,10 +132,16 @@
         self.log.last_index()
     }
 
-    /// Whether a replica belongs to the group in the committed log. A change that is not committed yet
-    /// may still be lost with its leader.
-    pub fn is_committed_member(&self, replica: ReplicaId) -> bool {
-        self.group.at(self.committed).member(replica).is_some()
+    /// Returns a member of the group in the committed log. A change that is not committed yet may
+    /// still be lost with its leader.
+    pub fn committed_member(&self, replica: ReplicaId) -> Option<GroupMember> {
+        self.group.at(self.committed).member(replica).copied()
+    }
+
+    /// Returns how long no leader has reached this replica. `None` if it may start elections, by
+    /// which it finds the group itself; a replica without a vote depends on being contacted.
+    pub fn unreached_for(&self) -> Option<Duration> {
+        (!self.may_campaign()).then(|| self.now.saturating_sub(self.last_leader_contact))
     }
 
     /// Whether the committed log contains the removal of a replica.
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -7,6 +7,7 @@
         durations::DURATIONS_LOG_INTERVAL,
         endings::EndingTable,
         interference::STORE_LEARNED_INTERVAL,
+        members::IdRequest,
         relocation::RelocationState,
         types::{ControlEffect, OperatorAnswer, SessionId},
         unconfirmed::UnconfirmedRuns,
@@ -177,9 +178,9 @@
     pub(super) members_check_at: Duration,
     /// The time since which each silent member has not answered.
     pub(super) silent: BTreeMap<ReplicaId, Duration>,
-    /// The processes that wait for an id, with the id: by the ticket of the addition, or of the
-    /// confirmation of the leadership.
-    pub(super) admissions: BTreeMap<ReplyTicket, (SessionId, ReplicaId)>,
+    /// The requests about replica ids: by the ticket of the addition, or of the confirmation of the
+    /// leadership.
+    pub(super) id_requests: BTreeMap<ReplyTicket, IdRequest>,
 }
 
 impl LeaderState {
@@ -297,7 +298,7 @@
             announced,
             members_check_at: self.now,
             silent: BTreeMap::new(),
-            admissions: BTreeMap::new(),
+            id_requests: BTreeMap::new(),
         });
     }
 
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -21,6 +21,27 @@
 /// Interval of membership checks. A membership change takes a commit or two.
 const MEMBERS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// A request about a replica id that waits for a commit or for a confirmed leadership.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum IdRequest {
+    /// Assigns the id of a learner.
+    Assign {
+        /// The stream of the joining process.
+        session: SessionId,
+        /// The id.
+        replica: ReplicaId,
+    },
+    /// Checks whether a process still belongs to the group.
+    Check {
+        /// The stream of the process.
+        session: SessionId,
+        /// The id of the process.
+        replica: ReplicaId,
+        /// The address of the process.
+        address: PeerAddress,
+    },
+}
+
 impl ControlNode {
     /// Expires leases, withdraws starts in cordoned data centres, stores learned interference, moves
     /// latency-critical runs and checks the membership, each when due. Does nothing on a replica that
@@ -87,7 +108,7 @@
                 let change = MemberChange::AddLearner { replica, address };
                 let ticket = self.change_group(change, member);
                 if let Some(leader) = &mut self.leader {
-                    leader.admissions.insert(ticket, (session, replica));
+                    leader.id_requests.insert(ticket, IdRequest::Assign { session, replica });
                 }
             }
         }
@@ -96,22 +117,61 @@
     /// Assigns an id again once a quorum has confirmed this leadership. Another leader may have removed
     /// the learner meanwhile.
     fn confirm_admission(&mut self, session: SessionId, replica: ReplicaId) {
+        self.confirm_request(IdRequest::Assign { session, replica });
+    }
+
+    /// Handles a process that has an id, and that no leader reaches: the addition of the id may have
+    /// been lost with an earlier leader, or its removal was not noticed.
+    pub(super) fn check_member(
+        &mut self,
+        session: SessionId,
+        replica: ReplicaId,
+        address: PeerAddress,
+    ) {
+        if self.leader.is_none() {
+            self.send_welcome(session);
+            return;
+        }
+        self.confirm_request(IdRequest::Check { session, replica, address });
+    }
+
+    fn confirm_request(&mut self, request: IdRequest) {
         let ticket = self.next_ticket();
         if let Some(leader) = &mut self.leader {
-            leader.admissions.insert(ticket, (session, replica));
+            leader.id_requests.insert(ticket, request);
             self.queue.push_back(QuorumEvent::ConfirmRead { ticket });
         }
     }
 
-    /// Assigns the id that waited for a commit or for a confirmed leadership, if its addition is
-    /// committed. Otherwise the process asks again.
-    pub(super) fn finish_admission(&mut self, ticket: ReplyTicket) {
+    /// Answers a request that waited for a commit or for a confirmed leadership. An id is assigned only
+    /// if its addition is committed; otherwise the process asks again.
+    pub(super) fn finish_id_request(&mut self, ticket: ReplyTicket) {
         let Some(leader) = &mut self.leader else { return };
-        let Some((session, replica)) = leader.admissions.remove(&ticket) else { return };
-        if self.core.is_committed_member(replica) {
-            let message = LinkMessage::Admitted { replica };
-            self.effects.push(ControlEffect::Send { session, message });
-        }
+        let (session, message) = match leader.id_requests.remove(&ticket) {
+            Some(IdRequest::Assign { session, replica })
+                if self.core.committed_member(replica).is_some() =>
+            {
+                (session, LinkMessage::Admitted { replica })
+            }
+            Some(IdRequest::Check { session, replica, address })
+                if !self.is_member(replica, address) =>
+            {
+                let (replica_id, address) = (replica.0, address.to_string());
+                let change = "not a member";
+                self.record(FlowEvent::MemberChange { replica: replica_id, address, change });
+                (session, LinkMessage::Removed { replica })
+            }
+            _ => return,
+        };
+        self.effects.push(ControlEffect::Send { session, message });
+    }
+
+    /// Whether a replica at an address belongs to the committed group, or may do so by a change that is
+    /// not committed yet.
+    fn is_member(&self, replica: ReplicaId, address: PeerAddress) -> bool {
+        let latest = self.core.members().into_iter().map(|progress| progress.member);
+        let mut members = latest.chain(self.core.committed_member(replica));
+        members.any(|member| (member.replica, member.address) == (replica, address))
     }
 
     /// Notifies a replica that it was removed permanently, which it cannot learn from the log.
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -121,6 +121,11 @@
         self.core.replica()
     }
 
+    /// Returns how long no leader has reached this replica, unless it may start elections itself.
+    pub fn unreached_for(&self) -> Option<Duration> {
+        self.core.unreached_for()
+    }
+
     /// Returns the address on which the leader listens, if it is known.
     pub fn leader_address(&self) -> Option<PeerAddress> {
         let leader = self.core.leader()?;
--- a/crates/workflow/src/control/proposals.rs
+++ b/crates/workflow/src/control/proposals.rs
@@ -200,7 +200,7 @@
                 self.effects.push(effect);
             }
         }
-        self.finish_admission(ticket);
+        self.finish_id_request(ticket);
     }
 
     /// Returns whether an effect may be sent. A start may be sent only for a placement that the log
@@ -222,7 +222,7 @@
     /// of a proposal that the log did not append learn that nothing was done.
     pub(super) fn drop_proposal(&mut self, ticket: ReplyTicket, error: &ProposalError) {
         let Some(leader) = &mut self.leader else { return };
-        if leader.admissions.remove(&ticket).is_some() || !leader.in_flight.contains_key(&ticket) {
+        if leader.id_requests.remove(&ticket).is_some() || !leader.in_flight.contains_key(&ticket) {
             return;
         }
         if !matches!(error, ProposalError::Unresolved) {
@@ -246,7 +246,7 @@
 
     pub(super) fn finish_read(&mut self, ticket: ReplyTicket, confirmed: bool) {
         let Some(caller) = self.reads.remove(&ticket) else {
-            self.finish_admission(ticket);
+            self.finish_id_request(ticket);
             return;
         };
         let answer = if confirmed {
--- a/crates/workflow/src/control/sessions.rs
+++ b/crates/workflow/src/control/sessions.rs
@@ -36,6 +36,9 @@
             LinkMessage::Ends { worker, ends } => self.handle_ends(session, &worker, ends),
             LinkMessage::WorkerEnded { worker } => self.handle_worker_ended(session, &worker),
             LinkMessage::Join { address } => self.handle_join(session, address),
+            LinkMessage::CheckMember { replica, address } => {
+                self.check_member(session, replica, address);
+            }
             other => self.refuse_message(session, &other),
         }
     }
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -515,6 +515,13 @@
         /// The reason.
         reason: String,
     },
+    /// No leader reaches this control process, which has no vote. It asks whether it is still a member.
+    MemberUnreached {
+        /// The replica.
+        replica: u64,
+        /// The time since a leader last reached it, in milliseconds.
+        silent_ms: u64,
+    },
     /// Another control process has given no sign of life on the stream to it, which is replaced.
     PeerSilent {
         /// The address of the process.
@@ -670,9 +677,9 @@
 }
 
 /// The numbers of warnings and errors.
-const WARNING_NUMBERS: [u16; 23] = [
+const WARNING_NUMBERS: [u16; 24] = [
     5004, 5006, 5008, 5011, 5013, 5015, 5023, 5024, 5025, 5029, 5031, 5032, 5033, 5035, 5038, 5041,
-    5043, 5044, 5045, 5050, 5051, 5052, 5062,
+    5043, 5044, 5045, 5046, 5050, 5051, 5052, 5062,
 ];
 
 impl FlowEvent {
@@ -733,6 +740,7 @@
             Self::ExecutorEnded { .. } => (5043, "ExecutorEnded"),
             Self::OrderOutdated { .. } => (5044, "OrderOutdated"),
             Self::PeerSilent { .. } => (5045, "PeerSilent"),
+            Self::MemberUnreached { .. } => (5046, "MemberUnreached"),
             Self::CallFailed { .. } => (5050, "CallFailed"),
             Self::MessageRefused { .. } => (5051, "MessageRefused"),
             Self::LinesDropped { .. } => (5052, "LinesDropped"),
--- a/crates/workflow/src/message/mod.rs
+++ b/crates/workflow/src/message/mod.rs
@@ -129,7 +129,16 @@
         /// The address of the process.
         address: PeerAddress,
     },
-    /// Reports that a replica was removed from the group permanently.
+    /// Asks whether a replica still belongs to the group. Sent by a control process that has an id, but
+    /// no vote, and that no leader reaches. A leader answers with [`LinkMessage::Removed`] or not at
+    /// all.
+    CheckMember {
+        /// The replica's id.
+        replica: ReplicaId,
+        /// The address of the process.
+        address: PeerAddress,
+    },
+    /// Reports that a replica does not belong to the group, and never will under this id.
     Removed {
         /// The replica's id.
         replica: ReplicaId,
--- a/crates/workflow/tests/group/mod.rs
+++ b/crates/workflow/tests/group/mod.rs
@@ -2,7 +2,7 @@
 
 use {
     base::{EventReducer, PeerAddress, ReplicaId},
-    quorum::{GroupMember, QuorumSettings, RecoveredLog},
+    quorum::{EntryPayload, GroupMember, QuorumSettings, RecoveredLog},
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
         time::Duration,
@@ -86,6 +86,11 @@
         self.hosts.insert(port, GroupHost { node, disk });
     }
 
+    /// Starts a process with an empty disk under an id that it was assigned.
+    pub fn admit(&mut self, port: u16, replica: ReplicaId) {
+        self.open(port, replica, RecoveredLog::default());
+    }
+
     /// Returns the process that leads in the newest term.
     pub fn leader(&self) -> Option<u16> {
         let leading = self.hosts.iter().filter(|(_, host)| host.node.is_leader());
@@ -125,6 +130,27 @@
         self.send(to, from, LinkMessage::Join { address: address_of(from) });
     }
 
+    /// Sends the question of a process whether it still belongs to the group.
+    pub fn check_member(&mut self, to: u16, from: u16, replica: ReplicaId) {
+        let address = address_of(from);
+        self.send(to, from, LinkMessage::CheckMember { replica, address });
+    }
+
+    /// Returns how long no leader has reached a process that may not start elections.
+    pub fn unreached_for(&self, port: u16) -> Option<Duration> {
+        self.hosts[&port].node.unreached_for()
+    }
+
+    /// Returns the id that the last membership entry in a process's log has added.
+    pub fn last_added(&self, port: u16) -> ReplicaId {
+        let entries = self.hosts[&port].disk.entries.iter().rev();
+        let mut groups = entries.filter_map(|entry| match &entry.payload {
+            EntryPayload::Members { members, .. } => members.last(),
+            _ => None,
+        });
+        groups.next().expect("a membership entry").replica
+    }
+
     /// Takes the messages to a joining process or an entry.
     pub fn take_sent(&mut self, to: u16) -> Vec<LinkMessage> {
         let (taken, left): (Vec<_>, Vec<_>) =
@@ -142,6 +168,15 @@
         ids.last()
     }
 
+    /// Takes the messages to a process, and returns the id under which it is told to leave.
+    pub fn removed(&mut self, port: u16) -> Option<ReplicaId> {
+        let ids = self.take_sent(port).into_iter().filter_map(|message| match message {
+            LinkMessage::Removed { replica } => Some(replica),
+            _ => None,
+        });
+        ids.last()
+    }
+
     fn deliver(&mut self) {
         while let Some((port, event)) = self.arrivals.pop_front() {
             let Some(host) = self.hosts.get_mut(&port) else { continue };
--- a/crates/workflow/tests/membership.rs
+++ b/crates/workflow/tests/membership.rs
@@ -3,7 +3,10 @@
 
 mod group;
 
-use group::{ControlGroup, ELECTION_TIMEOUT};
+use {
+    base::ReplicaId,
+    group::{ControlGroup, ELECTION_TIMEOUT},
+};
 
 const JOINING: u16 = 9;
 
@@ -27,3 +30,46 @@
     group.advance(ELECTION_TIMEOUT / 2);
     assert!(group.admitted(JOINING).is_some());
 }
+
+// Review 3, case 11: a process that an earlier build had assigned an id of a lost entry stayed outside
+// the group, also after a restart.
+#[test]
+fn a_process_under_a_lost_id_is_told_that_it_is_no_member() {
+    let mut group = ControlGroup::start(3);
+    let former = group.leader().expect("a leader");
+    group.cut_off(former);
+    group.join(former, JOINING);
+    let lost = group.last_added(former);
+    group.admit(JOINING, lost);
+    group.advance(ELECTION_TIMEOUT * 4);
+    group.heal();
+    group.advance(ELECTION_TIMEOUT * 4);
+    let leader = group.leader().expect("a leader");
+    assert!(group.unreached_for(JOINING) > Some(ELECTION_TIMEOUT * 4), "no leader knows the id");
+    group.check_member(leader, JOINING, lost);
+    assert_eq!(group.removed(JOINING), Some(lost));
+}
+
+#[test]
+fn a_member_that_asks_is_not_removed() {
+    let mut group = ControlGroup::start(3);
+    let leader = group.leader().expect("a leader");
+    group.join(leader, JOINING);
+    let id = group.admitted(JOINING).expect("an id");
+    group.check_member(leader, JOINING, id);
+    group.admit(JOINING, id);
+    group.advance(ELECTION_TIMEOUT);
+    group.check_member(leader, JOINING, id);
+    assert_eq!(group.removed(JOINING), None);
+    assert_eq!(group.unreached_for(JOINING).filter(|span| *span >= ELECTION_TIMEOUT), None);
+}
+
+// A leader that was replaced must not send away a process that the next leader has added.
+#[test]
+fn a_former_leader_sends_no_member_away() {
+    let mut group = ControlGroup::start(3);
+    let former = group.leader().expect("a leader");
+    group.cut_off(former);
+    group.check_member(former, JOINING, ReplicaId(1 << 50));
+    assert_eq!(group.removed(JOINING), None);
+}
