--- a/crates/workflow/tests/group/mod.rs
+++ b/crates/workflow/tests/group/mod.rs
@@ -91,6 +91,11 @@
         self.open(port, replica, RecoveredLog::default());
     }
 
+    /// Ends a process with its disk.
+    pub fn stop(&mut self, port: u16) {
+        self.hosts.remove(&port);
+    }
+
     /// Returns the process that leads in the newest term.
     pub fn leader(&self) -> Option<u16> {
         let leading = self.hosts.iter().filter(|(_, host)| host.node.is_leader());
@@ -141,14 +146,15 @@
         self.hosts[&port].node.unreached_for()
     }
 
-    /// Returns the id that the last membership entry in a process's log has added.
-    pub fn last_added(&self, port: u16) -> ReplicaId {
+    /// Returns the ids of the members by a process's log, the latest last.
+    pub fn member_ids(&self, port: u16) -> Vec<ReplicaId> {
         let entries = self.hosts[&port].disk.entries.iter().rev();
         let mut groups = entries.filter_map(|entry| match &entry.payload {
-            EntryPayload::Members { members, .. } => members.last(),
+            EntryPayload::Members { members, .. } => Some(members),
             _ => None,
         });
-        groups.next().expect("a membership entry").replica
+        let members = groups.next().unwrap_or(&self.founders);
+        members.iter().map(|member| member.replica).collect()
     }
 
     /// Takes the messages to a joining process or an entry.
--- a/crates/workflow/tests/membership.rs
+++ b/crates/workflow/tests/membership.rs
@@ -39,7 +39,7 @@
     let former = group.leader().expect("a leader");
     group.cut_off(former);
     group.join(former, JOINING);
-    let lost = group.last_added(former);
+    let lost = *group.member_ids(former).last().expect("the added member");
     group.admit(JOINING, lost);
     group.advance(ELECTION_TIMEOUT * 4);
     group.heal();
@@ -73,3 +73,34 @@
     group.check_member(former, JOINING, ReplicaId(1 << 50));
     assert_eq!(group.removed(JOINING), None);
 }
+
+// A request that arrived after its process had become a member removed the member, which then waited for
+// a leader.
+#[test]
+fn a_late_request_for_an_id_removes_no_member_that_answers() {
+    let mut group = ControlGroup::start(3);
+    let leader = group.leader().expect("a leader");
+    group.join(leader, JOINING);
+    let id = group.admitted(JOINING).expect("an id");
+    group.admit(JOINING, id);
+    group.advance(ELECTION_TIMEOUT / 2);
+    group.join(leader, JOINING);
+    group.advance(ELECTION_TIMEOUT / 2);
+    assert_eq!(group.member_ids(leader).last(), Some(&id));
+}
+
+#[test]
+fn a_member_that_has_lost_its_disk_gets_a_new_id_once_it_is_silent() {
+    let mut group = ControlGroup::start(3);
+    let leader = group.leader().expect("a leader");
+    let wiped = (1..=3).find(|port| *port != leader).expect("a follower");
+    group.stop(wiped);
+    let mut id = None;
+    for _ in 0..4 {
+        group.advance(ELECTION_TIMEOUT / 2);
+        group.join(leader, wiped);
+        id = id.or(group.admitted(wiped));
+    }
+    assert!(id.is_some());
+    assert!(!group.member_ids(leader).contains(&ReplicaId(u64::from(wiped))));
+}
