Announce a member's address until its removal is committed

Cause: `announce_members` sent the addresses of the group in the leader's log to all entries and agents, which keep only these and their seeds. A removal that was then lost with the leader had made them forget a member of the group. docs/design/group-membership.md named this for additions only, where it is harmless: one address too many is tried.

Change: the addresses are those of the committed group and of members that are being added.

Measured: `an_address_is_announced_until_its_removal_is_committed` failed before (announced [1, 3] of [1, 2, 3] while only the leader had the removal) and passes.

--- a/crates/quorum/src/core/mod.rs
+++ b/crates/quorum/src/core/mod.rs
@@ -132,10 +132,10 @@
         self.log.last_index()
     }
 
-    /// Returns a member of the group in the committed log. A change that is not committed yet may
+    /// Returns the members of the group in the committed log. A change that is not committed yet may
     /// still be lost with its leader.
-    pub fn committed_member(&self, replica: ReplicaId) -> Option<GroupMember> {
-        self.group.at(self.committed).member(replica).copied()
+    pub fn committed_members(&self) -> &[GroupMember] {
+        &self.group.at(self.committed).members
     }
 
     /// Returns how long no leader has reached this replica. `None` if it may start elections, by
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -258,8 +258,7 @@
         let mut suspects = SuspectTable::new(&speculative, self.now);
         let crashes = CrashWatch::new(&speculative, &mut suspects, self.now);
         let unstarted = UnstartedJobs::new(&speculative);
-        let mut announced = self.member_addresses();
-        announced.sort_unstable();
+        let announced = self.member_addresses();
         let cordons = CordonWatch::new(speculative.cordons(), self.now);
         self.leader = Some(LeaderState {
             term,
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -69,8 +69,7 @@
     /// process that stayed connected while every other member was replaced would otherwise know no
     /// address that is still in use when it loses this leader.
     fn announce_members(&mut self) {
-        let mut addresses = self.member_addresses();
-        addresses.sort_unstable();
+        let addresses = self.member_addresses();
         let Some(leader) = &mut self.leader else { return };
         if leader.announced == addresses {
             return;
@@ -150,7 +149,7 @@
         let Some(leader) = &mut self.leader else { return };
         let (session, message) = match leader.id_requests.remove(&ticket) {
             Some(IdRequest::Assign { session, replica })
-                if self.core.committed_member(replica).is_some() =>
+                if self.core.committed_members().iter().any(|member| member.replica == replica) =>
             {
                 (session, LinkMessage::Admitted { replica })
             }
@@ -167,14 +166,31 @@
         self.effects.push(ControlEffect::Send { session, message });
     }
 
-    /// Whether a replica at an address belongs to the committed group, or may do so by a change that is
-    /// not committed yet.
+    /// Whether a replica at an address belongs to the group, or may do so.
     fn is_member(&self, replica: ReplicaId, address: PeerAddress) -> bool {
-        let latest = self.core.members().into_iter().map(|progress| progress.member);
-        let mut members = latest.chain(self.core.committed_member(replica));
+        let mut members = self.possible_members();
         members.any(|member| (member.replica, member.address) == (replica, address))
     }
 
+    /// Returns the members of the committed group, and those that a change which may still be lost has
+    /// added.
+    fn possible_members(&self) -> impl Iterator<Item = GroupMember> + '_ {
+        let committed = self.core.committed_members();
+        let latest = self.core.members().into_iter().map(|progress| progress.member);
+        let is_added =
+            |new: &GroupMember| committed.iter().all(|member| member.replica != new.replica);
+        committed.iter().copied().chain(latest.filter(is_added))
+    }
+
+    /// Returns the addresses on which members listen. One whose removal may still be lost is among
+    /// them.
+    pub fn member_addresses(&self) -> Vec<PeerAddress> {
+        let mut addresses: Vec<_> = self.possible_members().map(|member| member.address).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
     /// Notifies a replica that it was removed permanently, which it cannot learn from the log.
     pub(super) fn notify_removed(&mut self, session: SessionId, from: ReplicaId) {
         if self.leader.is_some() && self.core.is_retired(from) {
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -152,11 +152,6 @@
         figures.unwrap_or_default()
     }
 
-    /// Returns the addresses on which the members listen.
-    pub fn member_addresses(&self) -> Vec<PeerAddress> {
-        self.core.members().iter().map(|progress| progress.member.address).collect()
-    }
-
     fn record(&mut self, event: FlowEvent) {
         self.effects.push(ControlEffect::Record(event));
     }
--- a/crates/workflow/tests/group/mod.rs
+++ b/crates/workflow/tests/group/mod.rs
@@ -183,6 +183,16 @@
         ids.last()
     }
 
+    /// Takes the messages to an entry, and returns the ports of the members in the last one of a leader.
+    pub fn announced(&mut self, port: u16) -> Vec<u16> {
+        let lists = self.take_sent(port).into_iter().filter_map(|message| match message {
+            LinkMessage::Welcome { leading: true, members, .. } => Some(members),
+            _ => None,
+        });
+        let members = lists.last().unwrap_or_default();
+        members.into_iter().map(|address| address.0.port()).collect()
+    }
+
     fn deliver(&mut self) {
         while let Some((port, event)) = self.arrivals.pop_front() {
             let Some(host) = self.hosts.get_mut(&port) else { continue };
--- a/crates/workflow/tests/membership.rs
+++ b/crates/workflow/tests/membership.rs
@@ -6,9 +6,11 @@
 use {
     base::ReplicaId,
     group::{ControlGroup, ELECTION_TIMEOUT},
+    workflow::message::LinkMessage,
 };
 
 const JOINING: u16 = 9;
+const ENTRY: u16 = 99;
 
 // Review 3, case 11: a process that was told its id before the addition was committed belonged to no
 // group once the entry was lost.
@@ -104,3 +106,22 @@
     assert!(id.is_some());
     assert!(!group.member_ids(leader).contains(&ReplicaId(u64::from(wiped))));
 }
+
+// Entries and agents forgot the address of a member on the word of a removal that was then lost.
+#[test]
+fn an_address_is_announced_until_its_removal_is_committed() {
+    let mut group = ControlGroup::start(3);
+    let leader = group.leader().expect("a leader");
+    let wiped = (1..=3).find(|port| *port != leader).expect("a follower");
+    group.send(leader, ENTRY, LinkMessage::Hello { name: "entry".to_owned() });
+    group.stop(wiped);
+    group.advance(ELECTION_TIMEOUT);
+    group.cut_off(leader);
+    group.join(leader, wiped);
+    group.advance(ELECTION_TIMEOUT / 2);
+    assert!(!group.member_ids(leader).contains(&ReplicaId(u64::from(wiped))), "it is proposed");
+    assert_eq!(group.announced(ENTRY), [1, 2, 3]);
+    group.heal();
+    group.advance(ELECTION_TIMEOUT);
+    assert_eq!(group.announced(ENTRY).len(), 2, "the removal is committed");
+}
