Make replica ids that no two leaders share

Cause: the id of a joining process was made of the last position of the leader's log. A leader whose entry was lost and the next one could make the same id for two processes. Told early, as it was before, the id had two owners; it still would with a log or a message of the first one around.

Change: the id holds the term and the position of the entry that adds it. A term has one leader, which appends one entry at each position. Ids stay above those of the founders, and later ones are larger.

Measured: `an_id_of_a_lost_entry_is_not_made_again` failed before (" after") and passes.

--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -12,9 +12,9 @@
     std::time::Duration,
 };
 
-/// Lower bound of the ids of replicas that join an existing group. It lies above the ids of the
-/// first members, which are derived from their addresses.
-const LATER_REPLICAS: u64 = 1 << 40;
+/// The bits of a replica id that hold a position of the log; the term is above them. The ids of the
+/// first members, which are derived from their addresses, fit in these bits, so that they are smaller.
+const POSITION_BITS: u32 = 40;
 /// Time that a voter may be silent before a learner replaces it. Shorter than the time in which a
 /// lost machine has to be replaced, longer than a restart.
 const VOTER_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -103,7 +103,7 @@
                 self.change_group(MemberChange::Remove { replica: member.replica }, member);
             }
             None => {
-                let replica = ReplicaId(LATER_REPLICAS + self.core.last_index().0);
+                let replica = self.next_replica_id();
                 let member = GroupMember { replica, address, voter: false };
                 let change = MemberChange::AddLearner { replica, address };
                 let ticket = self.change_group(change, member);
@@ -114,6 +114,13 @@
         }
     }
 
+    /// Returns an id that no other leader makes, also if the entry that adds it is lost: the term has
+    /// one leader, which appends one entry at each position. Later ids are larger.
+    fn next_replica_id(&self) -> ReplicaId {
+        let position = self.core.last_index().next();
+        ReplicaId((self.core.term().0 << POSITION_BITS) + position.0)
+    }
+
     /// Assigns an id again once a quorum has confirmed this leadership. Another leader may have removed
     /// the learner meanwhile.
     fn confirm_admission(&mut self, session: SessionId, replica: ReplicaId) {
--- a/crates/workflow/tests/group/mod.rs
+++ b/crates/workflow/tests/group/mod.rs
@@ -1,7 +1,8 @@
 //! A control group of several processes in one thread.
 
 use {
-    base::{EventReducer, PeerAddress, ReplicaId},
+    crate::fixtures::fleet_config,
+    base::{EventReducer, PeerAddress, ReplicaId, ReplyTicket},
     quorum::{EntryPayload, GroupMember, QuorumSettings, RecoveredLog},
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
@@ -135,6 +136,13 @@
         self.send(to, from, LinkMessage::Join { address: address_of(from) });
     }
 
+    /// Sends a configuration to a member.
+    pub fn configure(&mut self, to: u16, version: u64) {
+        let (ticket, config) = (ReplyTicket(version), fleet_config(version, 2));
+        self.arrivals.push_back((to, ControlEvent::Configure { ticket, config }));
+        self.deliver();
+    }
+
     /// Sends the question of a process whether it still belongs to the group.
     pub fn check_member(&mut self, to: u16, from: u16, replica: ReplicaId) {
         let address = address_of(from);
--- a/crates/workflow/tests/membership.rs
+++ b/crates/workflow/tests/membership.rs
@@ -1,6 +1,7 @@
 //! Tests of a control group of several processes, whose network and disks the test plays. The test
 //! also stands in for processes that join, and for entries.
 
+mod fixtures;
 mod group;
 
 use {
@@ -125,3 +126,21 @@
     group.advance(ELECTION_TIMEOUT);
     assert_eq!(group.announced(ENTRY).len(), 2, "the removal is committed");
 }
+
+// The same id was made twice, once by a leader whose entry was lost.
+#[test]
+fn an_id_of_a_lost_entry_is_not_made_again() {
+    let mut group = ControlGroup::start(3);
+    let former = group.leader().expect("a leader");
+    group.cut_off(former);
+    // The next leader's first two entries take the same positions.
+    group.configure(former, 1);
+    group.configure(former, 2);
+    group.join(former, JOINING);
+    let lost = *group.member_ids(former).last().expect("the added member");
+    group.advance(ELECTION_TIMEOUT * 4);
+    let leader = group.leader().expect("a leader");
+    group.join(leader, JOINING + 1);
+    let id = group.admitted(JOINING + 1).expect("an id");
+    assert!(id > lost, "{id} after {lost}");
+}
