Show a job only once its submission is committed

Cause: the leader showed a job that was only proposed as queued. If the entry was then lost with the leader, a caller had seen a job that does not exist. Found by searching for what else is told on the word of an entry that may be lost.

Change: the answer waits for the commit of what is proposed, like that to the submission itself. A job whose submission is not proposed yet is found as well.

--- a/crates/workflow/src/control/calls.rs
+++ b/crates/workflow/src/control/calls.rs
@@ -9,7 +9,7 @@
         event::FlowEvent,
         job::{JobKey, JobSpec, QueueRule},
         message::{CallerAnswer, CallerCall, LinkMessage},
-        state::{FlowCommand, Submission},
+        state::{FlowCommand, JobPhase, Submission},
     },
     std::sync::Arc,
 };
@@ -51,7 +51,7 @@
             return Some(CallerAnswer::NoJob);
         };
         match call {
-            CallerCall::Show => Some(self.show(key)),
+            CallerCall::Show => self.show(session, sequence, key),
             CallerCall::Submit(spec) => self.accept(session, sequence, key, &rule, spec, version),
             CallerCall::Cancel => self.cancel(session, sequence, key),
         }
@@ -61,20 +61,19 @@
         self.pending_jobs(&rule.name).map_or(CallerAnswer::NotLeading, CallerAnswer::Pending)
     }
 
-    /// Returns the phase of a job in the applied state, since a proposal may still fail. A job
-    /// whose submission is only proposed counts as queued.
-    fn show(&self, key: JobKey) -> CallerAnswer {
-        match self.applied.job(key) {
-            Some(job) => CallerAnswer::Phase(job.phase()),
-            None if self
-                .leader
-                .as_ref()
-                .is_some_and(|leader| leader.speculative.job(key).is_some()) =>
-            {
-                CallerAnswer::Phase(crate::state::JobPhase::Queued)
-            }
-            None => CallerAnswer::NoJob,
+    /// Returns the phase of a job in the applied state, since a proposal may still fail. A job whose
+    /// submission is only proposed is shown with the commit.
+    fn show(&mut self, session: SessionId, sequence: u64, key: JobKey) -> Option<CallerAnswer> {
+        if let Some(job) = self.applied.job(key) {
+            return Some(CallerAnswer::Phase(job.phase()));
         }
+        let leader = self.leader.as_mut()?;
+        if !leader.is_submitted(key) {
+            return Some(CallerAnswer::NoJob);
+        }
+        let shown = CallerAnswer::Phase(JobPhase::Queued);
+        leader.defer(answer_effect(session, sequence, shown));
+        None
     }
 
     fn accept(
@@ -116,10 +115,7 @@
 
     fn cancel(&mut self, session: SessionId, sequence: u64, key: JobKey) -> Option<CallerAnswer> {
         let leader = self.leader.as_ref()?;
-        let proposed = leader.pending.commands.iter().any(
-            |command| matches!(command, FlowCommand::Submit(submission) if submission.job == key),
-        );
-        if leader.speculative.job(key).is_none() && !proposed {
+        if !leader.is_submitted(key) {
             return Some(CallerAnswer::NoJob);
         }
         let answer = answer_effect(session, sequence, CallerAnswer::Cancelled);
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -17,7 +17,7 @@
     },
     crate::{
         event::FlowEvent,
-        job::{RunNumber, StepKey, TaskKey, WorkerIncarnation},
+        job::{JobKey, RunNumber, StepKey, TaskKey, WorkerIncarnation},
         message::{CallerAnswer, LinkMessage},
         plan::{
             AdmissionTable, DurationTable, InterferenceTable, Placement, PlacementPlanner,
@@ -80,6 +80,16 @@
         self.content_bytes >= ENTRY_CONTENT_BYTES
     }
 
+    /// Returns whether the batch submits a job.
+    fn submits(&self, key: JobKey) -> bool {
+        let commands = self.commands.iter();
+        let mut submissions = commands.filter_map(|command| match command {
+            FlowCommand::Submit(submission) => Some(submission.job),
+            _ => None,
+        });
+        submissions.any(|job| job == key)
+    }
+
     /// Returns whether the batch ends a run.
     pub(super) fn ends(&self, ended: &TaskKey, number: RunNumber) -> bool {
         self.ended_runs.contains(&(*ended, number))
@@ -184,6 +194,21 @@
 }
 
 impl LeaderState {
+    /// Returns whether a job is in the log or proposed, or waits for the next proposal.
+    pub(super) fn is_submitted(&self, key: JobKey) -> bool {
+        self.speculative.job(key).is_some() || self.pending.submits(key)
+    }
+
+    /// Withholds an effect until everything that was collected or proposed so far is committed.
+    pub(super) fn defer(&mut self, effect: ControlEffect) {
+        let last = self.in_flight.values_mut().next_back();
+        let deferred = match last {
+            Some(deferred) if self.pending.commands.is_empty() => deferred,
+            _ => &mut self.pending.deferred,
+        };
+        deferred.push(effect);
+    }
+
     /// Returns the incarnation that the agent on a stream represents, unless the agent has moved to
     /// a newer stream.
     pub(super) fn represented_worker(&self, session: SessionId) -> Option<&WorkerIncarnation> {
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -24,7 +24,7 @@
     workflow::{
         job::JobSchedule,
         message::{CallerAnswer, LinkMessage},
-        state::EndKind,
+        state::{EndKind, JobPhase},
     },
 };
 
@@ -585,3 +585,16 @@
     harness.submit_and_fail_sync(2, job(&[StepBuilder::tasks(1)]));
     assert_eq!(harness.answers(), [CallerAnswer::Unresolved, CallerAnswer::NotLeading]);
 }
+
+// A caller was shown a job whose submission was then lost with the leader.
+#[test]
+fn a_job_is_shown_once_its_submission_is_in_the_log() {
+    let mut harness = ControlHarness::start();
+    harness.pause_syncs(true);
+    harness.submit(0xa, job(&[StepBuilder::tasks(1)]));
+    assert_eq!(harness.phase(0xa), "None");
+    assert_eq!(harness.phase(0xb), "Some(NoJob)");
+    harness.pause_syncs(false);
+    let shown = CallerAnswer::Phase(JobPhase::Queued);
+    assert_eq!(harness.answers(), [CallerAnswer::NoJob, CallerAnswer::Accepted, shown]);
+}
