--- a/crates/node/src/control/member.rs
+++ b/crates/node/src/control/member.rs
@@ -105,6 +105,10 @@
         self.node.wait_figures()
     }
 
+    pub(super) fn withdrawn_jobs(&self) -> usize {
+        self.node.applied().withdrawn_jobs()
+    }
+
     pub(super) fn persist(&self, batch: PersistBatch) {
         // The thread outlives its member: the send fails only while the process ends.
         let _ = self.batches.send(batch);
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -303,6 +303,7 @@
         {
             self.log.set_cordon_figures(&member.cordon_figures());
             self.log.set_wait_figures(&member.wait_figures());
+            self.log.set_withdrawn_jobs(member.withdrawn_jobs());
         }
         self.step(ControlEvent::Tick { wall_ms: wall_ms() })
     }
--- a/crates/node/src/logging/mod.rs
+++ b/crates/node/src/logging/mod.rs
@@ -178,6 +178,11 @@
         self.metrics.set(GaugeKind::UnconfirmedRuns, figures.unconfirmed_runs as u64);
     }
 
+    /// Sets the number of jobs that were cancelled before they were submitted.
+    pub fn set_withdrawn_jobs(&self, jobs: usize) {
+        self.metrics.set(GaugeKind::WithdrawnJobs, jobs as u64);
+    }
+
     /// Returns all metrics of the process in the Prometheus text format.
     pub fn export_metrics(&self) -> Result<String, MetricsError> {
         self.metrics.export()
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -31,6 +31,7 @@
         CordonWaitingJobs "mangorouter.flow.cordoned.jobs" "{job}" "Jobs that wait because only cordoned data centres have what they ask for; 0 on processes that do not lead.";
         WaitingJobs "mangorouter.flow.waiting.jobs" "{job}" "Jobs that have waited for 4 s or more with nothing placed, or for a task that has lost its run; 0 on processes that do not lead.";
         UnconfirmedRuns "mangorouter.flow.unconfirmed.runs" "{run}" "Placed runs that no list has shown at work for 5 s or more, or that were ordered to stop that long ago; 0 on processes that do not lead.";
+        WithdrawnJobs "mangorouter.flow.withdrawn.jobs" "{job}" "Jobs that were cancelled before they were submitted and are kept to refuse a late submission.";
     }
 }
 
--- a/crates/workflow/src/control/calls.rs
+++ b/crates/workflow/src/control/calls.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        leader::JobSubmission,
         types::{ControlEffect, SessionId},
         ControlNode,
     },
@@ -9,11 +10,14 @@
         event::FlowEvent,
         job::{JobKey, JobSpec, QueueRule},
         message::{CallerAnswer, CallerCall, LinkMessage},
-        state::{FlowCommand, JobPhase, Submission},
+        state::{FlowCommand, JobPhase, Submission, WITHDRAWN_LIMIT},
     },
     std::sync::Arc,
 };
 
+/// Why the submission of a withdrawn job is refused.
+const WITHDRAWN_REASON: &str = "the job was cancelled before it was submitted; it never runs";
+
 impl ControlNode {
     pub(super) fn handle_call(
         &mut self,
@@ -53,7 +57,7 @@
         match call {
             CallerCall::Show => self.show(session, sequence, key),
             CallerCall::Submit(spec) => self.accept(session, sequence, key, &rule, spec, version),
-            CallerCall::Cancel => self.cancel(session, sequence, key),
+            CallerCall::Cancel => self.cancel(session, sequence, key, &rule),
         }
     }
 
@@ -64,15 +68,29 @@
     /// Returns the phase of a job in the applied state, since a proposal may still fail. A job whose
     /// submission is only proposed is shown with the commit.
     fn show(&mut self, session: SessionId, sequence: u64, key: JobKey) -> Option<CallerAnswer> {
-        if let Some(job) = self.applied.job(key) {
+        let known = self.applied.job(key).filter(|job| !job.is_withdrawn());
+        if let Some(job) = known {
             return Some(CallerAnswer::Phase(job.phase()));
         }
-        let leader = self.leader.as_mut()?;
-        if !leader.is_submitted(key) {
+        if self.leader.as_ref()?.submission_of(key) != JobSubmission::Submitted {
             return Some(CallerAnswer::NoJob);
         }
-        let shown = CallerAnswer::Phase(JobPhase::Queued);
-        leader.defer(answer_effect(session, sequence, shown));
+        self.answer_committed(session, sequence, key, CallerAnswer::Phase(JobPhase::Queued))
+    }
+
+    /// Returns an answer that rests on a known job, unless its submission is not committed yet: then the
+    /// answer follows the commit.
+    fn answer_committed(
+        &mut self,
+        session: SessionId,
+        sequence: u64,
+        key: JobKey,
+        answer: CallerAnswer,
+    ) -> Option<CallerAnswer> {
+        if self.applied.job(key).is_some() {
+            return Some(answer);
+        }
+        self.leader.as_mut()?.defer(answer_effect(session, sequence, answer));
         None
     }
 
@@ -90,6 +108,11 @@
             self.record(FlowEvent::JobRefused { job: key, reason: reason.clone() });
             return Some(CallerAnswer::Invalid(reason));
         }
+        if self.leader.as_ref()?.submission_of(key) == JobSubmission::Withdrawn {
+            let reason = WITHDRAWN_REASON.to_owned();
+            self.record(FlowEvent::JobRefused { job: key, reason: reason.clone() });
+            return self.answer_committed(session, sequence, key, CallerAnswer::Invalid(reason));
+        }
         if self.applied.job(key).is_some() {
             return Some(CallerAnswer::Accepted);
         }
@@ -113,13 +136,43 @@
         None
     }
 
-    fn cancel(&mut self, session: SessionId, sequence: u64, key: JobKey) -> Option<CallerAnswer> {
-        let leader = self.leader.as_ref()?;
-        if !leader.is_submitted(key) {
-            return Some(CallerAnswer::NoJob);
+    fn cancel(
+        &mut self,
+        session: SessionId,
+        sequence: u64,
+        key: JobKey,
+        rule: &QueueRule,
+    ) -> Option<CallerAnswer> {
+        match self.leader.as_ref()?.submission_of(key) {
+            JobSubmission::Unknown => self.withdraw(session, sequence, key, rule),
+            JobSubmission::Withdrawn => {
+                self.answer_committed(session, sequence, key, CallerAnswer::NoJob)
+            }
+            JobSubmission::Submitted => {
+                let answer = answer_effect(session, sequence, CallerAnswer::Cancelled);
+                self.propose(FlowCommand::Cancel { job: key }, vec![answer]);
+                None
+            }
+        }
+    }
+
+    /// Records the cancel of an unknown job, whose submission may still arrive: from an entry that has
+    /// stood still, or on a slower stream than the cancel. The log holds it as a submission without steps
+    /// that is cancelled at once, which earlier builds apply alike.
+    fn withdraw(
+        &mut self,
+        session: SessionId,
+        sequence: u64,
+        key: JobKey,
+        rule: &QueueRule,
+    ) -> Option<CallerAnswer> {
+        if self.leader.as_ref()?.withdrawn_jobs() >= WITHDRAWN_LIMIT {
+            return Some(CallerAnswer::Refused);
         }
-        let answer = answer_effect(session, sequence, CallerAnswer::Cancelled);
-        self.propose(FlowCommand::Cancel { job: key }, vec![answer]);
+        let answer = answer_effect(session, sequence, CallerAnswer::NoJob);
+        let deferred = vec![ControlEffect::Record(FlowEvent::JobWithdrawn { job: key }), answer];
+        self.propose(FlowCommand::Submit(Submission::withdrawn(key, rule)), Vec::new());
+        self.propose(FlowCommand::Cancel { job: key }, deferred);
         None
     }
 }
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -23,7 +23,7 @@
             AdmissionTable, DurationTable, InterferenceTable, Placement, PlacementPlanner,
             SuspectTable, WorkerTable,
         },
-        state::{EndKind, FlowCommand, FlowState, TaskPhase},
+        state::{EndKind, FlowCommand, FlowState, JobRecord, Submission, TaskPhase},
     },
     base::{PeerAddress, ReplicaId, ReplyTicket},
     std::{
@@ -80,14 +80,16 @@
         self.content_bytes >= ENTRY_CONTENT_BYTES
     }
 
-    /// Returns whether the batch submits a job.
-    fn submits(&self, key: JobKey) -> bool {
-        let commands = self.commands.iter();
-        let mut submissions = commands.filter_map(|command| match command {
-            FlowCommand::Submit(submission) => Some(submission.job),
+    fn submissions(&self) -> impl Iterator<Item = &Submission> {
+        self.commands.iter().filter_map(|command| match command {
+            FlowCommand::Submit(submission) => Some(submission),
             _ => None,
-        });
-        submissions.any(|job| job == key)
+        })
+    }
+
+    /// Returns the batch's submission of a job.
+    fn submission_of(&self, key: JobKey) -> Option<&Submission> {
+        self.submissions().find(|submission| submission.job == key)
     }
 
     /// Returns whether the batch ends a run.
@@ -105,6 +107,17 @@
     }
 }
 
+/// What a leader knows of the submission of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum JobSubmission {
+    /// Nothing, or the job has ended and is forgotten.
+    Unknown,
+    /// The job was submitted.
+    Submitted,
+    /// The job was cancelled before it was submitted, and is not accepted any more.
+    Withdrawn,
+}
+
 /// The last report of an agent about a run.
 #[derive(Debug, Clone)]
 pub(super) struct RunProgress {
@@ -194,9 +207,22 @@
 }
 
 impl LeaderState {
-    /// Returns whether a job is in the log or proposed, or waits for the next proposal.
-    pub(super) fn is_submitted(&self, key: JobKey) -> bool {
-        self.speculative.job(key).is_some() || self.pending.submits(key)
+    /// Returns what is in the log, proposed, or collected for the next proposal of a job.
+    pub(super) fn submission_of(&self, key: JobKey) -> JobSubmission {
+        let known = self.speculative.job(key).map(JobRecord::is_withdrawn);
+        let withdrawn =
+            known.or_else(|| self.pending.submission_of(key).map(Submission::is_withdrawn));
+        match withdrawn {
+            None => JobSubmission::Unknown,
+            Some(false) => JobSubmission::Submitted,
+            Some(true) => JobSubmission::Withdrawn,
+        }
+    }
+
+    /// Returns the number of withdrawn jobs, with those that are collected for the next proposal.
+    pub(super) fn withdrawn_jobs(&self) -> usize {
+        let collected = self.pending.submissions().filter(|submission| submission.is_withdrawn());
+        self.speculative.withdrawn_jobs() + collected.count()
     }
 
     /// Withholds an effect until everything that was collected or proposed so far is committed.
--- a/crates/workflow/src/event/mod.rs
+++ b/crates/workflow/src/event/mod.rs
@@ -224,6 +224,12 @@
         /// Milliseconds since the job was accepted.
         after_ms: u64,
     },
+    /// A job was cancelled before it was submitted. A later submission is refused.
+    JobWithdrawn {
+        /// The job.
+        #[serde(serialize_with = "as_text")]
+        job: JobKey,
+    },
     /// A job was refused because it could not end in time, and its caller was told when to retry.
     JobDeferred {
         /// The job.
@@ -715,6 +721,7 @@
             Self::JobDeferred { .. } => (5013, "JobDeferred"),
             Self::RunTimesLearned { .. } => (5014, "RunTimesLearned"),
             Self::JobFailed { .. } => (5015, "JobFailed"),
+            Self::JobWithdrawn { .. } => (5016, "JobWithdrawn"),
             Self::TaskPlaced { .. } => (5020, "TaskPlaced"),
             Self::RunEnded { .. } => (5021, "RunEnded"),
             Self::RunStopped { .. } => (5022, "RunStopped"),
--- a/crates/workflow/src/state/command.rs
+++ b/crates/workflow/src/state/command.rs
@@ -3,7 +3,7 @@
 use {
     super::{cordons::DataCentreName, StateError, StateSnafu},
     crate::{
-        job::{FleetConfig, JobKey, JobSpec, RunNumber, TaskKey, WorkerIncarnation},
+        job::{FleetConfig, JobKey, JobSpec, QueueRule, RunNumber, TaskKey, WorkerIncarnation},
         plan::LearnedPair,
     },
     serde::{Deserialize, Serialize},
@@ -52,6 +52,26 @@
     pub spec: Arc<JobSpec>,
 }
 
+impl Submission {
+    /// Returns the submission that stands for a job of a queue which was cancelled before it arrived.
+    /// It has no steps, which no caller may submit.
+    pub fn withdrawn(job: JobKey, rule: &QueueRule) -> Self {
+        Self {
+            job,
+            queue: rule.name.clone(),
+            service: rule.service.clone(),
+            priority: rule.priority,
+            attempt_limit: rule.attempt_limit,
+            spec: Arc::new(JobSpec::default()),
+        }
+    }
+
+    /// Returns whether the submission stands for a withdrawn job.
+    pub fn is_withdrawn(&self) -> bool {
+        self.spec.steps.is_empty()
+    }
+}
+
 /// How a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/workflow/src/state/mod.rs
+++ b/crates/workflow/src/state/mod.rs
@@ -31,6 +31,10 @@
     },
 };
 
+/// The most jobs that are kept as cancelled before their submission. Every replica keeps them for as
+/// long as ended jobs.
+pub const WITHDRAWN_LIMIT: usize = 8192;
+
 /// The error for a snapshot or an entry that cannot be decoded: it has another format, or another
 /// program wrote it.
 #[derive(Debug, Snafu)]
@@ -64,6 +68,9 @@
     /// the snapshot.
     #[serde(default, skip_serializing_if = "CordonSet::is_empty")]
     cordons: CordonSet,
+    /// The number of withdrawn jobs, derived from `jobs`.
+    #[serde(skip)]
+    withdrawn: usize,
     /// The placed tasks by executor, derived from `jobs`.
     #[serde(skip)]
     placements: PlacementIndex,
@@ -74,6 +81,7 @@
     pub fn from_snapshot(data: &[u8]) -> Result<Self, StateError> {
         let mut state: Self = rmp_serde::from_slice(data).context(StateSnafu)?;
         state.placements = PlacementIndex::new(state.active_jobs());
+        state.withdrawn = state.jobs.values().filter(|job| job.is_withdrawn()).count();
         Ok(state)
     }
 
@@ -127,6 +135,11 @@
         self.active.iter().filter_map(|key| Some((*key, self.jobs.get(key)?)))
     }
 
+    /// Returns the number of jobs that were cancelled before they were submitted.
+    pub fn withdrawn_jobs(&self) -> usize {
+        self.withdrawn
+    }
+
     /// Returns a task, unless it is unknown.
     pub fn task(&self, key: &TaskKey) -> Option<&TaskRecord> {
         self.jobs.get(&key.job)?.task(key)
@@ -198,7 +211,9 @@
                 break;
             }
             self.ended.remove(&(at, key));
-            self.jobs.remove(&key);
+            if self.jobs.remove(&key).is_some_and(|job| job.is_withdrawn()) {
+                self.withdrawn -= 1;
+            }
         }
     }
 }
--- a/crates/workflow/src/state/record.rs
+++ b/crates/workflow/src/state/record.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// Returns whether the job was cancelled before it was submitted. It is unknown to callers.
+    pub fn is_withdrawn(&self) -> bool {
+        self.spec.steps.is_empty()
+    }
+
     /// Returns the phase that callers see.
     pub fn phase(&self) -> JobPhase {
         match self.outcome {
--- a/crates/workflow/tests/control.rs
+++ b/crates/workflow/tests/control.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod backlog;
+mod cancels;
 mod cordons;
 mod crashes;
 mod end_facts;
