Drop a request whose client has closed the connection

Cause: an entry that had stood still read submissions from its sockets and forwarded them although their connections had ended with them. So it did with requests that had waited for a leader: it looked for callers that were gone only every 50 ms, and sent all on as soon as the leader answered. Jobs ran of which nobody knew, cancelled or not.

`a_call_whose_caller_is_gone_is_not_forwarded` failed before (the submission came first) and passes.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -85,10 +85,17 @@
         now >= self.deadline
     }
 
+    /// Returns whether the caller has closed its connection, so that nobody takes an answer.
+    pub(super) fn is_abandoned(&self) -> bool {
+        self.reply.is_closed()
+    }
+
     /// Returns whether a request that has waited may be forwarded on the present stream: it was not
-    /// yet, and an answer can arrive in time. One that a leader may have read has nothing to lose.
+    /// yet, its caller is there, and an answer can arrive in time. One that a leader may have read has
+    /// nothing to lose by a late answer.
     pub(super) fn may_be_forwarded(&self, now: Duration) -> bool {
-        self.ticket.is_none() && (self.exposed || now + ANSWER_TIME < self.deadline)
+        let in_time = self.exposed || now + ANSWER_TIME < self.deadline;
+        self.ticket.is_none() && !self.is_abandoned() && in_time
     }
 
     /// Notes the end of the present stream, and withdraws the request from it if it is unwritten.
@@ -120,7 +127,7 @@
 
     /// Returns whether the request has nothing more to wait for.
     pub(super) fn is_expired(&self, now: Duration, stream: StreamView) -> bool {
-        if self.is_late(now) || self.reply.is_closed() {
+        if self.is_late(now) || self.is_abandoned() {
             return true;
         }
         let forwarded = self.exposed || self.ticket.is_some();
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -183,6 +183,9 @@
     }
 
     fn handle_call(&mut self, mut call: PendingCall) {
+        if call.is_abandoned() {
+            return;
+        }
         let now = self.clock.monotonic();
         let closed = self.close_at.is_some_and(|at| now >= at);
         if closed || call.is_late(now) || self.calls.len() >= CALLS_LIMIT {
--- a/crates/node/tests/unit/entry.rs
+++ b/crates/node/tests/unit/entry.rs
@@ -233,3 +233,34 @@
     assert!(!call.is_expired(START, StreamView::LostAt(START)));
     assert!(call.is_expired(START + AMPLE, StreamView::LostAt(START)));
 }
+
+// Review 3, case 14: an entry that had stood still forwarded submissions whose callers were gone.
+#[test]
+fn a_call_whose_caller_is_gone_is_not_forwarded() {
+    on_local_set(async {
+        let control = ScriptedControl::start().await;
+        let handle = start(&[&control]);
+        let mut leader = control.lead(&[]).await;
+        fall_silent(&mut leader).await;
+        let gone = send(&handle, submit(), AMPLE);
+        let answer = send(&handle, CallerCall::Cancel, AMPLE);
+        tokio::task::yield_now().await;
+        gone.abort();
+        assert!(gone.await.is_err());
+        // It was sent on as soon as the leader answered, before the next look for such calls.
+        leader.answer_ping().await;
+        loop {
+            match leader.next().await {
+                Some(LinkMessage::Call { sequence, call, .. }) => {
+                    assert_eq!(call, CallerCall::Cancel);
+                    let answer = CallerAnswer::Cancelled;
+                    leader.sender.send(LinkMessage::Answer { sequence, answer });
+                    break;
+                }
+                Some(LinkMessage::Ping { .. }) => {}
+                other => panic!("expected a call, got {other:?}"),
+            }
+        }
+        assert_eq!(answer.await.unwrap(), CallerAnswer::Cancelled);
+    });
+}
