--- a/crates/workflow/tests/group/mod.rs
+++ b/crates/workflow/tests/group/mod.rs
@@ -9,9 +9,12 @@
         time::Duration,
     },
     workflow::{
-        control::{ControlEffect, ControlEvent, ControlNode, ControlSettings, SessionId},
-        message::LinkMessage,
+        control::{
+            ControlEffect, ControlEvent, ControlNode, ControlSettings, OperatorAnswer, SessionId,
+        },
+        message::{CallerAnswer, CallerCall, LinkMessage},
         plan::LookaheadScope,
+        state::FlowState,
     },
 };
 
@@ -34,6 +37,10 @@
     /// The processes that are cut off from all others.
     cut: BTreeSet<u16>,
     arrivals: VecDeque<(u16, ControlEvent)>,
+    /// What has arrived at a process that stands still.
+    paused: BTreeMap<u16, Vec<ControlEvent>>,
+    /// The answers to operators.
+    answers: Vec<OperatorAnswer>,
     /// The messages to joining processes and entries, with the ports of sender and receiver.
     sent: Vec<(u16, u16, LinkMessage)>,
 }
@@ -52,6 +59,8 @@
             now: Duration::ZERO,
             cut: BTreeSet::new(),
             arrivals: VecDeque::new(),
+            paused: BTreeMap::new(),
+            answers: Vec::new(),
             sent: Vec::new(),
         };
         for port in 1..=members {
@@ -112,6 +121,18 @@
         self.cut.clear();
     }
 
+    /// Stops a process until [`Self::resume`].
+    pub fn pause(&mut self, port: u16) {
+        self.paused.insert(port, Vec::new());
+    }
+
+    /// Lets a process go on with what has arrived meanwhile, in this order.
+    pub fn resume(&mut self, port: u16) {
+        let waiting = self.paused.remove(&port).unwrap_or_default();
+        self.arrivals.extend(waiting.into_iter().map(|event| (port, event)));
+        self.deliver();
+    }
+
     pub fn advance(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
@@ -136,6 +157,38 @@
         self.send(to, from, LinkMessage::Join { address: address_of(from) });
     }
 
+    /// Sends a caller's request about job 10 to a member.
+    pub fn call(&mut self, to: u16, from: u16, call: CallerCall) {
+        let (host, path) = ("h".to_owned(), "/q/000000000000000a".to_owned());
+        self.send(to, from, LinkMessage::Call { sequence: 1, host, path, call });
+    }
+
+    /// Takes the messages to an entry, and returns the answers to its calls.
+    pub fn caller_answers(&mut self, port: u16) -> Vec<CallerAnswer> {
+        let answers = self.take_sent(port).into_iter().filter_map(|message| match message {
+            LinkMessage::Answer { answer, .. } => Some(answer),
+            _ => None,
+        });
+        answers.collect()
+    }
+
+    /// Takes the answers to operators.
+    pub fn operator_answers(&mut self) -> Vec<OperatorAnswer> {
+        std::mem::take(&mut self.answers)
+    }
+
+    /// Asks a member for the cordon of a data centre.
+    pub fn cordon(&mut self, to: u16, data_centre: &str) {
+        let (ticket, data_centre) = (ReplyTicket(1), data_centre.parse().unwrap());
+        self.arrivals.push_back((to, ControlEvent::Cordon { ticket, data_centre }));
+        self.deliver();
+    }
+
+    /// Returns the applied state of a member.
+    pub fn state(&self, port: u16) -> &FlowState {
+        self.hosts[&port].node.applied()
+    }
+
     /// Sends a configuration to a member.
     pub fn configure(&mut self, to: u16, version: u64) {
         let (ticket, config) = (ReplyTicket(version), fleet_config(version, 2));
@@ -203,6 +256,12 @@
 
     fn deliver(&mut self) {
         while let Some((port, event)) = self.arrivals.pop_front() {
+            if let Some(waiting) = self.paused.get_mut(&port) {
+                if !matches!(event, ControlEvent::Tick { .. }) {
+                    waiting.push(event);
+                }
+                continue;
+            }
             let Some(host) = self.hosts.get_mut(&port) else { continue };
             let mut effects = host.node.reduce(self.now, event);
             effects.extend(host.node.reduce(self.now, ControlEvent::Settle));
@@ -231,6 +290,7 @@
             ControlEffect::Send { session, message } if session != PEER_SESSION => {
                 self.sent.push((port, session.0 as u16, message));
             }
+            ControlEffect::Answer { answer, .. } => self.answers.push(answer),
             ControlEffect::Halt(error) => panic!("process {port}: {error}"),
             _ => {}
         }
--- a/crates/workflow/tests/membership.rs
+++ b/crates/workflow/tests/membership.rs
@@ -7,7 +7,13 @@
 use {
     base::ReplicaId,
     group::{ControlGroup, ELECTION_TIMEOUT},
-    workflow::message::LinkMessage,
+    rstest::rstest,
+    std::time::Duration,
+    workflow::{
+        control::OperatorAnswer,
+        job::{JobSpec, StepSpec},
+        message::{CallerAnswer, CallerCall, LinkMessage},
+    },
 };
 
 const JOINING: u16 = 9;
@@ -144,3 +150,62 @@
     let id = group.admitted(JOINING + 1).expect("an id");
     assert!(id > lost, "{id} after {lost}");
 }
+
+// What arrived at a leader that stood still is of callers and operators that have asked others since.
+#[rstest]
+#[case::shorter_than_an_election(ELECTION_TIMEOUT)]
+#[case::long(ELECTION_TIMEOUT * 10)]
+fn a_leader_that_has_stood_still_carries_out_nothing_after_its_replacement(
+    #[case] pause: Duration,
+) {
+    let mut group = ControlGroup::start(3);
+    let former = group.leader().expect("a leader");
+    group.configure(former, 1);
+    group.operator_answers();
+    group.pause(former);
+    group.call(former, ENTRY, CallerCall::Submit(one_task()));
+    group.call(former, ENTRY, CallerCall::Cancel);
+    group.cordon(former, "north");
+    group.advance(pause);
+    group.resume(former);
+    group.advance(ELECTION_TIMEOUT * 4);
+    assert_eq!(group.caller_answers(ENTRY), [CallerAnswer::NotLeading, CallerAnswer::NotLeading]);
+    assert_eq!(group.operator_answers(), [OperatorAnswer::NotLeading { leader: None }]);
+    let leader = group.leader().expect("a leader");
+    assert!(group.state(leader).jobs().next().is_none());
+    assert!(group.state(leader).cordons().is_empty());
+}
+
+// Review 3, case 14, while the leader changes: the next one knows the cancels of the one before.
+#[test]
+fn a_new_leader_refuses_a_job_that_was_cancelled_before_its_submission() {
+    let mut group = ControlGroup::start(3);
+    let former = group.leader().expect("a leader");
+    group.configure(former, 1);
+    group.call(former, ENTRY, CallerCall::Cancel);
+    assert_eq!(group.caller_answers(ENTRY), [CallerAnswer::NoJob]);
+    group.stop(former);
+    group.advance(ELECTION_TIMEOUT * 4);
+    let leader = group.leader().expect("a leader");
+    group.call(leader, ENTRY, CallerCall::Submit(one_task()));
+    let answers = group.caller_answers(ENTRY);
+    assert!(matches!(answers[..], [CallerAnswer::Invalid(_)]), "{answers:?}");
+}
+
+// A leader that was cut off acknowledged the cancel of a job that the next leader had accepted.
+#[test]
+fn a_leader_that_is_cut_off_acknowledges_no_cancel() {
+    let mut group = ControlGroup::start(3);
+    let former = group.leader().expect("a leader");
+    group.configure(former, 1);
+    group.cut_off(former);
+    group.call(former, ENTRY, CallerCall::Cancel);
+    assert_eq!(group.caller_answers(ENTRY), []);
+    group.advance(ELECTION_TIMEOUT * 4);
+    assert_eq!(group.caller_answers(ENTRY), [CallerAnswer::Unresolved]);
+}
+
+fn one_task() -> JobSpec {
+    let step = StepSpec { count: 1, estimate_ms: 1000, ..StepSpec::default() };
+    JobSpec { payload: "work".to_owned(), steps: vec![step], schedule: None }
+}
