Use one lookup for what is known of a submission

Admission looked up whether a job was submitted by itself. It now uses the lookup that cancels and state requests use.

--- a/crates/workflow/src/control/admission.rs
+++ b/crates/workflow/src/control/admission.rs
@@ -1,13 +1,13 @@
 //! Refuses submissions that cannot end in time, and tells callers when to retry.
 
 use {
-    super::ControlNode,
+    super::{leader::JobSubmission, ControlNode},
     crate::{
         event::FlowEvent,
         job::{JobKey, JobSpec, QueueRule, RunNumber, TaskKey},
         message::CallerAnswer,
         plan::{CallerEstimates, PlanInputs, PlanTime},
-        state::{EndKind, FlowCommand, FlowState, JobRecord},
+        state::{EndKind, FlowState, JobRecord},
     },
 };
 
@@ -20,11 +20,12 @@
         spec: &JobSpec,
         rule: &QueueRule,
     ) -> Option<CallerAnswer> {
-        if self.is_submitted(key) {
-            return None;
-        }
         let (now, wall_ms) = (self.now, self.wall_ms);
         let leader = self.leader.as_mut()?;
+        if leader.submission_of(key) == JobSubmission::Submitted {
+            // It may run, so that it must not be refused.
+            return None;
+        }
         let inputs = PlanInputs {
             state: &leader.speculative,
             workers: &leader.workers,
@@ -51,18 +52,6 @@
         Some(CallerAnswer::Overloaded { retry_after_ms })
     }
 
-    /// Returns whether a job is in the speculative state or in the next entry. It may run, so that
-    /// it must not be refused.
-    fn is_submitted(&self, key: JobKey) -> bool {
-        self.leader.as_ref().is_some_and(|leader| {
-            let mut commands = leader.pending.commands.iter();
-            leader.speculative.job(key).is_some()
-                || commands.any(|command| {
-                    matches!(command, FlowCommand::Submit(submission) if submission.job == key)
-                })
-        })
-    }
-
     /// Notes that a task of a job is placed.
     pub(super) fn note_started_work(&mut self, key: JobKey) {
         let now = self.now;
