--- a/crates/workflow/src/control/admission.rs
+++ b/crates/workflow/src/control/admission.rs
@@ -9,9 +9,35 @@
         plan::{CallerEstimates, PlanInputs, PlanTime},
         state::{EndKind, FlowState, JobRecord},
     },
+    std::time::Duration,
 };
 
+/// The most tasks that the state may hold. Every replica keeps a record of each, and a leader two, also of
+/// jobs that are due much later.
+pub const TASKS_HELD_LIMIT: u64 = 500_000;
+/// A job may have this part of the tasks that the state can still take, so that many large jobs leave
+/// space for small ones.
+const FREE_TASKS_DIVISOR: u64 = 8;
+/// When the caller of a job that was refused for its number of tasks may submit it again.
+const TASKS_RETRY: Duration = Duration::from_secs(10);
+
 impl ControlNode {
+    /// Returns the answer to a job that is refused because the state holds too many tasks; `None` to
+    /// accept the job.
+    pub(super) fn refuse_excess(&mut self, key: JobKey, spec: &JobSpec) -> Option<CallerAnswer> {
+        let leader = self.leader.as_ref()?;
+        let (tasks, held) = (spec.task_count(), leader.task_count());
+        let free = TASKS_HELD_LIMIT.saturating_sub(held);
+        let known = leader.submission_of(key) == JobSubmission::Submitted;
+        if known || tasks <= free / FREE_TASKS_DIVISOR {
+            return None;
+        }
+        let reason = format!("{tasks} tasks are too many beside {held} of {TASKS_HELD_LIMIT}");
+        self.record(FlowEvent::JobRefused { job: key, reason });
+        let retry_after_ms = TASKS_RETRY.as_millis() as u64;
+        Some(CallerAnswer::Overloaded { retry_after_ms })
+    }
+
     /// Returns the answer to a job that is refused because its service is overloaded; `None` to
     /// admit the job.
     pub(super) fn refuse_overload(
--- a/crates/workflow/src/control/calls.rs
+++ b/crates/workflow/src/control/calls.rs
@@ -116,8 +116,10 @@
         if self.applied.job(key).is_some() {
             return Some(CallerAnswer::Accepted);
         }
-        if let Some(answer) = self.refuse_overload(key, &spec, rule) {
-            return Some(answer);
+        let refusal =
+            self.refuse_excess(key, &spec).or_else(|| self.refuse_overload(key, &spec, rule));
+        if refusal.is_some() {
+            return refusal;
         }
         let tasks = spec.steps.iter().map(|step| u32::from(step.count)).sum();
         let queue = rule.name.clone();
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -219,6 +219,12 @@
         }
     }
 
+    /// Returns the number of tasks of all jobs, with those that are collected for the next proposal.
+    pub(super) fn task_count(&self) -> u64 {
+        let collected = self.pending.submissions().map(|submission| submission.spec.task_count());
+        self.speculative.task_count() + collected.sum::<u64>()
+    }
+
     /// Returns the number of withdrawn jobs, with those that are collected for the next proposal.
     pub(super) fn withdrawn_jobs(&self) -> usize {
         let collected = self.pending.submissions().filter(|submission| submission.is_withdrawn());
--- a/crates/workflow/src/control/mod.rs
+++ b/crates/workflow/src/control/mod.rs
@@ -31,6 +31,7 @@
 mod workers;
 
 pub use {
+    admission::TASKS_HELD_LIMIT,
     cordons::CordonFigures,
     types::{ControlEffect, ControlEvent, ControlSettings, OperatorAnswer, SessionId},
 };
--- a/crates/workflow/src/job/spec.rs
+++ b/crates/workflow/src/job/spec.rs
@@ -164,12 +164,17 @@
 }
 
 impl JobSpec {
+    /// Returns the number of tasks of all occurrences.
+    pub fn task_count(&self) -> u64 {
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        tasks.saturating_mul(u64::from(self.occurrences()))
+    }
+
     /// Checks the bounds and the order of the steps. Returns the first problem.
     pub fn check(&self) -> Result<(), SpecProblem> {
         ensure!(!self.steps.is_empty(), NoStepsSnafu);
-        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
-        let total = tasks.saturating_mul(u64::from(self.occurrences()));
-        ensure!(self.steps.len() <= STEPS_LIMIT && total <= TASKS_LIMIT, TooLargeSnafu);
+        let within = self.steps.len() <= STEPS_LIMIT && self.task_count() <= TASKS_LIMIT;
+        ensure!(within, TooLargeSnafu);
         for (position, step) in self.steps.iter().enumerate() {
             ensure!(step.count > 0, EmptyStepSnafu { step: position });
             let later = step.depends_on.iter().find(|on| usize::from(**on) >= position);
--- a/crates/workflow/src/state/mod.rs
+++ b/crates/workflow/src/state/mod.rs
@@ -71,6 +71,9 @@
     /// The number of withdrawn jobs, derived from `jobs`.
     #[serde(skip)]
     withdrawn: usize,
+    /// The number of tasks of all jobs, derived from `jobs`.
+    #[serde(skip)]
+    tasks: u64,
     /// The placed tasks by executor, derived from `jobs`.
     #[serde(skip)]
     placements: PlacementIndex,
@@ -81,6 +84,7 @@
     pub fn from_snapshot(data: &[u8]) -> Result<Self, StateError> {
         let mut state: Self = rmp_serde::from_slice(data).context(StateSnafu)?;
         state.placements = PlacementIndex::new(state.active_jobs());
+        state.tasks = state.jobs.values().map(|job| job.spec.task_count()).sum();
         state.withdrawn = state.jobs.values().filter(|job| job.is_withdrawn()).count();
         Ok(state)
     }
@@ -135,6 +139,11 @@
         self.active.iter().filter_map(|key| Some((*key, self.jobs.get(key)?)))
     }
 
+    /// Returns the number of tasks of all known jobs, which is what most of the state consists of.
+    pub fn task_count(&self) -> u64 {
+        self.tasks
+    }
+
     /// Returns the number of jobs that were cancelled before they were submitted.
     pub fn withdrawn_jobs(&self) -> usize {
         self.withdrawn
@@ -211,9 +220,9 @@
                 break;
             }
             self.ended.remove(&(at, key));
-            if self.jobs.remove(&key).is_some_and(|job| job.is_withdrawn()) {
-                self.withdrawn -= 1;
-            }
+            let Some(job) = self.jobs.remove(&key) else { continue };
+            self.withdrawn -= usize::from(job.is_withdrawn());
+            self.tasks -= job.spec.task_count();
         }
     }
 }
--- a/crates/workflow/src/state/transition.rs
+++ b/crates/workflow/src/state/transition.rs
@@ -39,6 +39,7 @@
         if !self.jobs.contains_key(&key) {
             self.jobs.insert(key, JobRecord::new(submission, self.clock_ms));
             self.active.insert(key);
+            self.tasks += submission.spec.task_count();
             self.withdrawn += usize::from(submission.is_withdrawn());
         }
         CommandOutcome::Done
--- a/crates/workflow/tests/extremes/mod.rs
+++ b/crates/workflow/tests/extremes/mod.rs
@@ -12,6 +12,7 @@
     serde::{de::IgnoredAny, Deserialize},
     std::sync::Arc,
     workflow::{
+        control::TASKS_HELD_LIMIT,
         job::{JobSchedule, JobSpec, RunNumber, StepSpec, TaskDemand, WorkerIncarnation},
         message::{CallerAnswer, CallerCall, EndReport, LinkMessage, RunReport, WorkerReport},
         state::{EndKind, FlowState},
@@ -270,3 +271,35 @@
     harness.report_runs(1, "e1@100", &[(task, 1), ("000000000000000f.0.0.0", 1)]);
     assert_eq!(harness.stops(), ["000000000000000f.0.0.0 run 1"], "its job is unknown");
 }
+
+// Review 3, case 12: accepted jobs with many occurrences took the memory of every leader, one after the
+// other, and no job was answered any more.
+#[test]
+fn jobs_with_many_occurrences_leave_space_for_others() {
+    let mut harness = ControlHarness::start();
+    let mut hourly = job(&[StepBuilder::tasks(8)]);
+    let due_ms = 1_000_000_000;
+    hourly.schedule = Some(JobSchedule { count: 2160, first_ms: due_ms, every_ms: 3_600_000 });
+    let answers: Vec<CallerAnswer> =
+        (0..60).map(|key| harness.submit_to("/q/", key, hourly.clone())).collect();
+    let accepted = answers.iter().filter(|answer| **answer == CallerAnswer::Accepted).count();
+    assert!((10..60).contains(&accepted), "{accepted} of 60 are accepted");
+    assert!(matches!(answers.last(), Some(CallerAnswer::Overloaded { .. })));
+    assert_eq!(harness.state().task_count(), accepted as u64 * 17_280);
+    assert_eq!(harness.submit_to("/q/", 0, hourly.clone()), CallerAnswer::Accepted, "a repeat");
+    for key in 100..200 {
+        let small = job(&[StepBuilder::tasks(100)]);
+        assert_eq!(harness.submit_to("/q/", key, small), CallerAnswer::Accepted);
+    }
+    harness.compact_log();
+    harness.restart_leader();
+    assert!(harness.state().task_count() < TASKS_HELD_LIMIT);
+    assert!(matches!(
+        harness.submit_to("/q/", 60, hourly.clone()),
+        CallerAnswer::Overloaded { .. }
+    ));
+    (0..3).for_each(|key| harness.cancel(key));
+    harness.advance(61_000);
+    harness.configure(2);
+    assert_eq!(harness.submit_to("/q/", 60, hourly), CallerAnswer::Accepted);
+}
