--- a/crates/workflow/src/plan/trials.rs
+++ b/crates/workflow/src/plan/trials.rs
@@ -18,7 +18,7 @@
         state::FlowState,
     },
     indexmap::IndexMap,
-    std::{sync::Arc, time::Duration},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
 
 /// Share of a service's workers on which suspected jobs may be tried at once.
@@ -48,6 +48,8 @@
 #[derive(Debug, Default)]
 pub(super) struct TrialTable {
     trials: IndexMap<Arc<str>, JobTrial>,
+    /// The suspected jobs whose last trial was given up, because nothing of them had started there.
+    given_up: BTreeSet<JobKey>,
     /// The number of jobs that the last pass left without a trial.
     left_last_pass: usize,
     /// The same of the present pass, so far.
@@ -65,6 +67,8 @@
         now: Duration,
     ) {
         self.left_last_pass = std::mem::take(&mut self.left_so_far);
+        let given_up = &mut self.given_up;
+        given_up.retain(|job| suspects.has_suspects(*job));
         self.trials.retain(|executor, trial| {
             let Some(worker) = workers.get(executor) else { return false };
             trial.jobs.retain(|job| suspects.has_suspects(*job));
@@ -75,6 +79,9 @@
                 Some(_) => tried.all(|(task, run)| suspects.is_settled(&task, run)),
                 None => now.saturating_sub(trial.since) >= IDLE_TRIAL_TIME,
             };
+            if over && tried.peek().is_none() {
+                given_up.extend(&trial.jobs);
+            }
             let overdue = now.saturating_sub(trial.since) >= TRIAL_TIME;
             open && !over && !overdue && !trial.jobs.is_empty()
         });
@@ -154,7 +161,8 @@
         None
     }
 
-    /// Begins a trial on the executor with the least to lose.
+    /// Begins a trial on the executor with the least to lose. An executor without crashes is worth a
+    /// wait for its capacity, but not a second one.
     fn begin(
         &mut self,
         job: JobKey,
@@ -183,7 +191,8 @@
             let (against, others) = crashes.unwrap_or_default();
             let unsettled = trial.unsettled_on(worker, inputs);
             let (lasting, tasks) = (reserved.lasting_tasks(), reserved.tasks());
-            let rank = (against, lacks_room, others, unsettled, lasting, tasks, position);
+            let no_wait = lacks_room && self.given_up.contains(&job);
+            let rank = (no_wait, against, lacks_room, others, unsettled, lasting, tasks, position);
             (open && (idle || may_disturb)).then_some(rank)
         });
         let (.., position) = candidates.min()?;
--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -918,3 +918,42 @@
     let longest = (0..10_000).map(SuspectTable::unproven_pause).max();
     assert!(longest.unwrap() < Duration::from_secs(3));
 }
+
+// Review 3, case 13: after two crashes of the only executor with capacity, the trial of a job went to a full
+// one again and again, and nothing of the job ran.
+#[test]
+fn a_trial_that_found_no_capacity_is_not_begun_there_again() {
+    let mut fleet = FlappingFleet::new(3);
+    fleet.harness.submit(0xa, job(&[StepBuilder::tasks(2).cores(16).estimate(110_000)]));
+    let full = fleet.harness.starts().to_vec();
+    assert_eq!(full.len(), 2);
+    let list_runs = |fleet: &mut FlappingFleet, milliseconds: u64, small: Option<(usize, u32)>| {
+        for _ in 0..milliseconds / 200 {
+            for at in 0..3 {
+                let (name, born) = fleet.worker(at);
+                let worker = format!("{name}@{born}");
+                let large = full.iter().filter(|start| start.ends_with(&format!("on {worker}")));
+                let large = large.filter_map(|start| Some((start.split_once(" run ")?.0, 1)));
+                let mut runs: Vec<(&str, u32)> = large.collect();
+                let small = small.filter(|(place, _)| *place == at);
+                runs.extend(small.map(|(_, run)| ("000000000000000b.0.0.0", run)));
+                fleet.harness.report_runs(at as u64 + 1, &worker, &runs);
+            }
+            fleet.wait(200);
+        }
+    };
+    list_runs(&mut fleet, 2000, None);
+    fleet.harness.submit(0xb, job(&[StepBuilder::tasks(1).cores(2).estimate(60_000)]));
+    for _ in 0..2 {
+        let (at, task, run) = fleet.last_start_of("000000000000000b");
+        list_runs(&mut fleet, 6000, Some((at, run)));
+        fleet.crash(at, &[(task, run)]);
+        list_runs(&mut fleet, 1000, None);
+    }
+    list_runs(&mut fleet, 5000, None);
+    // An order that is repeated is not another start.
+    let mut starts = fleet.harness.starts().to_vec();
+    starts.retain(|start| start.starts_with("000000000000000b"));
+    starts.dedup();
+    assert_eq!(starts.len(), 3, "{starts:?}");
+}
