Refuse a withdrawn job until the applied state has forgotten it

The leader's speculative state forgets an ended job when time has passed, the applied state only with the next entry. In between, a submission of a withdrawn job was answered as accepted by the applied record that stands for the cancel, and the entry's submission changed nothing, so that the job was neither run nor known.

Change: what the applied state holds of a job's submission comes first, for submissions, cancels and questions alike.

Measured: eight of twelve cases of `a_submission_at_the_end_of_the_retention_is_refused_or_runs` failed before ("Accepted", no start), at 60.4 s to 70 s after the cancel; all pass.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -458,6 +458,7 @@
         }
     }
 
+    /// Looks for the leader at the seeds and, as a member, at the other members that the log names.
     fn search_leader(&mut self) {
         let own = self.setup.address;
         let mut seeds = self.setup.seeds.clone();
--- a/crates/workflow/src/control/admission.rs
+++ b/crates/workflow/src/control/admission.rs
@@ -18,7 +18,7 @@
 /// A job may have this part of the tasks that the state can still take, so that many large jobs leave
 /// space for small ones.
 const FREE_TASKS_DIVISOR: u64 = 8;
-/// When the caller of a job that was refused for its number of tasks may submit it again.
+/// The delay after which a job that was refused for its number of tasks may be submitted again.
 const TASKS_RETRY: Duration = Duration::from_secs(10);
 
 impl ControlNode {
--- a/crates/workflow/src/control/calls.rs
+++ b/crates/workflow/src/control/calls.rs
@@ -10,7 +10,7 @@
         event::FlowEvent,
         job::{JobKey, JobSpec, QueueRule},
         message::{CallerAnswer, CallerCall, LinkMessage},
-        state::{FlowCommand, JobPhase, Submission, WITHDRAWN_LIMIT},
+        state::{FlowCommand, JobPhase, JobRecord, Submission, WITHDRAWN_LIMIT},
     },
     std::sync::Arc,
 };
@@ -68,14 +68,19 @@
     /// Returns the phase of a job in the applied state, since a proposal may still fail. A job whose
     /// submission is only proposed is shown with the commit.
     fn show(&mut self, session: SessionId, sequence: u64, key: JobKey) -> Option<CallerAnswer> {
-        let known = self.applied.job(key).filter(|job| !job.is_withdrawn());
-        if let Some(job) = known {
-            return Some(CallerAnswer::Phase(job.phase()));
-        }
-        if self.leader.as_ref()?.submission_of(key) != JobSubmission::Submitted {
+        if self.submission_of(key)? != JobSubmission::Submitted {
             return Some(CallerAnswer::NoJob);
         }
-        self.answer_committed(session, sequence, key, CallerAnswer::Phase(JobPhase::Queued))
+        let phase = self.applied.job(key).map_or(JobPhase::Queued, JobRecord::phase);
+        self.answer_committed(session, sequence, key, CallerAnswer::Phase(phase))
+    }
+
+    /// Returns what is known of the submission of a job. What the applied state holds comes first: it
+    /// forgets an ended job a moment after the speculative state, and takes no new one until then.
+    fn submission_of(&self, key: JobKey) -> Option<JobSubmission> {
+        let leader = self.leader.as_ref()?;
+        let applied = self.applied.job(key).map(JobSubmission::of);
+        Some(applied.unwrap_or_else(|| leader.submission_of(key)))
     }
 
     /// Returns an answer that rests on a known job, unless its submission is not committed yet: then the
@@ -108,7 +113,7 @@
             self.record(FlowEvent::JobRefused { job: key, reason: reason.clone() });
             return Some(CallerAnswer::Invalid(reason));
         }
-        if self.leader.as_ref()?.submission_of(key) == JobSubmission::Withdrawn {
+        if self.submission_of(key)? == JobSubmission::Withdrawn {
             let reason = WITHDRAWN_REASON.to_owned();
             self.record(FlowEvent::JobRefused { job: key, reason: reason.clone() });
             return self.answer_committed(session, sequence, key, CallerAnswer::Invalid(reason));
@@ -145,7 +150,7 @@
         key: JobKey,
         rule: &QueueRule,
     ) -> Option<CallerAnswer> {
-        match self.leader.as_ref()?.submission_of(key) {
+        match self.submission_of(key)? {
             JobSubmission::Unknown => self.withdraw(session, sequence, key, rule),
             JobSubmission::Withdrawn => {
                 self.answer_committed(session, sequence, key, CallerAnswer::NoJob)
--- a/crates/workflow/src/control/leader.rs
+++ b/crates/workflow/src/control/leader.rs
@@ -118,6 +118,17 @@
     Withdrawn,
 }
 
+impl JobSubmission {
+    /// Returns what the record of a job says.
+    pub(super) fn of(job: &JobRecord) -> Self {
+        if job.is_withdrawn() {
+            Self::Withdrawn
+        } else {
+            Self::Submitted
+        }
+    }
+}
+
 /// The last report of an agent about a run.
 #[derive(Debug, Clone)]
 pub(super) struct RunProgress {
@@ -209,13 +220,13 @@
 impl LeaderState {
     /// Returns what is in the log, proposed, or collected for the next proposal of a job.
     pub(super) fn submission_of(&self, key: JobKey) -> JobSubmission {
-        let known = self.speculative.job(key).map(JobRecord::is_withdrawn);
-        let withdrawn =
-            known.or_else(|| self.pending.submission_of(key).map(Submission::is_withdrawn));
-        match withdrawn {
+        if let Some(job) = self.speculative.job(key) {
+            return JobSubmission::of(job);
+        }
+        match self.pending.submission_of(key) {
             None => JobSubmission::Unknown,
-            Some(false) => JobSubmission::Submitted,
-            Some(true) => JobSubmission::Withdrawn,
+            Some(submission) if submission.is_withdrawn() => JobSubmission::Withdrawn,
+            Some(_) => JobSubmission::Submitted,
         }
     }
 
--- a/crates/workflow/src/control/members.rs
+++ b/crates/workflow/src/control/members.rs
@@ -83,8 +83,9 @@
 
     /// Handles a process with an empty disk that requests an id. A member at its address that votes
     /// or has stored entries has lost its disk: the leader removes it, and the process has to ask
-    /// again. While the member still answers the leader, the request is an outdated one. A learner that has stored nothing is assigned the same id again. Otherwise the leader
-    /// adds a learner under a new id. The process receives its id only once the addition is committed
+    /// again. While the member still answers the leader, the request is an outdated one. A learner that
+    /// has stored nothing is assigned the same id again. Otherwise the leader adds a learner under a
+    /// new id. The process receives its id only once the addition is committed
     /// (`docs/decisions/quorum.md`).
     pub(super) fn handle_join(&mut self, session: SessionId, address: PeerAddress) {
         if self.leader.is_none() {
--- a/crates/workflow/tests/cancels/mod.rs
+++ b/crates/workflow/tests/cancels/mod.rs
@@ -116,3 +116,24 @@
     assert_eq!(harness.answers().last(), Some(&CallerAnswer::NoJob));
     assert_eq!(harness.state().withdrawn_jobs(), WITHDRAWN_LIMIT);
 }
+
+// The leader's speculative state forgets a withdrawn job a little earlier than the applied state.
+#[rstest]
+fn a_submission_at_the_end_of_the_retention_is_refused_or_runs(
+    #[values(59_000, 60_000, 60_400, 61_000, 64_000, 70_000)] after_ms: u64,
+    #[values(false, true)] compacted: bool,
+) {
+    let mut harness = ControlHarness::start();
+    harness.cancel(0xa);
+    if compacted {
+        harness.compact_log();
+        harness.restart_leader();
+    }
+    harness.connect_worker(1, "e1", 100);
+    harness.keep_alive(1, after_ms);
+    let answer = harness.submit_to("/q/", 0xa, job(&[StepBuilder::tasks(1)]));
+    harness.keep_alive(1, 1000);
+    let accepted = answer == CallerAnswer::Accepted;
+    assert_eq!(harness.starts().len(), usize::from(accepted), "{answer:?}");
+    assert_eq!(harness.phase(0xa), if accepted { "Running" } else { "Some(NoJob)" });
+}
