--- a/crates/workflow/tests/crashes/mod.rs
+++ b/crates/workflow/tests/crashes/mod.rs
@@ -919,8 +919,7 @@
     assert!(longest.unwrap() < Duration::from_secs(3));
 }
 
-// Review 3, case 13: after two crashes of the only executor with capacity, the trial of a job went to a full
-// one again and again, and nothing of the job ran.
+// Review 3, case 13: the trial of a job went to a full executor again and again.
 #[test]
 fn a_trial_that_found_no_capacity_is_not_begun_there_again() {
     let mut fleet = FlappingFleet::new(3);
--- a/crates/workflow/tests/extremes/mod.rs
+++ b/crates/workflow/tests/extremes/mod.rs
@@ -272,8 +272,7 @@
     assert_eq!(harness.stops(), ["000000000000000f.0.0.0 run 1"], "its job is unknown");
 }
 
-// Review 3, case 12: accepted jobs with many occurrences took the memory of every leader, one after the
-// other, and no job was answered any more.
+// Review 3, case 12: accepted jobs with many occurrences took the memory of every leader.
 #[test]
 fn jobs_with_many_occurrences_leave_space_for_others() {
     let mut harness = ControlHarness::start();
--- a/crates/workflow/tests/membership.rs
+++ b/crates/workflow/tests/membership.rs
@@ -19,8 +19,7 @@
 const JOINING: u16 = 9;
 const ENTRY: u16 = 99;
 
-// Review 3, case 11: a process that was told its id before the addition was committed belonged to no
-// group once the entry was lost.
+// Review 3, case 11: a process was told an id of an entry that was then lost.
 #[test]
 fn a_joining_process_is_told_its_id_only_once_its_addition_is_committed() {
     let mut group = ControlGroup::start(3);
@@ -40,8 +39,7 @@
     assert!(group.admitted(JOINING).is_some());
 }
 
-// Review 3, case 11: a process that an earlier build had assigned an id of a lost entry stayed outside
-// the group, also after a restart.
+// Review 3, case 11: a process under an id of a lost entry stayed outside the group for good.
 #[test]
 fn a_process_under_a_lost_id_is_told_that_it_is_no_member() {
     let mut group = ControlGroup::start(3);
@@ -83,8 +81,7 @@
     assert_eq!(group.removed(JOINING), None);
 }
 
-// A request that arrived after its process had become a member removed the member, which then waited for
-// a leader.
+// A request that arrived after its process had become a member removed the member.
 #[test]
 fn a_late_request_for_an_id_removes_no_member_that_answers() {
     let mut group = ControlGroup::start(3);
