--- a/crates/mangorouter/tests/whole_path.rs
+++ b/crates/mangorouter/tests/whole_path.rs
@@ -124,6 +124,32 @@
     fleet.shut_down();
 }
 
+/// Guards against a process that ends by a reload signal which arrives before it has read its settings.
+#[test]
+fn a_reload_at_the_start_does_not_end_a_deployed_process() {
+    let data = tempfile::tempdir().expect("a temporary folder");
+    let path = data.path().join("settings.toml");
+    let made = Command::new("mkfifo").arg(&path).status();
+    assert!(made.is_ok_and(|status| status.success()));
+    let mut process = program(&["deployed", "control"])
+        .env("MANGOROUTER_BOOT", &path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    // Opening the pipe waits until the process opens it to read its settings.
+    let mut settings = fs::File::options().write(true).open(&path).expect("the pipe opens");
+    let reload = Command::new("kill").args(["-HUP", &process.id().to_string()]).status();
+    assert!(reload.is_ok_and(|status| status.success()));
+    settings.write_all(b"no settings").expect("the process reads on");
+    drop(settings);
+    let mut printed = String::new();
+    let errors = process.stderr.as_mut().expect("the output is piped");
+    errors.read_to_string(&mut printed).expect("the output is text");
+    let code = process.wait().ok().and_then(|status| status.code());
+    assert_eq!(code, Some(1), "{printed}");
+    assert!(printed.contains("settings.toml"), "{printed}");
+}
+
 // An outgoing connection of another program took a port between its choice and the start of its
 // process, on a machine with many loopback connections. The fleet could not start.
 #[test]
