Let the shutdown tests rely on neither low limits nor a free port

Cause, by reading: shutdown_resets_no_established_connection ran three callers against a server for two requests and four connections, and held only since that server answers each request before it reads the next. The test of the filter connected to a port that it had closed, which another socket may take.

Change: limits of 64, as in shutdown_cuts_nothing_off, and no connection to a closed port, which no rule of the server stands behind. accept_until says what it does.

Both tests pass; neither had failed.

--- a/crates/proto/src/server/listener.rs
+++ b/crates/proto/src/server/listener.rs
@@ -162,6 +162,7 @@
     while table.running.join_next().await.is_some() {}
 }
 
+/// Serves the connections that arrive until `end` completes and none is left to accept.
 async fn accept_until(
     listener: &tokio::net::TcpListener,
     table: &mut ConnectionTable,
--- a/crates/proto/tests/rim/main.rs
+++ b/crates/proto/tests/rim/main.rs
@@ -281,7 +281,8 @@
 /// Shuts a server down while callers open one connection after the other. Each that is established
 /// is answered.
 fn shut_down_beside_callers(callers: usize, answers_before: usize) {
-    let TestServer { http, pending: _pending } = TestServer::start(LIMITS);
+    let limits = ServerLimits { connections: 64, requests: 64, ..LIMITS };
+    let TestServer { http, pending: _pending } = TestServer::start(limits);
     let address = http.address();
     let answers = AtomicUsize::new(0);
     thread::scope(|scope| {
--- a/crates/proto/tests/unit/handshakes.rs
+++ b/crates/proto/tests/unit/handshakes.rs
@@ -21,8 +21,4 @@
     assert_eq!(late.unwrap_err(), ErrorKind::TimedOut);
     let (_, peer) = listener.accept().unwrap();
     assert_eq!(peer, early.local_addr().unwrap());
-
-    drop(listener);
-    let refused = TcpStream::connect(address).map_err(|error| error.kind());
-    assert_eq!(refused.unwrap_err(), ErrorKind::ConnectionRefused);
 }
