--- a/crates/proto/tests/rim/main.rs
+++ b/crates/proto/tests/rim/main.rs
@@ -278,8 +278,7 @@
     });
 }
 
-/// Shuts a server down while callers open one connection after the other. Each that is established
-/// is answered.
+/// Shuts a server down beside callers, each of whose established connections is answered.
 fn shut_down_beside_callers(callers: usize, answers_before: usize) {
     let limits = ServerLimits { connections: 64, requests: 64, ..LIMITS };
     let TestServer { http, pending: _pending } = TestServer::start(limits);
