Keep the platform's settings variable out of the test of an early reload

Cause: the test a_reload_at_the_start_does_not_end_a_deployed_process names the platform's environment variable outside platform/, which no_crate_contains_a_name_of_the_platform refuses.

Both tests pass.

--- a/crates/mangorouter/tests/whole_path.rs
+++ b/crates/mangorouter/tests/whole_path.rs
@@ -132,7 +132,7 @@
     let made = Command::new("mkfifo").arg(&path).status();
     assert!(made.is_ok_and(|status| status.success()));
     let mut process = program(&["deployed", "control"])
-        .env("MANGOROUTER_BOOT", &path)
+        .env(platform::SETTINGS_VARIABLE, &path)
         .stderr(Stdio::piped())
         .spawn()
         .expect("the program starts");
